--- /dev/null
+++ b/Makefile
@@ -0,0 +1,61 @@
+# Each target does its own set-up on a fresh Debian machine.
+
+SHELL := /bin/bash
+BUILD ?= build
+SAN_BUILD ?= build-san
+JOBS ?= $(shell nproc)
+PACKAGES := build-essential cmake pkg-config curl jq \
+	libwebsockets-dev libmsgpack-dev libglib2.0-dev libjansson-dev libxxhash-dev libcmocka-dev
+CHECK_PACKAGES := spin clang clang-format clang-tidy cppcheck
+SOURCES = $(shell git ls-files -co --exclude-standard '*.c' '*.h')
+
+.PHONY: setup setup-check build san demo check unit lint spec system bench soak fuzz clean
+
+setup:
+	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || { apt-get update -qq && apt-get install -y -qq $(PACKAGES); } >/dev/null
+
+setup-check: setup
+	@dpkg -s $(CHECK_PACKAGES) >/dev/null 2>&1 || { apt-get update -qq && apt-get install -y -qq $(CHECK_PACKAGES); } >/dev/null
+
+build: setup
+	@cmake -S . -B $(BUILD) >/dev/null
+	@$(MAKE) --no-print-directory -C $(BUILD) -j$(JOBS) | { grep -v 'Built target\|Building\|Linking\|Consolidate\|Scanning' || true; }
+
+# Tests run with the address and undefined-behaviour sanitizers.
+san: setup
+	@cmake -S . -B $(SAN_BUILD) -DSANITIZE=ON -DCMAKE_BUILD_TYPE=Debug >/dev/null
+	@$(MAKE) --no-print-directory -C $(SAN_BUILD) -j$(JOBS) | { grep -v 'Built target\|Building\|Linking\|Consolidate\|Scanning' || true; }
+
+# make demo KEEP=1 leaves it up; make demo SITE=sablat shows the other user's site.
+demo: build
+	@BUILD=$(BUILD) SITE=$(or $(SITE),brodnica) KEEP=$(KEEP) scripts/demo.sh
+
+check: setup-check
+	@tests/run-all.sh
+
+unit: san
+	@BUILD=$(SAN_BUILD) tests/run-unit.sh
+
+system: build
+	@BUILD=$(BUILD) tests/run-system.sh
+
+lint: setup-check
+	@clang-format --dry-run -Werror $(SOURCES)
+	@cppcheck --quiet --error-exitcode=1 --std=c11 --enable=warning,performance,portability \
+		--inline-suppr --suppress=missingIncludeSystem -Isrc -Istandins $(filter %.c,$(SOURCES))
+	@echo "lint: clean"
+
+spec: setup-check
+	@spec/run.sh
+
+bench: build
+	@BUILD=$(BUILD) scripts/bench.sh
+
+soak: san
+	@$(SAN_BUILD)/random_test $(or $(SEEDS),20000)
+
+fuzz: setup-check
+	@scripts/fuzz.sh $(or $(SECONDS_EACH),30)
+
+clean:
+	rm -rf $(BUILD) $(SAN_BUILD)
--- /dev/null
+++ b/src/core/dispatch.c
@@ -0,0 +1,541 @@
+/**
+ * @file dispatch.c
+ * Sub-requests: which replica, when to wait, when to ask a second one, when to give up.
+ *
+ * docs/decisions/0002-stragglers.md weighs the ways and gives the figures.
+ */
+#include "core/engine_private.h"
+
+#include <string.h>
+
+/* A replica this many times costlier than the best is not used while another can be. */
+#define OUTLIER_RATIO 4.0
+#define HEDGE_QUANTILE 0.95
+#define HEDGE_SAMPLES_LEAST 64
+#define HEDGE_START_US 20000
+#define HEDGE_LEAST_US 1000
+/* An attempt this many hedge delays old was swallowed rather than slow. */
+#define RESCUE_DELAYS 5
+#define FADE_SAMPLES 4096
+#define BACKOFF_US 3000
+#define BACKOFF_DOUBLINGS 5
+
+/* ---- replica choice ---- */
+
+typedef struct choice_t {
+	upstream_t *list[64];
+	double cost[64];
+	uint32_t count;
+} choice_t;
+
+static bool contains(const GPtrArray *list, const void *item)
+{
+	for (guint i = 0; i < list->len; i++)
+		if (g_ptr_array_index(list, i) == item)
+			return true;
+	return false;
+}
+
+static void list_candidates(const engine_t *engine, const part_t *part, uint64_t now_us,
+			    choice_t *choice)
+{
+	const service_t *service = engine_service_of(part->query);
+	double typical_us = (double)histogram_quantile_us(&service->attempt_latency, 0.5);
+	double best = 0;
+	uint32_t kept = 0;
+
+	choice->count = 0;
+	for (guint i = 0; i < part->replicas->len && choice->count < G_N_ELEMENTS(choice->list);
+	     i++) {
+		upstream_t *upstream = g_ptr_array_index(part->replicas, i);
+
+		if (!upstream_usable(upstream) || contains(part->tried, upstream) ||
+		    contains(part->barred, upstream))
+			continue;
+		choice->list[choice->count] = upstream;
+		choice->cost[choice->count] = upstream_cost(upstream, now_us, MAX(typical_us, 1));
+		if (choice->count == 0 || choice->cost[choice->count] < best)
+			best = choice->cost[choice->count];
+		choice->count++;
+	}
+	if (!engine->policy.choose_by_cost)
+		return;
+	for (uint32_t i = 0; i < choice->count; i++) {
+		if (choice->cost[i] > OUTLIER_RATIO * best)
+			continue;
+		choice->list[kept] = choice->list[i];
+		choice->cost[kept++] = choice->cost[i];
+	}
+	choice->count = kept;
+}
+
+/* Two at random, the cheaper of them that has room. */
+static upstream_t *choose_with_room(engine_t *engine, const choice_t *choice)
+{
+	uint32_t open[64], count = 0, first, second;
+
+	for (uint32_t i = 0; i < choice->count; i++)
+		if (upstream_has_room(choice->list[i]))
+			open[count++] = i;
+	if (count == 0)
+		return NULL;
+	if (!engine->policy.choose_by_cost)
+		return choice->list[open[engine->round_robin++ % count]];
+	if (count == 1)
+		return choice->list[open[0]];
+	first = (uint32_t)g_rand_int_range(engine->rand, 0, (gint32)count);
+	second = (uint32_t)g_rand_int_range(engine->rand, 0, (gint32)count - 1);
+	second += second >= first;
+	return choice->cost[open[first]] <= choice->cost[open[second]] ? choice->list[open[first]]
+								       : choice->list[open[second]];
+}
+
+/* ---- attempts ---- */
+
+static attempt_t *attempt_new(engine_t *engine, part_t *part, attempt_kind_t kind)
+{
+	attempt_t *attempt = g_new0(attempt_t, 1);
+
+	attempt->id = ++engine->last_attempt_id;
+	attempt->query = query_ref(part->query);
+	attempt->part = part->index;
+	attempt->kind = kind;
+	attempt->waiters = g_ptr_array_new_with_free_func(g_free);
+	g_ptr_array_add(part->attempts, attempt);
+	g_hash_table_insert(engine->attempts, &attempt->id, attempt);
+	return attempt;
+}
+
+static part_t *part_of(const attempt_t *attempt)
+{
+	return g_ptr_array_index(attempt->query->parts, attempt->part);
+}
+
+static void unlink_waiters(attempt_t *attempt)
+{
+	for (guint i = 0; i < attempt->waiters->len; i++) {
+		waiter_t *waiter = g_ptr_array_index(attempt->waiters, i);
+
+		g_queue_unlink(&waiter->upstream->waiting, &waiter->link);
+		upstream_unref(waiter->upstream);
+	}
+	g_ptr_array_set_size(attempt->waiters, 0);
+}
+
+static void attempt_free(engine_t *engine, attempt_t *attempt)
+{
+	timers_cancel(&engine->timers, &attempt->timer);
+	unlink_waiters(attempt);
+	g_ptr_array_remove_fast(part_of(attempt)->attempts, attempt);
+	g_hash_table_remove(engine->attempts, &attempt->id);
+	if (attempt->upstream) {
+		attempt->upstream->outstanding--;
+		upstream_unref(attempt->upstream);
+	}
+	g_ptr_array_unref(attempt->waiters);
+	query_unref(attempt->query);
+	g_free(attempt);
+}
+
+static uint64_t hedge_delay_us(const service_t *service)
+{
+	if (service->attempt_latency.count < HEDGE_SAMPLES_LEAST)
+		return HEDGE_START_US;
+	return MAX(histogram_quantile_us(&service->attempt_latency, HEDGE_QUANTILE),
+		   HEDGE_LEAST_US);
+}
+
+static void on_attempt_timer(void *ctx, uint64_t now_us);
+
+static void attempt_send(engine_t *engine, attempt_t *attempt, upstream_t *upstream,
+			 uint64_t now_us)
+{
+	service_t *service = engine_service_of(attempt->query);
+	service_counters_t *counters = &service->counters;
+
+	unlink_waiters(attempt);
+	attempt->upstream = upstream_ref(upstream);
+	attempt->sent_us = now_us;
+	upstream->outstanding++;
+	upstream->sent++;
+	attempt->query->sent = true;
+	g_ptr_array_add(part_of(attempt)->tried, upstream);
+	if (attempt->kind == ATTEMPT_FIRST) {
+		counters->first++;
+		budget_earn(&service->hedge_budget);
+		budget_earn(&service->retry_budget);
+		budget_earn(&service->rescue_budget);
+	} else if (attempt->kind == ATTEMPT_HEDGE) {
+		counters->hedges++;
+	} else {
+		counters->retries++;
+	}
+	if (service->kind != SERVICE_ONCE && engine->policy.hedge) {
+		attempt->timer.fire = on_attempt_timer;
+		attempt->timer.ctx = attempt;
+		timers_set(&engine->timers, &attempt->timer, now_us + hedge_delay_us(service));
+	}
+	engine->ops->send(engine->ctx, attempt);
+}
+
+/* ---- waiting for room ---- */
+
+static bool goes_before(const attempt_t *a, const attempt_t *b)
+{
+	const request_t *x = a->query->request, *y = b->query->request;
+
+	if (x->class != y->class)
+		return x->class < y->class;
+	return x->deadline_us < y->deadline_us;
+}
+
+static void wait_for(attempt_t *attempt, upstream_t *upstream)
+{
+	waiter_t *waiter = g_new0(waiter_t, 1);
+	GList *after = upstream->waiting.tail;
+
+	waiter->attempt = attempt;
+	waiter->upstream = upstream_ref(upstream);
+	waiter->link.data = waiter;
+	g_ptr_array_add(attempt->waiters, waiter);
+	while (after && goes_before(attempt, ((waiter_t *)after->data)->attempt))
+		after = after->prev;
+	if (after)
+		g_queue_insert_after_link(&upstream->waiting, after, &waiter->link);
+	else
+		g_queue_push_head_link(&upstream->waiting, &waiter->link);
+}
+
+void dispatch_pump(engine_t *engine, upstream_t *upstream, uint64_t now_us)
+{
+	while (upstream_has_room(upstream) && upstream->waiting.head) {
+		waiter_t *waiter = upstream->waiting.head->data;
+
+		attempt_send(engine, waiter->attempt, upstream, now_us);
+	}
+}
+
+void dispatch_evict(engine_t *engine, upstream_t *upstream, uint64_t now_us)
+{
+	while (upstream->waiting.head) {
+		attempt_t *attempt = ((waiter_t *)upstream->waiting.head->data)->attempt;
+		part_t *part = part_of(attempt);
+		attempt_kind_t kind = attempt->kind;
+		query_t *query = query_ref(attempt->query);
+
+		attempt_free(engine, attempt);
+		if (!query->finished)
+			dispatch_part(engine, part, kind, now_us);
+		query_unref(query);
+	}
+}
+
+/* ---- a part's course ---- */
+
+static void on_backoff(void *ctx, uint64_t now_us)
+{
+	part_t *part = ctx;
+
+	g_ptr_array_set_size(part->tried, 0);
+	dispatch_part(part->query->engine, part, ATTEMPT_RETRY, now_us);
+}
+
+/* Everyone has been asked once. Those who only shed or were cut off may be asked again, later. */
+static void back_off(engine_t *engine, part_t *part, uint64_t now_us)
+{
+	double base = (double)(BACKOFF_US << MIN(part->backoffs, BACKOFF_DOUBLINGS));
+
+	part->backoffs++;
+	part->backoff.fire = on_backoff;
+	part->backoff.ctx = part;
+	timers_set(&engine->timers, &part->backoff,
+		   now_us + (uint64_t)g_rand_double_range(engine->rand, base / 2, base));
+}
+
+static bool anyone_left(const part_t *part)
+{
+	for (guint i = 0; i < part->replicas->len; i++) {
+		const upstream_t *upstream = g_ptr_array_index(part->replicas, i);
+
+		if (upstream_usable(upstream) && !contains(part->barred, upstream))
+			return true;
+	}
+	return false;
+}
+
+void dispatch_part(engine_t *engine, part_t *part, attempt_kind_t kind, uint64_t now_us)
+{
+	attempt_t *attempt;
+	upstream_t *upstream;
+	choice_t choice;
+
+	list_candidates(engine, part, now_us, &choice);
+	if (choice.count == 0) {
+		if (part->attempts->len || part->backoff.place)
+			return;
+		if (anyone_left(part))
+			back_off(engine, part, now_us);
+		else
+			engine_part_lost(engine, part, now_us);
+		return;
+	}
+	attempt = attempt_new(engine, part, kind);
+	upstream = choose_with_room(engine, &choice);
+	if (upstream) {
+		attempt_send(engine, attempt, upstream, now_us);
+		return;
+	}
+	for (uint32_t i = 0; i < choice.count; i++)
+		wait_for(attempt, choice.list[i]);
+}
+
+/* ---- rescue ---- */
+
+static bool someone_has_room(const engine_t *engine, const part_t *part, uint64_t now_us)
+{
+	choice_t choice;
+
+	list_candidates(engine, part, now_us, &choice);
+	for (uint32_t i = 0; i < choice.count; i++)
+		if (upstream_has_room(choice.list[i]))
+			return true;
+	return false;
+}
+
+static void hedge(engine_t *engine, part_t *part, uint64_t now_us)
+{
+	service_t *service = engine_service_of(part->query);
+
+	/* Under overload a hedge takes the place of somebody's first attempt. */
+	if (gate_waiting(&service->gate) || part->attempts->len > 1 ||
+	    !someone_has_room(engine, part, now_us) || !budget_spend(&service->hedge_budget))
+		return;
+	dispatch_part(engine, part, ATTEMPT_HEDGE, now_us);
+}
+
+/*
+ * A connection that something in between has forgotten swallows requests without an error. The
+ * hedge budget is too small when many connections go silent at once: parts would stay unanswered
+ * until the deadline. So an attempt that is far older than a slow answer may be replaced from a
+ * budget of its own, even at a replica that was tried; the new attempt uses another connection,
+ * and the silent one is closed when the attempt is cancelled.
+ */
+static void rescue(engine_t *engine, part_t *part, attempt_t *attempt, uint64_t now_us)
+{
+	service_t *service = engine_service_of(part->query);
+
+	upstream_overloaded(attempt->upstream, now_us, now_us - attempt->sent_us);
+	if (!budget_spend(&service->rescue_budget))
+		return;
+	timeline_add(engine->timeline,
+		     "event=rescue request=%s service=%s upstream=%s waited_us=%" G_GUINT64_FORMAT,
+		     part->query->request->id, service->name, attempt->upstream->name,
+		     now_us - attempt->sent_us);
+	if (!someone_has_room(engine, part, now_us))
+		g_ptr_array_set_size(part->tried, 0);
+	dispatch_part(engine, part, ATTEMPT_RETRY, now_us);
+}
+
+static void on_attempt_timer(void *ctx, uint64_t now_us)
+{
+	attempt_t *attempt = ctx;
+	engine_t *engine = attempt->query->engine;
+	service_t *service = engine_service_of(attempt->query);
+	uint64_t rescue_us = RESCUE_DELAYS * hedge_delay_us(service);
+
+	if (now_us < attempt->sent_us + rescue_us) {
+		timers_set(&engine->timers, &attempt->timer, attempt->sent_us + rescue_us);
+		hedge(engine, part_of(attempt), now_us);
+		return;
+	}
+	rescue(engine, part_of(attempt), attempt, now_us);
+}
+
+/* ---- ends ---- */
+
+static void cancel_attempt(engine_t *engine, attempt_t *attempt, uint64_t now_us)
+{
+	upstream_t *upstream = attempt->upstream ? upstream_ref(attempt->upstream) : NULL;
+	uint64_t waited_us = now_us - attempt->sent_us;
+
+	if (upstream) {
+		engine->ops->cancel(engine->ctx, attempt);
+		/* The loser took at least this long: without it a straggler would look untried. */
+		if ((double)waited_us > upstream->latency_us)
+			upstream_overloaded(upstream, now_us, waited_us);
+	}
+	attempt_free(engine, attempt);
+	if (!upstream)
+		return;
+	dispatch_pump(engine, upstream, now_us);
+	upstream_unref(upstream);
+}
+
+static void drop_waiting(engine_t *engine, const part_t *part)
+{
+	for (guint i = part->attempts->len; i-- > 0;) {
+		attempt_t *attempt = g_ptr_array_index(part->attempts, i);
+
+		if (!attempt->upstream)
+			attempt_free(engine, attempt);
+	}
+}
+
+static void cancel_others(engine_t *engine, part_t *part, uint64_t now_us)
+{
+	drop_waiting(engine, part);
+	while (part->attempts->len)
+		cancel_attempt(engine, g_ptr_array_index(part->attempts, 0), now_us);
+	timers_cancel(&engine->timers, &part->backoff);
+}
+
+void dispatch_stop(engine_t *engine, query_t *query, uint64_t now_us)
+{
+	/* First those that wait, or a place freed below would go to another part of this query. */
+	for (guint i = 0; i < query->parts->len; i++)
+		drop_waiting(engine, g_ptr_array_index(query->parts, i));
+	for (guint i = 0; i < query->parts->len; i++)
+		cancel_others(engine, g_ptr_array_index(query->parts, i), now_us);
+}
+
+static void take_sample(engine_t *engine, service_t *service, upstream_t *upstream,
+			const attempt_t *attempt, uint64_t now_us)
+{
+	uint64_t latency_us = now_us - attempt->sent_us;
+
+	upstream_answered(upstream, now_us, latency_us);
+	if (!engine->policy.adapt_limit)
+		upstream->limit = upstream->share;
+	histogram_add(&service->attempt_latency, latency_us);
+	if (service->attempt_latency.count >= FADE_SAMPLES)
+		histogram_fade(&service->attempt_latency);
+}
+
+static void part_answered(engine_t *engine, part_t *part, attempt_kind_t kind, const reply_t *reply,
+			  uint64_t now_us)
+{
+	query_t *query = query_ref(part->query);
+
+	if (kind == ATTEMPT_HEDGE)
+		engine_service_of(query)->counters.hedges_won++;
+	query_merge(query, part, reply);
+	cancel_others(engine, part, now_us);
+	if (query->request->kind == SERVICE_ONCE)
+		engine_action_ended(engine, query, REFUSAL_NONE, RAN_YES, now_us);
+	else
+		engine_check_settled(engine, query, now_us);
+	query_unref(query);
+}
+
+/* The part goes on elsewhere, unless another attempt for it is still out. */
+static void ask_elsewhere(engine_t *engine, part_t *part, bool costs_budget, uint64_t now_us)
+{
+	service_t *service = engine_service_of(part->query);
+
+	if (part->attempts->len)
+		return;
+	if (costs_budget && !budget_spend(&service->retry_budget)) {
+		engine_part_lost(engine, part, now_us);
+		return;
+	}
+	dispatch_part(engine, part, ATTEMPT_RETRY, now_us);
+}
+
+/* The attempt itself says nothing of the part any more: the query went on without it. */
+static bool moved_on(const query_t *query, uint32_t restarts)
+{
+	return query->finished || query->restarts != restarts;
+}
+
+static void note_failure(engine_t *engine, const query_t *query, upstream_t *upstream,
+			 reply_kind_t kind, uint64_t now_us)
+{
+	service_t *service = engine_service_of(query);
+
+	switch (kind) {
+	case REPLY_ANSWER: /* of another version or other partitions: never merged */
+	case REPLY_BAD:
+		service->counters.mismatched++;
+		timeline_add(engine->timeline,
+			     "event=reply-rejected request=%s service=%s upstream=%s",
+			     query->request->id, service->name, upstream->name);
+		break;
+	case REPLY_NOT_HELD:
+		break;
+	case REPLY_SHED:
+		upstream->shed++;
+		upstream_overloaded(upstream, now_us, 0);
+		break;
+	case REPLY_NOT_SENT:
+	case REPLY_CUT:
+		upstream->cut++;
+		if (!upstream_failed(upstream))
+			break;
+		service->snapshot_stale = true;
+		timeline_add(engine->timeline,
+			     "event=upstream-down service=%s upstream=%s reason=connect",
+			     service->name, upstream->name);
+		dispatch_evict(engine, upstream, now_us);
+		break;
+	}
+}
+
+static void part_failed(engine_t *engine, part_t *part, upstream_t *upstream, reply_kind_t kind,
+			uint64_t now_us)
+{
+	bool transient = kind == REPLY_SHED || kind == REPLY_NOT_SENT || kind == REPLY_CUT;
+	bool may_have_run = kind == REPLY_CUT || kind == REPLY_BAD || kind == REPLY_ANSWER;
+
+	if (may_have_run && part->query->request->kind == SERVICE_ONCE) {
+		engine_action_ended(engine, part->query, REFUSAL_OUTCOME_UNKNOWN, RAN_UNKNOWN,
+				    now_us);
+		return;
+	}
+	if (!transient)
+		g_ptr_array_add(part->barred, upstream);
+	if (!part->answered && !part->lost)
+		ask_elsewhere(engine, part, may_have_run, now_us);
+}
+
+void engine_attempt_ended(engine_t *engine, uint64_t attempt_id, reply_t *reply, uint64_t now_us)
+{
+	attempt_t *attempt = g_hash_table_lookup(engine->attempts, &attempt_id);
+	upstream_t *upstream;
+	query_t *query;
+	uint32_t restarts, index;
+	attempt_kind_t kind;
+
+	/* Ids are never used twice, so what is not found is late, doubled or foreign. */
+	if (!attempt || !attempt->upstream) {
+		engine->stray_replies++;
+		reply_free(reply);
+		return;
+	}
+	upstream = upstream_ref(attempt->upstream);
+	query = query_ref(attempt->query);
+	restarts = query->restarts;
+	index = attempt->part;
+	kind = attempt->kind;
+	if (reply->kind == REPLY_ANSWER)
+		take_sample(engine, engine_service_of(query), upstream, attempt, now_us);
+	attempt_free(engine, attempt);
+
+	if (reply->kind == REPLY_ANSWER &&
+	    query_accepts(query, g_ptr_array_index(query->parts, index), reply)) {
+		upstream->failures = 0;
+		part_answered(engine, g_ptr_array_index(query->parts, index), kind, reply, now_us);
+		if (reply->report)
+			engine_take_report(engine, upstream, reply->report, now_us);
+	} else {
+		if (reply->report)
+			engine_take_report(engine, upstream, reply->report, now_us);
+		note_failure(engine, query, upstream, reply->kind, now_us);
+		if (!moved_on(query, restarts))
+			part_failed(engine, g_ptr_array_index(query->parts, index), upstream,
+				    reply->kind, now_us);
+	}
+	dispatch_pump(engine, upstream, now_us);
+	reply_free(reply);
+	query_unref(query);
+	upstream_unref(upstream);
+}
--- /dev/null
+++ b/src/core/engine.c
@@ -0,0 +1,643 @@
+/**
+ * @file engine.c
+ * Requests: configuration of services, admission, the pinned snapshot, the one answer.
+ */
+#include "core/engine_private.h"
+
+#include <string.h>
+
+#define HEDGE_SHARE 0.05
+#define HEDGE_BURST 10
+#define RETRY_SHARE 0.10
+#define RETRY_BURST 32
+#define RESCUE_SHARE 0.05
+#define RESCUE_BURST 128
+#define RESTARTS_MOST 2
+/* What is left to write the answer and let it travel. */
+#define ANSWER_MARGIN_US 4000
+#define OUTAGE_RETURN_LEAST_US 500000
+#define OUTAGE_RETURN_MOST_US 2000000
+
+/* ---- services ---- */
+
+static service_t *service_new(const char *name)
+{
+	service_t *service = g_new0(service_t, 1);
+
+	service->name = g_strdup(name);
+	service->upstreams = g_ptr_array_new_with_free_func((GDestroyNotify)upstream_unref);
+	gate_init(&service->gate);
+	budget_init(&service->hedge_budget, HEDGE_SHARE, HEDGE_BURST);
+	budget_init(&service->retry_budget, RETRY_SHARE, RETRY_BURST);
+	budget_init(&service->rescue_budget, RESCUE_SHARE, RESCUE_BURST);
+	return service;
+}
+
+static void service_free(void *data)
+{
+	service_t *service = data;
+
+	g_free(service->name);
+	g_ptr_array_unref(service->upstreams);
+	snapshot_unref(service->snapshot);
+	g_free(service);
+}
+
+engine_t *engine_new(const engine_ops_t *ops, void *ctx, timeline_t *timeline, uint32_t seed,
+		     const char *data_centre)
+{
+	engine_t *engine = g_new0(engine_t, 1);
+
+	engine->ops = ops;
+	engine->ctx = ctx;
+	engine->timeline = timeline;
+	engine->data_centre = g_strdup(data_centre);
+	engine->rand = g_rand_new_with_seed(seed);
+	engine->policy =
+		(engine_policy_t){.hedge = true, .choose_by_cost = true, .adapt_limit = true};
+	engine->services = g_ptr_array_new_with_free_func(service_free);
+	engine->attempts = g_hash_table_new(g_int64_hash, g_int64_equal);
+	timers_init(&engine->timers);
+	return engine;
+}
+
+void engine_free(engine_t *engine)
+{
+	g_assert(engine->open_queries == 0);
+	g_ptr_array_unref(engine->services);
+	g_hash_table_unref(engine->attempts);
+	timers_clear(&engine->timers);
+	g_rand_free(engine->rand);
+	g_free(engine->data_centre);
+	g_free(engine);
+}
+
+void engine_set_policy(engine_t *engine, engine_policy_t policy)
+{
+	engine->policy = policy;
+}
+
+const GPtrArray *engine_services(const engine_t *engine)
+{
+	return engine->services;
+}
+
+static service_t *find_service(const engine_t *engine, const char *name)
+{
+	for (guint i = 0; i < engine->services->len; i++) {
+		service_t *service = g_ptr_array_index(engine->services, i);
+
+		if (g_str_equal(service->name, name))
+			return service;
+	}
+	return NULL;
+}
+
+const service_t *engine_service(const engine_t *engine, const char *name)
+{
+	const service_t *service = find_service(engine, name);
+
+	return service && service->configured ? service : NULL;
+}
+
+service_t *engine_service_of(const query_t *query)
+{
+	return query->service;
+}
+
+static upstream_t *take_upstream(service_t *service, GPtrArray *old,
+				 const upstream_config_t *config)
+{
+	for (guint i = 0; i < old->len; i++) {
+		upstream_t *upstream = g_ptr_array_index(old, i);
+
+		if (g_str_equal(upstream->name, config->name) &&
+		    g_str_equal(upstream->address, config->address) &&
+		    upstream->port == config->port)
+			return upstream_ref(upstream);
+	}
+	return upstream_new(service->name, config);
+}
+
+static bool was_out(const GHashTable *outs, const upstream_t *upstream)
+{
+	return g_hash_table_contains((GHashTable *)outs, upstream);
+}
+
+static void configure_service(engine_t *engine, service_t *service, const config_t *config,
+			      const service_config_t *from, const GHashTable *outs)
+{
+	GPtrArray *old = service->upstreams;
+
+	service->kind = from->kind;
+	service->timeout_us = from->timeout_us;
+	service->gate.queue_limit = from->queue_limit;
+	service->configured = true;
+	service->snapshot_stale = true;
+	service->upstreams = g_ptr_array_new_with_free_func((GDestroyNotify)upstream_unref);
+	for (guint i = 0; i < from->groups->len; i++) {
+		const group_config_t *group = g_ptr_array_index(from->groups, i);
+
+		for (guint j = 0; j < group->upstreams->len; j++) {
+			const upstream_config_t *item = g_ptr_array_index(group->upstreams, j);
+			upstream_t *upstream = take_upstream(service, old, item);
+
+			/* An operator who takes it back in has the last word over an old "leaving".
+			 */
+			if (was_out(outs, upstream) && !item->out)
+				upstream->leaving_said = false;
+			upstream->out = item->out;
+			upstream->local = g_str_equal(item->data_centre, engine->data_centre);
+			upstream->share = config_work_share(config, from);
+			if (!engine->policy.adapt_limit)
+				upstream->limit = upstream->share;
+			g_ptr_array_add(service->upstreams, upstream);
+		}
+	}
+	g_ptr_array_unref(old);
+}
+
+static void evict_unusable(engine_t *engine, const GPtrArray *upstreams, uint64_t now_us)
+{
+	for (guint i = 0; i < upstreams->len; i++) {
+		upstream_t *upstream = g_ptr_array_index(upstreams, i);
+
+		if (!upstream_usable(upstream))
+			dispatch_evict(engine, upstream, now_us);
+	}
+}
+
+void engine_configure(engine_t *engine, const config_t *config, uint64_t now_us)
+{
+	g_autoptr(GPtrArray) before =
+		g_ptr_array_new_with_free_func((GDestroyNotify)upstream_unref);
+	g_autoptr(GHashTable) outs = g_hash_table_new(NULL, NULL);
+
+	for (guint i = 0; i < engine->services->len; i++) {
+		service_t *service = g_ptr_array_index(engine->services, i);
+
+		for (guint j = 0; j < service->upstreams->len; j++) {
+			upstream_t *upstream = g_ptr_array_index(service->upstreams, j);
+
+			if (upstream->out)
+				g_hash_table_add(outs, upstream);
+			/* What the new configuration does not name again gets nothing new. */
+			upstream->out = true;
+			g_ptr_array_add(before, upstream_ref(upstream));
+		}
+		service->configured = false;
+	}
+	for (guint i = 0; i < config->services->len; i++) {
+		const service_config_t *from = g_ptr_array_index(config->services, i);
+		service_t *service = find_service(engine, from->name);
+
+		if (!service) {
+			service = service_new(from->name);
+			g_ptr_array_add(engine->services, service);
+		}
+		configure_service(engine, service, config, from, outs);
+	}
+	evict_unusable(engine, before, now_us);
+	timeline_add(engine->timeline, "event=config-in-force number=%" G_GUINT64_FORMAT,
+		     config->number);
+}
+
+/* ---- what searchers say ---- */
+
+static service_t *service_of_upstream(const engine_t *engine, const upstream_t *upstream)
+{
+	return find_service(engine, upstream->service);
+}
+
+void engine_take_report(engine_t *engine, upstream_t *upstream, const upstream_report_t *report,
+			uint64_t now_us)
+{
+	upstream_state_t before = upstream->state;
+
+	if (!upstream_report(upstream, report))
+		return;
+	service_of_upstream(engine, upstream)->snapshot_stale = true;
+	timeline_add(engine->timeline,
+		     "event=upstream-changed service=%s upstream=%s from=%s to=%s",
+		     upstream->service, upstream->name, upstream_state_name(before),
+		     upstream_state_name(upstream->state));
+	if (!upstream_usable(upstream))
+		dispatch_evict(engine, upstream, now_us);
+}
+
+void engine_health(engine_t *engine, upstream_t *upstream, const upstream_report_t *report,
+		   uint64_t now_us)
+{
+	if (report) {
+		engine_take_report(engine, upstream, report, now_us);
+		return;
+	}
+	if (!upstream_failed(upstream))
+		return;
+	service_of_upstream(engine, upstream)->snapshot_stale = true;
+	timeline_add(engine->timeline, "event=upstream-down service=%s upstream=%s reason=health",
+		     upstream->service, upstream->name);
+	dispatch_evict(engine, upstream, now_us);
+}
+
+/* ---- admission ---- */
+
+static void refresh_snapshot(service_t *service)
+{
+	if (!service->snapshot_stale)
+		return;
+	service->snapshot_stale = false;
+	snapshot_unref(service->snapshot);
+	service->snapshot = snapshot_choose(service->upstreams, 0);
+}
+
+static double target_capacity(const target_t *target)
+{
+	double sum = 0;
+
+	for (guint i = 0; i < target->replicas->len; i++) {
+		const upstream_t *upstream = g_ptr_array_index(target->replicas, i);
+
+		if (upstream_usable(upstream))
+			sum += MIN(upstream->limit, (double)upstream->share);
+	}
+	return sum;
+}
+
+/* A gather needs room in every target, so the tightest one bounds it; the others add up. */
+static double service_capacity(const service_t *service)
+{
+	double least = 0, sum = 0;
+
+	for (guint i = 0; service->snapshot && i < service->snapshot->targets->len; i++) {
+		double capacity = target_capacity(g_ptr_array_index(service->snapshot->targets, i));
+
+		sum += capacity;
+		if (i == 0 || capacity < least)
+			least = capacity;
+	}
+	return service->kind == SERVICE_GATHER ? least : sum;
+}
+
+static void query_end(engine_t *engine, query_t *query, uint64_t now_us)
+{
+	service_t *service = engine_service_of(query);
+
+	query->finished = true;
+	timers_cancel(&engine->timers, &query->deadline);
+	gate_withdraw(&service->gate, &query->gate_entry);
+	dispatch_stop(engine, query, now_us);
+	if (query->admitted_us)
+		gate_leave(&service->gate, now_us - query->admitted_us);
+	engine->open_queries--;
+}
+
+static void count_answer(service_t *service, const query_t *query, const answer_t *answer,
+			 uint64_t now_us)
+{
+	service_counters_t *counters = &service->counters;
+
+	counters->refusals[answer->refusal]++;
+	if (answer->refusal != REFUSAL_NONE)
+		return;
+	histogram_add(&counters->latency, now_us - query->gate_entry.arrived_us);
+	if (answer->missing && answer->missing->len)
+		counters->answers_partial++;
+	else
+		counters->answers_whole++;
+}
+
+static void admit_waiting(engine_t *engine, service_t *service, uint64_t now_us);
+
+static void query_finish(engine_t *engine, query_t *query, refusal_t refusal, uint64_t now_us)
+{
+	service_t *service = engine_service_of(query);
+	answer_t answer = {.refusal = refusal};
+
+	query_end(engine, query, now_us);
+	query_answer(query, &answer);
+	if (refusal_class(refusal)->come_back)
+		answer.retry_after_us =
+			refusal == REFUSAL_NO_UPSTREAM || refusal == REFUSAL_NO_CLAIM
+				? (uint64_t)g_rand_double_range(engine->rand,
+								OUTAGE_RETURN_LEAST_US,
+								OUTAGE_RETURN_MOST_US)
+				: gate_return_after_us(&service->gate, now_us, engine->rand);
+	count_answer(service, query, &answer, now_us);
+	if (refusal != REFUSAL_NONE || answer.missing->len)
+		timeline_add(
+			engine->timeline,
+			"event=answer request=%s service=%s refusal=%s snapshot=%" G_GUINT64_FORMAT
+			" answered=%u missing=%u",
+			query->request->id, service->name, refusal_class(refusal)->type,
+			answer.version, answer.answered, answer.missing->len);
+	engine->ops->answer(engine->ctx, query, &answer);
+	query_unref(query);
+	admit_waiting(engine, service, now_us);
+}
+
+/* ---- the course of an admitted query ---- */
+
+static void refuse_or_answer(engine_t *engine, query_t *query, uint64_t now_us)
+{
+	if (query_answered(query) > 0)
+		query_finish(engine, query, REFUSAL_NONE, now_us);
+	else
+		query_finish(engine, query, query->sent ? REFUSAL_DEADLINE : REFUSAL_NO_UPSTREAM,
+			     now_us);
+}
+
+void engine_check_settled(engine_t *engine, query_t *query, uint64_t now_us)
+{
+	if (!query->finished && query_is_settled(query))
+		refuse_or_answer(engine, query, now_us);
+}
+
+static void scatter(engine_t *engine, query_t *query, uint64_t now_us)
+{
+	uint32_t pin = query->restarts;
+
+	/* Asking may end the query, or pin it anew: then the parts listed here are gone. */
+	for (guint i = 0; !query->finished && pin == query->restarts && i < query->parts->len; i++)
+		dispatch_part(engine, g_ptr_array_index(query->parts, i), ATTEMPT_FIRST, now_us);
+	engine_check_settled(engine, query, now_us);
+}
+
+static uint32_t usable_partitions(const snapshot_t *snapshot)
+{
+	return snapshot->of - snapshot->missing->len;
+}
+
+/* Worth it when another snapshot would give more than this one still can, and there is time. */
+static bool try_restart(engine_t *engine, query_t *query, uint64_t now_us)
+{
+	service_t *service = engine_service_of(query);
+	uint32_t still = 0;
+
+	if (query->request->kind == SERVICE_ONCE || query->restarts >= RESTARTS_MOST ||
+	    (double)query->deadline.at_us < (double)now_us + service->gate.run_us)
+		return false;
+	service->snapshot_stale = true;
+	refresh_snapshot(service);
+	if (!service->snapshot || service->snapshot->version == query->snapshot->version)
+		return false;
+	for (guint i = 0; i < query->parts->len; i++) {
+		const part_t *part = g_ptr_array_index(query->parts, i);
+
+		still += part->lost ? 0 : part->partitions->len;
+	}
+	if (query->request->kind == SERVICE_GATHER &&
+	    (uint64_t)usable_partitions(service->snapshot) * query->snapshot->of <=
+		    (uint64_t)still * service->snapshot->of)
+		return false;
+	query->restarts++;
+	service->counters.restarts++;
+	timeline_add(engine->timeline,
+		     "event=restart request=%s service=%s from=%" G_GUINT64_FORMAT
+		     " to=%" G_GUINT64_FORMAT,
+		     query->request->id, service->name, query->snapshot->version,
+		     service->snapshot->version);
+	dispatch_stop(engine, query, now_us);
+	query_pin(query, service->snapshot);
+	scatter(engine, query, now_us);
+	return true;
+}
+
+void engine_part_lost(engine_t *engine, part_t *part, uint64_t now_us)
+{
+	query_t *query = query_ref(part->query);
+
+	part->lost = true;
+	if (query->request->kind == SERVICE_ONCE)
+		engine_action_ended(engine, query, REFUSAL_UPSTREAM_NOT_RUN, RAN_NO, now_us);
+	else if (!try_restart(engine, query, now_us))
+		engine_check_settled(engine, query, now_us);
+	query_unref(query);
+}
+
+void engine_action_ended(engine_t *engine, query_t *query, refusal_t refusal, ran_t ran,
+			 uint64_t now_us)
+{
+	if (query->finished)
+		return;
+	query->ran = ran;
+	engine->ops->claim_outcome(engine->ctx, query, ran);
+	query_finish(engine, query, refusal, now_us);
+}
+
+static bool action_is_out(const query_t *query)
+{
+	for (guint i = 0; i < query->parts->len; i++) {
+		const part_t *part = g_ptr_array_index(query->parts, i);
+
+		for (guint j = 0; j < part->attempts->len; j++)
+			if (((const attempt_t *)g_ptr_array_index(part->attempts, j))->upstream)
+				return true;
+	}
+	return false;
+}
+
+static void on_deadline(void *ctx, uint64_t now_us)
+{
+	query_t *query = ctx;
+	engine_t *engine = query->engine;
+
+	if (query->gate_entry.waiting) {
+		query_finish(engine, query, REFUSAL_NO_TIME, now_us);
+	} else if (query->request->kind != SERVICE_ONCE) {
+		refuse_or_answer(engine, query, now_us);
+	} else if (!query->snapshot) { /* the claim is not settled; a late one is released */
+		query_finish(engine, query, REFUSAL_NO_CLAIM, now_us);
+	} else if (action_is_out(query)) {
+		engine_action_ended(engine, query, REFUSAL_OUTCOME_UNKNOWN, RAN_UNKNOWN, now_us);
+	} else {
+		engine_action_ended(engine, query, REFUSAL_UPSTREAM_NOT_RUN, RAN_NO, now_us);
+	}
+}
+
+static uint64_t answer_by_us(const request_t *request, uint64_t now_us)
+{
+	uint64_t left_us = request->deadline_us > now_us ? request->deadline_us - now_us : 0;
+
+	return request->deadline_us - MIN(ANSWER_MARGIN_US, left_us / 10);
+}
+
+static void start_query(engine_t *engine, query_t *query, uint64_t now_us)
+{
+	service_t *service = engine_service_of(query);
+
+	query->admitted_us = now_us;
+	timers_set(&engine->timers, &query->deadline, answer_by_us(query->request, now_us));
+	if (query->request->kind == SERVICE_ONCE) {
+		engine->ops->claim(engine->ctx, query);
+		return;
+	}
+	refresh_snapshot(service);
+	if (!service->snapshot) {
+		query_finish(engine, query, REFUSAL_NO_UPSTREAM, now_us);
+		return;
+	}
+	query_pin(query, service->snapshot);
+	scatter(engine, query, now_us);
+}
+
+static refusal_t refusal_of_claim(claim_end_t end)
+{
+	switch (end) {
+	case CLAIM_OURS:
+		return REFUSAL_NONE;
+	case CLAIM_OTHERS:
+		return REFUSAL_KEY_IN_USE;
+	case CLAIM_RAN:
+		return REFUSAL_KEY_RAN;
+	case CLAIM_TOO_OLD:
+		return REFUSAL_KEY_TOO_OLD;
+	case CLAIM_BAD_KEY:
+		return REFUSAL_BAD_REQUEST;
+	case CLAIM_UNSETTLED:
+		return REFUSAL_NO_CLAIM;
+	}
+	g_assert_not_reached();
+}
+
+void engine_claimed(engine_t *engine, query_t *query, claim_end_t end, uint64_t now_us)
+{
+	service_t *service = engine_service_of(query);
+
+	if (query->finished) {
+		/* Answered as not run while the claim was on its way: give the key back. */
+		if (end == CLAIM_OURS)
+			engine->ops->claim_outcome(engine->ctx, query, RAN_NO);
+		return;
+	}
+	if (end != CLAIM_OURS) {
+		query_finish(engine, query, refusal_of_claim(end), now_us);
+		return;
+	}
+	refresh_snapshot(service);
+	/*
+	 * A holder that was paused between claim and send comes back here long after its deadline.
+	 * The caller has been told nothing yet and must be told "not run"; sending now would make
+	 * that a lie when the caller asks again elsewhere.
+	 */
+	if (now_us >= query->deadline.at_us || !service->snapshot) {
+		engine_action_ended(engine, query,
+				    service->snapshot ? REFUSAL_UPSTREAM_NOT_RUN
+						      : REFUSAL_NO_UPSTREAM,
+				    RAN_NO, now_us);
+		return;
+	}
+	query_pin(query, service->snapshot);
+	if (query->parts->len == 0) {
+		engine_action_ended(engine, query, REFUSAL_NO_UPSTREAM, RAN_NO, now_us);
+		return;
+	}
+	dispatch_part(engine, g_ptr_array_index(query->parts, 0), ATTEMPT_FIRST, now_us);
+}
+
+static void admit_waiting(engine_t *engine, service_t *service, uint64_t now_us)
+{
+	gate_entry_t *entry;
+
+	service->gate.capacity = service_capacity(service);
+	while ((entry = gate_next(&service->gate)))
+		start_query(engine, entry->owner, now_us);
+}
+
+/* A waiting request is refused as soon as it can't be answered in time any more. */
+static uint64_t wait_until_us(const service_t *service, const request_t *request, uint64_t now_us)
+{
+	uint64_t run_us = (uint64_t)service->gate.run_us;
+
+	return MAX(now_us, request->deadline_us > run_us ? request->deadline_us - run_us : 0);
+}
+
+static void offer(engine_t *engine, query_t *query, uint64_t now_us)
+{
+	service_t *service = engine_service_of(query);
+	gate_entry_t *entry = &query->gate_entry, *displaced;
+	gate_verdict_t verdict = gate_offer(&service->gate, entry, now_us);
+
+	if (verdict == GATE_FULL && (displaced = gate_displaceable(&service->gate, entry))) {
+		query_finish(engine, displaced->owner, REFUSAL_DISPLACED, now_us);
+		verdict = gate_offer(&service->gate, entry, now_us);
+	}
+	switch (verdict) {
+	case GATE_RUN:
+		start_query(engine, query, now_us);
+		break;
+	case GATE_WAIT:
+		timers_set(&engine->timers, &query->deadline,
+			   wait_until_us(service, query->request, now_us));
+		break;
+	case GATE_FULL:
+		query_finish(engine, query, REFUSAL_QUEUE_FULL, now_us);
+		break;
+	case GATE_NO_TIME:
+		query_finish(engine, query, REFUSAL_NO_TIME, now_us);
+		break;
+	}
+}
+
+query_t *engine_submit(engine_t *engine, request_t *request, void *owner, uint64_t now_us)
+{
+	service_t *service = find_service(engine, request->service);
+	query_t *query = query_new(request);
+
+	g_assert(service);
+	query_ref(query);
+	query->service = service;
+	query->engine = engine;
+	query->owner = owner;
+	query->deadline.fire = on_deadline;
+	query->deadline.ctx = query;
+	query->gate_entry = (gate_entry_t){.class = request->class,
+					   .arrived_us = now_us,
+					   .deadline_us = request->deadline_us,
+					   .owner = query};
+	engine->open_queries++;
+	service->counters.requests[request->class]++;
+	refresh_snapshot(service);
+	service->gate.capacity = service_capacity(service);
+	if (!service->snapshot)
+		query_finish(engine, query, REFUSAL_NO_UPSTREAM, now_us);
+	else
+		offer(engine, query, now_us);
+	return query;
+}
+
+void engine_abandon(engine_t *engine, query_t *query, uint64_t now_us)
+{
+	service_t *service = engine_service_of(query);
+
+	if (query->finished)
+		return;
+	service->counters.abandoned++;
+	query->owner = NULL;
+	/* An action that is claimed or sent goes on to its end, so that its outcome is recorded. */
+	if (query->request->kind == SERVICE_ONCE && query->admitted_us)
+		return;
+	query_end(engine, query, now_us);
+	query_unref(query);
+	admit_waiting(engine, service, now_us);
+}
+
+uint64_t engine_next_us(const engine_t *engine)
+{
+	return timers_next_us(&engine->timers);
+}
+
+void engine_run(engine_t *engine, uint64_t now_us)
+{
+	timers_run(&engine->timers, now_us);
+}
+
+uint32_t engine_open_queries(const engine_t *engine)
+{
+	return engine->open_queries;
+}
+
+uint64_t engine_stray_replies(const engine_t *engine)
+{
+	return engine->stray_replies;
+}
--- /dev/null
+++ b/src/core/engine_private.h
@@ -0,0 +1,51 @@
+/**
+ * @file engine_private.h
+ * What engine.c (requests) and dispatch.c (sub-requests) share.
+ */
+#ifndef DS_ENGINE_PRIVATE_H
+#define DS_ENGINE_PRIVATE_H
+
+#include "core/engine.h"
+
+struct engine_t {
+	const engine_ops_t *ops;
+	void *ctx;
+	timeline_t *timeline;
+	char *data_centre;
+	GRand *rand;
+	timers_t timers;
+	engine_policy_t policy;
+	GPtrArray *services;  /* service_t */
+	GHashTable *attempts; /* id -> attempt_t */
+	uint64_t last_attempt_id;
+	uint32_t open_queries;
+	uint32_t round_robin;
+	uint64_t stray_replies; /* late, doubled or foreign */
+};
+
+/* dispatch.c */
+
+/** Start asking for @p part: send, or wait for room, or find that nobody is left to ask. */
+void dispatch_part(engine_t *engine, part_t *part, attempt_kind_t kind, uint64_t now_us);
+/** End every attempt of @p query, and its parts' timers. */
+void dispatch_stop(engine_t *engine, query_t *query, uint64_t now_us);
+/** @p upstream may have room again: send what waits for it. */
+void dispatch_pump(engine_t *engine, upstream_t *upstream, uint64_t now_us);
+/** @p upstream takes no new work any more: let those who wait for it look elsewhere. */
+void dispatch_evict(engine_t *engine, upstream_t *upstream, uint64_t now_us);
+
+/* engine.c */
+
+service_t *engine_service_of(const query_t *query);
+/** @p part can't be answered at this snapshot: restart the query at another, or go without. */
+void engine_part_lost(engine_t *engine, part_t *part, uint64_t now_us);
+/** A part has been answered or lost: answer the query if that was the last. */
+void engine_check_settled(engine_t *engine, query_t *query, uint64_t now_us);
+/** An action ended without or with an effect; answers it. */
+void engine_action_ended(engine_t *engine, query_t *query, refusal_t refusal, ran_t ran,
+			 uint64_t now_us);
+/** Take in what a searcher said of itself, from whichever side. */
+void engine_take_report(engine_t *engine, upstream_t *upstream, const upstream_report_t *report,
+			uint64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/core/gate.c
@@ -0,0 +1,161 @@
+/**
+ * @file gate.c
+ * See gate.h. docs/decisions/0004-admission.md weighs the ways.
+ */
+#include "core/gate.h"
+
+#define RUN_START_US 10000.0
+#define RUN_WEIGHT 0.05
+/* Every so many turns the one that has waited longest goes first, whatever its class. */
+#define FAIR_TURN 8
+#define RETURN_LEAST_US 20000
+#define RETURN_MOST_US 10000000
+
+void gate_init(gate_t *gate)
+{
+	*gate = (gate_t){.run_us = RUN_START_US, .capacity = 1};
+	for (int i = 0; i < CLASS_COUNT; i++)
+		g_queue_init(&gate->waiting[i]);
+}
+
+uint32_t gate_waiting(const gate_t *gate)
+{
+	uint32_t total = 0;
+
+	for (int i = 0; i < CLASS_COUNT; i++)
+		total += gate->waiting[i].length;
+	return total;
+}
+
+static bool has_room(const gate_t *gate)
+{
+	return gate->running < MAX((uint32_t)gate->capacity, 1);
+}
+
+/* Those of its own class and the more urgent ones go before it. */
+static uint32_t ahead_of(const gate_t *gate, const gate_entry_t *entry)
+{
+	uint32_t ahead = 0;
+
+	for (int i = 0; i <= (int)entry->class; i++)
+		ahead += gate->waiting[i].length;
+	return ahead;
+}
+
+static bool has_time(const gate_t *gate, const gate_entry_t *entry, uint64_t now_us)
+{
+	double wait_us = (ahead_of(gate, entry) + 1) * gate->run_us / MAX(gate->capacity, 1.0);
+
+	return (double)entry->deadline_us > (double)now_us + wait_us + gate->run_us;
+}
+
+static void insert(gate_t *gate, gate_entry_t *entry)
+{
+	GQueue *queue = &gate->waiting[entry->class];
+	GList *after = queue->tail;
+
+	while (after && ((gate_entry_t *)after->data)->deadline_us > entry->deadline_us)
+		after = after->prev;
+	entry->link = (GList){.data = entry};
+	entry->waiting = true;
+	if (!after) {
+		g_queue_push_head_link(queue, &entry->link);
+		return;
+	}
+	g_queue_insert_after_link(queue, after, &entry->link);
+}
+
+gate_verdict_t gate_offer(gate_t *gate, gate_entry_t *entry, uint64_t now_us)
+{
+	if (has_room(gate) && ahead_of(gate, entry) == 0) {
+		gate->running++;
+		return GATE_RUN;
+	}
+	if (!has_time(gate, entry, now_us))
+		return GATE_NO_TIME;
+	if (gate->waiting[entry->class].length >= gate->queue_limit)
+		return GATE_FULL;
+	insert(gate, entry);
+	return GATE_WAIT;
+}
+
+gate_entry_t *gate_displaceable(const gate_t *gate, const gate_entry_t *entry)
+{
+	for (int i = CLASS_COUNT - 1; i > (int)entry->class; i--)
+		if (gate->waiting[i].tail)
+			return gate->waiting[i].tail->data;
+	return NULL;
+}
+
+void gate_withdraw(gate_t *gate, gate_entry_t *entry)
+{
+	if (!entry->waiting)
+		return;
+	entry->waiting = false;
+	g_queue_unlink(&gate->waiting[entry->class], &entry->link);
+}
+
+static gate_entry_t *first_by_class(const gate_t *gate)
+{
+	for (int i = 0; i < CLASS_COUNT; i++)
+		if (gate->waiting[i].head)
+			return gate->waiting[i].head->data;
+	return NULL;
+}
+
+static gate_entry_t *first_by_arrival(const gate_t *gate)
+{
+	gate_entry_t *oldest = NULL;
+
+	for (int i = 0; i < CLASS_COUNT; i++) {
+		gate_entry_t *entry = gate->waiting[i].head ? gate->waiting[i].head->data : NULL;
+
+		if (entry && (!oldest || entry->arrived_us < oldest->arrived_us))
+			oldest = entry;
+	}
+	return oldest;
+}
+
+gate_entry_t *gate_next(gate_t *gate)
+{
+	gate_entry_t *entry;
+
+	if (!has_room(gate))
+		return NULL;
+	/* Strict order would starve the lower classes for as long as urgent work fills the service.
+	 */
+	entry = ++gate->turn % FAIR_TURN ? first_by_class(gate) : first_by_arrival(gate);
+	if (!entry)
+		return NULL;
+	gate_withdraw(gate, entry);
+	gate->running++;
+	return entry;
+}
+
+void gate_leave(gate_t *gate, uint64_t run_us)
+{
+	g_assert(gate->running > 0);
+	gate->running--;
+	gate->run_us += RUN_WEIGHT * ((double)run_us - gate->run_us);
+}
+
+uint64_t gate_return_after_us(gate_t *gate, uint64_t now_us, GRand *rand)
+{
+	double spacing_us = gate->run_us / MAX(gate->capacity, 1.0);
+	uint64_t backlog_us = (uint64_t)(gate_waiting(gate) * spacing_us);
+	uint64_t after_us;
+
+	/*
+	 * One common delay would call all refused callers back in the same moment, to be refused
+	 * again. Each refused caller gets the next free place in time instead.
+	 */
+	gate->return_slot_us =
+		MAX(gate->return_slot_us, now_us + backlog_us) + (uint64_t)spacing_us;
+	after_us = gate->return_slot_us - now_us;
+	if (after_us > RETURN_MOST_US) {
+		gate->return_slot_us = now_us + RETURN_MOST_US;
+		return (uint64_t)g_rand_double_range(rand, RETURN_MOST_US / 2.0, RETURN_MOST_US);
+	}
+	return RETURN_LEAST_US + after_us +
+	       (uint64_t)g_rand_double_range(rand, 0, (double)after_us / 4 + 1000);
+}
--- /dev/null
+++ b/src/core/platform_result.h
@@ -0,0 +1,25 @@
+/**
+ * @file platform_result.h
+ * How a call on the platform's object API ended. docs/PLATFORM.md describes the wire.
+ */
+#ifndef DS_PLATFORM_RESULT_H
+#define DS_PLATFORM_RESULT_H
+
+#include <jansson.h>
+#include <stdint.h>
+
+typedef enum platform_end_t {
+	PLATFORM_OK,	    /**< read: version and value; write: the new version */
+	PLATFORM_ABSENT,    /**< read: there is no such object; version 0 */
+	PLATFORM_CONFLICT,  /**< write: the version named is not the current one */
+	PLATFORM_UNCHANGED, /**< watch: nothing new in the time given */
+	PLATFORM_UNKNOWN,   /**< no answer: a write may or may not have taken effect */
+} platform_end_t;
+
+typedef struct platform_result_t {
+	platform_end_t end;
+	uint64_t version;
+	json_t *value; /**< borrowed; NULL for none */
+} platform_result_t;
+
+#endif
--- /dev/null
+++ b/src/core/snapshot.c
@@ -0,0 +1,230 @@
+/**
+ * @file snapshot.c
+ * See snapshot.h. docs/decisions/0001-one-snapshot.md weighs the ways.
+ */
+#include "core/snapshot.h"
+
+/** One version while it is being compared with others. */
+typedef struct candidate_t {
+	uint64_t version;
+	uint32_t of;
+	uint32_t covered;
+} candidate_t;
+
+target_t *target_new(void)
+{
+	target_t *target = g_new0(target_t, 1);
+
+	target->partitions = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	target->replicas = g_ptr_array_new_with_free_func((GDestroyNotify)upstream_unref);
+	return target;
+}
+
+void target_free(void *data)
+{
+	target_t *target = data;
+
+	g_array_unref(target->partitions);
+	g_ptr_array_unref(target->replicas);
+	g_free(target);
+}
+
+snapshot_t *snapshot_ref(snapshot_t *snapshot)
+{
+	snapshot->refs++;
+	return snapshot;
+}
+
+void snapshot_unref(snapshot_t *snapshot)
+{
+	if (!snapshot || --snapshot->refs)
+		return;
+	g_ptr_array_unref(snapshot->targets);
+	g_array_unref(snapshot->missing);
+	g_free(snapshot);
+}
+
+const target_t *snapshot_target_of(const snapshot_t *snapshot, uint32_t partition)
+{
+	for (guint i = 0; i < snapshot->targets->len; i++) {
+		const target_t *target = g_ptr_array_index(snapshot->targets, i);
+
+		for (guint j = 0; j < target->partitions->len; j++)
+			if (g_array_index(target->partitions, uint32_t, j) == partition)
+				return target;
+	}
+	return NULL;
+}
+
+static GArray *list_versions(const GPtrArray *upstreams, uint64_t below)
+{
+	GArray *versions = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+
+	for (guint i = 0; i < upstreams->len; i++) {
+		const upstream_t *upstream = g_ptr_array_index(upstreams, i);
+
+		for (guint j = 0; upstream_usable(upstream) && j < upstream->held->len; j++) {
+			uint64_t version = g_array_index(upstream->held, held_t, j).version;
+			bool known = below && version >= below;
+
+			for (guint k = 0; !known && k < versions->len; k++)
+				known = g_array_index(versions, uint64_t, k) == version;
+			if (!known)
+				g_array_append_val(versions, version);
+		}
+	}
+	return versions;
+}
+
+/*
+ * How many partitions the version has: what most holders say, the larger of equals. One replica
+ * that says too few would make a partial answer look whole; one that says too many would make
+ * every answer look partial. Replicas outside the majority are not used for the version.
+ */
+static uint32_t agreed_partition_count(const GPtrArray *upstreams, uint64_t version)
+{
+	uint32_t best_of = 0, best_votes = 0;
+
+	for (guint i = 0; i < upstreams->len; i++) {
+		const held_t *held = upstream_holds(g_ptr_array_index(upstreams, i), version);
+		uint32_t votes = 0;
+
+		if (!held)
+			continue;
+		for (guint j = 0; j < upstreams->len; j++) {
+			const held_t *other =
+				upstream_holds(g_ptr_array_index(upstreams, j), version);
+
+			votes += other && other->of == held->of;
+		}
+		if (votes > best_votes || (votes == best_votes && held->of > best_of)) {
+			best_of = held->of;
+			best_votes = votes;
+		}
+	}
+	return best_of;
+}
+
+/* For each partition of the version, the usable replicas that hold it. */
+static GPtrArray **map_replicas(const GPtrArray *upstreams, const candidate_t *candidate)
+{
+	GPtrArray **map = g_new0(GPtrArray *, candidate->of);
+
+	for (guint i = 0; i < upstreams->len; i++) {
+		upstream_t *upstream = g_ptr_array_index(upstreams, i);
+		const held_t *held = upstream_holds(upstream, candidate->version);
+
+		if (!held || held->of != candidate->of || !upstream_usable(upstream))
+			continue;
+		for (guint j = 0; j < held->partitions->len; j++) {
+			uint32_t partition = g_array_index(held->partitions, uint32_t, j);
+
+			if (partition >= candidate->of)
+				continue;
+			if (!map[partition])
+				map[partition] = g_ptr_array_new();
+			g_ptr_array_add(map[partition], upstream);
+		}
+	}
+	return map;
+}
+
+static void map_free(GPtrArray **map, uint32_t of)
+{
+	for (uint32_t i = 0; i < of; i++)
+		if (map[i])
+			g_ptr_array_unref(map[i]);
+	g_free(map);
+}
+
+static uint32_t count_covered(const GPtrArray *upstreams, const candidate_t *candidate)
+{
+	GPtrArray **map = map_replicas(upstreams, candidate);
+	uint32_t covered = 0;
+
+	for (uint32_t i = 0; i < candidate->of; i++)
+		covered += map[i] != NULL;
+	map_free(map, candidate->of);
+	return covered;
+}
+
+static bool better(const candidate_t *a, const candidate_t *b)
+{
+	uint64_t left = (uint64_t)a->covered * b->of, right = (uint64_t)b->covered * a->of;
+
+	if (left != right)
+		return left > right;
+	return a->version > b->version;
+}
+
+static bool same_replicas(const GPtrArray *a, const GPtrArray *b)
+{
+	if (a->len != b->len)
+		return false;
+	for (guint i = 0; i < a->len; i++)
+		if (g_ptr_array_index(a, i) != g_ptr_array_index(b, i))
+			return false;
+	return true;
+}
+
+static target_t *find_target(const snapshot_t *snapshot, const GPtrArray *replicas)
+{
+	for (guint i = 0; i < snapshot->targets->len; i++) {
+		target_t *target = g_ptr_array_index(snapshot->targets, i);
+
+		if (same_replicas(target->replicas, replicas))
+			return target;
+	}
+	return NULL;
+}
+
+static void add_partition(snapshot_t *snapshot, uint32_t partition, const GPtrArray *replicas)
+{
+	target_t *target;
+
+	if (!replicas) {
+		g_array_append_val(snapshot->missing, partition);
+		return;
+	}
+	target = find_target(snapshot, replicas);
+	if (!target) {
+		target = target_new();
+		for (guint i = 0; i < replicas->len; i++)
+			g_ptr_array_add(target->replicas,
+					upstream_ref(g_ptr_array_index(replicas, i)));
+		g_ptr_array_add(snapshot->targets, target);
+	}
+	g_array_append_val(target->partitions, partition);
+}
+
+static snapshot_t *build(const GPtrArray *upstreams, const candidate_t *candidate)
+{
+	snapshot_t *snapshot = g_new0(snapshot_t, 1);
+	GPtrArray **map = map_replicas(upstreams, candidate);
+
+	snapshot->refs = 1;
+	snapshot->version = candidate->version;
+	snapshot->of = candidate->of;
+	snapshot->targets = g_ptr_array_new_with_free_func(target_free);
+	snapshot->missing = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	for (uint32_t i = 0; i < candidate->of; i++)
+		add_partition(snapshot, i, map[i]);
+	map_free(map, candidate->of);
+	return snapshot;
+}
+
+snapshot_t *snapshot_choose(const GPtrArray *upstreams, uint64_t below)
+{
+	g_autoptr(GArray) versions = list_versions(upstreams, below);
+	candidate_t best = {0};
+
+	for (guint i = 0; i < versions->len; i++) {
+		candidate_t candidate = {.version = g_array_index(versions, uint64_t, i)};
+
+		candidate.of = agreed_partition_count(upstreams, candidate.version);
+		candidate.covered = count_covered(upstreams, &candidate);
+		if (candidate.covered && (!best.of || better(&candidate, &best)))
+			best = candidate;
+	}
+	return best.of ? build(upstreams, &best) : NULL;
+}
--- /dev/null
+++ b/src/core/upstream.c
@@ -0,0 +1,229 @@
+/**
+ * @file upstream.c
+ * See upstream.h. docs/decisions/0003-limits.md gives the figures behind the constants.
+ */
+#include "core/upstream.h"
+
+#include <math.h>
+
+/* Below 1: six VMs that each keep one request at every searcher already fill its slots thrice. */
+#define LIMIT_LEAST 0.34
+#define LIMIT_START 2.0
+#define LIMIT_CUT 0.8
+#define LIMIT_RAISE 0.2
+/* Above this multiple of the idle latency, requests are queueing at the searcher. */
+#define QUEUEING_RATIO 3.0
+#define LATENCY_WEIGHT 0.15
+#define FLOOR_RISE 0.002
+/* Knowledge of a slow replica fades, or it would never be tried again after it has recovered. */
+#define MEMORY_US 5e6
+#define REMOTE_COST 1.15
+#define FAILURES_TO_DOWN 3
+
+void held_clear(void *held)
+{
+	g_array_unref(((held_t *)held)->partitions);
+}
+
+static GArray *held_list_new(void)
+{
+	GArray *list = g_array_new(FALSE, FALSE, sizeof(held_t));
+
+	g_array_set_clear_func(list, held_clear);
+	return list;
+}
+
+upstream_report_t *upstream_report_new(void)
+{
+	upstream_report_t *report = g_new0(upstream_report_t, 1);
+
+	report->held = held_list_new();
+	return report;
+}
+
+void upstream_report_free(upstream_report_t *report)
+{
+	g_array_unref(report->held);
+	g_free(report);
+}
+
+upstream_t *upstream_new(const char *service, const upstream_config_t *config)
+{
+	upstream_t *upstream = g_new0(upstream_t, 1);
+
+	upstream->refs = 1;
+	upstream->service = g_strdup(service);
+	upstream->name = g_strdup(config->name);
+	upstream->data_centre = g_strdup(config->data_centre);
+	upstream->address = g_strdup(config->address);
+	upstream->port = config->port;
+	upstream->held = held_list_new();
+	upstream->limit = LIMIT_START;
+	upstream->share = 1;
+	g_queue_init(&upstream->waiting);
+	return upstream;
+}
+
+upstream_t *upstream_ref(upstream_t *upstream)
+{
+	upstream->refs++;
+	return upstream;
+}
+
+void upstream_unref(upstream_t *upstream)
+{
+	if (--upstream->refs)
+		return;
+	g_assert(g_queue_is_empty(&upstream->waiting));
+	g_free(upstream->service);
+	g_free(upstream->name);
+	g_free(upstream->data_centre);
+	g_free(upstream->address);
+	g_array_unref(upstream->held);
+	g_free(upstream);
+}
+
+bool upstream_usable(const upstream_t *upstream)
+{
+	return !upstream->out && !upstream->leaving_said &&
+	       (upstream->state == UPSTREAM_READY || upstream->state == UPSTREAM_COLD);
+}
+
+bool upstream_has_room(const upstream_t *upstream)
+{
+	return upstream_usable(upstream) && upstream->outstanding < upstream->share &&
+	       upstream->outstanding < MAX((uint32_t)upstream->limit, 1);
+}
+
+const held_t *upstream_holds(const upstream_t *upstream, uint64_t version)
+{
+	for (guint i = 0; i < upstream->held->len; i++) {
+		const held_t *held = &g_array_index(upstream->held, held_t, i);
+
+		if (held->version == version)
+			return held;
+	}
+	return NULL;
+}
+
+static bool same_held(const GArray *a, const GArray *b)
+{
+	if (a->len != b->len)
+		return false;
+	for (guint i = 0; i < a->len; i++) {
+		const held_t *x = &g_array_index(a, held_t, i), *y = &g_array_index(b, held_t, i);
+
+		if (x->version != y->version || x->of != y->of ||
+		    x->partitions->len != y->partitions->len)
+			return false;
+		for (guint j = 0; j < x->partitions->len; j++)
+			if (g_array_index(x->partitions, uint32_t, j) !=
+			    g_array_index(y->partitions, uint32_t, j))
+				return false;
+	}
+	return true;
+}
+
+static void take_held(upstream_t *upstream, const GArray *held)
+{
+	g_array_set_size(upstream->held, 0);
+	for (guint i = 0; i < held->len; i++) {
+		held_t copy = g_array_index(held, held_t, i);
+
+		g_array_ref(copy.partitions);
+		g_array_append_val(upstream->held, copy);
+	}
+}
+
+bool upstream_report(upstream_t *upstream, const upstream_report_t *report)
+{
+	bool usable = upstream_usable(upstream);
+	bool restarted = upstream->state == UPSTREAM_DOWN;
+	bool versions_moved = report->has_versions && !same_held(upstream->held, report->held);
+
+	/*
+	 * A health page may lag behind the answer that said "leaving": believing it would send new
+	 * work to a searcher that is going. So "leaving" stands until the searcher has been seen
+	 * down.
+	 */
+	if (report->state == UPSTREAM_LEAVING)
+		upstream->leaving_said = true;
+	else if (restarted)
+		upstream->leaving_said = false;
+	if ((restarted || upstream->state == UPSTREAM_UNKNOWN) || report->state == UPSTREAM_COLD)
+		upstream->limit = MIN(upstream->limit, LIMIT_START);
+	upstream->state = report->state;
+	upstream->failures = 0;
+	if (versions_moved)
+		take_held(upstream, report->held);
+	return versions_moved || usable != upstream_usable(upstream);
+}
+
+bool upstream_failed(upstream_t *upstream)
+{
+	if (++upstream->failures < FAILURES_TO_DOWN || upstream->state == UPSTREAM_DOWN)
+		return false;
+	upstream->state = UPSTREAM_DOWN;
+	return true;
+}
+
+double upstream_cost(const upstream_t *upstream, uint64_t now_us, double typical_us)
+{
+	double age = exp(-(double)(now_us - upstream->sampled_us) / MEMORY_US);
+	double latency = upstream->latency_us > 0 ? upstream->latency_us : typical_us;
+
+	if (latency > typical_us)
+		latency = typical_us + (latency - typical_us) * age;
+	return (upstream->outstanding + 1) * latency * (upstream->local ? 1.0 : REMOTE_COST);
+}
+
+static void feed_latency(upstream_t *upstream, uint64_t now_us, double latency_us)
+{
+	if (upstream->latency_us <= 0)
+		upstream->latency_us = latency_us;
+	upstream->latency_us += LATENCY_WEIGHT * (latency_us - upstream->latency_us);
+	upstream->sampled_us = now_us;
+	if (upstream->floor_us <= 0 || upstream->latency_us < upstream->floor_us)
+		upstream->floor_us = upstream->latency_us;
+	else
+		upstream->floor_us += FLOOR_RISE * (upstream->latency_us - upstream->floor_us);
+}
+
+static void cut_limit(upstream_t *upstream, uint64_t now_us)
+{
+	/* One burst of losses is one piece of news: cut once per round trip. */
+	if (now_us - upstream->decreased_us < (uint64_t)upstream->latency_us)
+		return;
+	upstream->decreased_us = now_us;
+	upstream->limit = MAX(upstream->limit * LIMIT_CUT, LIMIT_LEAST);
+}
+
+void upstream_answered(upstream_t *upstream, uint64_t now_us, uint64_t latency_us)
+{
+	upstream->answered++;
+	feed_latency(upstream, now_us, (double)latency_us);
+	if (upstream->latency_us > QUEUEING_RATIO * upstream->floor_us)
+		cut_limit(upstream, now_us);
+	else if (upstream->outstanding >= (uint32_t)upstream->limit)
+		upstream->limit = MIN(upstream->limit + LIMIT_RAISE / MAX(upstream->limit, 1),
+				      (double)upstream->share);
+	upstream->limit = MAX(upstream->limit, LIMIT_LEAST);
+}
+
+void upstream_overloaded(upstream_t *upstream, uint64_t now_us, uint64_t latency_us)
+{
+	if (latency_us > upstream->latency_us)
+		feed_latency(upstream, now_us, (double)latency_us);
+	cut_limit(upstream, now_us);
+}
+
+const char *upstream_state_name(upstream_state_t state)
+{
+	static const char *const names[] = {[UPSTREAM_UNKNOWN] = "unknown",
+					    [UPSTREAM_READY] = "ready",
+					    [UPSTREAM_COLD] = "cold",
+					    [UPSTREAM_LEAVING] = "leaving",
+					    [UPSTREAM_DOWN] = "down"};
+
+	return names[state];
+}
--- /dev/null
+++ b/src/dogwoodsaddled.c
@@ -0,0 +1,194 @@
+/**
+ * @file dogwoodsaddled.c
+ * The daemon: the same program on each entry VM.
+ */
+#include "log.h"
+#include "settings.h"
+#include "tasks/admin_task.h"
+#include "tasks/caller_task.h"
+#include "tasks/config_task.h"
+#include "version.h"
+
+#include <argp.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#define EXIT_BAD_SETTINGS 2
+#define STOP_CHECK_US 20000
+
+const char *argp_program_version = "dogwoodsaddled " DS_VERSION;
+
+typedef struct arguments_t {
+	const char *config;
+	bool check;
+} arguments_t;
+
+typedef struct daemon_t {
+	arguments_t arguments;
+	settings_t *settings;
+	loop_t *loop;
+	timeline_t *timeline;
+	platform_task_t *platform;
+	query_task_t *queries;
+	config_task_t *configs;
+	caller_task_t *callers;
+	admin_task_t *admin;
+	status_source_t source;
+	loop_timer_t stop_timer;
+	uint64_t leaving_since_us;
+} daemon_t;
+
+static const struct argp_option options[] = {
+	{"config", 'c', "FILE", 0, "settings of this VM (INI)", 0},
+	{"check", 'k', 0, 0, "check the settings and exit: 0 if they are right, 2 if not", 0},
+	{0},
+};
+
+static error_t parse_option(int key, char *arg, struct argp_state *state)
+{
+	arguments_t *arguments = state->input;
+
+	switch (key) {
+	case 'c':
+		arguments->config = arg;
+		return 0;
+	case 'k':
+		arguments->check = true;
+		return 0;
+	case ARGP_KEY_END:
+		if (!arguments->config)
+			argp_error(state, "--config FILE is required");
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static settings_t *read_settings(const char *path)
+{
+	g_autoptr(GPtrArray) faults = g_ptr_array_new_with_free_func(g_free);
+	settings_t *settings = settings_read(path, faults);
+
+	for (guint i = 0; i < faults->len; i++)
+		fprintf(stderr, "%s\n", (const char *)g_ptr_array_index(faults, i));
+	return settings;
+}
+
+static void log_event(void *ctx, hlc_t at, const char *text)
+{
+	(void)ctx;
+	g_log(NULL, G_LOG_LEVEL_INFO, "%s hlc=%" G_GUINT64_FORMAT, text, at);
+}
+
+/*
+ * A planned stop. The balancer and keep-alive callers go on sending until they have heard of it, so
+ * the listener stays open until the drain time is over and no request has come for a while; closing
+ * it at once would reset connections that the kernel has accepted for us.
+ */
+static void check_stopped(void *ctx)
+{
+	daemon_t *self = ctx;
+	uint64_t now = loop_now_us();
+	uint64_t quiet_us = (uint64_t)self->settings->quiet_ms * 1000;
+	bool drained = now - self->leaving_since_us >= (uint64_t)self->settings->drain_ms * 1000;
+	bool quiet = now - caller_task_last_request_us(self->callers) >= quiet_us;
+
+	if (drained && quiet && caller_task_open(self->callers) == 0 &&
+	    query_task_idle(self->queries)) {
+		timeline_add(self->timeline, "event=stopped");
+		loop_stop(self->loop);
+		return;
+	}
+	loop_timer_set(self->loop, &self->stop_timer, STOP_CHECK_US);
+}
+
+static void begin_stop(daemon_t *self)
+{
+	if (self->source.leaving)
+		return;
+	self->source.leaving = true;
+	self->leaving_since_us = loop_now_us();
+	timeline_add(self->timeline, "event=leaving drain_ms=%u", self->settings->drain_ms);
+	caller_task_leave(self->callers);
+	self->stop_timer = (loop_timer_t){.fire = check_stopped, .ctx = self};
+	loop_timer_set(self->loop, &self->stop_timer, STOP_CHECK_US);
+}
+
+/* Only the log level, the stop times and the token change without a restart. */
+static void reload(daemon_t *self)
+{
+	settings_t *fresh = read_settings(self->arguments.config);
+
+	if (!fresh) {
+		g_warning("event=reload-refused reason=settings");
+		return;
+	}
+	log_set_level(fresh->log_level);
+	self->settings->drain_ms = fresh->drain_ms;
+	self->settings->quiet_ms = fresh->quiet_ms;
+	g_free(self->settings->operators_token);
+	self->settings->operators_token = g_steal_pointer(&fresh->operators_token);
+	settings_free(fresh);
+	timeline_add(self->timeline, "event=reloaded");
+}
+
+static void on_signal(void *ctx, int number)
+{
+	daemon_t *self = ctx;
+
+	if (number == SIGHUP)
+		reload(self);
+	else
+		begin_stop(self);
+}
+
+static bool start_tasks(daemon_t *self)
+{
+	settings_t *settings = self->settings;
+
+	self->platform = platform_task_new(self->loop, settings->platform_address,
+					   (uint16_t)settings->platform_port);
+	self->queries = query_task_new(self->loop, settings, self->platform, self->timeline);
+	self->configs = config_task_new(self->loop, self->platform, self->queries, self->timeline);
+	self->source = (status_source_t){.settings = settings,
+					 .queries = self->queries,
+					 .platform = self->platform,
+					 .timeline = self->timeline};
+	self->admin = admin_task_new(self->loop, &self->source, self->configs);
+	self->callers = caller_task_new(self->loop, settings, self->queries);
+	if (!self->admin || !self->callers) {
+		g_warning(
+			"event=start-failed reason=listen address=%s callers_port=%u admin_port=%u",
+			settings->listen_address, settings->callers_port, settings->admin_port);
+		return false;
+	}
+	config_task_start(self->configs);
+	return true;
+}
+
+int main(int argc, char **argv)
+{
+	static const struct argp argp = {options, parse_option,
+					 NULL,	  "The dogwoodsaddle daemon: one on each entry VM.",
+					 0,	  0,
+					 0};
+	daemon_t self = {0};
+
+	argp_parse(&argp, argc, argv, 0, NULL, &self.arguments);
+	self.settings = read_settings(self.arguments.config);
+	if (!self.settings)
+		return EXIT_BAD_SETTINGS;
+	if (self.arguments.check)
+		return 0;
+	log_start(self.settings->vm_name, self.settings->log_level);
+	self.loop = loop_new();
+	self.timeline = timeline_new(loop_wall_ms);
+	self.timeline->sink = log_event;
+	timeline_add(self.timeline, "event=start version=%s data_centre=%s", DS_VERSION,
+		     self.settings->data_centre);
+	if (!start_tasks(&self))
+		return 1;
+	loop_run(self.loop, on_signal, &self);
+	return 0;
+}
--- /dev/null
+++ b/src/net/loop.h
@@ -0,0 +1,48 @@
+/**
+ * @file loop.h
+ * One service loop: a libwebsockets context, a mailbox and timers.
+ *
+ * Tasks own their sockets and state; they reach each other only by posting messages here.
+ * A message is delivered after the libwebsockets callback that caused it has returned.
+ */
+#ifndef DS_LOOP_H
+#define DS_LOOP_H
+
+#include <glib.h>
+#include <libwebsockets.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef struct loop_t loop_t;
+
+/** Deliver @p message to @p task; the receiver frees it. */
+typedef void (*loop_receive_f)(void *task, void *message);
+
+/** A one-shot timer. Zero-initialise; set again from its own callback to repeat. */
+typedef struct loop_timer_t {
+	lws_sorted_usec_list_t sul;
+	void (*fire)(void *ctx);
+	void *ctx;
+} loop_timer_t;
+
+loop_t *loop_new(void);
+void loop_free(loop_t *loop);
+struct lws_context *loop_context(loop_t *loop);
+
+/** Queue a message; never delivered before the caller returns to the loop. */
+void loop_post(loop_t *loop, loop_receive_f receive, void *task, void *message);
+
+/** Fire @p timer once after @p delay_us; replaces an earlier setting. */
+void loop_timer_set(loop_t *loop, loop_timer_t *timer, uint64_t delay_us);
+void loop_timer_cancel(loop_timer_t *timer);
+
+/** Run until loop_stop(); @p on_signal is called with each SIGTERM, SIGINT or SIGHUP. */
+void loop_run(loop_t *loop, void (*on_signal)(void *ctx, int signal_number), void *ctx);
+void loop_stop(loop_t *loop);
+
+/** Monotonic clock, microseconds. */
+uint64_t loop_now_us(void);
+/** Wall clock, milliseconds since 1970. */
+uint64_t loop_wall_ms(void);
+
+#endif
--- /dev/null
+++ b/src/settings.c
@@ -0,0 +1,299 @@
+/**
+ * @file settings.c
+ * See settings.h.
+ */
+#include "settings.h"
+
+#include <arpa/inet.h>
+#include <stddef.h>
+#include <string.h>
+
+typedef enum setting_type_t {
+	SETTING_NAME,
+	SETTING_ADDRESS,
+	SETTING_NUMBER,
+	SETTING_SECRET,
+	SETTING_TEXT,
+	SETTING_LEVEL,
+} setting_type_t;
+
+/** One key that may stand in the file. */
+typedef struct setting_t {
+	const char *group;
+	const char *key;
+	setting_type_t type;
+	size_t offset;
+	const char *fallback; /* NULL when the key must be given */
+	uint32_t least, most;
+} setting_t;
+
+#define AT(field) offsetof(settings_t, field)
+
+static const setting_t known[] = {
+	{.group = "vm", .key = "name", .type = SETTING_NAME, .offset = AT(vm_name)},
+	{.group = "vm", .key = "data_centre", .type = SETTING_NAME, .offset = AT(data_centre)},
+	{.group = "listen",
+	 .key = "address",
+	 .type = SETTING_ADDRESS,
+	 .offset = AT(listen_address)},
+	{.group = "listen",
+	 .key = "callers_port",
+	 .type = SETTING_NUMBER,
+	 .offset = AT(callers_port),
+	 .least = 1,
+	 .most = 65535},
+	{.group = "listen",
+	 .key = "admin_port",
+	 .type = SETTING_NUMBER,
+	 .offset = AT(admin_port),
+	 .least = 1,
+	 .most = 65535},
+	{.group = "listen",
+	 .key = "peers_port",
+	 .type = SETTING_NUMBER,
+	 .offset = AT(peers_port),
+	 .least = 1,
+	 .most = 65535},
+	{.group = "platform",
+	 .key = "address",
+	 .type = SETTING_ADDRESS,
+	 .offset = AT(platform_address)},
+	{.group = "platform",
+	 .key = "port",
+	 .type = SETTING_NUMBER,
+	 .offset = AT(platform_port),
+	 .least = 1,
+	 .most = 65535},
+	{.group = "operators",
+	 .key = "token",
+	 .type = SETTING_SECRET,
+	 .offset = AT(operators_token)},
+	{.group = "peers", .key = "key", .type = SETTING_SECRET, .offset = AT(peers_key)},
+	{.group = "peers",
+	 .key = "previous_key",
+	 .type = SETTING_TEXT,
+	 .offset = AT(peers_previous_key),
+	 .fallback = ""},
+	{.group = "peers",
+	 .key = "seeds",
+	 .type = SETTING_TEXT,
+	 .offset = AT(peers_seeds),
+	 .fallback = ""},
+	{.group = "stop",
+	 .key = "drain_ms",
+	 .type = SETTING_NUMBER,
+	 .offset = AT(drain_ms),
+	 .fallback = "3000",
+	 .least = 0,
+	 .most = 600000},
+	{.group = "stop",
+	 .key = "quiet_ms",
+	 .type = SETTING_NUMBER,
+	 .offset = AT(quiet_ms),
+	 .fallback = "500",
+	 .least = 0,
+	 .most = 60000},
+	{.group = "log",
+	 .key = "level",
+	 .type = SETTING_LEVEL,
+	 .offset = AT(log_level),
+	 .fallback = "info"},
+	{.group = "policy",
+	 .key = "hedge",
+	 .type = SETTING_NUMBER,
+	 .offset = AT(hedge),
+	 .fallback = "1",
+	 .least = 0,
+	 .most = 1},
+	{.group = "policy",
+	 .key = "choose_by_cost",
+	 .type = SETTING_NUMBER,
+	 .offset = AT(choose_by_cost),
+	 .fallback = "1",
+	 .least = 0,
+	 .most = 1},
+	{.group = "policy",
+	 .key = "adapt_limit",
+	 .type = SETTING_NUMBER,
+	 .offset = AT(adapt_limit),
+	 .fallback = "1",
+	 .least = 0,
+	 .most = 1},
+};
+
+/** The file while it is being read. */
+typedef struct reader_t {
+	const char *path;
+	GKeyFile *file;
+	char **lines;
+	GPtrArray *faults;
+} reader_t;
+
+/* GKeyFile keeps no line numbers; @p key NULL finds the group's own line. 0 when it is not there.
+ */
+static int line_of(const reader_t *reader, const char *group, const char *key)
+{
+	g_autofree char *header = g_strdup_printf("[%s]", group);
+	bool inside = false;
+
+	for (int i = 0; reader->lines[i]; i++) {
+		g_autofree char *line = g_strstrip(g_strdup(reader->lines[i]));
+		size_t length;
+
+		if (*line == '[') {
+			inside = g_str_equal(line, header);
+			if (inside && !key)
+				return i + 1;
+			continue;
+		}
+		length = key ? strlen(key) : 0;
+		if (inside && key && strncmp(line, key, length) == 0 &&
+		    (g_ascii_isspace(line[length]) || line[length] == '='))
+			return i + 1;
+	}
+	return 0;
+}
+
+static void fault(reader_t *reader, const char *group, const char *key, const char *format, ...)
+	G_GNUC_PRINTF(4, 5);
+
+static void fault(reader_t *reader, const char *group, const char *key, const char *format, ...)
+{
+	int line = line_of(reader, group, key);
+	g_autofree char *text = NULL;
+	va_list args;
+
+	if (!line)
+		line = line_of(reader, group, NULL);
+	va_start(args, format);
+	text = g_strdup_vprintf(format, args);
+	va_end(args);
+	g_ptr_array_add(reader->faults, g_strdup_printf("%s:%d: [%s] %s: %s", reader->path,
+							MAX(line, 1), group, key ? key : "", text));
+}
+
+static const setting_t *find_setting(const char *group, const char *key)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(known); i++)
+		if (g_str_equal(known[i].group, group) && (!key || g_str_equal(known[i].key, key)))
+			return &known[i];
+	return NULL;
+}
+
+static void check_unknown(reader_t *reader)
+{
+	g_auto(GStrv) groups = g_key_file_get_groups(reader->file, NULL);
+
+	for (char **group = groups; *group; group++) {
+		g_auto(GStrv) keys = g_key_file_get_keys(reader->file, *group, NULL, NULL);
+
+		if (!find_setting(*group, NULL)) {
+			fault(reader, *group, NULL,
+			      "unknown section; known are vm, listen, platform, "
+			      "operators, peers, stop, log and policy");
+			continue;
+		}
+		for (char **key = keys; key && *key; key++)
+			if (!find_setting(*group, *key))
+				fault(reader, *group, *key, "unknown key");
+	}
+}
+
+static bool is_name(const char *text)
+{
+	return *text && strlen(text) < 64 &&
+	       strspn(text, "abcdefghijklmnopqrstuvwxyz0123456789-") == strlen(text);
+}
+
+static const char *text_problem(setting_type_t type, const char *text)
+{
+	struct in_addr ignored;
+
+	switch (type) {
+	case SETTING_NAME:
+		return is_name(text) ? NULL : "must be 1 to 63 of a-z, 0-9 and '-'";
+	case SETTING_ADDRESS:
+		return inet_pton(AF_INET, text, &ignored) == 1 ? NULL : "must be an IPv4 number";
+	case SETTING_SECRET:
+		return strlen(text) >= 16 ? NULL : "must be a secret of at least 16 characters";
+	case SETTING_LEVEL:
+		return g_str_equal(text, "debug") || g_str_equal(text, "info") ||
+				       g_str_equal(text, "warning")
+			       ? NULL
+			       : "must be debug, info or warning";
+	default:
+		return NULL;
+	}
+}
+
+static void take_number(reader_t *reader, const setting_t *setting, const char *text, uint32_t *out)
+{
+	guint64 number;
+
+	if (g_ascii_string_to_unsigned(text, 10, setting->least, setting->most, &number, NULL))
+		*out = (uint32_t)number;
+	else
+		fault(reader, setting->group, setting->key,
+		      "must be a whole number from %u to %u, not \"%s\"", setting->least,
+		      setting->most, text);
+}
+
+static void take(reader_t *reader, const setting_t *setting, settings_t *settings)
+{
+	g_autofree char *text =
+		g_key_file_get_string(reader->file, setting->group, setting->key, NULL);
+	void *field = (char *)settings + setting->offset;
+	const char *problem;
+
+	if (!text)
+		text = g_strdup(setting->fallback);
+	if (!text) {
+		fault(reader, setting->group, setting->key, "must be given");
+		return;
+	}
+	g_strstrip(text);
+	if (setting->type == SETTING_NUMBER) {
+		take_number(reader, setting, text, field);
+		return;
+	}
+	problem = text_problem(setting->type, text);
+	if (problem)
+		fault(reader, setting->group, setting->key, "%s", problem);
+	else
+		*(char **)field = g_steal_pointer(&text);
+}
+
+settings_t *settings_read(const char *path, GPtrArray *faults)
+{
+	reader_t reader = {.path = path, .faults = faults};
+	g_autoptr(GKeyFile) file = g_key_file_new();
+	g_autoptr(GError) error = NULL;
+	g_autofree char *text = NULL;
+	g_auto(GStrv) lines = NULL;
+	settings_t *settings;
+
+	if (!g_file_get_contents(path, &text, NULL, &error) ||
+	    !g_key_file_load_from_data(file, text, strlen(text), G_KEY_FILE_NONE, &error)) {
+		g_ptr_array_add(faults, g_strdup_printf("%s:1: %s", path, error->message));
+		return NULL;
+	}
+	lines = g_strsplit(text, "\n", 0);
+	reader.file = file;
+	reader.lines = lines;
+	settings = g_new0(settings_t, 1);
+	check_unknown(&reader);
+	for (size_t i = 0; i < G_N_ELEMENTS(known); i++)
+		take(&reader, &known[i], settings);
+	if (faults->len == 0)
+		return settings;
+	settings_free(settings);
+	return NULL;
+}
+
+void settings_free(settings_t *settings)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(known); i++)
+		if (known[i].type != SETTING_NUMBER)
+			g_free(*(char **)((char *)settings + known[i].offset));
+	g_free(settings);
+}
--- /dev/null
+++ b/src/settings.h
@@ -0,0 +1,39 @@
+/**
+ * @file settings.h
+ * A daemon's own settings: an INI file, read in this one place and checked key by key.
+ */
+#ifndef DS_SETTINGS_H
+#define DS_SETTINGS_H
+
+#include "core/err.h"
+
+#include <stdint.h>
+
+typedef struct settings_t {
+	char *vm_name;
+	char *data_centre;
+	char *listen_address;
+	uint32_t callers_port;
+	uint32_t admin_port;
+	uint32_t peers_port;
+	char *platform_address;
+	uint32_t platform_port;
+	char *operators_token;
+	char *peers_key;
+	char *peers_previous_key; /**< accepted too while keys are rotated; may be empty */
+	char *peers_seeds;	  /**< "ip:port ip:port", may be empty */
+	uint32_t drain_ms;	  /**< a planned stop serves at least so long */
+	uint32_t quiet_ms;	  /**< and until no request came for so long */
+	char *log_level;
+	uint32_t hedge, choose_by_cost, adapt_limit; /**< policy switches, for baselines */
+} settings_t;
+
+/**
+ * Read @p path.
+ * @param faults filled with one text a fault: file, line, what is wrong and what would be right
+ * @return NULL when there is any fault
+ */
+settings_t *settings_read(const char *path, GPtrArray *faults);
+void settings_free(settings_t *settings);
+
+#endif
--- /dev/null
+++ b/src/tasks/caller_task.h
@@ -0,0 +1,20 @@
+/**
+ * @file caller_task.h
+ * Owns the callers' sockets: routes and checks requests, and writes their one answer.
+ */
+#ifndef DS_CALLER_TASK_H
+#define DS_CALLER_TASK_H
+
+#include "tasks/query_task.h"
+
+typedef struct caller_task_t caller_task_t;
+
+/** NULL when the address can't be listened on. */
+caller_task_t *caller_task_new(loop_t *loop, const settings_t *settings, query_task_t *queries);
+/** A planned stop begins: answers tell callers to close, new requests are still served. */
+void caller_task_leave(caller_task_t *task);
+uint32_t caller_task_open(const caller_task_t *task);
+/** When the last request arrived. */
+uint64_t caller_task_last_request_us(const caller_task_t *task);
+
+#endif
--- /dev/null
+++ b/src/tasks/config_task.c
@@ -0,0 +1,146 @@
+/**
+ * @file config_task.c
+ * See config_task.h.
+ */
+#include "tasks/config_task.h"
+
+#define RETRY_LEAST_US 200000
+#define RETRY_MOST_US 1000000
+
+struct config_task_t {
+	loop_t *loop;
+	platform_task_t *platform;
+	query_task_t *queries;
+	timeline_t *timeline;
+	GRand *rand;
+	loop_timer_t retry;
+	bool cut_off; /* the platform did not answer the last watch */
+};
+
+/** A proposal on its way. */
+typedef struct pending_t {
+	config_task_t *task;
+	proposal_t *proposal;
+	json_t *value; /* as last written; offered here once it is accepted */
+	config_done_f done;
+	void *ctx;
+} pending_t;
+
+static void watch(void *ctx);
+
+static void note_cut(config_task_t *task, bool cut_off)
+{
+	if (task->cut_off != cut_off)
+		timeline_add(task->timeline, "event=platform-%s", cut_off ? "lost" : "back");
+	task->cut_off = cut_off;
+}
+
+static void on_watch(void *ctx, const platform_result_t *result)
+{
+	config_task_t *task = ctx;
+	uint64_t delay_us = 0;
+
+	note_cut(task, result->end == PLATFORM_UNKNOWN);
+	if (result->end == PLATFORM_OK)
+		query_task_offer_config(task->queries, result->version, json_incref(result->value));
+	/* Jitter: after an outage all VMs would otherwise come back in the same moment. */
+	if (result->end == PLATFORM_UNKNOWN || result->end == PLATFORM_ABSENT)
+		delay_us = (uint64_t)g_rand_double_range(task->rand, RETRY_LEAST_US, RETRY_MOST_US);
+	loop_timer_set(task->loop, &task->retry, delay_us);
+}
+
+/* The number is read when the watch starts, after the offer above has been taken in. */
+static void watch(void *ctx)
+{
+	config_task_t *task = ctx;
+
+	platform_task_watch(task->platform, CONFIG_PATH,
+			    adoption_number(query_task_adoption(task->queries)), on_watch, task);
+}
+
+config_task_t *config_task_new(loop_t *loop, platform_task_t *platform, query_task_t *queries,
+			       timeline_t *timeline)
+{
+	config_task_t *task = g_new0(config_task_t, 1);
+
+	task->loop = loop;
+	task->platform = platform;
+	task->queries = queries;
+	task->timeline = timeline;
+	task->rand = g_rand_new();
+	task->retry = (loop_timer_t){.fire = watch, .ctx = task};
+	return task;
+}
+
+void config_task_start(config_task_t *task)
+{
+	watch(task);
+}
+
+/* ---- proposals ---- */
+
+static void on_read(void *ctx, const platform_result_t *result)
+{
+	proposal_read_done(((pending_t *)ctx)->proposal, result);
+}
+
+static void on_write(void *ctx, const platform_result_t *result)
+{
+	proposal_write_done(((pending_t *)ctx)->proposal, result);
+}
+
+static void do_read(void *ctx, proposal_t *proposal)
+{
+	pending_t *pending = ctx;
+
+	(void)proposal;
+	platform_task_read(pending->task->platform, CONFIG_PATH, on_read, pending);
+}
+
+static void do_write(void *ctx, proposal_t *proposal, uint64_t if_version, const json_t *value)
+{
+	pending_t *pending = ctx;
+
+	(void)proposal;
+	json_decref(pending->value);
+	pending->value = json_incref((json_t *)value);
+	platform_task_write(pending->task->platform, CONFIG_PATH, if_version, value, on_write,
+			    pending);
+}
+
+static void do_ended(void *ctx, proposal_t *proposal, proposal_end_t end, uint64_t number,
+		     const char *other)
+{
+	pending_t *pending = ctx;
+	config_task_t *task = pending->task;
+	const config_outcome_t outcome = {.end = end, .number = number, .other = other};
+
+	timeline_add(task->timeline, "event=config-proposal end=%s number=%" G_GUINT64_FORMAT,
+		     end == PROPOSAL_ACCEPTED	? "accepted"
+		     : end == PROPOSAL_CONFLICT ? "conflict"
+						: "unknown",
+		     number);
+	if (end == PROPOSAL_ACCEPTED)
+		query_task_offer_config(task->queries, number, json_incref(pending->value));
+	pending->done(pending->ctx, &outcome);
+	json_decref(pending->value);
+	proposal_free(proposal);
+	g_free(pending);
+}
+
+void config_task_propose(config_task_t *task, const proposal_origin_t *origin, uint64_t base,
+			 json_t *config, config_done_f done, void *ctx)
+{
+	static const proposal_ops_t ops = {.read = do_read, .write = do_write, .ended = do_ended};
+	const adoption_t *adoption = query_task_adoption(task->queries);
+	pending_t *pending = g_new0(pending_t, 1);
+	const json_t *history = adoption_number(adoption) == base
+					? json_object_get(adoption->value, "history")
+					: NULL;
+
+	pending->task = task;
+	pending->done = done;
+	pending->ctx = ctx;
+	pending->proposal = proposal_new(&ops, pending, origin, base, history, config);
+	proposal_start(pending->proposal);
+}
--- /dev/null
+++ b/src/tasks/platform_task.h
@@ -0,0 +1,31 @@
+/**
+ * @file platform_task.h
+ * Owns the connections to the platform's object API: reads, conditional writes, and watches.
+ */
+#ifndef DS_PLATFORM_TASK_H
+#define DS_PLATFORM_TASK_H
+
+#include "core/platform_result.h"
+#include "net/loop.h"
+
+typedef struct platform_task_t platform_task_t;
+
+/** Told once, from the loop. @p result and its value are borrowed. */
+typedef void (*platform_done_f)(void *ctx, const platform_result_t *result);
+
+typedef struct platform_counters_t {
+	uint64_t reads, writes, watches, unknown;
+} platform_counters_t;
+
+platform_task_t *platform_task_new(loop_t *loop, const char *address, uint16_t port);
+/** Read the object @p path ("kind/name"). */
+void platform_task_read(platform_task_t *task, const char *path, platform_done_f done, void *ctx);
+/** Write @p value if the object's version is still @p if_version; 0: if it is not there. */
+void platform_task_write(platform_task_t *task, const char *path, uint64_t if_version,
+			 const json_t *value, platform_done_f done, void *ctx);
+/** Wait until the object passes @p version: OK, or UNCHANGED after a while. */
+void platform_task_watch(platform_task_t *task, const char *path, uint64_t version,
+			 platform_done_f done, void *ctx);
+const platform_counters_t *platform_task_counters(const platform_task_t *task);
+
+#endif
--- /dev/null
+++ b/src/tasks/upstream_task.c
@@ -0,0 +1,276 @@
+/**
+ * @file upstream_task.c
+ * See upstream_task.h.
+ */
+#include "tasks/upstream_task.h"
+
+#include "net/http_pool.h"
+
+#include <stdio.h>
+
+#define SLOTS_MAX 32
+#define PROBE_TIMEOUT_US 1000000
+
+typedef struct endpoint_t {
+	char *key;
+	struct flight_t *slots[SLOTS_MAX];
+	GQueue pending; /* sub_request_t: all slots are busy, some perhaps closing */
+	bool probing;
+} endpoint_t;
+
+/** A sub-request on a connection. */
+typedef struct flight_t {
+	upstream_task_t *task;
+	endpoint_t *endpoint;
+	uint32_t slot;
+	sub_request_t *request;
+	http_call_t *call;
+	bool cancelled;
+} flight_t;
+
+typedef struct probe_t {
+	upstream_task_t *task;
+	endpoint_t *endpoint;
+	void *upstream;
+	char *address;
+	uint16_t port;
+	http_call_t *call;
+	loop_timer_t timer;
+} probe_t;
+
+struct upstream_task_t {
+	loop_t *loop;
+	const upstream_task_ops_t *ops;
+	void *ctx;
+	http_pool_t *pool;
+	http_pool_t *probe_pool;
+	GHashTable *endpoints; /* key -> endpoint_t */
+	GHashTable *flights;   /* attempt id -> flight_t */
+};
+
+static void sub_request_free(sub_request_t *request)
+{
+	g_free(request->address);
+	g_free(request->path);
+	g_free(request->headers);
+	g_free(request->body);
+	g_free(request);
+}
+
+upstream_task_t *upstream_task_new(loop_t *loop, const upstream_task_ops_t *ops, void *ctx)
+{
+	upstream_task_t *task = g_new0(upstream_task_t, 1);
+
+	task->loop = loop;
+	task->ops = ops;
+	task->ctx = ctx;
+	task->pool = http_pool_new(loop, SLOTS_MAX);
+	task->probe_pool = http_pool_new(loop, 1);
+	task->endpoints = g_hash_table_new(g_str_hash, g_str_equal);
+	task->flights = g_hash_table_new(g_int64_hash, g_int64_equal);
+	return task;
+}
+
+static endpoint_t *endpoint_of(upstream_task_t *task, const char *address, uint16_t port)
+{
+	char key[64];
+	endpoint_t *endpoint;
+
+	g_snprintf(key, sizeof(key), "%s:%u", address, port);
+	endpoint = g_hash_table_lookup(task->endpoints, key);
+	if (endpoint)
+		return endpoint;
+	endpoint = g_new0(endpoint_t, 1);
+	endpoint->key = g_strdup(key);
+	g_queue_init(&endpoint->pending);
+	g_hash_table_insert(task->endpoints, endpoint->key, endpoint);
+	return endpoint;
+}
+
+static reply_t *reply_of_call(const http_call_t *call)
+{
+	const GString *body = http_call_reply(call);
+
+	switch (http_call_end(call)) {
+	case HTTP_END_REPLIED:
+		return reply_parse(http_call_status(call), body->str, body->len);
+	case HTTP_END_NOT_SENT:
+		return reply_new(REPLY_NOT_SENT);
+	default:
+		return reply_new(REPLY_CUT);
+	}
+}
+
+static void start_pending(upstream_task_t *task, endpoint_t *endpoint);
+
+static void flight_finished(void *ctx, http_call_t *call)
+{
+	flight_t *flight = ctx;
+	upstream_task_t *task = flight->task;
+	endpoint_t *endpoint = flight->endpoint;
+
+	endpoint->slots[flight->slot] = NULL;
+	if (!flight->cancelled) {
+		g_hash_table_remove(task->flights, &flight->request->attempt_id);
+		task->ops->ended(task->ctx, flight->request->attempt_id, reply_of_call(call));
+	}
+	sub_request_free(flight->request);
+	g_free(flight);
+	start_pending(task, endpoint);
+}
+
+static void start_flight(upstream_task_t *task, endpoint_t *endpoint, uint32_t slot,
+			 sub_request_t *request)
+{
+	flight_t *flight = g_new0(flight_t, 1);
+	http_request_t http = {.method = request->method,
+			       .address = request->address,
+			       .port = request->port,
+			       .path = request->path,
+			       .headers = request->headers,
+			       .body = request->body,
+			       .body_bytes = request->body ? strlen(request->body) : 0,
+			       .fresh_connection = request->fresh_connection,
+			       .finished = flight_finished,
+			       .ctx = flight};
+
+	*flight = (flight_t){.task = task, .endpoint = endpoint, .slot = slot, .request = request};
+	endpoint->slots[slot] = flight;
+	g_hash_table_insert(task->flights, &request->attempt_id, flight);
+	flight->call = http_pool_start(task->pool, slot, &http);
+}
+
+static void start_pending(upstream_task_t *task, endpoint_t *endpoint)
+{
+	while (endpoint->pending.head) {
+		sub_request_t *request = endpoint->pending.head->data;
+		uint32_t slots = MIN(request->connections, SLOTS_MAX), slot = 0;
+
+		while (slot < slots && endpoint->slots[slot])
+			slot++;
+		if (slot == slots)
+			return;
+		start_flight(task, endpoint, slot, g_queue_pop_head(&endpoint->pending));
+	}
+}
+
+static void receive_request(void *self, void *message)
+{
+	upstream_task_t *task = self;
+	sub_request_t *request = message;
+	endpoint_t *endpoint = endpoint_of(task, request->address, request->port);
+
+	g_queue_push_tail(&endpoint->pending, request);
+	start_pending(task, endpoint);
+}
+
+static bool drop_pending(upstream_task_t *task, uint64_t attempt_id)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, task->endpoints);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		endpoint_t *endpoint = value;
+
+		for (GList *item = endpoint->pending.head; item; item = item->next) {
+			sub_request_t *request = item->data;
+
+			if (request->attempt_id != attempt_id)
+				continue;
+			g_queue_delete_link(&endpoint->pending, item);
+			sub_request_free(request);
+			return true;
+		}
+	}
+	return false;
+}
+
+/* The searcher's cancellation is the closed connection; it also rids us of a silent one. */
+static void receive_cancel(void *self, void *message)
+{
+	upstream_task_t *task = self;
+	uint64_t *attempt_id = message;
+	flight_t *flight = g_hash_table_lookup(task->flights, attempt_id);
+
+	if (flight) {
+		g_hash_table_remove(task->flights, attempt_id);
+		flight->cancelled = true;
+		http_call_cancel(flight->call);
+	} else {
+		drop_pending(task, *attempt_id);
+	}
+	g_free(attempt_id);
+}
+
+void upstream_task_send(upstream_task_t *task, sub_request_t *request)
+{
+	loop_post(task->loop, receive_request, task, request);
+}
+
+void upstream_task_cancel(upstream_task_t *task, uint64_t attempt_id)
+{
+	uint64_t *message = g_new(uint64_t, 1);
+
+	*message = attempt_id;
+	loop_post(task->loop, receive_cancel, task, message);
+}
+
+/* ---- health probes ---- */
+
+static void probe_finished(void *ctx, http_call_t *call)
+{
+	probe_t *probe = ctx;
+	upstream_task_t *task = probe->task;
+	upstream_report_t *report = NULL;
+	const GString *body = http_call_reply(call);
+
+	loop_timer_cancel(&probe->timer);
+	probe->endpoint->probing = false;
+	if (http_call_end(call) == HTTP_END_REPLIED)
+		report = reply_parse_health(http_call_status(call), body->str, body->len);
+	task->ops->probed(task->ctx, probe->upstream, report);
+	g_free(probe->address);
+	g_free(probe);
+}
+
+static void probe_timeout(void *ctx)
+{
+	http_call_cancel(((probe_t *)ctx)->call);
+}
+
+static void receive_probe(void *self, void *message)
+{
+	upstream_task_t *task = self;
+	probe_t *probe = message;
+	http_request_t http = {.method = "GET",
+			       .address = probe->address,
+			       .port = probe->port,
+			       .path = "/health",
+			       .finished = probe_finished,
+			       .ctx = probe};
+
+	probe->endpoint = endpoint_of(task, probe->address, probe->port);
+	if (probe->endpoint->probing) { /* the last one is still closing */
+		task->ops->probed(task->ctx, probe->upstream, NULL);
+		g_free(probe->address);
+		g_free(probe);
+		return;
+	}
+	probe->endpoint->probing = true;
+	probe->timer.fire = probe_timeout;
+	probe->timer.ctx = probe;
+	loop_timer_set(task->loop, &probe->timer, PROBE_TIMEOUT_US);
+	probe->call = http_pool_start(task->probe_pool, 0, &http);
+}
+
+void upstream_task_probe(upstream_task_t *task, void *upstream, const char *address, uint16_t port)
+{
+	probe_t *probe = g_new0(probe_t, 1);
+
+	probe->task = task;
+	probe->upstream = upstream;
+	probe->address = g_strdup(address);
+	probe->port = port;
+	loop_post(task->loop, receive_probe, task, probe);
+}
--- /dev/null
+++ b/tests/run-all.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Everything CI checks, in order. KNOWN-RED.txt names tests that fail for a real fault still open.
+set -eu
+cd "$(dirname "$0")/.."
+make --no-print-directory lint
+make --no-print-directory system
--- /dev/null
+++ b/tests/system/api_errors.sh
@@ -0,0 +1,55 @@
+# What a caller sees when its request is wrong: a 4xx problem that names the fault and says that
+# nothing ran, in any order, while other requests go on as before.
+. tests/system/lib.sh
+site_start brodnica || exit 1
+C=http://127.0.0.1:$CALLERS_FROM/v1/services
+
+expect() { # status type curl-arguments...
+	local status=$1 type=$2 out
+	shift 2
+	out=$(curl -s -m 8 -w '\n%{http_code}' "$@")
+	[ "${out##*$'\n'}" = "$status" ] || bad "wanted $status, got: $out ($*)"
+	jq -e --arg t "$type" '.type == $t and .ran == "no"' <<<"${out%$'\n'*}" >/dev/null ||
+		bad "wanted type $type and ran no, got: $out ($*)"
+}
+
+expect 400 bad-request -X POST -d 'not json' "$C/checklist-board/search"
+expect 400 bad-request -X POST -d '{"texts":"x"}' "$C/checklist-board/search"
+expect 400 bad-request -X POST -d '{"text":"a","text":"b"}' "$C/checklist-board/search"
+expect 400 bad-request -X POST -d '{"limit":0}' "$C/checklist-board/search"
+expect 400 bad-request -X POST -d '[]' "$C/checklist-board/search"
+expect 400 bad-request -X POST -H 'Request-Timeout-Ms: 0' -d '{}' "$C/checklist-board/search"
+expect 400 bad-request -X POST -H 'Request-Timeout-Ms: -5' -d '{}' "$C/checklist-board/search"
+expect 400 bad-request -X POST -H 'Request-Timeout-Ms: 99999999999999999999' -d '{}' "$C/checklist-board/search"
+expect 400 bad-request -X POST -H 'Request-Class: gold' -d '{}' "$C/checklist-board/search"
+expect 400 bad-request -X POST -H 'Request-Id: a b' -d '{}' "$C/checklist-board/search"
+expect 404 unknown-service -X POST -d '{}' "$C/nobody/search"
+expect 404 unknown-service "http://127.0.0.1:$CALLERS_FROM/else"
+expect 405 wrong-method "$C/checklist-board/search"
+expect 400 bad-request "$C/checklist-board/records/r000001"
+expect 400 bad-request -X POST -d '{}' "$C/reminder-sender/actions"
+expect 400 bad-request -X POST -H 'Idempotency-Key: short' -d '{}' "$C/reminder-sender/actions"
+expect 400 bad-request -X POST -H "Idempotency-Key: $(date +%s%3N)-one" \
+	-H "Idempotency-Key: $(date +%s%3N)-two" -d '{}' "$C/reminder-sender/actions"
+expect 400 key-too-old -X POST -H 'Idempotency-Key: 1000000000000-an-old-key' -d '{}' "$C/reminder-sender/actions"
+expect 413 too-large -X POST --data-binary @<(head -c 70000 /dev/zero) "$C/checklist-board/search"
+expect 411 length-required -X POST -H 'Transfer-Encoding: chunked' -d '{}' "$C/checklist-board/search"
+
+# A body that never comes is given up with 408, on that connection alone.
+exec 3<>"/dev/tcp/127.0.0.1/$CALLERS_FROM"
+printf 'POST /v1/services/checklist-board/search HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\n{' >&3
+curl -s -m 3 -X POST -d '{}' "$C/checklist-board/search" | jq -e .complete >/dev/null || bad "others go on"
+read -r -t 8 line <&3
+[[ $line == *408* ]] || bad "wanted 408 for a slow body, got: $line"
+exec 3>&-
+
+# Headers beyond the limit cost the connection, not the daemon.
+curl -s -m 3 -o /dev/null -H "X-Big: $(head -c 20000 /dev/zero | tr '\0' x)" "$C/checklist-board/search"
+curl -s -m 3 -X POST -d '{}' "$C/checklist-board/search" | jq -e .complete >/dev/null || bad "alive after big headers"
+
+# Operators' paths ask for the token; health and metrics do not.
+A=http://127.0.0.1:$ADMINS_FROM
+expect 401 unauthorized "$A/v1/status"
+expect 401 unauthorized -H 'Authorization: Bearer wrong' "$A/v1/status"
+curl -sf -m 3 "$A/healthz" >/dev/null && curl -sf -m 3 "$A/metrics" >/dev/null || bad "health and metrics are open"
+curl -sf -m 3 -H "Authorization: Bearer $TOKEN" "$A/v1/status" >/dev/null || bad "the token opens status"
