--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # Each target does its own set-up on a fresh Debian machine.
 
 SHELL := /bin/bash
+.SHELLFLAGS := -o pipefail -c
 BUILD ?= build
 SAN_BUILD ?= build-san
 JOBS ?= $(shell nproc)
--- a/src/core/claims.c
+++ b/src/core/claims.c
@@ -16,6 +16,7 @@
 #define BACKOFF_MOST_US 500000
 #define CONFLICT_BACKOFF_US 2000
 #define FAILURES_TO_OUTAGE 2
+#define OUTAGE_PROBE_US 300000
 /* How long a recorded "ran" may wait for another write to go with. */
 #define OUTCOME_DELAY_US 5000000
 
@@ -71,7 +72,8 @@
 	bucket_t buckets[CLAIMS_BUCKETS];
 	GHashTable *held; /* key -> holder string of claims of ours */
 	uint64_t last_serial;
-	uint32_t failures; /* platform calls in a row without an answer */
+	uint32_t failures;   /* platform calls in a row without an answer */
+	timer_entry_t probe; /* in an outage: asks whether it is over */
 	uint64_t next_write_us;
 	uint64_t wall_ms;
 	uint64_t writes, won;
@@ -406,15 +408,45 @@
 	}
 }
 
+static void arm_probe(claims_t *claims, uint64_t now_us);
+
+static void on_probe(void *ctx, uint64_t now_us)
+{
+	claims_t *claims = ctx;
+
+	if (!in_outage(claims))
+		return;
+	for (uint32_t i = 0; i < CLAIMS_BUCKETS; i++) {
+		if (claims->buckets[i].state == BUCKET_READING)
+			return; /* its end decides, and arms this again if need be */
+	}
+	for (uint32_t i = 0; i < CLAIMS_BUCKETS; i++) {
+		if (claims->buckets[i].state != BUCKET_IDLE)
+			continue;
+		bucket_read(&claims->buckets[i]);
+		return;
+	}
+	arm_probe(claims, now_us);
+}
+
+static void arm_probe(claims_t *claims, uint64_t now_us)
+{
+	claims->probe.fire = on_probe;
+	claims->probe.ctx = claims;
+	timers_set(&claims->timers, &claims->probe, now_us + OUTAGE_PROBE_US);
+}
+
 static void call_failed(bucket_t *bucket, uint64_t now_us)
 {
 	claims_t *claims = bucket->claims;
-	uint64_t backoff_us = BACKOFF_LEAST_US << MIN(bucket->failures, 8);
+	uint64_t backoff_us = (uint64_t)BACKOFF_LEAST_US << MIN(bucket->failures, 8);
 
 	bucket->failures++;
 	claims->failures++;
-	if (in_outage(claims))
+	if (in_outage(claims)) {
 		refuse_pending(bucket);
+		arm_probe(claims, now_us);
+	}
 	bucket_back_off(bucket, MIN(backoff_us, BACKOFF_MOST_US), now_us);
 }
 
@@ -533,7 +565,8 @@
 	op->issued_ms = issued_ms;
 	op->owner = owner;
 	bucket = bucket_of(claims, op->key);
-	if (in_outage(claims) && bucket->state != BUCKET_IDLE) {
+	/* Waiting would tell nobody more: the probe finds out when claims can be settled again. */
+	if (in_outage(claims)) {
 		claims->ops->ended(claims->ctx, owner, CLAIM_UNSETTLED);
 		op_free(op);
 		return;
--- a/src/core/engine.c
+++ b/src/core/engine.c
@@ -12,7 +12,6 @@
 #define RETRY_BURST 32
 #define RESCUE_SHARE 0.05
 #define RESCUE_BURST 128
-#define RESTARTS_MOST 2
 #define PAUSE_US 1500000
 /* What is left to write the answer and let it travel. */
 #define ANSWER_MARGIN_US 4000
@@ -27,6 +26,7 @@
 
 	service->name = g_strdup(name);
 	service->upstreams = g_ptr_array_new_with_free_func((GDestroyNotify)upstream_unref);
+	service->awaiting = g_ptr_array_new();
 	gate_init(&service->gate);
 	budget_init(&service->hedge_budget, HEDGE_SHARE, HEDGE_BURST);
 	budget_init(&service->retry_budget, RETRY_SHARE, RETRY_BURST);
@@ -40,6 +40,7 @@
 
 	g_free(service->name);
 	g_ptr_array_unref(service->upstreams);
+	g_ptr_array_unref(service->awaiting);
 	snapshot_unref(service->snapshot);
 	g_free(service);
 }
@@ -215,16 +216,20 @@
 			uint64_t now_us)
 {
 	upstream_state_t before = upstream->state;
+	service_t *service = service_of_upstream(engine, upstream);
 
 	if (!upstream_report(upstream, report))
 		return;
-	service_of_upstream(engine, upstream)->snapshot_stale = true;
+	service->snapshot_stale = true;
+	if (report->has_versions)
+		service->versions_moved_us = now_us;
 	timeline_add(engine->timeline,
 		     "event=upstream-changed service=%s upstream=%s from=%s to=%s",
 		     upstream->service, upstream->name, upstream_state_name(before),
 		     upstream_state_name(upstream->state));
 	if (!upstream_usable(upstream))
 		dispatch_evict(engine, upstream, now_us);
+	restart_news(engine, service, now_us);
 }
 
 void engine_health(engine_t *engine, upstream_t *upstream, const upstream_report_t *report,
@@ -279,7 +284,7 @@
 
 /* ---- admission ---- */
 
-static void refresh_snapshot(service_t *service)
+void engine_refresh_snapshot(service_t *service)
 {
 	if (!service->snapshot_stale)
 		return;
@@ -322,6 +327,7 @@
 
 	query->finished = true;
 	timers_cancel(&engine->timers, &query->deadline);
+	restart_forget(engine, query);
 	gate_withdraw(&service->gate, &query->gate_entry);
 	dispatch_stop(engine, query, now_us);
 	if (query->admitted_us)
@@ -386,11 +392,15 @@
 
 void engine_check_settled(engine_t *engine, query_t *query, uint64_t now_us)
 {
-	if (!query->finished && query_is_settled(query))
-		refuse_or_answer(engine, query, now_us);
+	if (query->finished || !query_is_settled(query))
+		return;
+	if (!query_is_whole(query) &&
+	    (restart_try(engine, query, now_us) || restart_await(engine, query, now_us)))
+		return;
+	refuse_or_answer(engine, query, now_us);
 }
 
-static void scatter(engine_t *engine, query_t *query, uint64_t now_us)
+void engine_scatter(engine_t *engine, query_t *query, uint64_t now_us)
 {
 	uint32_t pin = query->restarts;
 
@@ -400,46 +410,6 @@
 	engine_check_settled(engine, query, now_us);
 }
 
-static uint32_t usable_partitions(const snapshot_t *snapshot)
-{
-	return snapshot->of - snapshot->missing->len;
-}
-
-/* Worth it when another snapshot would give more than this one still can, and there is time. */
-static bool try_restart(engine_t *engine, query_t *query, uint64_t now_us)
-{
-	service_t *service = engine_service_of(query);
-	uint32_t still = 0;
-
-	if (query->request->kind == SERVICE_ONCE || query->restarts >= RESTARTS_MOST ||
-	    (double)query->deadline.at_us < (double)now_us + service->gate.run_us)
-		return false;
-	service->snapshot_stale = true;
-	refresh_snapshot(service);
-	if (!service->snapshot || service->snapshot->version == query->snapshot->version)
-		return false;
-	for (guint i = 0; i < query->parts->len; i++) {
-		const part_t *part = g_ptr_array_index(query->parts, i);
-
-		still += part->lost ? 0 : part->partitions->len;
-	}
-	if (query->request->kind == SERVICE_GATHER &&
-	    (uint64_t)usable_partitions(service->snapshot) * query->snapshot->of <=
-		    (uint64_t)still * service->snapshot->of)
-		return false;
-	query->restarts++;
-	service->counters.restarts++;
-	timeline_add(engine->timeline,
-		     "event=restart request=%s service=%s from=%" G_GUINT64_FORMAT
-		     " to=%" G_GUINT64_FORMAT,
-		     query->request->id, service->name, query->snapshot->version,
-		     service->snapshot->version);
-	dispatch_stop(engine, query, now_us);
-	query_pin(query, service->snapshot);
-	scatter(engine, query, now_us);
-	return true;
-}
-
 void engine_part_lost(engine_t *engine, part_t *part, uint64_t now_us)
 {
 	query_t *query = query_ref(part->query);
@@ -447,7 +417,7 @@
 	part->lost = true;
 	if (query->request->kind == SERVICE_ONCE)
 		engine_action_ended(engine, query, REFUSAL_UPSTREAM_NOT_RUN, RAN_NO, now_us);
-	else if (!try_restart(engine, query, now_us))
+	else if (!restart_try(engine, query, now_us))
 		engine_check_settled(engine, query, now_us);
 	query_unref(query);
 }
@@ -509,13 +479,13 @@
 		engine->ops->claim(engine->ctx, query);
 		return;
 	}
-	refresh_snapshot(service);
+	engine_refresh_snapshot(service);
 	if (!service->snapshot) {
 		query_finish(engine, query, REFUSAL_NO_UPSTREAM, now_us);
 		return;
 	}
 	query_pin(query, service->snapshot);
-	scatter(engine, query, now_us);
+	engine_scatter(engine, query, now_us);
 }
 
 static refusal_t refusal_of_claim(claim_end_t end)
@@ -552,7 +522,7 @@
 		query_finish(engine, query, refusal_of_claim(end), now_us);
 		return;
 	}
-	refresh_snapshot(service);
+	engine_refresh_snapshot(service);
 	/*
 	 * A holder that was paused between claim and send comes back here long after its deadline.
 	 * The caller has been told nothing yet and must be told "not run"; sending now would make
@@ -636,7 +606,7 @@
 					   .owner = query};
 	engine->open_queries++;
 	service->counters.requests[request->class]++;
-	refresh_snapshot(service);
+	engine_refresh_snapshot(service);
 	service->gate.capacity = service_capacity(service);
 	if (!service->snapshot)
 		query_finish(engine, query, REFUSAL_NO_UPSTREAM, now_us);
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -14,6 +14,7 @@
 #include "core/timeline.h"
 
 typedef struct engine_t engine_t;
+struct service_t;
 
 /** How a claim on an idempotency key ended. */
 typedef enum claim_end_t {
@@ -36,6 +37,8 @@
 	void (*claim)(void *ctx, query_t *query);
 	/** Record what became of a claimed action. */
 	void (*claim_outcome)(void *ctx, query_t *query, ran_t ran);
+	/** Ask every searcher of @p service soon which versions it holds. */
+	void (*refresh)(void *ctx, const struct service_t *service);
 } engine_ops_t;
 
 /** Counters of one service. */
@@ -60,6 +63,8 @@
 	histogram_t attempt_latency; /**< recent, for the hedge delay */
 	snapshot_t *snapshot;	     /**< what the next query pins */
 	bool snapshot_stale;
+	uint64_t versions_moved_us; /**< when a searcher's versions last changed */
+	GPtrArray *awaiting;	    /**< query_t that wait for news of versions */
 	bool configured;
 	service_counters_t counters;
 } service_t;
--- a/src/core/engine_private.h
+++ b/src/core/engine_private.h
@@ -41,6 +41,10 @@
 void engine_enter(engine_t *engine, uint64_t now_us);
 
 service_t *engine_service_of(const query_t *query);
+/** Choose the service's snapshot anew if what is known has changed. */
+void engine_refresh_snapshot(service_t *service);
+/** Ask for every part of @p query. */
+void engine_scatter(engine_t *engine, query_t *query, uint64_t now_us);
 /** @p part can't be answered at this snapshot: restart the query at another, or go without. */
 void engine_part_lost(engine_t *engine, part_t *part, uint64_t now_us);
 /** A part has been answered or lost: answer the query if that was the last. */
@@ -52,4 +56,15 @@
 void engine_take_report(engine_t *engine, upstream_t *upstream, const upstream_report_t *report,
 			uint64_t now_us);
 
+/* restart.c */
+
+/** Begin @p query anew if another snapshot gives more; true if it did. */
+bool restart_try(engine_t *engine, query_t *query, uint64_t now_us);
+/** Whether @p query, settled but not whole, should wait for news of versions; it then waits. */
+bool restart_await(engine_t *engine, query_t *query, uint64_t now_us);
+/** @p query waits no longer. */
+void restart_forget(engine_t *engine, query_t *query);
+/** Something was heard of the service's searchers: let those who wait try. */
+void restart_news(engine_t *engine, service_t *service, uint64_t now_us);
+
 #endif
--- a/src/core/query.c
+++ b/src/core/query.c
@@ -165,6 +165,17 @@
 	return true;
 }
 
+bool query_is_whole(const query_t *query)
+{
+	const GArray *missing =
+		query->request->kind == SERVICE_GATHER ? query->snapshot->missing : query->missing;
+
+	for (guint i = 0; i < query->parts->len; i++)
+		if (!((const part_t *)g_ptr_array_index(query->parts, i))->answered)
+			return false;
+	return missing->len == 0;
+}
+
 uint32_t query_answered(const query_t *query)
 {
 	uint32_t answered = 0;
--- a/src/core/query.h
+++ b/src/core/query.h
@@ -91,6 +91,8 @@
 	GHashTable *seen; /**< ids of records taken */
 	timer_entry_t deadline;
 	uint32_t restarts;
+	timer_entry_t news; /**< waits for news of versions until then */
+	bool waited_for_news;
 	ran_t ran; /**< action: what is known */
 	bool sent; /**< some attempt was sent */
 	bool finished;
@@ -111,6 +113,8 @@
 void query_merge(query_t *query, part_t *part, const reply_t *reply);
 /** Whether every part is answered or lost. */
 bool query_is_settled(const query_t *query);
+/** Whether nothing is missing. */
+bool query_is_whole(const query_t *query);
 /** Partitions answered so far. */
 uint32_t query_answered(const query_t *query);
 /** Fill in @p answer from what has been gathered. */
--- /dev/null
+++ b/src/core/restart.c
@@ -0,0 +1,129 @@
+/**
+ * @file restart.c
+ * Index versions that change under a running query: begin anew at another snapshot, or wait briefly
+ * for news of one. Two snapshots are never mixed, not even to fill a gap.
+ *
+ * docs/decisions/0001-one-snapshot.md weighs the ways.
+ */
+#include "core/engine_private.h"
+
+#define RESTARTS_MOST 2
+/* How long after the last news of versions more news is worth waiting for. */
+#define NEWS_FRESH_US 1000000
+#define NEWS_WAIT_US 600000
+
+static uint32_t usable_partitions(const snapshot_t *snapshot)
+{
+	return snapshot->of - snapshot->missing->len;
+}
+
+/* Partitions that the query can still get at the snapshot it has pinned. */
+static uint32_t reachable_partitions(const query_t *query)
+{
+	uint32_t reachable = 0;
+
+	for (guint i = 0; i < query->parts->len; i++) {
+		const part_t *part = g_ptr_array_index(query->parts, i);
+
+		reachable += part->lost ? 0 : part->partitions->len;
+	}
+	return reachable;
+}
+
+static bool has_time(const query_t *query, uint64_t now_us)
+{
+	const service_t *service = engine_service_of(query);
+
+	return (double)query->deadline.at_us > (double)now_us + service->gate.run_us;
+}
+
+static bool gives_more(const query_t *query, const snapshot_t *fresh)
+{
+	const snapshot_t *pinned = query->snapshot;
+
+	if (fresh->version == pinned->version && fresh->missing->len >= pinned->missing->len)
+		return false;
+	if (query->request->kind == SERVICE_LOOKUP)
+		return fresh->version != pinned->version;
+	return (uint64_t)usable_partitions(fresh) * pinned->of >
+	       (uint64_t)reachable_partitions(query) * fresh->of;
+}
+
+bool restart_try(engine_t *engine, query_t *query, uint64_t now_us)
+{
+	service_t *service = engine_service_of(query);
+
+	if (query->request->kind == SERVICE_ONCE || query->restarts >= RESTARTS_MOST ||
+	    !has_time(query, now_us))
+		return false;
+	service->snapshot_stale = true;
+	engine_refresh_snapshot(service);
+	if (!service->snapshot || !gives_more(query, service->snapshot))
+		return false;
+	query->restarts++;
+	service->counters.restarts++;
+	timeline_add(engine->timeline,
+		     "event=restart request=%s service=%s from=%" G_GUINT64_FORMAT
+		     " to=%" G_GUINT64_FORMAT,
+		     query->request->id, service->name, query->snapshot->version,
+		     service->snapshot->version);
+	restart_forget(engine, query);
+	dispatch_stop(engine, query, now_us);
+	query_pin(query, service->snapshot);
+	engine_scatter(engine, query, now_us);
+	return true;
+}
+
+static void on_wait_over(void *ctx, uint64_t now_us)
+{
+	query_t *query = ctx;
+	engine_t *engine = query->engine;
+
+	restart_forget(engine, query);
+	query->waited_for_news = true;
+	engine_check_settled(engine, query, now_us);
+}
+
+/*
+ * When versions have just changed, what is known of some searchers is older than of others, and no
+ * version looks whole. Answering then would give a partial answer although every group is served;
+ * the next health pages tell. Without the time limit on the news, a group that is really lost would
+ * make every query wait.
+ */
+bool restart_await(engine_t *engine, query_t *query, uint64_t now_us)
+{
+	service_t *service = engine_service_of(query);
+
+	if (query->news.place)
+		return true;
+	if (query->request->kind == SERVICE_ONCE || query->restarts >= RESTARTS_MOST ||
+	    query->waited_for_news || !service->versions_moved_us ||
+	    now_us - service->versions_moved_us > NEWS_FRESH_US || !has_time(query, now_us))
+		return false;
+	query->news.fire = on_wait_over;
+	query->news.ctx = query;
+	timers_set(&engine->timers, &query->news, now_us + NEWS_WAIT_US);
+	g_ptr_array_add(service->awaiting, query);
+	engine->ops->refresh(engine->ctx, service);
+	return true;
+}
+
+void restart_forget(engine_t *engine, query_t *query)
+{
+	if (!query->news.place)
+		return;
+	timers_cancel(&engine->timers, &query->news);
+	g_ptr_array_remove_fast(engine_service_of(query)->awaiting, query);
+}
+
+void restart_news(engine_t *engine, service_t *service, uint64_t now_us)
+{
+	g_autoptr(GPtrArray) list = g_ptr_array_copy(service->awaiting, NULL, NULL);
+
+	for (guint i = 0; i < list->len; i++) {
+		query_t *query = g_ptr_array_index(list, i);
+
+		if (query->news.place)
+			restart_try(engine, query, now_us);
+	}
+}
--- a/src/tasks/query_task.c
+++ b/src/tasks/query_task.c
@@ -14,6 +14,7 @@
 #include <unistd.h>
 
 #define PROBE_PERIOD_US 500000
+#define REFRESH_LEAST_US 50000
 
 struct query_task_t {
 	loop_t *loop;
@@ -29,7 +30,7 @@
 	loop_timer_t engine_timer;
 	loop_timer_t claims_timer;
 	loop_timer_t probe_timer;
-	uint32_t probe_round;
+	uint64_t refreshed_us;
 };
 
 typedef struct submit_message_t {
@@ -180,11 +181,26 @@
 		       loop_now_us(), loop_wall_ms());
 }
 
+/* Many queries find out at once that versions have changed; one look at the searchers serves them
+ * all. */
+static void do_refresh(void *ctx, const service_t *service)
+{
+	query_task_t *task = ctx;
+	uint64_t now = loop_now_us();
+
+	(void)service;
+	if (now - task->refreshed_us < REFRESH_LEAST_US)
+		return;
+	task->refreshed_us = now;
+	loop_timer_set(task->loop, &task->probe_timer, 0);
+}
+
 static const engine_ops_t engine_ops = {.send = do_send,
 					.cancel = do_cancel,
 					.answer = do_answer,
 					.claim = do_claim,
-					.claim_outcome = do_claim_outcome};
+					.claim_outcome = do_claim_outcome,
+					.refresh = do_refresh};
 
 /* ---- the claims' effects ---- */
 
--- a/tests/run-unit.sh
+++ b/tests/run-unit.sh
@@ -2,4 +2,6 @@
 # Tests without sockets: decided by their inputs and seeds alone.
 set -eu
 cd "$(dirname "$0")/.."
+"$BUILD/script_test"
 "$BUILD/random_test" "${SEEDS:-250}"
+tests/mutants.sh
--- a/tests/world.c
+++ b/tests/world.c
@@ -50,6 +50,7 @@
 typedef struct object_t {
 	uint64_t version;
 	json_t *value;
+	json_t *before; /* what stood there until the last write */
 } object_t;
 
 typedef enum call_kind_t { CALL_BUCKET, CALL_PROPOSAL, CALL_WATCH } call_kind_t;
@@ -537,17 +538,32 @@
 		       vm->world->now_us, wall_ms(vm->world));
 }
 
+static void probe_all(world_t *world, vm_t *vm);
+
+static void do_refresh(void *ctx, const service_t *service)
+{
+	vm_t *vm = ctx;
+
+	(void)service;
+	if (!vm->refreshed_us || vm->world->now_us - vm->refreshed_us > 50000) {
+		vm->refreshed_us = vm->world->now_us;
+		probe_all(vm->world, vm);
+	}
+}
+
 static const engine_ops_t engine_ops = {.send = do_send,
 					.cancel = do_cancel,
 					.answer = do_answer,
 					.claim = do_claim,
-					.claim_outcome = do_claim_outcome};
+					.claim_outcome = do_claim_outcome,
+					.refresh = do_refresh};
 
 /* ---- the platform ---- */
 
 static void object_free(void *data)
 {
 	json_decref(((object_t *)data)->value);
+	json_decref(((object_t *)data)->before);
 	g_free(data);
 }
 
@@ -636,7 +652,8 @@
 		object = g_new0(object_t, 1);
 		g_hash_table_insert(world->objects, g_strdup(call->path), object);
 	}
-	json_decref(object->value);
+	json_decref(object->before);
+	object->before = object->value;
 	object->value = json_incref(call->value);
 	object->version++;
 	call->result = (platform_result_t){.end = PLATFORM_OK, .version = object->version};
@@ -650,6 +667,13 @@
 		call->result = (platform_result_t){.end = PLATFORM_ABSENT};
 		return;
 	}
+	if (world->platform_stale && object->before) {
+		call->result_value = json_deep_copy(object->before);
+		call->result = (platform_result_t){.end = PLATFORM_OK,
+						   .version = object->version - 1,
+						   .value = call->result_value};
+		return;
+	}
 	call->result_value = json_deep_copy(object->value);
 	call->result = (platform_result_t){
 		.end = PLATFORM_OK, .version = object->version, .value = call->result_value};
@@ -742,7 +766,6 @@
 
 /* ---- VMs ---- */
 
-static void event_health(world_t *world, void *data);
 static void event_watch(world_t *world, void *data);
 
 typedef struct health_t {
@@ -788,23 +811,27 @@
 	g_free(health);
 }
 
+static void probe_all(world_t *world, vm_t *vm)
+{
+	for (guint i = 0; i < world->replicas->len; i++) {
+		replica_t *replica = g_ptr_array_index(world->replicas, i);
+		health_t *health = g_new0(health_t, 1);
+		bool answers = !replica->dead && !replica->frozen;
+
+		*health = (health_t){.vm = vm,
+				     .incarnation = vm->incarnation,
+				     .replica = replica,
+				     .report = answers ? report_of(replica, true) : NULL};
+		later(world, 2 * HOP_US + world->health_lag_us, event_health_reply, health);
+	}
+}
+
 static void event_health(world_t *world, void *data)
 {
 	vm_t *vm = data;
 
-	if (vm->engine && !vm->dead && !vm->frozen) {
-		for (guint i = 0; i < world->replicas->len; i++) {
-			replica_t *replica = g_ptr_array_index(world->replicas, i);
-			health_t *health = g_new0(health_t, 1);
-			bool answers = !replica->dead && !replica->frozen;
-
-			*health = (health_t){.vm = vm,
-					     .incarnation = vm->incarnation,
-					     .replica = replica,
-					     .report = answers ? report_of(replica, true) : NULL};
-			later(world, 2 * HOP_US + world->health_lag_us, event_health_reply, health);
-		}
-	}
+	if (vm->engine && !vm->dead && !vm->frozen)
+		probe_all(world, vm);
 	later(world, HEALTH_PERIOD_US, event_health, vm);
 }
 
--- a/tests/world.h
+++ b/tests/world.h
@@ -18,7 +18,7 @@
 
 /** A fake searcher, with what is wrong with it. */
 typedef struct replica_t {
-	char name[40];
+	char name[64];
 	char data_centre[16];
 	uint32_t group, groups, per_group;
 	uint64_t versions[4]; /**< held; 0 for none */
@@ -44,6 +44,7 @@
 	adoption_t adoption;
 	timeline_t *timeline;
 	bool dead, frozen, cut_from_platform;
+	uint64_t refreshed_us;
 	uint64_t thawed_us; /**< what was asked before it may be answered late */
 	GQueue inbox;	    /**< deliveries held while frozen */
 } vm_t;
@@ -73,6 +74,7 @@
 	uint32_t vm_count;
 	GHashTable *objects; /**< path -> object */
 	bool platform_down;
+	bool platform_stale; /**< reads give what was there before the last write */
 	uint64_t platform_slow_us;
 	uint32_t lose_replies; /**< writes that take effect unanswered */
 	uint32_t late_writes;  /**< writes that take effect after their caller gave up */
