--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -19,6 +19,7 @@
 #define FADE_SAMPLES 4096
 #define BACKOFF_US 3000
 #define BACKOFF_DOUBLINGS 5
+#define CLASS_HEAD_START_US 50000u
 
 /* ---- replica choice ---- */
 
@@ -69,11 +70,34 @@
 	choice->count = kept;
 }
 
+/*
+ * Limits below 1 only mean something for a group as a whole: were each searcher given one request
+ * by each VM all the same, six VMs would fill its two slots three times over.
+ */
+static bool group_has_room(const engine_t *engine, const part_t *part)
+{
+	uint32_t outstanding = 0;
+	double limit = 0;
+
+	if (!engine->policy.adapt_limit)
+		return true;
+	for (guint i = 0; i < part->replicas->len; i++) {
+		const upstream_t *upstream = g_ptr_array_index(part->replicas, i);
+
+		outstanding += upstream->outstanding;
+		limit += upstream_usable(upstream) ? upstream->limit : 0;
+	}
+	return outstanding < MAX((uint32_t)(limit + 0.5), 1);
+}
+
 /* Two at random, the cheaper of them that has room. */
-static upstream_t *choose_with_room(engine_t *engine, const choice_t *choice)
+static upstream_t *choose_with_room(engine_t *engine, const part_t *part, const choice_t *choice)
 {
 	uint32_t open[64], count = 0, first, second;
 
+	if (!group_has_room(engine, part))
+		return NULL;
+
 	for (uint32_t i = 0; i < choice->count; i++)
 		if (upstream_has_room(choice->list[i]))
 			open[count++] = i;
@@ -180,13 +204,21 @@
 
 /* ---- waiting for room ---- */
 
-static bool goes_before(const attempt_t *a, const attempt_t *b)
+/*
+ * A more urgent class goes before what was admitted shortly before it, not before everything: with
+ * a strict order parts of the lower classes would wait here for as long as urgent work keeps
+ * coming.
+ */
+static uint64_t turn_us(const attempt_t *attempt)
 {
-	const request_t *x = a->query->request, *y = b->query->request;
+	const query_t *query = attempt->query;
 
-	if (x->class != y->class)
-		return x->class < y->class;
-	return x->deadline_us < y->deadline_us;
+	return query->admitted_us + query->request->class * CLASS_HEAD_START_US;
+}
+
+static bool goes_before(const attempt_t *a, const attempt_t *b)
+{
+	return turn_us(a) < turn_us(b);
 }
 
 static void wait_for(attempt_t *attempt, upstream_t *upstream)
@@ -206,12 +238,18 @@
 		g_queue_push_head_link(&upstream->waiting, &waiter->link);
 }
 
+/* Room at one searcher is room for its group, too: whoever waits there waits at each of the group.
+ */
 void dispatch_pump(engine_t *engine, upstream_t *upstream, uint64_t now_us)
 {
-	while (upstream_has_room(upstream) && upstream->waiting.head) {
-		waiter_t *waiter = upstream->waiting.head->data;
+	GList *item = upstream->waiting.head;
+
+	while (item && upstream_has_room(upstream)) {
+		attempt_t *attempt = ((waiter_t *)item->data)->attempt;
 
-		attempt_send(engine, waiter->attempt, upstream, now_us);
+		item = item->next;
+		if (group_has_room(engine, part_of(attempt)))
+			attempt_send(engine, attempt, upstream, now_us);
 	}
 }
 
@@ -280,7 +318,7 @@
 		return;
 	}
 	attempt = attempt_new(engine, part, kind);
-	upstream = choose_with_room(engine, &choice);
+	upstream = choose_with_room(engine, part, &choice);
 	if (upstream) {
 		attempt_send(engine, attempt, upstream, now_us);
 		return;
@@ -295,6 +333,8 @@
 {
 	choice_t choice;
 
+	if (!group_has_room(engine, part))
+		return false;
 	list_candidates(engine, part, now_us, &choice);
 	for (uint32_t i = 0; i < choice.count; i++)
 		if (upstream_has_room(choice.list[i]))
@@ -324,7 +364,8 @@
 {
 	service_t *service = engine_service_of(part->query);
 
-	upstream_overloaded(attempt->upstream, now_us, now_us - attempt->sent_us);
+	upstream_outlasted(attempt->upstream, now_us, now_us - attempt->sent_us);
+	upstream_overloaded(attempt->upstream, now_us);
 	if (!budget_spend(&service->rescue_budget))
 		return;
 	timeline_add(engine->timeline,
@@ -361,8 +402,7 @@
 	if (upstream) {
 		engine->ops->cancel(engine->ctx, attempt);
 		/* The loser took at least this long: without it a straggler would look untried. */
-		if ((double)waited_us > upstream->latency_us)
-			upstream_overloaded(upstream, now_us, waited_us);
+		upstream_outlasted(upstream, now_us, waited_us);
 	}
 	attempt_free(engine, attempt);
 	if (!upstream)
@@ -464,7 +504,7 @@
 		break;
 	case REPLY_SHED:
 		upstream->shed++;
-		upstream_overloaded(upstream, now_us, 0);
+		upstream_overloaded(upstream, now_us);
 		break;
 	case REPLY_NOT_SENT:
 	case REPLY_CUT:
--- a/src/core/engine.c
+++ b/src/core/engine.c
@@ -13,6 +13,7 @@
 #define RESCUE_SHARE 0.05
 #define RESCUE_BURST 128
 #define PAUSE_US 1500000
+#define OVERLAP_MOST 4.0
 /* What is left to write the answer and let it travel. */
 #define ANSWER_MARGIN_US 4000
 #define OUTAGE_RETURN_LEAST_US 500000
@@ -306,6 +307,18 @@
 	return sum;
 }
 
+/*
+ * A gather lasts as long as its slowest part, several times as long as the mean one, and holds no
+ * slot for the rest of that time. Counting searches like parts would leave most slots idle.
+ */
+static double overlap(const service_t *service)
+{
+	const histogram_t *attempts = &service->attempt_latency;
+	double mean_us = attempts->count ? (double)attempts->sum_us / (double)attempts->count : 0;
+
+	return mean_us > 0 ? CLAMP(service->gate.run_us / mean_us, 1.0, OVERLAP_MOST) : 1.0;
+}
+
 /* A gather needs room in every target, so the tightest one bounds it; the others add up. */
 static double service_capacity(const service_t *service)
 {
@@ -318,7 +331,7 @@
 		if (i == 0 || capacity < least)
 			least = capacity;
 	}
-	return service->kind == SERVICE_GATHER ? least : sum;
+	return service->kind == SERVICE_GATHER ? least * overlap(service) : sum;
 }
 
 static void query_end(engine_t *engine, query_t *query, uint64_t now_us)
@@ -566,7 +579,8 @@
 	gate_entry_t *entry = &query->gate_entry, *displaced;
 	gate_verdict_t verdict = gate_offer(&service->gate, entry, now_us);
 
-	if (verdict == GATE_FULL && (displaced = gate_displaceable(&service->gate, entry))) {
+	if (verdict == GATE_FULL &&
+	    (displaced = gate_displaceable(&service->gate, entry, now_us))) {
 		query_finish(engine, displaced->owner, REFUSAL_DISPLACED, now_us);
 		verdict = gate_offer(&service->gate, entry, now_us);
 	}
--- a/src/core/gate.c
+++ b/src/core/gate.c
@@ -8,6 +8,7 @@
 #define RUN_WEIGHT 0.05
 /* Every so many turns the one that has waited longest goes first, whatever its class. */
 #define FAIR_TURN 8
+#define DISPLACE_WITHIN_US 4000
 #define RETURN_LEAST_US 20000
 #define RETURN_MOST_US 10000000
 
@@ -42,6 +43,20 @@
 	return ahead;
 }
 
+/*
+ * How many may wait ahead of one of each class, in runs of the whole service. Waiting longer gives
+ * no more answers, only later ones; and one who is refused after a wait has lost that time, too.
+ * The lower classes are overtaken while they wait, so they are turned away sooner.
+ */
+static bool has_place(const gate_t *gate, const gate_entry_t *entry)
+{
+	static const double runs_ahead[CLASS_COUNT] = {
+		[CLASS_URGENT] = 1.5, [CLASS_NORMAL] = 1, [CLASS_BACKGROUND] = 0.5};
+
+	return ahead_of(gate, entry) < MAX(runs_ahead[entry->class] * gate->capacity, 1.0) &&
+	       gate->waiting[entry->class].length < gate->queue_limit;
+}
+
 static bool has_time(const gate_t *gate, const gate_entry_t *entry, uint64_t now_us)
 {
 	double wait_us = (ahead_of(gate, entry) + 1) * gate->run_us / MAX(gate->capacity, 1.0);
@@ -73,17 +88,33 @@
 	}
 	if (!has_time(gate, entry, now_us))
 		return GATE_NO_TIME;
-	if (gate->waiting[entry->class].length >= gate->queue_limit)
+	if (!has_place(gate, entry))
 		return GATE_FULL;
 	insert(gate, entry);
 	return GATE_WAIT;
 }
 
-gate_entry_t *gate_displaceable(const gate_t *gate, const gate_entry_t *entry)
+static gate_entry_t *newest(const GQueue *queue)
 {
-	for (int i = CLASS_COUNT - 1; i > (int)entry->class; i--)
-		if (gate->waiting[i].tail)
-			return gate->waiting[i].tail->data;
+	gate_entry_t *found = NULL;
+
+	for (const GList *item = queue->head; item; item = item->next) {
+		gate_entry_t *entry = item->data;
+
+		if (!found || entry->arrived_us >= found->arrived_us)
+			found = entry;
+	}
+	return found;
+}
+
+gate_entry_t *gate_displaceable(const gate_t *gate, const gate_entry_t *entry, uint64_t now_us)
+{
+	for (int i = CLASS_COUNT - 1; i > (int)entry->class; i--) {
+		gate_entry_t *found = newest(&gate->waiting[i]);
+
+		if (found && now_us - found->arrived_us < DISPLACE_WITHIN_US)
+			return found;
+	}
 	return NULL;
 }
 
--- a/src/core/upstream.c
+++ b/src/core/upstream.c
@@ -12,9 +12,11 @@
 #define LIMIT_CUT 0.8
 #define LIMIT_RAISE 0.2
 /* Above this multiple of the idle latency, requests are queueing at the searcher. */
-#define QUEUEING_RATIO 3.0
+#define QUEUEING_RATIO 2.0
 #define LATENCY_WEIGHT 0.15
-#define FLOOR_RISE 0.002
+#define MEDIAN_STEP 0.05
+/* Under lasting load the queue must not come to look like the idle latency within seconds. */
+#define FLOOR_MEMORY_US 120e6
 /* Knowledge of a slow replica fades, or it would never be tried again after it has recovered. */
 #define MEMORY_US 5e6
 #define REMOTE_COST 1.15
@@ -182,14 +184,18 @@
 
 static void feed_latency(upstream_t *upstream, uint64_t now_us, double latency_us)
 {
+	uint64_t before_us = upstream->sampled_us ? upstream->sampled_us : now_us;
+
 	if (upstream->latency_us <= 0)
-		upstream->latency_us = latency_us;
+		upstream->latency_us = upstream->median_us = upstream->floor_us = latency_us;
 	upstream->latency_us += LATENCY_WEIGHT * (latency_us - upstream->latency_us);
 	upstream->sampled_us = now_us;
-	if (upstream->floor_us <= 0 || upstream->latency_us < upstream->floor_us)
-		upstream->floor_us = upstream->latency_us;
+	upstream->median_us *= latency_us > upstream->median_us ? 1 + MEDIAN_STEP : 1 - MEDIAN_STEP;
+	if (upstream->median_us < upstream->floor_us)
+		upstream->floor_us = upstream->median_us;
 	else
-		upstream->floor_us += FLOOR_RISE * (upstream->latency_us - upstream->floor_us);
+		upstream->floor_us += (upstream->median_us - upstream->floor_us) *
+				      MIN((double)(now_us - before_us) / FLOOR_MEMORY_US, 1.0);
 }
 
 static void cut_limit(upstream_t *upstream, uint64_t now_us)
@@ -205,7 +211,11 @@
 {
 	upstream->answered++;
 	feed_latency(upstream, now_us, (double)latency_us);
-	if (upstream->latency_us > QUEUEING_RATIO * upstream->floor_us)
+	/*
+	 * The median and not the mean: one answer in ten that is slow for reasons of its own is not
+	 * a queue, and cutting the limit for it would leave slots idle.
+	 */
+	if (upstream->median_us > QUEUEING_RATIO * upstream->floor_us)
 		cut_limit(upstream, now_us);
 	else if (upstream->outstanding >= (uint32_t)upstream->limit)
 		upstream->limit = MIN(upstream->limit + LIMIT_RAISE / MAX(upstream->limit, 1),
@@ -213,13 +223,17 @@
 	upstream->limit = MAX(upstream->limit, LIMIT_LEAST);
 }
 
-void upstream_overloaded(upstream_t *upstream, uint64_t now_us, uint64_t latency_us)
+void upstream_overloaded(upstream_t *upstream, uint64_t now_us)
 {
-	if (latency_us > upstream->latency_us)
-		feed_latency(upstream, now_us, (double)latency_us);
 	cut_limit(upstream, now_us);
 }
 
+void upstream_outlasted(upstream_t *upstream, uint64_t now_us, uint64_t latency_us)
+{
+	if ((double)latency_us > upstream->latency_us)
+		feed_latency(upstream, now_us, (double)latency_us);
+}
+
 const char *upstream_state_name(upstream_state_t state)
 {
 	static const char *const names[] = {[UPSTREAM_UNKNOWN] = "unknown",
--- a/src/core/upstream.h
+++ b/src/core/upstream.h
@@ -52,11 +52,12 @@
 	double limit;	       /**< adaptive bound on outstanding */
 	uint32_t share;	       /**< hard bound on outstanding: this VM's connections */
 	double latency_us;     /**< moving average, attempt sent to answer */
-	double floor_us;       /**< slowly rising minimum of latency_us: what it takes when idle */
+	double median_us;      /**< running median of the same: what the limit goes by */
+	double floor_us;       /**< slowly rising minimum of median_us: what it takes when idle */
 	uint64_t sampled_us;   /**< when latency_us was last fed */
 	uint64_t decreased_us; /**< when limit was last cut */
 	uint32_t failures;     /**< connection failures in a row */
-	GQueue waiting;	       /**< waiters: attempts that may go here, by class then deadline */
+	GQueue waiting;	       /**< waiters: attempts that may go here, by class and age */
 
 	uint64_t sent, answered, shed, cut, late; /**< counters */
 } upstream_t;
@@ -86,8 +87,10 @@
 double upstream_cost(const upstream_t *upstream, uint64_t now_us, double typical_us);
 /** An answer came after @p latency_us; moves the limit. */
 void upstream_answered(upstream_t *upstream, uint64_t now_us, uint64_t latency_us);
-/** It shed a request, or an attempt was given up after @p latency_us without an answer. */
-void upstream_overloaded(upstream_t *upstream, uint64_t now_us, uint64_t latency_us);
+/** It shed a request, or swallowed one: cuts the limit. */
+void upstream_overloaded(upstream_t *upstream, uint64_t now_us);
+/** An attempt was given up after @p latency_us without an answer: it takes at least so long. */
+void upstream_outlasted(upstream_t *upstream, uint64_t now_us, uint64_t latency_us);
 
 const char *upstream_state_name(upstream_state_t state);
 
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -24,6 +24,7 @@
 	'an old configuration comes back|src/core/adoption.c|s/if \(number <= adoption_number\(adoption\)\)/if (0)/'
 	'a proposal is not looked up|src/core/proposal.c|s/\tif \(own\) \{/\tif (0) {/'
 	'an outage is waited out|src/core/claims.c|s/claims->failures >= FAILURES_TO_OUTAGE/0/'
+	'urgent work may starve the rest|src/core/gate.c|s/\+\+gate->turn % FAIR_TURN/1/'
 	'all are served in order of arrival|src/core/gate.c|s/\+\+gate->turn % FAIR_TURN/0/'
 )
 SCRATCH=$(mktemp -d)
--- a/tests/run-unit.sh
+++ b/tests/run-unit.sh
@@ -4,4 +4,5 @@
 cd "$(dirname "$0")/.."
 "$BUILD/script_test"
 "$BUILD/random_test" "${SEEDS:-250}"
+"$BUILD/matrix_test"
 tests/mutants.sh
--- a/tests/world.c
+++ b/tests/world.c
@@ -405,8 +405,11 @@
 	world_t *world = vm->world;
 	const query_t *query = attempt->query;
 	const part_t *part = g_ptr_array_index(query->parts, attempt->part);
-	sub_t *sub = g_new0(sub_t, 1);
+	sub_t *sub;
 
+	if (vm->dead)
+		return;
+	sub = g_new0(sub_t, 1);
 	sub->refs = 1;
 	sub->vm = vm;
 	sub->incarnation = vm->incarnation;
@@ -717,8 +720,11 @@
 static void platform_call(vm_t *vm, const call_t *from)
 {
 	world_t *world = vm->world;
-	call_t *call = g_memdup2(from, sizeof(*from));
+	call_t *call;
 
+	if (vm->dead)
+		return;
+	call = g_memdup2(from, sizeof(*from));
 	call->vm = vm;
 	call->incarnation = vm->incarnation;
 	call->refs = 2; /* its arrival, and its time-out */
@@ -864,7 +870,7 @@
 	for (guint i = 0; i < world->results->len; i++) {
 		result_t *result = g_ptr_array_index(world->results, i);
 
-		if (result->vm != vm || !result->query)
+		if (result->vm != vm)
 			continue;
 		if (result->answers == 0)
 			result->lost = true;
@@ -872,8 +878,6 @@
 	}
 	/* What a killed process held is simply gone: its engine never runs again. */
 	vm->dead = true;
-	vm->engine = NULL;
-	vm->claims = NULL;
 	adoption_clear(&vm->adoption);
 	g_queue_clear_full(&vm->inbox, sub_unref);
 }
