--- a/spec/claims.pml
+++ b/spec/claims.pml
@@ -15,6 +15,13 @@
 byte effects = 0;       /* how often the action ran */
 bool told_not_run[VMS + 1];
 bool ran[VMS + 1];
+bool lied = false;      /* a VM took its own claim for somebody else's */
+
+inline check()
+{
+	assert(effects <= 1 && !lied && !(told_not_run[1] && ran[1]) && !(told_not_run[2] && ran[2]) &&
+	       !(told_not_run[3] && ran[3]))
+}
 
 chan late = [VMS * TRIES] of { byte, byte }; /* writes still in the network: if_version, holder */
 
@@ -55,7 +62,7 @@
 #ifndef OVERWRITE_OTHERS
 	:: seen_holder != NOBODY && (seen_holder != me || !written) -> goto done /* told: unknown */
 #ifdef NO_READ_BACK
-	:: seen_holder == me -> told_not_run[me] = true; goto done /* "somebody else has it" */
+	:: seen_holder == me -> lied = true; check(); goto done /* told: somebody else has it */
 #endif
 #endif
 	:: else -> skip
@@ -83,10 +90,11 @@
 		if
 		:: effects++
 		:: skip
-		fi
+		fi;
 #endif
+		check()
 	   }; goto done
-	:: told_not_run[me] = true; /* woke after the deadline: answered, and nothing sent */
+	:: told_not_run[me] = true; check(); /* woke after the deadline: answered, and nothing sent */
 #ifdef SEND_AFTER_ANSWER
 	   goto late_send
 #endif
@@ -105,12 +113,12 @@
 
 #ifdef SEND_AFTER_ANSWER
 late_send:
-	atomic { effects++; ran[me] = true };
+	atomic { effects++; ran[me] = true; check() };
 	goto done;
 #endif
 
 give_up:
-	told_not_run[me] = true; /* no byte went to an upstream; a claim that still lands is given back */
+	told_not_run[me] = true; check(); /* no byte went to an upstream; a claim that still lands is given back */
 	if
 	:: !written -> goto done
 	:: else -> skip
@@ -136,6 +144,3 @@
 {
 	atomic { run vm(1); run vm(2); run vm(3) }
 }
-
-ltl promises { [] (effects <= 1 && !(told_not_run[1] && ran[1]) && !(told_not_run[2] && ran[2]) &&
-		   !(told_not_run[3] && ran[3])) }
--- a/spec/config.pml
+++ b/spec/config.pml
@@ -16,11 +16,16 @@
 bool went_back = false;
 bool lied = false;
 
+inline check()
+{
+	assert(!went_back && !lied)
+}
+
 inline take(vm, heard)
 {
 	if
 #ifdef TAKE_ANY
-	:: heard != NONE && heard < in_force[vm] -> went_back = true; in_force[vm] = heard
+	:: heard != NONE && heard < in_force[vm] -> went_back = true; check(); in_force[vm] = heard
 #endif
 	:: heard > in_force[vm] -> in_force[vm] = heard
 	:: else -> skip
@@ -79,7 +84,7 @@
 		i = 1;
 		do
 		:: i <= number -> if
-				  :: at[i] == me -> lied = true
+				  :: at[i] == me -> lied = true; check()
 				  :: else -> skip
 				  fi; i++
 		:: else -> break
@@ -90,7 +95,7 @@
 accepted:
 	/* told: accepted at base + 1. Somebody else's change at that number makes it untrue. */
 	if
-	:: at[base + 1] != me -> lied = true
+	:: at[base + 1] != me -> lied = true; check()
 	:: else -> skip
 	fi;
 
@@ -118,5 +123,3 @@
 {
 	atomic { run operator(1); run operator(2); run vm(0); run vm(1) }
 }
-
-ltl promises { [] (!went_back && !lied) }
--- a/spec/run.sh
+++ b/spec/run.sh
@@ -4,7 +4,6 @@
 cd "$(dirname "$0")"
 WORK=$(mktemp -d)
 trap 'rm -rf "$WORK"' EXIT
-bad=0
 
 check() { # model variant: prints the number of errors that spin found, or "broken"
 	local dir=$WORK/$1-${2:-as-is} define=()
@@ -13,8 +12,8 @@
 	(
 		cd "$dir" || exit
 		spin -a "${define[@]}" "$OLDPWD/$1.pml" >spin.log 2>&1 &&
-			gcc -w -O2 -DNOREDUCE -DVECTORSZ=2048 -o pan pan.c >gcc.log 2>&1 &&
-			timeout 240 ./pan -a -m200000 >pan.log 2>&1
+			gcc -w -O2 -DSAFETY -DCOLLAPSE -o pan pan.c >gcc.log 2>&1 &&
+			timeout 120 ./pan -m100000 >pan.log 2>&1
 		# A search that was cut short proves nothing.
 		if grep -q 'search not completed\|max search depth too small\|out of memory' pan.log; then
 			[ -s ./*.trail ] 2>/dev/null || { echo broken; exit; }
@@ -29,15 +28,17 @@
 	case $3:$got in
 	none:0) echo "ok   $1: every promise holds" ;;
 	some:[1-9]*) echo "ok   $1 without its safeguard ($2): caught" ;;
-	*) echo "FAIL $1 ${2:-as it is}: errors $got"; bad=1 ;;
+	*) echo "FAIL $1 ${2:-as it is}: errors $got" ;;
 	esac
 }
 
 for model in *.pml; do
 	model=${model%.pml}
-	expect "$model" "" none
+	expect "$model" "" none >"$WORK/$model.0.out" &
 	for variant in $(grep -oh '^#if\(n\)\?def [A-Z_]*' "$model.pml" | awk '{print $2}' | sort -u); do
-		expect "$model" "$variant" some
+		expect "$model" "$variant" some >"$WORK/$model.$variant.out" &
 	done
 done
-exit $bad
+wait
+cat "$WORK"/*.out
+! grep -q ^FAIL "$WORK"/*.out
--- /dev/null
+++ b/tests/system/planned_stop.sh
@@ -0,0 +1,28 @@
+# A VM is stopped by SIGTERM under load, while the balancer goes on sending for a while, a slow caller
+# has not read its answer, a searcher is lost and the platform is down. Callers see every request
+# answered, whole and right: the VM goes on accepting until nobody sends any more, and ends with 0.
+. tests/lib.sh
+site_start brodnica || exit 1
+# shellcheck disable=SC2046
+"$BUILD/dogwoodsaddle-load" $(all_targets) -r 120 -s 8 -j -m checklist-board:search:normal:3:1000 \
+	-m starter-profile:record:normal:2:500 >"$RUN/load.json" &
+load=$!
+sleep 1
+# The slow caller: asks for everything, several times over, and reads only at the end.
+exec 3<>"/dev/tcp/127.0.0.1/$CALLERS_FROM"
+body='{"text":""}'
+printf 'POST /v1/services/checklist-board/search HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s' ${#body} "$body" >&3
+kill -TERM "${VM_PID[${VMS[0]}]}"
+kill -KILL "${SEARCHER_PID[checklist-board-0-0]}"
+platform_control '{"down":true}' >/dev/null
+sleep 0.5
+timeout 10 head -c 30000 <&3 >"$RUN/slow.txt" &
+slow=$!
+wait "${VM_PID[${VMS[0]}]}" || bad "the VM ended with $?"
+wait $slow
+exec 3>&-
+grep -q '"complete":true' "$RUN/slow.txt" || bad "the slow caller's answer was cut: $(head -c 300 "$RUN/slow.txt")"
+tail -c 2 "$RUN/slow.txt" | grep -q '}' || bad "the slow caller's answer has no end"
+wait $load || bad "a request was cut, unanswered or wrong: $(cat "$RUN/load.json")"
+jq -e '[.mix[] | .partial + .refused + .failed] | add == 0' "$RUN/load.json" >/dev/null ||
+	bad "not all whole: $(cat "$RUN/load.json")"
