--- /dev/null
+++ b/src/commands/intent.c
@@ -0,0 +1,67 @@
+/**
+ * @file intent.c
+ * See intent.h.
+ */
+#include "commands/intent.h"
+
+static const char *text_of(const json_t *body, const char *key)
+{
+	const char *text = json_string_value(json_object_get(body, key));
+
+	return text ? text : "";
+}
+
+plan_t *intent_plan(const GString *body, const adoption_t *adoption, const engine_t *engine,
+		    err_t *err)
+{
+	json_t *parsed = json_loadb(body->str, body->len, JSON_REJECT_DUPLICATES, NULL);
+	plan_t *plan = NULL;
+	plan_verb_t verb;
+
+	if (!plan_verb_parse(text_of(parsed, "verb"), &verb))
+		err_set(err, ERR_VALUE, "verb: must be take-out or bring-back");
+	else
+		plan = plan_make(verb, text_of(parsed, "name"), adoption, engine, err);
+	json_decref(parsed);
+	return plan;
+}
+
+static bool is_forced(const json_t *force, const char *group)
+{
+	size_t i;
+	json_t *item;
+
+	json_array_foreach((json_t *)force, i,
+			   item) if (g_strcmp0(json_string_value(item), group) == 0) return true;
+	return false;
+}
+
+/* Checked again at confirmation: a searcher may have been lost since the plan was read. */
+static bool check_losses(const plan_t *plan, const json_t *force, err_t *err)
+{
+	size_t i;
+	json_t *item;
+
+	json_array_foreach(plan->losses, i, item) if (
+		!is_forced(force, json_string_value(
+					  item))) return err_set(err, ERR_VALUE,
+								 "%s would lose its last working "
+								 "searcher; force it by that name",
+								 json_string_value(item));
+	return true;
+}
+
+plan_t *intent_confirm(const GString *body, const adoption_t *adoption, const engine_t *engine,
+		       char **by, err_t *err)
+{
+	json_t *parsed = json_loadb(body->str, body->len, JSON_REJECT_DUPLICATES, NULL);
+	plan_t *plan = plan_again(text_of(parsed, "plan"), adoption, engine, err);
+
+	*by = g_strdup(text_of(parsed, "by"));
+	if (plan && !check_losses(plan, json_object_get(parsed, "force"), err)) {
+		plan_free(plan);
+		plan = NULL;
+	}
+	json_decref(parsed);
+	return plan;
+}
--- a/src/core/gate.h
+++ b/src/core/gate.h
@@ -44,9 +44,9 @@
 /** Decide on @p entry. On GATE_RUN it counts as running. */
 gate_verdict_t gate_offer(gate_t *gate, gate_entry_t *entry, uint64_t now_us);
 /**
- * Whom @p entry, refused as GATE_FULL, may displace, or NULL: the newest of the lowest lower class, if
- * it has just come. One that has waited for a while keeps its place, or urgent work would starve the
- * rest, and its refusal would come late.
+ * Whom @p entry, refused as GATE_FULL, may displace, or NULL: the newest of the lowest lower class,
+ * if it has just come. One that has waited for a while keeps its place, or urgent work would starve
+ * the rest, and its refusal would come late.
  */
 gate_entry_t *gate_displaceable(const gate_t *gate, const gate_entry_t *entry, uint64_t now_us);
 /** The next to run if there is room; it then counts as running. NULL if none. */
--- a/src/net/loop.c
+++ b/src/net/loop.c
@@ -112,6 +112,7 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(watched); i++)
 		signal(watched[i], note_signal);
 
+	loop->stopping = false;
 	loop_deliver(loop);
 	while (!loop->stopping) {
 		if (lws_service(loop->context, 0) < 0)
--- a/src/tasks/admin_task.c
+++ b/src/tasks/admin_task.c
@@ -4,6 +4,7 @@
  */
 #include "tasks/admin_task.h"
 
+#include "commands/intent.h"
 #include "commands/propose.h"
 #include "queries/problem.h"
 
@@ -153,6 +154,47 @@
 	propose_free(propose);
 }
 
+/* ---- intents ---- */
+
+static refusal_t refusal_of(const err_t *err)
+{
+	return err->code == ERR_CONFLICT ? REFUSAL_CONFLICT : REFUSAL_BAD_REQUEST;
+}
+
+static void serve_plan(admin_task_t *task, http_exchange_t *exchange)
+{
+	const query_task_t *queries = task->source->queries;
+	err_t err = {0};
+	plan_t *plan = intent_plan(http_exchange_body(exchange), query_task_adoption(queries),
+				   query_task_engine(queries), &err);
+
+	if (!plan) {
+		reply_problem(exchange, refusal_of(&err), err.text);
+		return;
+	}
+	reply_json(exchange, 200, plan_json(plan));
+	plan_free(plan);
+}
+
+static void serve_confirm(admin_task_t *task, http_exchange_t *exchange)
+{
+	const query_task_t *queries = task->source->queries;
+	g_autofree char *by = NULL, *id = NULL;
+	err_t err = {0};
+	plan_t *plan = intent_confirm(http_exchange_body(exchange), query_task_adoption(queries),
+				      query_task_engine(queries), &by, &err);
+
+	if (!plan) {
+		reply_problem(exchange, refusal_of(&err), err.text);
+		return;
+	}
+	id = g_uuid_string_random();
+	config_task_propose(task->configs,
+			    &(proposal_origin_t){.id = id, .by = by, .note = plan->id}, plan->base,
+			    plan->config, on_proposed, http_exchange_ref(exchange));
+	plan_free(plan);
+}
+
 static const admin_route_t routes[] = {
 	{.method = "GET", .path = "/healthz", .open = true, .serve = serve_health},
 	{.method = "GET", .path = "/readyz", .open = true, .serve = serve_ready},
@@ -163,6 +205,8 @@
 	{.method = "GET", .path = "/v1/timeline", .serve = serve_timeline},
 	{.method = "GET", .path = "/v1/config", .serve = serve_config},
 	{.method = "POST", .path = "/v1/config", .serve = serve_propose},
+	{.method = "POST", .path = "/v1/plan", .serve = serve_plan},
+	{.method = "POST", .path = "/v1/confirm", .serve = serve_confirm},
 };
 
 /* Compares all of it, so that the time taken tells nothing of the token. */
--- /dev/null
+++ b/tests/system/settings.sh
@@ -0,0 +1,23 @@
+# An operator mistypes the settings: every fault is told with file, line and what would be right, at
+# once, and --check ends with 2; right settings end with 0.
+. tests/lib.sh
+site_describe brodnica
+vm_settings 0
+file=$RUN/zagreb-1.ini
+"$BUILD/dogwoodsaddled" --config "$file" --check || bad "right settings"
+sed -i 's/^callers_port.*/callers_port = 70000/; s/^data_centre.*/data_centre = Zagreb!/; s/^hedge/hegde/; s/^token.*/token = short/' "$file"
+echo '[nonsense]' >>"$file"
+"$BUILD/dogwoodsaddled" --config "$file" --check 2>"$RUN/err"
+[ $? = 2 ] || bad "wrong settings end with 2"
+sed "s|$file|FILE|" "$RUN/err" | sort >"$RUN/got"
+sort >"$RUN/wanted" <<'EXPECTED'
+FILE:3: [vm] data_centre: must be 1 to 63 of a-z, 0-9 and '-'
+FILE:6: [listen] callers_port: must be a whole number from 1 to 65535, not "70000"
+FILE:13: [operators] token: must be a secret of at least 16 characters
+FILE:20: [policy] hegde: unknown key
+FILE:23: [nonsense] : unknown section; known are vm, listen, platform, operators, peers, stop, log and policy
+EXPECTED
+diff "$RUN/wanted" "$RUN/got" || bad "what is told of each fault"
+"$BUILD/dogwoodsaddled" --config /nonexistent --check 2>/dev/null
+[ $? = 2 ] || bad "a missing file ends with 2"
+"$BUILD/dogwoodsaddled" --version | grep -q '^dogwoodsaddled [0-9]' || bad "--version"
