Members: daemons tell each other of themselves, configurations and leaving searchers

TCP with length-prefixed msgpack under an HMAC, one bounded exchange with two random members a second, incarnations and suspicion; the peers' key can be rotated. Two VMs of a data centre watch the platform, the others hear from peers. A VM that is replaced while the platform is down takes the configuration from a peer and serves; a leaving searcher that lies on its health page is known to all VMs once it told one.

The stand-in searcher lied in its answers, too, when its health page was to lie; put right.

--- a/src/core/engine.c
+++ b/src/core/engine.c
@@ -219,8 +219,12 @@
 	upstream_state_t before = upstream->state;
 	service_t *service = service_of_upstream(engine, upstream);
 
+	bool told = upstream->leaving_said;
+
 	if (!upstream_report(upstream, report))
 		return;
+	if (upstream->leaving_said && !told)
+		engine->ops->leaving(engine->ctx, upstream);
 	service->snapshot_stale = true;
 	if (report->has_versions)
 		service->versions_moved_us = now_us;
@@ -251,6 +255,25 @@
 	dispatch_evict(engine, upstream, now_us);
 }
 
+void engine_told_leaving(engine_t *engine, const char *service_name, const char *name,
+			 uint64_t now_us)
+{
+	service_t *service = find_service(engine, service_name);
+
+	for (guint i = 0; service && i < service->upstreams->len; i++) {
+		upstream_t *upstream = g_ptr_array_index(service->upstreams, i);
+
+		if (!g_str_equal(upstream->name, name) || upstream->leaving_said)
+			continue;
+		upstream->leaving_said = true;
+		service->snapshot_stale = true;
+		timeline_add(engine->timeline,
+			     "event=upstream-leaving service=%s upstream=%s told_by=peer",
+			     service->name, name);
+		dispatch_evict(engine, upstream, now_us);
+	}
+}
+
 static void forget_states(engine_t *engine, const service_t *service, uint64_t now_us)
 {
 	for (guint i = 0; i < service->upstreams->len; i++) {
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -39,6 +39,8 @@
 	void (*claim_outcome)(void *ctx, query_t *query, ran_t ran);
 	/** Ask every searcher of @p service soon which versions it holds. */
 	void (*refresh)(void *ctx, const struct service_t *service);
+	/** @p upstream said that it leaves, and had not before. */
+	void (*leaving)(void *ctx, const upstream_t *upstream);
 } engine_ops_t;
 
 /** Counters of one service. */
@@ -104,6 +106,10 @@
 /** A health probe failed; @p refused: nobody listens there. */
 void engine_health_failed(engine_t *engine, upstream_t *upstream, bool refused, uint64_t now_us);
 
+/** Another VM was told by a searcher that it leaves. */
+void engine_told_leaving(engine_t *engine, const char *service, const char *upstream,
+			 uint64_t now_us);
+
 /** When engine_run() is next needed, or TIMERS_NEVER. */
 uint64_t engine_next_us(const engine_t *engine);
 void engine_run(engine_t *engine, uint64_t now_us);
--- a/src/dogwoodsaddled.c
+++ b/src/dogwoodsaddled.c
@@ -7,6 +7,7 @@
 #include "tasks/admin_task.h"
 #include "tasks/caller_task.h"
 #include "tasks/config_task.h"
+#include "tasks/peer_task.h"
 #include "version.h"
 
 #include <argp.h>
@@ -32,6 +33,7 @@
 	platform_task_t *platform;
 	query_task_t *queries;
 	config_task_t *configs;
+	peer_task_t *peers;
 	caller_task_t *callers;
 	admin_task_t *admin;
 	status_source_t source;
@@ -111,6 +113,7 @@
 	self->leaving_since_us = loop_now_us();
 	timeline_add(self->timeline, "event=leaving drain_ms=%u", self->settings->drain_ms);
 	caller_task_leave(self->callers);
+	peer_task_leave(self->peers);
 	self->stop_timer = (loop_timer_t){.fire = check_stopped, .ctx = self};
 	loop_timer_set(self->loop, &self->stop_timer, STOP_CHECK_US);
 }
@@ -143,6 +146,11 @@
 		begin_stop(self);
 }
 
+static bool is_watcher(void *ctx)
+{
+	return gossip_is_watcher(peer_task_gossip(((daemon_t *)ctx)->peers));
+}
+
 static bool start_tasks(daemon_t *self)
 {
 	settings_t *settings = self->settings;
@@ -151,18 +159,22 @@
 					   (uint16_t)settings->platform_port);
 	self->queries = query_task_new(self->loop, settings, self->platform, self->timeline);
 	self->configs = config_task_new(self->loop, self->platform, self->queries, self->timeline);
+	self->peers = peer_task_new(self->loop, settings, self->queries, self->timeline);
 	self->source = (status_source_t){.settings = settings,
 					 .queries = self->queries,
 					 .platform = self->platform,
-					 .timeline = self->timeline};
+					 .timeline = self->timeline,
+					 .peers = self->peers};
 	self->admin = admin_task_new(self->loop, &self->source, self->configs);
 	self->callers = caller_task_new(self->loop, settings, self->queries);
-	if (!self->admin || !self->callers) {
-		g_warning(
-			"event=start-failed reason=listen address=%s callers_port=%u admin_port=%u",
-			settings->listen_address, settings->callers_port, settings->admin_port);
+	if (!self->admin || !self->callers || !self->peers) {
+		g_warning("event=start-failed reason=listen address=%s callers_port=%u "
+			  "admin_port=%u peers_port=%u",
+			  settings->listen_address, settings->callers_port, settings->admin_port,
+			  settings->peers_port);
 		return false;
 	}
+	config_task_set_watcher(self->configs, is_watcher, self);
 	config_task_start(self->configs);
 	return true;
 }
--- a/src/net/loop.c
+++ b/src/net/loop.c
@@ -21,7 +21,8 @@
 	struct lws_context *context;
 	GQueue mailbox;
 	timers_t timers;
-	int wake_fd; /* a timerfd, polled by libwebsockets */
+	int wake_fd;	   /* a timerfd, polled by libwebsockets */
+	uint64_t armed_us; /* when it is set to fire */
 	struct lws_protocols protocols[2];
 	bool stopping;
 };
@@ -70,6 +71,7 @@
 
 	loop->protocols[0] = (struct lws_protocols){.name = "timers", .callback = on_wake};
 	vhost = lws_create_vhost(loop->context, &info);
+	loop->armed_us = TIMERS_NEVER;
 	loop->wake_fd = timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
 	fd.filefd = loop->wake_fd;
 	if (!vhost || loop->wake_fd < 0 ||
@@ -143,6 +145,9 @@
 	uint64_t delay_us = next_us > now_us ? next_us - now_us : 1;
 	struct itimerspec at = {0};
 
+	if (next_us == loop->armed_us)
+		return;
+	loop->armed_us = next_us;
 	if (next_us != TIMERS_NEVER) {
 		at.it_value.tv_sec = (time_t)(delay_us / 1000000);
 		at.it_value.tv_nsec = (long)(delay_us % 1000000 * 1000);
--- a/src/queries/status.c
+++ b/src/queries/status.c
@@ -85,6 +85,23 @@
 	return list;
 }
 
+json_t *status_members(const status_source_t *source)
+{
+	const GPtrArray *members = gossip_members(peer_task_gossip(source->peers));
+	json_t *list = json_array();
+
+	for (guint i = 0; i < members->len; i++) {
+		const member_t *member = g_ptr_array_index(members, i);
+
+		json_array_append_new(list,
+				      json_pack("{s:s, s:s, s:s, s:s, s:i}", "member", member->name,
+						"data_centre", member->data_centre, "state",
+						member_state_name(member->state), "address",
+						member->address, "port", member->port));
+	}
+	return list;
+}
+
 json_t *status_config(const status_source_t *source)
 {
 	const adoption_t *adoption = query_task_adoption(source->queries);
@@ -181,5 +198,7 @@
 			       query_task_claim_writes(source->queries));
 	g_string_append_printf(out, "ds_stray_replies_total %" G_GUINT64_FORMAT "\n",
 			       engine_stray_replies(query_task_engine(source->queries)));
+	g_string_append_printf(out, "ds_peer_bytes_total %" G_GUINT64_FORMAT "\n",
+			       peer_task_bytes(source->peers));
 	return g_string_free(out, FALSE);
 }
--- a/src/tasks/admin_task.c
+++ b/src/tasks/admin_task.c
@@ -88,6 +88,11 @@
 	reply_json(exchange, 200, status_upstreams(task->source));
 }
 
+static void serve_members(admin_task_t *task, http_exchange_t *exchange)
+{
+	reply_json(exchange, 200, status_members(task->source));
+}
+
 static void serve_config(admin_task_t *task, http_exchange_t *exchange)
 {
 	reply_json(exchange, 200, status_config(task->source));
@@ -202,6 +207,7 @@
 	{.method = "GET", .path = "/v1/status", .serve = serve_status},
 	{.method = "GET", .path = "/v1/services", .serve = serve_services},
 	{.method = "GET", .path = "/v1/upstreams", .serve = serve_upstreams},
+	{.method = "GET", .path = "/v1/members", .serve = serve_members},
 	{.method = "GET", .path = "/v1/timeline", .serve = serve_timeline},
 	{.method = "GET", .path = "/v1/config", .serve = serve_config},
 	{.method = "POST", .path = "/v1/config", .serve = serve_propose},
--- a/src/tasks/config_task.c
+++ b/src/tasks/config_task.c
@@ -6,6 +6,8 @@
 
 #define RETRY_LEAST_US 200000
 #define RETRY_MOST_US 1000000
+#define ASK_LEAST_US 3000000
+#define ASK_MOST_US 5000000
 
 struct config_task_t {
 	loop_t *loop;
@@ -14,6 +16,8 @@
 	timeline_t *timeline;
 	GRand *rand;
 	loop_timer_t retry;
+	config_watches_f watches; /* NULL: it does */
+	void *watches_ctx;
 	bool cut_off; /* the platform did not answer the last watch */
 };
 
@@ -49,13 +53,37 @@
 	loop_timer_set(task->loop, &task->retry, delay_us);
 }
 
+/* Peers bring the news; this is for those whom no peer reaches. */
+static void on_read_now_and_then(void *ctx, const platform_result_t *result)
+{
+	config_task_t *task = ctx;
+
+	note_cut(task, result->end == PLATFORM_UNKNOWN);
+	if (result->end == PLATFORM_OK)
+		query_task_offer_config(task->queries, result->version, json_incref(result->value));
+	loop_timer_set(task->loop, &task->retry,
+		       (uint64_t)g_rand_double_range(task->rand, ASK_LEAST_US, ASK_MOST_US));
+}
+
 /* The number is read when the watch starts, after the offer above has been taken in. */
 static void watch(void *ctx)
 {
 	config_task_t *task = ctx;
 
-	platform_task_watch(task->platform, CONFIG_PATH,
-			    adoption_number(query_task_adoption(task->queries)), on_watch, task);
+	/* Before the first configuration there is nothing to lose by asking. */
+	if (task->watches && adoption_number(query_task_adoption(task->queries)) &&
+	    !task->watches(task->watches_ctx))
+		platform_task_read(task->platform, CONFIG_PATH, on_read_now_and_then, task);
+	else
+		platform_task_watch(task->platform, CONFIG_PATH,
+				    adoption_number(query_task_adoption(task->queries)), on_watch,
+				    task);
+}
+
+void config_task_set_watcher(config_task_t *task, config_watches_f watches, void *ctx)
+{
+	task->watches = watches;
+	task->watches_ctx = ctx;
 }
 
 config_task_t *config_task_new(loop_t *loop, platform_task_t *platform, query_task_t *queries,
--- a/src/tasks/config_task.h
+++ b/src/tasks/config_task.h
@@ -23,6 +23,9 @@
 
 config_task_t *config_task_new(loop_t *loop, platform_task_t *platform, query_task_t *queries,
 			       timeline_t *timeline);
+/** Whether this VM is one that watches the platform; the others ask it now and then. */
+typedef bool (*config_watches_f)(void *ctx);
+void config_task_set_watcher(config_task_t *task, config_watches_f watches, void *ctx);
 /** Start watching. */
 void config_task_start(config_task_t *task);
 /** Propose @p config, already checked, to follow number @p base. @p done is called once. */
--- a/src/tasks/query_task.c
+++ b/src/tasks/query_task.c
@@ -20,6 +20,8 @@
 	loop_t *loop;
 	const query_task_ops_t *ops;
 	void *ctx;
+	const query_task_news_t *news; /* NULL before there are peers */
+	void *news_ctx;
 	engine_t *engine;
 	claims_t *claims;
 	adoption_t adoption;
@@ -195,12 +197,21 @@
 	loop_timer_set(task->loop, &task->probe_timer, 0);
 }
 
+static void do_leaving(void *ctx, const upstream_t *upstream)
+{
+	query_task_t *task = ctx;
+
+	if (task->news)
+		task->news->leaving(task->news_ctx, upstream->service, upstream->name);
+}
+
 static const engine_ops_t engine_ops = {.send = do_send,
 					.cancel = do_cancel,
 					.answer = do_answer,
 					.claim = do_claim,
 					.claim_outcome = do_claim_outcome,
-					.refresh = do_refresh};
+					.refresh = do_refresh,
+					.leaving = do_leaving};
 
 /* ---- the claims' effects ---- */
 
@@ -368,6 +379,8 @@
 	switch (adoption_offer(&task->adoption, offer->number, offer->value, &err)) {
 	case ADOPTION_TAKEN:
 		engine_configure(task->engine, task->adoption.config, loop_now_us());
+		if (task->news)
+			task->news->config(task->news_ctx, offer->number, offer->value);
 		if (first)
 			probe_all(task);
 		break;
@@ -392,6 +405,37 @@
 	loop_post(task->loop, receive_config, task, offer);
 }
 
+typedef struct leaving_message_t {
+	char *service;
+	char *upstream;
+} leaving_message_t;
+
+static void receive_told_leaving(void *self, void *message)
+{
+	query_task_t *task = self;
+	leaving_message_t *told = message;
+
+	engine_told_leaving(task->engine, told->service, told->upstream, loop_now_us());
+	g_free(told->service);
+	g_free(told->upstream);
+	g_free(told);
+	arm(task);
+}
+
+void query_task_told_leaving(query_task_t *task, const char *service, const char *upstream)
+{
+	leaving_message_t *told = g_new(leaving_message_t, 1);
+
+	*told = (leaving_message_t){.service = g_strdup(service), .upstream = g_strdup(upstream)};
+	loop_post(task->loop, receive_told_leaving, task, told);
+}
+
+void query_task_set_news(query_task_t *task, const query_task_news_t *news, void *ctx)
+{
+	task->news = news;
+	task->news_ctx = ctx;
+}
+
 /* ---- set-up and status ---- */
 
 query_task_t *query_task_new(loop_t *loop, const settings_t *settings, platform_task_t *platform,
--- a/src/tasks/query_task.h
+++ b/src/tasks/query_task.h
@@ -22,6 +22,16 @@
 			     timeline_t *timeline);
 void query_task_set_ops(query_task_t *task, const query_task_ops_t *ops, void *ctx);
 
+/** Whom to tell what was found out here, for the peers. */
+typedef struct query_task_news_t {
+	void (*config)(void *ctx, uint64_t number, json_t *value);
+	void (*leaving)(void *ctx, const char *service, const char *upstream);
+} query_task_news_t;
+
+void query_task_set_news(query_task_t *task, const query_task_news_t *news, void *ctx);
+/** Post that a searcher told another VM that it leaves. */
+void query_task_told_leaving(query_task_t *task, const char *service, const char *upstream);
+
 /** Post a request; both are taken over. */
 void query_task_submit(query_task_t *task, ticket_t *ticket, request_t *request);
 /** Post that the ticket's caller has gone. */
--- a/src/tool/dogwoodsaddle.c
+++ b/src/tool/dogwoodsaddle.c
@@ -142,6 +142,12 @@
 	return show_list(tool, "/v1/upstreams");
 }
 
+static int run_members(tool_t *tool, char **args)
+{
+	(void)args;
+	return show_list(tool, "/v1/members");
+}
+
 /* A row for each daemon, those that can't be reached among them. */
 static int run_status(tool_t *tool, char **args)
 {
@@ -388,6 +394,7 @@
 	{"status", "", "each daemon: ready, leaving, configuration in force", 0, 0, run_status},
 	{"services", "", "services as one daemon sees them", 0, 0, run_services},
 	{"upstreams", "", "searchers as one daemon sees them", 0, 0, run_upstreams},
+	{"members", "", "the other daemons as one of them sees them", 0, 0, run_members},
 	{"timeline", "", "events of all daemons in causal order", 0, 0, run_timeline},
 	{"config", "show|history|diff FILE|propose FILE|wait NUMBER", "the configuration", 1, 2,
 	 run_config},
--- a/standins/bench_core.c
+++ b/standins/bench_core.c
@@ -81,12 +81,19 @@
 	(void)service;
 }
 
+static void do_leaving(void *ctx, const upstream_t *upstream)
+{
+	(void)ctx;
+	(void)upstream;
+}
+
 static const engine_ops_t ops = {.send = do_send,
 				 .cancel = do_nothing,
 				 .answer = do_answer,
 				 .claim = do_claim,
 				 .claim_outcome = do_outcome,
-				 .refresh = do_refresh};
+				 .refresh = do_refresh,
+				 .leaving = do_leaving};
 
 static uint64_t wall_ms(void)
 {
--- a/standins/searcher.c
+++ b/standins/searcher.c
@@ -63,13 +63,19 @@
 	json_decref(body);
 }
 
-static const char *reported_state(const searcher_t *searcher)
+static const char *true_state(const searcher_t *searcher)
 {
-	if (searcher->leaving && !searcher->lie_ready)
+	if (searcher->leaving)
 		return "leaving";
 	return searcher->cold ? "cold" : "ready";
 }
 
+/* The health page may lie; an answer does not. */
+static const char *health_state(const searcher_t *searcher)
+{
+	return searcher->lie_ready ? "ready" : true_state(searcher);
+}
+
 static uint64_t draw_work_us(searcher_t *searcher)
 {
 	double work = (double)searcher->work_us;
@@ -174,7 +180,7 @@
 		json_decref(held_partitions);
 		reply_json(exchange, 409,
 			   json_pack("{s:s, s:o, s:s}", "error", "version-not-held", "versions",
-				     versions_json(searcher), "state", reported_state(searcher)));
+				     versions_json(searcher), "state", true_state(searcher)));
 		return;
 	}
 	partitions = parse_partitions(http_exchange_param(exchange, "partitions"));
@@ -191,7 +197,7 @@
 	reply_json(exchange, 200,
 		   json_pack("{s:I, s:o, s:s, s:o}", "version",
 			     (json_int_t)(held->version - (searcher->wrong_version ? 1 : 0)),
-			     "partitions", held_partitions, "state", reported_state(searcher),
+			     "partitions", held_partitions, "state", true_state(searcher),
 			     "records", records));
 }
 
@@ -208,7 +214,7 @@
 	if (searcher->drop_reply)
 		return; /* the effect is there, the answer is lost */
 	reply_json(exchange, 200,
-		   json_pack("{s:s, s:s}", "ran", "yes", "state", reported_state(searcher)));
+		   json_pack("{s:s, s:s}", "ran", "yes", "state", true_state(searcher)));
 }
 
 static void start_next(searcher_t *searcher);
@@ -256,7 +262,7 @@
 	searcher->shed++;
 	reply_json(exchange, 503,
 		   json_pack("{s:s, s:s, s:s}", "error", "shed", "ran", "no", "state",
-			     reported_state(searcher)));
+			     true_state(searcher)));
 }
 
 static void start_next(searcher_t *searcher)
@@ -305,8 +311,8 @@
 		on_work(searcher, exchange);
 	} else if (g_str_equal(path, "/health")) {
 		reply_json(exchange, 200,
-			   json_pack("{s:s, s:o, s:i}", "state", reported_state(searcher),
-				     "versions", versions_json(searcher), "queue",
+			   json_pack("{s:s, s:o, s:i}", "state", health_state(searcher), "versions",
+				     versions_json(searcher), "queue",
 				     (int)(searcher->running + searcher->queue.length)));
 	} else {
 		reply_json(exchange, 404, json_pack("{s:s}", "error", "no such path"));
--- /dev/null
+++ b/tests/gossip_test.c
@@ -0,0 +1,403 @@
+/**
+ * @file gossip_test.c
+ * Members and the wire between daemons: many tables in one process, virtual time, bytes counted.
+ *
+ * `gossip_test bytes` prints the bytes a second of one VM at 3, 7, 30 and 100 members.
+ */
+#include "core/frame.h"
+#include "core/gossip.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define NODES_MAX 128
+#define KEY "a-key-of-at-least-16"
+#define OLD_KEY "an-older-key-of-16-bytes"
+
+typedef struct node_t {
+	struct field_t *field;
+	uint32_t index;
+	gossip_t *gossip;
+	timeline_t *timeline;
+	bool dead;
+	uint32_t side; /* nodes of different sides do not reach each other */
+	uint64_t config;
+	char *told_leaving;
+} node_t;
+
+typedef struct field_t {
+	node_t nodes[NODES_MAX];
+	uint32_t count;
+	uint64_t now_us;
+	uint64_t bytes;
+	GQueue calls; /* call_t */
+} field_t;
+
+typedef struct call_t {
+	node_t *from;
+	char *address;
+	uint16_t port;
+	gossip_message_t *message;
+} call_t;
+
+static field_t *clock_field;
+
+static uint64_t wall_ms(void)
+{
+	return 1700000000000 + clock_field->now_us / 1000;
+}
+
+static void do_exchange(void *ctx, const char *address, uint16_t port, gossip_message_t *message)
+{
+	node_t *node = ctx;
+	call_t *call = g_new(call_t, 1);
+
+	*call = (call_t){
+		.from = node, .address = g_strdup(address), .port = port, .message = message};
+	g_queue_push_tail(&node->field->calls, call);
+}
+
+static void do_config(void *ctx, uint64_t number, json_t *value)
+{
+	node_t *node = ctx;
+
+	node->config = number;
+	gossip_config(node->gossip, number, value);
+}
+
+static void do_leaving(void *ctx, const leaving_note_t *note)
+{
+	node_t *node = ctx;
+
+	g_free(node->told_leaving);
+	node->told_leaving = g_strdup(note->upstream);
+}
+
+static const gossip_ops_t ops = {
+	.exchange = do_exchange, .config = do_config, .leaving = do_leaving};
+
+static void start_node(field_t *field, uint32_t index, uint64_t incarnation)
+{
+	node_t *node = &field->nodes[index];
+	g_autofree char *name = g_strdup_printf("vm-%u", index);
+	g_autofree char *data_centre = g_strdup_printf("dc-%u", index % 3);
+	const gossip_self_t self = {.name = name,
+				    .data_centre = data_centre,
+				    .address = "10.0.0.1",
+				    .port = (uint16_t)(index + 1),
+				    .incarnation = incarnation,
+				    .seeds = "10.0.0.1:1 10.0.0.1:2",
+				    .random_seed = index + 1};
+
+	node->field = field;
+	node->index = index;
+	node->dead = false;
+	node->config = 0;
+	node->timeline = timeline_new(wall_ms);
+	node->gossip = gossip_new(&ops, node, &self, node->timeline);
+}
+
+static field_t *field_new(uint32_t count)
+{
+	field_t *field = g_new0(field_t, 1);
+
+	clock_field = field;
+	field->count = count;
+	field->now_us = 1000000;
+	g_queue_init(&field->calls);
+	for (uint32_t i = 0; i < count; i++)
+		start_node(field, i, 1);
+	return field;
+}
+
+/* Over the wire and back, as bytes. */
+static gossip_message_t *carry(field_t *field, const gossip_message_t *message)
+{
+	GByteArray *frame = frame_encode(message, KEY);
+	gossip_message_t *copy = frame_decode(frame->data, frame->len, KEY, "");
+
+	field->bytes += frame->len;
+	g_byte_array_unref(frame);
+	assert_non_null(copy);
+	return copy;
+}
+
+static void run_call(field_t *field, call_t *call)
+{
+	node_t *to = &field->nodes[call->port - 1];
+	bool reached = call->port <= field->count && !to->dead && to->side == call->from->side;
+	gossip_message_t *sent, *reply, *back = NULL;
+
+	if (call->from->dead)
+		return;
+	if (reached) {
+		sent = carry(field, call->message);
+		reply = gossip_receive(to->gossip, sent, true, field->now_us);
+		back = carry(field, reply);
+		gossip_message_free(sent);
+		gossip_message_free(reply);
+	}
+	gossip_exchanged(call->from->gossip, call->address, call->port, back, field->now_us);
+	gossip_message_free(back);
+}
+
+static void settle(field_t *field)
+{
+	call_t *call;
+
+	while ((call = g_queue_pop_head(&field->calls))) {
+		run_call(field, call);
+		gossip_message_free(call->message);
+		g_free(call->address);
+		g_free(call);
+	}
+}
+
+static void run_periods(field_t *field, uint32_t periods)
+{
+	for (uint32_t p = 0; p < periods; p++) {
+		field->now_us += GOSSIP_PERIOD_US;
+		for (uint32_t i = 0; i < field->count; i++)
+			if (!field->nodes[i].dead)
+				gossip_tick(field->nodes[i].gossip, field->now_us);
+		settle(field);
+	}
+}
+
+static uint32_t count_state(const field_t *field, uint32_t index, member_state_t state)
+{
+	const GPtrArray *members = gossip_members(field->nodes[index].gossip);
+	uint32_t count = 0;
+
+	for (guint i = 0; i < members->len; i++)
+		count += ((const member_t *)g_ptr_array_index(members, i))->state == state;
+	return count;
+}
+
+static void field_free(field_t *field)
+{
+	for (uint32_t i = 0; i < field->count; i++) {
+		gossip_free(field->nodes[i].gossip);
+		timeline_free(field->nodes[i].timeline);
+		g_free(field->nodes[i].told_leaving);
+	}
+	g_free(field);
+}
+
+/*
+ * Thirty VMs start knowing two seeds. Within a few periods each knows all the others; two of each
+ * data centre find by themselves that they are its watchers.
+ */
+static void everyone_is_found(void **state)
+{
+	field_t *field = field_new(30);
+	uint32_t watchers = 0;
+
+	(void)state;
+	run_periods(field, 20);
+	for (uint32_t i = 0; i < field->count; i++) {
+		assert_int_equal(count_state(field, i, MEMBER_ALIVE), 29);
+		watchers += gossip_is_watcher(field->nodes[i].gossip);
+	}
+	assert_int_equal(watchers, 6);
+	field_free(field);
+}
+
+/*
+ * A VM is killed. Those who try to reach it suspect it, and when nothing refutes that for five
+ * seconds it is dead for all; a new start of it, with a higher incarnation, is alive for all again.
+ */
+static void the_dead_are_found_and_come_back(void **state)
+{
+	field_t *field = field_new(10);
+
+	(void)state;
+	run_periods(field, 10);
+	field->nodes[3].dead = true;
+	run_periods(field, 30);
+	for (uint32_t i = 0; i < field->count; i++)
+		if (i != 3)
+			assert_int_equal(count_state(field, i, MEMBER_DEAD), 1);
+	gossip_free(field->nodes[3].gossip);
+	timeline_free(field->nodes[3].timeline);
+	start_node(field, 3, 2);
+	run_periods(field, 20);
+	for (uint32_t i = 0; i < field->count; i++)
+		assert_int_equal(count_state(field, i, MEMBER_ALIVE), 9);
+	field_free(field);
+}
+
+/*
+ * The network is cut in two halves and heals. Each half takes the other for dead and goes on with
+ * itself; after the cut all find each other again, because seeds are asked even when thought dead.
+ */
+static void a_cut_heals(void **state)
+{
+	field_t *field = field_new(8);
+
+	(void)state;
+	run_periods(field, 10);
+	for (uint32_t i = 0; i < 8; i++)
+		field->nodes[i].side = i % 2;
+	run_periods(field, 40);
+	for (uint32_t i = 0; i < 8; i++)
+		assert_int_equal(count_state(field, i, MEMBER_ALIVE), 3);
+	for (uint32_t i = 0; i < 8; i++)
+		field->nodes[i].side = 0;
+	run_periods(field, 25);
+	for (uint32_t i = 0; i < 8; i++)
+		assert_int_equal(count_state(field, i, MEMBER_ALIVE), 7);
+	field_free(field);
+}
+
+/*
+ * One VM takes a configuration. It tells three, who tell three: a hundred have it at once, though
+ * each sends a few messages only. One that was cut off gets it from whomever it reaches first.
+ */
+static void a_configuration_spreads(void **state)
+{
+	field_t *field = field_new(100);
+	json_t *value = json_pack("{s:s}", "config", "x");
+	uint32_t have = 0;
+
+	(void)state;
+	run_periods(field, 40);
+	field->nodes[99].side = 1;
+	gossip_config(field->nodes[5].gossip, 7, value);
+	field->nodes[5].config = 7;
+	settle(field);
+	run_periods(field, 3);
+	for (uint32_t i = 0; i < field->count; i++)
+		have += field->nodes[i].config == 7;
+	assert_int_equal(have, 99);
+	field->nodes[99].side = 0;
+	run_periods(field, 12);
+	assert_int_equal(field->nodes[99].config, 7);
+	json_decref(value);
+	field_free(field);
+}
+
+/* A searcher tells one VM that it leaves; the others hear it from that VM, once, and not for ever.
+ */
+static void a_leaving_searcher_is_told(void **state)
+{
+	field_t *field = field_new(7);
+
+	(void)state;
+	run_periods(field, 10);
+	gossip_leaving(field->nodes[2].gossip, "board", "board-0-0", wall_ms());
+	settle(field);
+	run_periods(field, 3);
+	for (uint32_t i = 0; i < 7; i++) {
+		if (i != 2)
+			assert_string_equal(field->nodes[i].told_leaving, "board-0-0");
+		g_clear_pointer(&field->nodes[i].told_leaving, g_free);
+	}
+	run_periods(field, 30);
+	/* A VM that is started now must not hear of it: the searcher may have been started anew,
+	 * too. */
+	gossip_free(field->nodes[6].gossip);
+	timeline_free(field->nodes[6].timeline);
+	start_node(field, 6, 2);
+	run_periods(field, 10);
+	for (uint32_t i = 0; i < 7; i++)
+		assert_null(field->nodes[i].told_leaving);
+	field_free(field);
+}
+
+static GByteArray *sample_frame(const char *key)
+{
+	gossip_message_t *message = gossip_message_new();
+	member_t *member = g_new0(member_t, 1);
+	GByteArray *frame;
+
+	message->from = g_strdup("vm-1");
+	message->config_number = 3;
+	*member = (member_t){.name = g_strdup("vm-1"),
+			     .data_centre = g_strdup("dc"),
+			     .address = g_strdup("10.0.0.1"),
+			     .port = 9};
+	g_ptr_array_add(message->members, member);
+	frame = frame_encode(message, key);
+	gossip_message_free(message);
+	return frame;
+}
+
+/*
+ * A stranger, or something between, changes a frame: any one byte. It is not parsed, and nothing of
+ * it is believed. While keys are rotated, frames under the previous key are taken, too; others
+ * never.
+ */
+static void a_changed_frame_is_refused(void **state)
+{
+	GByteArray *frame = sample_frame(KEY);
+	gossip_message_t *message;
+
+	(void)state;
+	message = frame_decode(frame->data, frame->len, KEY, "");
+	assert_non_null(message);
+	gossip_message_free(message);
+	for (guint i = 0; i < frame->len; i++) {
+		frame->data[i] ^= 1;
+		assert_null(frame_decode(frame->data, frame->len, KEY, ""));
+		frame->data[i] ^= 1;
+	}
+	for (guint length = 0; length < frame->len; length++)
+		assert_null(frame_decode(frame->data, length, KEY, ""));
+	g_byte_array_unref(frame);
+	frame = sample_frame(OLD_KEY);
+	assert_null(frame_decode(frame->data, frame->len, KEY, ""));
+	message = frame_decode(frame->data, frame->len, KEY, OLD_KEY);
+	assert_non_null(message);
+	gossip_message_free(message);
+	g_byte_array_unref(frame);
+}
+
+static uint64_t bytes_a_second(uint32_t count)
+{
+	field_t *field = field_new(count);
+	uint64_t before, used;
+
+	run_periods(field, 60);
+	before = field->bytes;
+	run_periods(field, 60);
+	used = (field->bytes - before) / 60 / count;
+	field_free(field);
+	return used;
+}
+
+/* What a VM sends in a second is bounded however many there are: 16 others a message at the most.
+ */
+static void the_cost_is_flat(void **state)
+{
+	(void)state;
+	assert_true(bytes_a_second(100) < bytes_a_second(30) * 11 / 10);
+}
+
+int main(int argc, char **argv)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(everyone_is_found),
+		cmocka_unit_test(the_dead_are_found_and_come_back),
+		cmocka_unit_test(a_cut_heals),
+		cmocka_unit_test(a_configuration_spreads),
+		cmocka_unit_test(a_leaving_searcher_is_told),
+		cmocka_unit_test(a_changed_frame_is_refused),
+		cmocka_unit_test(the_cost_is_flat),
+	};
+	static const uint32_t sizes[] = {3, 7, 30, 100};
+
+	if (argc > 1 && g_str_equal(argv[1], "bytes")) {
+		for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++)
+			printf("%u members: %" G_GUINT64_FORMAT
+			       " bytes a second and VM, both ways\n",
+			       sizes[i], bytes_a_second(sizes[i]));
+		return 0;
+	}
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -24,12 +24,16 @@
 	'an old configuration comes back|src/core/adoption.c|s/if \(number <= adoption_number\(adoption\)\)/if (0)/'
 	'a proposal is not looked up|src/core/proposal.c|s/\tif \(own\) \{/\tif (0) {/'
 	'an outage is waited out|src/core/claims.c|s/claims->failures >= FAILURES_TO_OUTAGE/0/'
+	'a stranger may speak|src/core/frame.c|s/return difference == 0;/return true;/'
+	'old news of a member are taken|src/core/gossip.c|s/heard->incarnation < member->incarnation \|\|/0 ||/'
+	'a cut that heals is not found|src/core/gossip.c|s/!is_known\(gossip, seed\) \|\| g_rand_int_range\(gossip->rand, 0, 10\) == 0/!is_known(gossip, seed)/'
+	'a note lives for ever|src/core/gossip.c|s/at_ms \+ NOTE_KEEP_MS < gossip->timeline->wall_ms\(\) \|\|/0 ||/; s/if \(note->at_ms \+ NOTE_KEEP_MS < now_ms\)/if (0)/'
 	'urgent work may starve the rest|src/core/gate.c|s/\+\+gate->turn % FAIR_TURN/1/'
 	'all are served in order of arrival|src/core/gate.c|s/\+\+gate->turn % FAIR_TURN/0/'
 )
 SCRATCH=$(mktemp -d)
 trap 'rm -rf "$SCRATCH"' EXIT
-FLAGS="$(pkg-config --cflags --libs glib-2.0 jansson libxxhash) -lcmocka -lm"
+FLAGS="$(pkg-config --cflags --libs glib-2.0 jansson libxxhash msgpack) -lcmocka -lm"
 
 try_mutant() { # row index
 	local name file expression dir=$SCRATCH/$2 row=$1
@@ -43,7 +47,11 @@
 	gcc -w -O1 -Isrc -Itests -o script_test tests/script_test.c tests/world.c src/core/*.c $FLAGS &&
 		gcc -w -O1 -Isrc -Itests -o random_test tests/random_test.c tests/world.c src/core/*.c $FLAGS ||
 		{ echo "BROKEN $name"; return 1; }
-	if ! timeout 60 ./script_test >/dev/null 2>&1; then
+	# shellcheck disable=SC2086
+	gcc -w -O1 -Isrc -Itests -o gossip_test tests/gossip_test.c src/core/*.c $FLAGS || { echo "BROKEN $name"; return 1; }
+	if ! timeout 60 ./gossip_test >/dev/null 2>&1; then
+		echo "seen by the members: without it $name"
+	elif ! timeout 60 ./script_test >/dev/null 2>&1; then
 		echo "seen by the scripts: without it $name"
 	elif ! timeout 120 ./random_test 400 >/dev/null 2>&1; then
 		echo "seen by the schedules: without it $name"
--- a/tests/world.c
+++ b/tests/world.c
@@ -554,12 +554,19 @@
 	}
 }
 
+static void do_leaving(void *ctx, const upstream_t *upstream)
+{
+	(void)ctx;
+	(void)upstream;
+}
+
 static const engine_ops_t engine_ops = {.send = do_send,
 					.cancel = do_cancel,
 					.answer = do_answer,
 					.claim = do_claim,
 					.claim_outcome = do_claim_outcome,
-					.refresh = do_refresh};
+					.refresh = do_refresh,
+					.leaving = do_leaving};
 
 /* ---- the platform ---- */
 
