--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -47,6 +47,11 @@
 cpu=$(($(daemon_cpu_us) - cpu0 - idle * 6 / 4)) subs=$(($(metric 'ds_sub_requests_total') - subs0))
 echo "daemon: $((cpu / (subs > 0 ? subs : 1))) us of processor time a sub-request ($subs sub-requests)"
 jq -r '.mix[0] | "callers: p50 \(.p50_ms) ms, p99 \(.p99_ms) ms"' "$RUN/out.json"
+# The same on one VM alone: each wake-up then serves more of them.
+cpu0=$(daemon_cpu_us) subs0=$(metric 'ds_sub_requests_total')
+"$BUILD/dogwoodsaddle-load" -t "127.0.0.1:$CALLERS_FROM:$ADMINS_FROM" -j -r 150 -s 5 -m "$BROAD:search:normal:1:1000:Ana" >"$RUN/out.json"
+cpu=$(($(daemon_cpu_us) - cpu0 - idle * 5 / 4)) subs=$(($(metric 'ds_sub_requests_total') - subs0))
+echo "one VM alone: $((cpu / (subs > 0 ? subs : 1))) us of processor time a sub-request at $((subs / 5)) a second"
 timeout 10 bash -c '
 	for ((i = 0; i < 200; i++)); do
 		curl -s -m 2 -o /dev/null -w "%{time_total}\n" "http://127.0.0.1:'"${SEARCHER_PORT[$BROAD-0-0]}"'/search?version=2&partitions=0,1,2,3&text=Ana"
--- a/src/core/engine.c
+++ b/src/core/engine.c
@@ -6,14 +6,6 @@
 
 #include <string.h>
 
-#define HEDGE_SHARE 0.05
-#define HEDGE_BURST 10
-#define RETRY_SHARE 0.10
-#define RETRY_BURST 32
-#define RESCUE_SHARE 0.05
-#define RESCUE_BURST 128
-#define PAUSE_US 1500000
-#define OVERLAP_MOST 4.0
 /* What is left to write the answer and let it travel. */
 #define ANSWER_MARGIN_US 4000
 #define OUTAGE_RETURN_LEAST_US 500000
@@ -21,31 +13,6 @@
 
 /* ---- services ---- */
 
-static service_t *service_new(const char *name)
-{
-	service_t *service = g_new0(service_t, 1);
-
-	service->name = g_strdup(name);
-	service->upstreams = g_ptr_array_new_with_free_func((GDestroyNotify)upstream_unref);
-	service->awaiting = g_ptr_array_new();
-	gate_init(&service->gate);
-	budget_init(&service->hedge_budget, HEDGE_SHARE, HEDGE_BURST);
-	budget_init(&service->retry_budget, RETRY_SHARE, RETRY_BURST);
-	budget_init(&service->rescue_budget, RESCUE_SHARE, RESCUE_BURST);
-	return service;
-}
-
-static void service_free(void *data)
-{
-	service_t *service = data;
-
-	g_free(service->name);
-	g_ptr_array_unref(service->upstreams);
-	g_ptr_array_unref(service->awaiting);
-	snapshot_unref(service->snapshot);
-	g_free(service);
-}
-
 engine_t *engine_new(const engine_ops_t *ops, void *ctx, timeline_t *timeline, uint32_t seed,
 		     const char *data_centre)
 {
@@ -85,7 +52,7 @@
 	return engine->services;
 }
 
-static service_t *find_service(const engine_t *engine, const char *name)
+service_t *engine_find_service(const engine_t *engine, const char *name)
 {
 	for (guint i = 0; i < engine->services->len; i++) {
 		service_t *service = g_ptr_array_index(engine->services, i);
@@ -98,7 +65,7 @@
 
 const service_t *engine_service(const engine_t *engine, const char *name)
 {
-	const service_t *service = find_service(engine, name);
+	const service_t *service = engine_find_service(engine, name);
 
 	return service && service->configured ? service : NULL;
 }
@@ -108,59 +75,6 @@
 	return query->service;
 }
 
-static upstream_t *take_upstream(service_t *service, GPtrArray *old,
-				 const upstream_config_t *config)
-{
-	for (guint i = 0; i < old->len; i++) {
-		upstream_t *upstream = g_ptr_array_index(old, i);
-
-		if (g_str_equal(upstream->name, config->name) &&
-		    g_str_equal(upstream->address, config->address) &&
-		    upstream->port == config->port)
-			return upstream_ref(upstream);
-	}
-	return upstream_new(service->name, config);
-}
-
-static bool was_out(const GHashTable *outs, const upstream_t *upstream)
-{
-	return g_hash_table_contains((GHashTable *)outs, upstream);
-}
-
-static void configure_service(engine_t *engine, service_t *service, const config_t *config,
-			      const service_config_t *from, const GHashTable *outs)
-{
-	GPtrArray *old = service->upstreams;
-
-	service->kind = from->kind;
-	service->timeout_us = from->timeout_us;
-	service->gate.queue_limit = from->queue_limit;
-	service->configured = true;
-	service->snapshot_stale = true;
-	service->upstreams = g_ptr_array_new_with_free_func((GDestroyNotify)upstream_unref);
-	for (guint i = 0; i < from->groups->len; i++) {
-		const group_config_t *group = g_ptr_array_index(from->groups, i);
-
-		for (guint j = 0; j < group->upstreams->len; j++) {
-			const upstream_config_t *item = g_ptr_array_index(group->upstreams, j);
-			upstream_t *upstream = take_upstream(service, old, item);
-
-			/* An operator who takes it back in has the last word over an old "leaving".
-			 */
-			if (was_out(outs, upstream) && !item->out)
-				upstream->leaving_said = false;
-			upstream->group = i;
-			upstream->out = item->out;
-			upstream->local = g_str_equal(item->data_centre, engine->data_centre);
-			upstream->share = config_work_share(config, from);
-			if (!engine->policy.adapt_limit)
-				upstream->limit = upstream->share;
-			g_ptr_array_add(service->upstreams, upstream);
-		}
-	}
-	g_ptr_array_unref(old);
-}
-
 static void evict_unusable(engine_t *engine, const GPtrArray *upstreams, uint64_t now_us)
 {
 	for (guint i = 0; i < upstreams->len; i++) {
@@ -193,170 +107,21 @@
 	}
 	for (guint i = 0; i < config->services->len; i++) {
 		const service_config_t *from = g_ptr_array_index(config->services, i);
-		service_t *service = find_service(engine, from->name);
+		service_t *service = engine_find_service(engine, from->name);
 
 		if (!service) {
 			service = service_new(from->name);
 			g_ptr_array_add(engine->services, service);
 		}
-		configure_service(engine, service, config, from, outs);
+		service_configure(engine, service, config, from, outs);
 	}
 	evict_unusable(engine, before, now_us);
 	timeline_add(engine->timeline, "event=config-in-force number=%" G_GUINT64_FORMAT,
 		     config->number);
 }
 
-/* ---- what searchers say ---- */
-
-static service_t *service_of_upstream(const engine_t *engine, const upstream_t *upstream)
-{
-	return find_service(engine, upstream->service);
-}
-
-void engine_take_report(engine_t *engine, upstream_t *upstream, const upstream_report_t *report,
-			uint64_t now_us)
-{
-	upstream_state_t before = upstream->state;
-	service_t *service = service_of_upstream(engine, upstream);
-
-	bool told = upstream->leaving_said;
-
-	if (!upstream_report(upstream, report))
-		return;
-	if (upstream->leaving_said && !told)
-		engine->ops->leaving(engine->ctx, upstream);
-	service->snapshot_stale = true;
-	if (report->has_versions)
-		service->versions_moved_us = now_us;
-	timeline_add(engine->timeline,
-		     "event=upstream-changed service=%s upstream=%s from=%s to=%s",
-		     upstream->service, upstream->name, upstream_state_name(before),
-		     upstream_state_name(upstream->state));
-	if (!upstream_usable(upstream))
-		dispatch_evict(engine, upstream, now_us);
-	restart_news(engine, service, now_us);
-}
-
-void engine_health(engine_t *engine, upstream_t *upstream, const upstream_report_t *report,
-		   uint64_t now_us)
-{
-	engine_enter(engine, now_us);
-	engine_take_report(engine, upstream, report, now_us);
-}
-
-void engine_health_failed(engine_t *engine, upstream_t *upstream, bool refused, uint64_t now_us)
-{
-	engine_enter(engine, now_us);
-	if (!upstream_failed(upstream, refused))
-		return;
-	service_of_upstream(engine, upstream)->snapshot_stale = true;
-	timeline_add(engine->timeline, "event=upstream-down service=%s upstream=%s reason=health",
-		     upstream->service, upstream->name);
-	dispatch_evict(engine, upstream, now_us);
-}
-
-void engine_told_leaving(engine_t *engine, const char *service_name, const char *name,
-			 uint64_t now_us)
-{
-	service_t *service = find_service(engine, service_name);
-
-	for (guint i = 0; service && i < service->upstreams->len; i++) {
-		upstream_t *upstream = g_ptr_array_index(service->upstreams, i);
-
-		if (!g_str_equal(upstream->name, name) || upstream->leaving_said)
-			continue;
-		upstream->leaving_said = true;
-		service->snapshot_stale = true;
-		timeline_add(engine->timeline,
-			     "event=upstream-leaving service=%s upstream=%s told_by=peer",
-			     service->name, name);
-		dispatch_evict(engine, upstream, now_us);
-	}
-}
-
-static void forget_states(engine_t *engine, const service_t *service, uint64_t now_us)
-{
-	for (guint i = 0; i < service->upstreams->len; i++) {
-		upstream_t *upstream = g_ptr_array_index(service->upstreams, i);
-
-		upstream->state = UPSTREAM_UNKNOWN;
-		dispatch_evict(engine, upstream, now_us);
-	}
-}
-
-/*
- * A VM that was paused wakes up with old news: a searcher that began to leave meanwhile would get
- * new work from it. Health probes enter the engine several times a second, so a longer gap is a
- * pause, and then nobody is given work before he has been heard of again.
- */
-void engine_enter(engine_t *engine, uint64_t now_us)
-{
-	uint64_t before_us = engine->awake_us;
-
-	engine->awake_us = now_us;
-	if (!before_us || now_us - before_us < PAUSE_US)
-		return;
-	timeline_add(engine->timeline, "event=paused for_us=%" G_GUINT64_FORMAT,
-		     now_us - before_us);
-	for (guint i = 0; i < engine->services->len; i++) {
-		service_t *service = g_ptr_array_index(engine->services, i);
-
-		service->snapshot_stale = true;
-		forget_states(engine, service, now_us);
-	}
-}
-
 /* ---- admission ---- */
 
-void engine_refresh_snapshot(service_t *service)
-{
-	if (!service->snapshot_stale)
-		return;
-	service->snapshot_stale = false;
-	snapshot_unref(service->snapshot);
-	service->snapshot = snapshot_choose(service->upstreams, 0);
-}
-
-static double target_capacity(const target_t *target)
-{
-	double sum = 0;
-
-	for (guint i = 0; i < target->replicas->len; i++) {
-		const upstream_t *upstream = g_ptr_array_index(target->replicas, i);
-
-		if (upstream_usable(upstream))
-			sum += MIN(upstream->limit, (double)upstream->share);
-	}
-	return sum;
-}
-
-/*
- * A gather lasts as long as its slowest part, several times as long as the mean one, and holds no
- * slot for the rest of that time. Counting searches like parts would leave most slots idle.
- */
-static double overlap(const service_t *service)
-{
-	const histogram_t *attempts = &service->attempt_latency;
-	double mean_us = attempts->count ? (double)attempts->sum_us / (double)attempts->count : 0;
-
-	return mean_us > 0 ? CLAMP(service->gate.run_us / mean_us, 1.0, OVERLAP_MOST) : 1.0;
-}
-
-/* A gather needs room in every target, so the tightest one bounds it; the others add up. */
-static double service_capacity(const service_t *service)
-{
-	double least = 0, sum = 0;
-
-	for (guint i = 0; service->snapshot && i < service->snapshot->targets->len; i++) {
-		double capacity = target_capacity(g_ptr_array_index(service->snapshot->targets, i));
-
-		sum += capacity;
-		if (i == 0 || capacity < least)
-			least = capacity;
-	}
-	return service->kind == SERVICE_GATHER ? least * overlap(service) : sum;
-}
-
 static void query_end(engine_t *engine, query_t *query, uint64_t now_us)
 {
 	service_t *service = engine_service_of(query);
@@ -515,7 +280,7 @@
 		engine->ops->claim(engine->ctx, query);
 		return;
 	}
-	engine_refresh_snapshot(service);
+	service_refresh_snapshot(service);
 	if (!service->snapshot) {
 		query_finish(engine, query, REFUSAL_NO_UPSTREAM, now_us);
 		return;
@@ -558,7 +323,7 @@
 		query_finish(engine, query, refusal_of_claim(end), now_us);
 		return;
 	}
-	engine_refresh_snapshot(service);
+	service_refresh_snapshot(service);
 	/*
 	 * A holder that was paused between claim and send comes back here long after its deadline.
 	 * The caller has been told nothing yet and must be told "not run"; sending now would make
@@ -626,7 +391,7 @@
 
 query_t *engine_submit(engine_t *engine, request_t *request, void *owner, uint64_t now_us)
 {
-	service_t *service = find_service(engine, request->service);
+	service_t *service = engine_find_service(engine, request->service);
 	query_t *query = query_new(request);
 
 	engine_enter(engine, now_us);
@@ -643,7 +408,7 @@
 					   .owner = query};
 	engine->open_queries++;
 	service->counters.requests[request->class]++;
-	engine_refresh_snapshot(service);
+	service_refresh_snapshot(service);
 	service->gate.capacity = service_capacity(service);
 	if (!service->snapshot)
 		query_finish(engine, query, REFUSAL_NO_UPSTREAM, now_us);
--- a/src/core/engine_private.h
+++ b/src/core/engine_private.h
@@ -37,12 +37,8 @@
 
 /* engine.c */
 
-/** Every entry from outside goes through here: notices that the process had been paused. */
-void engine_enter(engine_t *engine, uint64_t now_us);
-
 service_t *engine_service_of(const query_t *query);
-/** Choose the service's snapshot anew if what is known has changed. */
-void engine_refresh_snapshot(service_t *service);
+service_t *engine_find_service(const engine_t *engine, const char *name);
 /** Ask for every part of @p query. */
 void engine_scatter(engine_t *engine, query_t *query, uint64_t now_us);
 /** @p part can't be answered at this snapshot: restart the query at another, or go without. */
@@ -52,10 +48,28 @@
 /** An action ended without or with an effect; answers it. */
 void engine_action_ended(engine_t *engine, query_t *query, refusal_t refusal, ran_t ran,
 			 uint64_t now_us);
+/* news.c */
+
+/** Every entry from outside goes through here: notices that the process had been paused. */
+void engine_enter(engine_t *engine, uint64_t now_us);
+
 /** Take in what a searcher said of itself, from whichever side. */
 void engine_take_report(engine_t *engine, upstream_t *upstream, const upstream_report_t *report,
 			uint64_t now_us);
 
+/* service.c */
+
+service_t *service_new(const char *name);
+void service_free(void *service);
+/** Take up @p from; searchers that stay keep what is known of them. @p outs: those that were out.
+ */
+void service_configure(engine_t *engine, service_t *service, const config_t *config,
+		       const service_config_t *from, const GHashTable *outs);
+/** Choose the service's snapshot anew if what is known has changed. */
+void service_refresh_snapshot(service_t *service);
+/** Requests that may run at once. */
+double service_capacity(const service_t *service);
+
 /* restart.c */
 
 /** Begin @p query anew if another snapshot gives more; true if it did. */
--- a/src/core/restart.c
+++ b/src/core/restart.c
@@ -57,7 +57,7 @@
 	    !has_time(query, now_us))
 		return false;
 	service->snapshot_stale = true;
-	engine_refresh_snapshot(service);
+	service_refresh_snapshot(service);
 	if (!service->snapshot || !gives_more(query, service->snapshot))
 		return false;
 	query->restarts++;
--- /dev/null
+++ b/src/core/service.c
@@ -0,0 +1,140 @@
+/**
+ * @file service.c
+ * One service at run time: its searchers through changes of configuration, its snapshot, its
+ * capacity.
+ */
+#include "core/engine_private.h"
+
+#define HEDGE_SHARE 0.05
+#define HEDGE_BURST 10
+#define RETRY_SHARE 0.10
+#define RETRY_BURST 32
+#define RESCUE_SHARE 0.05
+#define RESCUE_BURST 128
+#define OVERLAP_MOST 4.0
+
+service_t *service_new(const char *name)
+{
+	service_t *service = g_new0(service_t, 1);
+
+	service->name = g_strdup(name);
+	service->upstreams = g_ptr_array_new_with_free_func((GDestroyNotify)upstream_unref);
+	service->awaiting = g_ptr_array_new();
+	gate_init(&service->gate);
+	budget_init(&service->hedge_budget, HEDGE_SHARE, HEDGE_BURST);
+	budget_init(&service->retry_budget, RETRY_SHARE, RETRY_BURST);
+	budget_init(&service->rescue_budget, RESCUE_SHARE, RESCUE_BURST);
+	return service;
+}
+
+void service_free(void *data)
+{
+	service_t *service = data;
+
+	g_free(service->name);
+	g_ptr_array_unref(service->upstreams);
+	g_ptr_array_unref(service->awaiting);
+	snapshot_unref(service->snapshot);
+	g_free(service);
+}
+static upstream_t *take_upstream(service_t *service, GPtrArray *old,
+				 const upstream_config_t *config)
+{
+	for (guint i = 0; i < old->len; i++) {
+		upstream_t *upstream = g_ptr_array_index(old, i);
+
+		if (g_str_equal(upstream->name, config->name) &&
+		    g_str_equal(upstream->address, config->address) &&
+		    upstream->port == config->port)
+			return upstream_ref(upstream);
+	}
+	return upstream_new(service->name, config);
+}
+
+static bool was_out(const GHashTable *outs, const upstream_t *upstream)
+{
+	return g_hash_table_contains((GHashTable *)outs, upstream);
+}
+
+void service_configure(engine_t *engine, service_t *service, const config_t *config,
+		       const service_config_t *from, const GHashTable *outs)
+{
+	GPtrArray *old = service->upstreams;
+
+	service->kind = from->kind;
+	service->timeout_us = from->timeout_us;
+	service->gate.queue_limit = from->queue_limit;
+	service->configured = true;
+	service->snapshot_stale = true;
+	service->upstreams = g_ptr_array_new_with_free_func((GDestroyNotify)upstream_unref);
+	for (guint i = 0; i < from->groups->len; i++) {
+		const group_config_t *group = g_ptr_array_index(from->groups, i);
+
+		for (guint j = 0; j < group->upstreams->len; j++) {
+			const upstream_config_t *item = g_ptr_array_index(group->upstreams, j);
+			upstream_t *upstream = take_upstream(service, old, item);
+
+			/* An operator who takes it back in has the last word over an old "leaving".
+			 */
+			if (was_out(outs, upstream) && !item->out)
+				upstream->leaving_said = false;
+			upstream->group = i;
+			upstream->out = item->out;
+			upstream->local = g_str_equal(item->data_centre, engine->data_centre);
+			upstream->share = config_work_share(config, from);
+			if (!engine->policy.adapt_limit)
+				upstream->limit = upstream->share;
+			g_ptr_array_add(service->upstreams, upstream);
+		}
+	}
+	g_ptr_array_unref(old);
+}
+
+void service_refresh_snapshot(service_t *service)
+{
+	if (!service->snapshot_stale)
+		return;
+	service->snapshot_stale = false;
+	snapshot_unref(service->snapshot);
+	service->snapshot = snapshot_choose(service->upstreams, 0);
+}
+
+static double target_capacity(const target_t *target)
+{
+	double sum = 0;
+
+	for (guint i = 0; i < target->replicas->len; i++) {
+		const upstream_t *upstream = g_ptr_array_index(target->replicas, i);
+
+		if (upstream_usable(upstream))
+			sum += MIN(upstream->limit, (double)upstream->share);
+	}
+	return sum;
+}
+
+/*
+ * A gather lasts as long as its slowest part, several times as long as the mean one, and holds no
+ * slot for the rest of that time. Counting searches like parts would leave most slots idle.
+ */
+static double overlap(const service_t *service)
+{
+	const histogram_t *attempts = &service->attempt_latency;
+	double mean_us = attempts->count ? (double)attempts->sum_us / (double)attempts->count : 0;
+
+	return mean_us > 0 ? CLAMP(service->gate.run_us / mean_us, 1.0, OVERLAP_MOST) : 1.0;
+}
+
+/* A gather needs room in every target, so the tightest one bounds it; the others add up. */
+double service_capacity(const service_t *service)
+{
+	double least = 0, sum = 0;
+
+	for (guint i = 0; service->snapshot && i < service->snapshot->targets->len; i++) {
+		double capacity = target_capacity(g_ptr_array_index(service->snapshot->targets, i));
+
+		sum += capacity;
+		if (i == 0 || capacity < least)
+			least = capacity;
+	}
+	return service->kind == SERVICE_GATHER ? least * overlap(service) : sum;
+}
--- a/src/tasks/upstream_task.c
+++ b/src/tasks/upstream_task.c
@@ -140,18 +140,48 @@
 	flight->call = http_pool_start(task->pool, slot, &http);
 }
 
+/*
+ * The slots that a request may use. A fresh connection in a slot that keeps an idle one would make
+ * two connections of it, and a searcher's limit could be passed; so the last slot is kept for fresh
+ * ones. Actions are all fresh, and nothing is kept open beside them.
+ */
+static void slot_range(const sub_request_t *request, uint32_t *first, uint32_t *end)
+{
+	uint32_t slots = MIN(request->connections, SLOTS_MAX);
+	bool all_fresh = g_str_equal(request->method, "POST");
+
+	*first = 0;
+	*end = slots;
+	if (all_fresh || slots < 2)
+		return;
+	if (request->fresh_connection)
+		*first = slots - 1;
+	else
+		*end = slots - 1;
+}
+
+static bool start_in_free_slot(upstream_task_t *task, endpoint_t *endpoint, sub_request_t *request)
+{
+	uint32_t slot, end;
+
+	slot_range(request, &slot, &end);
+	while (slot < end && endpoint->slots[slot])
+		slot++;
+	if (slot == end)
+		return false;
+	start_flight(task, endpoint, slot, request);
+	return true;
+}
+
 static void start_pending(upstream_task_t *task, endpoint_t *endpoint)
 {
-	while (endpoint->pending.head) {
-		sub_request_t *request = endpoint->pending.head->data;
-		uint32_t slots = MIN(request->connections, SLOTS_MAX), slot = 0;
-
-		while (slot < slots && endpoint->slots[slot])
-			slot++;
-		if (slot == slots)
-			return;
-		start_flight(task, endpoint, slot, g_queue_pop_head(&endpoint->pending));
-	}
+	GQueue waiting = endpoint->pending;
+	sub_request_t *request;
+
+	g_queue_init(&endpoint->pending);
+	while ((request = g_queue_pop_head(&waiting)))
+		if (!start_in_free_slot(task, endpoint, request))
+			g_queue_push_tail(&endpoint->pending, request);
 }
 
 static void receive_request(void *self, void *message)
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -15,7 +15,7 @@
 	'a late claim is not given back|src/core/engine.c|s/if \(end == CLAIM_OURS\)\n\t\t\tengine->ops->claim_outcome/if (0)\n\t\t\tengine->ops->claim_outcome/'
 	'a paused holder sends all the same|src/core/engine.c|s/now_us >= query->deadline.at_us \|\| !service->snapshot/!service->snapshot/; s/if \(query->finished\) \{\n\t\t\/\* Answered/if (0) {\n\t\t\/* Answered/'
 	'the health page is believed|src/core/upstream.c|s/return !upstream->out && !upstream->leaving_said &&/return !upstream->out \&\&/'
-	'a pause is not noticed|src/core/engine.c|s/now_us - before_us < PAUSE_US/1/'
+	'a pause is not noticed|src/core/news.c|s/now_us - before_us < PAUSE_US/1/'
 	'one searcher may name the whole index|src/core/snapshot.c|s/if \(news\[group\].tells && !news\[group\].holds\)/if (0)/'
 	'news of versions are not awaited|src/core/engine.c|s/\|\|\s+restart_await\(engine, query, now_us\)\)/|| 0)/'
 	'no restart at another version|src/core/restart.c|s/if \(!service->snapshot \|\| !gives_more/if (1 || !gives_more/'
