Fuzzing, and two faults of the peers' parser that it found

Cause 1: msgpack-c reserves room for a list as it is declared; fifteen bytes from a peer that has the key made it ask for 128 GB. Declared sizes are checked against the bytes that follow before anything is unpacked. Cause 2: an empty text has no pointer, and was read all the same.

--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -14,5 +14,5 @@
 	echo "== $target"
 	mkdir -p "$WORK/$target"
 	FUZZ_TARGET=$target "$WORK/fuzz" -max_total_time="$SECONDS_EACH" -max_len=4096 -print_final_stats=0 \
-		"$WORK/$target" 2>&1 | tail -n 1
+		"$WORK/$target" 2>&1 | grep -E "^(Done|SUMMARY|Base64|.*ERROR)" | tail -n 3
 done
--- a/src/core/frame.c
+++ b/src/core/frame.c
@@ -4,6 +4,8 @@
  */
 #include "core/frame.h"
 
+#include "core/msgpack_sizes.h"
+
 #include <msgpack.h>
 #include <stdlib.h>
 #include <string.h>
@@ -131,10 +133,13 @@
 /* A copy, or NULL when it is not a plain text of at most so many bytes. */
 static char *take_text(const msgpack_object *object, size_t most)
 {
-	if (object->type != MSGPACK_OBJECT_STR || object->via.str.size > most ||
-	    memchr(object->via.str.ptr, '\0', object->via.str.size))
+	const msgpack_object_str *text = &object->via.str;
+
+	if (object->type != MSGPACK_OBJECT_STR || text->size > most)
 		return NULL;
-	return g_strndup(object->via.str.ptr, object->via.str.size);
+	if (text->size == 0) /* its pointer may be NULL */
+		return g_strdup("");
+	return memchr(text->ptr, '\0', text->size) ? NULL : g_strndup(text->ptr, text->size);
 }
 
 static bool take_member(const msgpack_object *object, GPtrArray *members)
@@ -244,6 +249,8 @@
 	if (!mac_matches(key, payload, payload_bytes, mac) &&
 	    !mac_matches(previous_key, payload, payload_bytes, mac))
 		return NULL;
+	if (!msgpack_sizes_fit(payload, payload_bytes))
+		return NULL;
 	message = gossip_message_new();
 	msgpack_unpacked_init(&unpacked);
 	good = msgpack_unpack_next(&unpacked, (const char *)payload, payload_bytes, NULL) ==
--- a/tests/gossip_test.c
+++ b/tests/gossip_test.c
@@ -310,13 +310,13 @@
 	field_free(field);
 }
 
-static GByteArray *sample_frame(const char *key)
+static GByteArray *sample_frame(const char *from, const char *key)
 {
 	gossip_message_t *message = gossip_message_new();
 	member_t *member = g_new0(member_t, 1);
 	GByteArray *frame;
 
-	message->from = g_strdup("vm-1");
+	message->from = g_strdup(from);
 	message->config_number = 3;
 	*member = (member_t){.name = g_strdup("vm-1"),
 			     .data_centre = g_strdup("dc"),
@@ -335,7 +335,7 @@
  */
 static void a_changed_frame_is_refused(void **state)
 {
-	GByteArray *frame = sample_frame(KEY);
+	GByteArray *frame = sample_frame("vm-1", KEY);
 	gossip_message_t *message;
 
 	(void)state;
@@ -350,7 +350,7 @@
 	for (guint length = 0; length < frame->len; length++)
 		assert_null(frame_decode(frame->data, length, KEY, ""));
 	g_byte_array_unref(frame);
-	frame = sample_frame(OLD_KEY);
+	frame = sample_frame("vm-1", OLD_KEY);
 	assert_null(frame_decode(frame->data, frame->len, KEY, ""));
 	message = frame_decode(frame->data, frame->len, KEY, OLD_KEY);
 	assert_non_null(message);
@@ -358,6 +358,41 @@
 	g_byte_array_unref(frame);
 }
 
+/* A peer sends an empty name: the library gives no pointer for it, and none may be read. By
+ * fuzzing. */
+static void an_empty_text_is_taken(void **state)
+{
+	GByteArray *frame = sample_frame("", KEY);
+	gossip_message_t *message = frame_decode(frame->data, frame->len, KEY, "");
+
+	(void)state;
+	assert_non_null(message);
+	assert_string_equal(message->from, "");
+	gossip_message_free(message);
+	g_byte_array_unref(frame);
+}
+
+/*
+ * A peer that has the key sends fifteen bytes that declare a list of four thousand million items.
+ * The library would ask for 128 GB for it; the frame is refused before it is unpacked. Found by
+ * fuzzing.
+ */
+static void a_huge_declaration_is_refused(void **state)
+{
+	const uint8_t payload[] = {0x98, 0, 0, 0xdd, 0xff, 0, 1, 0, 0, 9, 10, 0};
+	GHmac *hmac = g_hmac_new(G_CHECKSUM_SHA256, (const guchar *)KEY, strlen(KEY));
+	uint8_t frame[FRAME_LENGTH_BYTES + 32 + sizeof(payload)] = {0};
+	gsize mac_bytes = 32;
+
+	(void)state;
+	frame[3] = 32 + sizeof(payload);
+	g_hmac_update(hmac, payload, sizeof(payload));
+	g_hmac_get_digest(hmac, frame + FRAME_LENGTH_BYTES, &mac_bytes);
+	g_hmac_unref(hmac);
+	memcpy(frame + FRAME_LENGTH_BYTES + 32, payload, sizeof(payload));
+	assert_null(frame_decode(frame, sizeof(frame), KEY, ""));
+}
+
 static uint64_t bytes_a_second(uint32_t count)
 {
 	field_t *field = field_new(count);
@@ -388,6 +423,8 @@
 		cmocka_unit_test(a_configuration_spreads),
 		cmocka_unit_test(a_leaving_searcher_is_told),
 		cmocka_unit_test(a_changed_frame_is_refused),
+		cmocka_unit_test(an_empty_text_is_taken),
+		cmocka_unit_test(a_huge_declaration_is_refused),
 		cmocka_unit_test(the_cost_is_flat),
 	};
 	static const uint32_t sizes[] = {3, 7, 30, 100};
