Reading the tree: what nobody calls, names of the engine's parts, steadier system tests

Removed: http_call_sent, config_ref, config_service, loop_free. claims_free and engine_free are run by tests and the bench.

--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -26,20 +26,20 @@
 	brodnica)
 		DCS=(zagreb split osijek)
 		SERVICES=(
-			"checklist-board gather 10 3 2 25 5000 1000 4"
-			"starter-profile lookup 1 8 4 100 1000 500 8"
-			"reminder-sender once 1 4 4 100 1000 2000 1"
+			"checklist-board gather 10 3 2 25 5000 5000 4"
+			"starter-profile lookup 1 8 4 100 1000 3000 8"
+			"reminder-sender once 1 4 4 100 1000 3000 1"
 		)
-		[ -z "${WHOLE:-}" ] || SERVICES+=("document-tracker gather 15 3 2 25 5000 1000 4")
+		[ -z "${WHOLE:-}" ] || SERVICES+=("document-tracker gather 15 3 2 25 5000 5000 4")
 		;;
 	sablat)
 		DCS=(muscat sohar salalah)
 		SERVICES=(
-			"visitor-search gather 10 3 2 25 5000 1000 4"
-			"publishing-desk lookup 1 7 3 40 1000 500 7"
-			"billing-ledger once 1 3 3 40 1000 2000 1"
+			"visitor-search gather 10 3 2 25 5000 5000 4"
+			"publishing-desk lookup 1 7 3 40 1000 3000 7"
+			"billing-ledger once 1 3 3 40 1000 3000 1"
 		)
-		[ -z "${WHOLE:-}" ] || SERVICES+=("build-notifier gather 15 3 2 25 5000 1000 4")
+		[ -z "${WHOLE:-}" ] || SERVICES+=("build-notifier gather 15 3 2 25 5000 5000 4")
 		;;
 	*)
 		echo "unknown site $1: brodnica or sablat" >&2
--- a/src/core/config.c
+++ b/src/core/config.c
@@ -334,12 +334,6 @@
 	return NULL;
 }
 
-config_t *config_ref(config_t *config)
-{
-	config->refs++;
-	return config;
-}
-
 void config_unref(config_t *config)
 {
 	if (!config || --config->refs)
@@ -350,17 +344,6 @@
 	g_free(config);
 }
 
-const service_config_t *config_service(const config_t *config, const char *name)
-{
-	for (guint i = 0; i < config->services->len; i++) {
-		const service_config_t *service = g_ptr_array_index(config->services, i);
-
-		if (g_str_equal(service->name, name))
-			return service;
-	}
-	return NULL;
-}
-
 uint32_t config_connection_share(const config_t *config, const service_config_t *service)
 {
 	return MAX(service->connections / config->entry_vms, 1);
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -60,9 +60,7 @@
 
 /** Parse and check. NULL with the path of the first fault in @p err. */
 config_t *config_parse(const json_t *source, uint64_t number, err_t *err);
-config_t *config_ref(config_t *config);
 void config_unref(config_t *config);
-const service_config_t *config_service(const config_t *config, const char *name);
 /** This VM's share of a searcher's connections; at least 1. */
 uint32_t config_connection_share(const config_t *config, const service_config_t *service);
 /** The part of that share for requests: one connection is kept for health probes, if it can be. */
--- a/src/core/engine.c
+++ b/src/core/engine.c
@@ -1,6 +1,6 @@
 /**
  * @file engine.c
- * Requests: configuration of services, admission, the pinned snapshot, the one answer.
+ * Requests: admission, the pinned snapshot, the one answer.
  */
 #include "core/engine_private.h"
 
--- a/src/core/engine_private.h
+++ b/src/core/engine_private.h
@@ -1,6 +1,7 @@
 /**
  * @file engine_private.h
- * What engine.c (requests) and dispatch.c (sub-requests) share.
+ * What the parts of the engine share: engine.c (requests), dispatch.c (sub-requests), restart.c
+ * (versions that change), news.c (what is heard of searchers), service.c (a service at run time).
  */
 #ifndef DS_ENGINE_PRIVATE_H
 #define DS_ENGINE_PRIVATE_H
@@ -48,6 +49,7 @@
 /** An action ended without or with an effect; answers it. */
 void engine_action_ended(engine_t *engine, query_t *query, refusal_t refusal, ran_t ran,
 			 uint64_t now_us);
+
 /* news.c */
 
 /** Every entry from outside goes through here: notices that the process had been paused. */
--- a/src/core/news.c
+++ b/src/core/news.c
@@ -17,7 +17,6 @@
 {
 	upstream_state_t before = upstream->state;
 	service_t *service = service_of_upstream(engine, upstream);
-
 	bool told = upstream->leaving_said;
 
 	if (!upstream_report(upstream, report))
--- a/src/net/http_pool.c
+++ b/src/net/http_pool.c
@@ -232,8 +232,3 @@
 {
 	return call->reply;
 }
-
-bool http_call_sent(const http_call_t *call)
-{
-	return call->sent;
-}
--- a/src/net/http_pool.h
+++ b/src/net/http_pool.h
@@ -47,7 +47,5 @@
 http_end_t http_call_end(const http_call_t *call);
 int http_call_status(const http_call_t *call);
 const GString *http_call_reply(const http_call_t *call);
-/** Whether any byte of the request may have left. */
-bool http_call_sent(const http_call_t *call);
 
 #endif
--- a/src/net/loop.c
+++ b/src/net/loop.c
@@ -104,14 +104,6 @@
 	return loop;
 }
 
-void loop_free(loop_t *loop)
-{
-	lws_context_destroy(loop->context);
-	g_queue_clear_full(&loop->mailbox, g_free);
-	timers_clear(&loop->timers);
-	g_free(loop);
-}
-
 struct lws_context *loop_context(loop_t *loop)
 {
 	return loop->context;
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -29,7 +29,6 @@
 } loop_timer_t;
 
 loop_t *loop_new(void);
-void loop_free(loop_t *loop);
 struct lws_context *loop_context(loop_t *loop);
 
 /** Queue a message; never delivered before the caller returns to the loop. */
--- a/standins/bench_core.c
+++ b/standins/bench_core.c
@@ -210,6 +210,8 @@
 	       groups * 3, (double)parse_ns / 1e3, (double)snapshot_ns / 1e3,
 	       (double)used / (groups * 3), (double)gather_ns / 1e3 / (double)bench.attempts,
 	       (uint32_t)bench.answers);
+	engine_free(bench.engine);
+	timeline_free(timeline);
 	config_unref(config);
 	json_decref(source);
 }
--- a/tests/world.c
+++ b/tests/world.c
@@ -1149,6 +1149,11 @@
 
 void world_free(world_t *world)
 {
+	for (uint32_t i = 0; i < world->vm_count; i++) {
+		claims_free(world->vms[i].claims);
+		timeline_free(world->vms[i].timeline);
+		adoption_clear(&world->vms[i].adoption);
+	}
 	g_ptr_array_unref(world->replicas);
 	g_ptr_array_unref(world->results);
 	g_hash_table_unref(world->objects);
