--- a/src/commands/intent.c
+++ b/src/commands/intent.c
@@ -31,8 +31,9 @@
 	size_t i;
 	json_t *item;
 
-	json_array_foreach((json_t *)force, i,
-			   item) if (g_strcmp0(json_string_value(item), group) == 0) return true;
+	json_array_foreach ((json_t *)force, i, item)
+		if (g_strcmp0(json_string_value(item), group) == 0)
+			return true;
 	return false;
 }
 
@@ -42,12 +43,12 @@
 	size_t i;
 	json_t *item;
 
-	json_array_foreach(plan->losses, i, item) if (
-		!is_forced(force, json_string_value(
-					  item))) return err_set(err, ERR_VALUE,
-								 "%s would lose its last working "
-								 "searcher; force it by that name",
-								 json_string_value(item));
+	json_array_foreach (plan->losses, i, item)
+		if (!is_forced(force, json_string_value(item)))
+			return err_set(err, ERR_VALUE,
+				       "%s would lose its last working "
+				       "searcher; force it by that name",
+				       json_string_value(item));
 	return true;
 }
 
--- a/src/commands/propose.c
+++ b/src/commands/propose.c
@@ -13,8 +13,7 @@
 
 	if (!json_is_object(body))
 		return err_set(err, ERR_SYNTAX, "the body must be a JSON object");
-	json_object_foreach((json_t *)body, key, value)
-	{
+	json_object_foreach ((json_t *)body, key, value) {
 		if (!g_strv_contains(known, key))
 			return err_set(err, ERR_VALUE, "unknown field \"%.40s\"", key);
 	}
--- a/src/core/claims.c
+++ b/src/core/claims.c
@@ -147,8 +147,7 @@
 	json_t *item;
 
 	g_hash_table_remove_all(bucket->entries);
-	json_object_foreach((json_t *)value, key, item)
-	{
+	json_object_foreach ((json_t *)value, key, item) {
 		entry_t *entry = g_new0(entry_t, 1);
 		const char *ran = json_string_value(json_array_get(item, 2));
 
--- a/src/core/config.c
+++ b/src/core/config.c
@@ -80,8 +80,7 @@
 
 	if (!json_is_object(object))
 		return err_set(err, ERR_VALUE, "%s: must be an object", path);
-	json_object_foreach((json_t *)object, key, value)
-	{
+	json_object_foreach ((json_t *)object, key, value) {
 		if (!g_strv_contains(known, key))
 			return err_set(err, ERR_VALUE, "%s: unknown key \"%.40s\"", path, key);
 	}
@@ -165,8 +164,7 @@
 	if (!json_is_array(searchers) || json_array_size(searchers) == 0)
 		return err_set(err, ERR_VALUE, "%s.searchers: must be a list of at least one",
 			       path);
-	json_array_foreach(searchers, i, item)
-	{
+	json_array_foreach (searchers, i, item) {
 		g_autofree char *item_path = g_strdup_printf("%s.searchers[%zu]", path, i);
 
 		if (!parse_upstream(config, group, item, item_path, err))
@@ -217,8 +215,7 @@
 			       path, service->connections, config->entry_vms);
 	if (!json_is_array(groups) || json_array_size(groups) == 0)
 		return err_set(err, ERR_VALUE, "%s.groups: must be a list of at least one", path);
-	json_array_foreach(groups, i, item)
-	{
+	json_array_foreach (groups, i, item) {
 		g_autofree char *item_path = g_strdup_printf("%s.groups[%zu]", path, i);
 
 		if (!parse_group(config, service, item, item_path, err))
@@ -234,8 +231,7 @@
 
 	if (list && !json_is_array(list))
 		return err_set(err, ERR_VALUE, "out: must be a list of names");
-	json_array_foreach(list, i, item)
-	{
+	json_array_foreach (list, i, item) {
 		if (!json_is_string(item))
 			return err_set(err, ERR_VALUE, "out[%zu]: must be a name", i);
 		g_ptr_array_add(config->out, g_strdup(json_string_value(item)));
@@ -308,8 +304,7 @@
 	if (!json_is_object(services) || json_object_size(services) == 0)
 		return err_set(err, ERR_VALUE,
 			       "services: must be an object of at least one service");
-	json_object_foreach((json_t *)services, name, item)
-	{
+	json_object_foreach ((json_t *)services, name, item) {
 		if (!parse_service(config, name, item, err) ||
 		    !check_unique_names(
 			    g_ptr_array_index(config->services, config->services->len - 1), err))
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -26,8 +26,9 @@
 	size_t i;
 	json_t *item;
 
-	json_array_foreach((json_t *)list, i,
-			   item) if (g_strcmp0(json_string_value(item), name) == 0) return true;
+	json_array_foreach ((json_t *)list, i, item)
+		if (g_strcmp0(json_string_value(item), name) == 0)
+			return true;
 	return false;
 }
 
@@ -36,8 +37,9 @@
 	json_t *rest = json_array(), *item;
 	size_t i;
 
-	json_array_foreach((json_t *)list, i, item) if (g_strcmp0(json_string_value(item), name) !=
-							0) json_array_append(rest, item);
+	json_array_foreach ((json_t *)list, i, item)
+		if (g_strcmp0(json_string_value(item), name) != 0)
+			json_array_append(rest, item);
 	return rest;
 }
 
--- a/src/core/proposal.c
+++ b/src/core/proposal.c
@@ -26,8 +26,7 @@
 	json_t *item;
 
 	json_array_append_new(list, json_pack("[s, I]", origin->id, (json_int_t)(base + 1)));
-	json_array_foreach((json_t *)history, i, item)
-	{
+	json_array_foreach ((json_t *)history, i, item) {
 		if (i < HISTORY_MOST - 1)
 			json_array_append(list, item);
 	}
@@ -72,8 +71,7 @@
 	size_t i;
 	json_t *item;
 
-	json_array_foreach(json_object_get(value, "history"), i, item)
-	{
+	json_array_foreach (json_object_get(value, "history"), i, item) {
 		const char *id = json_string_value(json_array_get(item, 0));
 
 		if (id && g_str_equal(id, proposal->id))
--- a/src/core/query.c
+++ b/src/core/query.c
@@ -143,8 +143,7 @@
 	json_t *record;
 
 	part->answered = true;
-	json_array_foreach(reply->records, i, record)
-	{
+	json_array_foreach (reply->records, i, record) {
 		const char *id = json_string_value(json_object_get(record, "id"));
 
 		/* The same record from two partitions is what a doubled reminder is made of. */
--- a/src/core/reply.c
+++ b/src/core/reply.c
@@ -44,8 +44,7 @@
 
 	if (!json_is_array(list) || json_array_size(list) > PARTITIONS_MAX)
 		return false;
-	json_array_foreach(list, i, item)
-	{
+	json_array_foreach (list, i, item) {
 		json_int_t number = json_integer_value(item);
 		uint32_t partition = (uint32_t)number;
 
@@ -103,8 +102,7 @@
 	if (!json_is_array(versions) || json_array_size(versions) > VERSIONS_MAX)
 		return false;
 	report->has_versions = true;
-	json_array_foreach(versions, i, item)
-	{
+	json_array_foreach (versions, i, item) {
 		if (!parse_held(item, report->held))
 			return false;
 	}
--- a/src/queries/search.c
+++ b/src/queries/search.c
@@ -14,8 +14,7 @@
 	const char *key;
 	json_t *value;
 
-	json_object_foreach((json_t *)body, key, value)
-	{
+	json_object_foreach ((json_t *)body, key, value) {
 		if (g_str_equal(key, "text")) {
 			if (!json_is_string(value) || json_string_length(value) > TEXT_LIMIT)
 				return err_set(err, ERR_VALUE,
@@ -71,8 +70,7 @@
 	size_t i;
 	json_t *item;
 
-	json_array_foreach((json_t *)records, i, item)
-	{
+	json_array_foreach ((json_t *)records, i, item) {
 		if (limit && i >= limit)
 			break;
 		json_array_append(list, item);
--- a/src/tool/dogwoodsaddle.c
+++ b/src/tool/dogwoodsaddle.c
@@ -68,8 +68,7 @@
 	size_t width = strlen(key), i;
 	json_t *row;
 
-	json_array_foreach((json_t *)rows, i, row)
-	{
+	json_array_foreach ((json_t *)rows, i, row) {
 		g_autofree char *text = cell(json_object_get(row, key));
 
 		width = MAX(width, strlen(text));
@@ -84,13 +83,11 @@
 	json_t *value, *row;
 	size_t i;
 
-	json_object_foreach(json_array_get(rows, 0), key, value)
+	json_object_foreach (json_array_get(rows, 0), key, value)
 		printf("%-*s  ", (int)column_width(rows, key), key);
 	puts("");
-	json_array_foreach((json_t *)rows, i, row)
-	{
-		json_object_foreach(json_array_get(rows, 0), key, value)
-		{
+	json_array_foreach ((json_t *)rows, i, row) {
+		json_object_foreach (json_array_get(rows, 0), key, value) {
 			g_autofree char *text = cell(json_object_get(row, key));
 
 			printf("%-*s  ", (int)column_width(rows, key), text);
@@ -224,7 +221,7 @@
 		       json_string_value(json_object_get(value, "note"))
 			       ? json_string_value(json_object_get(value, "note"))
 			       : "");
-		json_array_foreach(json_object_get(value, "history"), i, item)
+		json_array_foreach (json_object_get(value, "history"), i, item)
 			printf("%lld %s\n", (long long)json_integer_value(json_array_get(item, 1)),
 			       json_string_value(json_array_get(item, 0)));
 	}
@@ -257,14 +254,12 @@
 		printf("%s\n- %.400s\n+ %.400s\n", path, a, b);
 		return 1;
 	}
-	json_object_foreach((json_t *)old, key, value)
-	{
+	json_object_foreach ((json_t *)old, key, value) {
 		g_autofree char *child = g_strdup_printf("%s.%s", path, key);
 
 		count += diff(value, json_object_get(fresh, key), child);
 	}
-	json_object_foreach((json_t *)fresh, key, value)
-	{
+	json_object_foreach ((json_t *)fresh, key, value) {
 		g_autofree char *child = g_strdup_printf("%s.%s", path, key);
 
 		if (!json_object_get(old, key))
--- a/src/tool/timeline_view.c
+++ b/src/tool/timeline_view.c
@@ -49,8 +49,7 @@
 	size_t i;
 	json_t *event;
 
-	json_array_foreach(json_object_get(reply, "events"), i, event)
-	{
+	json_array_foreach (json_object_get(reply, "events"), i, event) {
 		uint64_t at = (uint64_t)json_integer_value(json_object_get(event, "at"));
 		const char *text = json_string_value(json_object_get(event, "text"));
 		row_t *row;
--- a/standins/load.c
+++ b/standins/load.c
@@ -129,10 +129,12 @@
 	    answered + (json_int_t)json_array_size(list) != partitions ||
 	    complete != (json_array_size(list) == 0))
 		return false;
-	json_array_foreach(list, i, item) missing[json_integer_value(item) % PARTITIONS_MAX] = true;
-	json_array_foreach((json_t *)records, i, item) good =
-		good && check_record(item, json_integer_value(json_object_get(body, "snapshot")),
-				     load->records, (uint32_t)partitions, missing, seen);
+	json_array_foreach (list, i, item)
+		missing[json_integer_value(item) % PARTITIONS_MAX] = true;
+	json_array_foreach ((json_t *)records, i, item)
+		good = good &&
+		       check_record(item, json_integer_value(json_object_get(body, "snapshot")),
+				    load->records, (uint32_t)partitions, missing, seen);
 	return good &&
 	       json_array_size(records) == expected_count(load, mix, (uint32_t)partitions, missing);
 }
--- a/standins/searcher.c
+++ b/standins/searcher.c
@@ -131,8 +131,9 @@
 	size_t i;
 	json_t *item;
 
-	json_array_foreach(partitions, i,
-			   item) if (json_integer_value(item) == partition) return true;
+	json_array_foreach (partitions, i, item)
+		if (json_integer_value(item) == partition)
+			return true;
 	return false;
 }
 
@@ -184,9 +185,9 @@
 		return;
 	}
 	partitions = parse_partitions(http_exchange_param(exchange, "partitions"));
-	json_array_foreach(partitions, i,
-			   item) if (holds_partition(held, (uint32_t)json_integer_value(item)))
-		json_array_append(held_partitions, item);
+	json_array_foreach (partitions, i, item)
+		if (holds_partition(held, (uint32_t)json_integer_value(item)))
+			json_array_append(held_partitions, item);
 	records = find_records(searcher, held, held_partitions, text ? text : "",
 			       http_exchange_param(exchange, "id"));
 	if (searcher->truncate) {
@@ -344,8 +345,7 @@
 	for (uint32_t k = 0; k < searcher->held_count; k++)
 		g_array_free(searcher->held[k].partitions, TRUE);
 	searcher->held_count = 0;
-	json_array_foreach(list, i, item)
-	{
+	json_array_foreach (list, i, item) {
 		held_version_t *held = &searcher->held[searcher->held_count];
 
 		if (searcher->held_count++ == VERSIONS_MAX)
@@ -353,8 +353,7 @@
 		held->version = (uint64_t)json_integer_value(json_object_get(item, "version"));
 		held->of = (uint32_t)json_integer_value(json_object_get(item, "of"));
 		held->partitions = g_array_new(FALSE, FALSE, sizeof(uint32_t));
-		json_array_foreach(json_object_get(item, "partitions"), j, partition)
-		{
+		json_array_foreach (json_object_get(item, "partitions"), j, partition) {
 			uint32_t number = (uint32_t)json_integer_value(partition);
 
 			g_array_append_val(held->partitions, number);
--- a/tests/world.c
+++ b/tests/world.c
@@ -474,8 +474,7 @@
 	size_t i;
 	json_t *record;
 
-	json_array_foreach((json_t *)answer->records, i, record)
-	{
+	json_array_foreach ((json_t *)answer->records, i, record) {
 		const char *id = json_string_value(json_object_get(record, "id"));
 
 		if ((uint64_t)json_integer_value(json_object_get(record, "v")) != answer->version)
