make demo KEEP=1 gives the terminal back

Cause: the processes that stay up kept the demo's standard output open, so a pipe behind it never ended. Their output goes to the run's logs now. Seen hanging before (stopped after ten minutes); after: piped, it ended by itself and printed its addresses.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -78,7 +78,7 @@
 if [ -n "${KEEP:-}" ]; then
 	say "left up"
 	for ((i = 0; i < ${#VMS[@]}; i++)); do
-		vm_ready "$i" || start_vm "$i"
+		vm_ready "$i" >/dev/null || start_vm "$i"
 		echo "${VMS[$i]}: callers http://127.0.0.1:$((CALLERS_FROM + i)) admin http://127.0.0.1:$((ADMINS_FROM + i)) token $TOKEN"
 	done
 	echo "process ids: ${PIDS[*]}"
--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -59,7 +59,7 @@
 	"$BUILD/standin-searcher" --name "$name" --port "${SEARCHER_PORT[$name]}" \
 		--control "${SEARCHER_CONTROL[$name]}" --slots "$4" --connections "$5" --work-us "$6" \
 		--versions "[{\"version\":1,\"of\":$of,\"partitions\":[$list]},{\"version\":2,\"of\":$of,\"partitions\":[$list]}]" \
-		2>>"$RUN/searchers.log" &
+		>>"$RUN/searchers.log" 2>&1 &
 	SEARCHER_PID[$name]=$!
 	PIDS+=($!)
 }
@@ -121,13 +121,13 @@
 start_vm() { # index
 	local vm=${VMS[$1]}
 	vm_settings "$1"
-	"$BUILD/dogwoodsaddled" --config "$RUN/$vm.ini" 2>>"$RUN/$vm.log" &
+	"$BUILD/dogwoodsaddled" --config "$RUN/$vm.ini" >>"$RUN/$vm.log" 2>&1 &
 	VM_PID[$vm]=$!
 	PIDS+=($!)
 }
 
 start_platform() {
-	"$BUILD/standin-platform" --port "$PLATFORM" --control "$PLATFORM_CONTROL" 2>>"$RUN/platform.log" &
+	"$BUILD/standin-platform" --port "$PLATFORM" --control "$PLATFORM_CONTROL" >>"$RUN/platform.log" 2>&1 &
 	PLATFORM_PID=$!
 	PIDS+=($!)
 }
