--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SAN_BUILD ?= build-san
 JOBS ?= $(shell nproc)
 PACKAGES := build-essential cmake pkg-config curl jq \
-	libwebsockets-dev libmsgpack-dev libglib2.0-dev libjansson-dev libxxhash-dev libcmocka-dev
+	libwebsockets-dev libmsgpack-dev libglib2.0-dev libjansson-dev libxxhash-dev libcmocka-dev libhttp-parser-dev
 CHECK_PACKAGES := spin clang clang-format clang-tidy cppcheck
 SOURCES = $(shell git ls-files -co --exclude-standard '*.c' '*.h')
 
--- /dev/null
+++ b/src/core/placement.c
@@ -0,0 +1,125 @@
+/**
+ * @file placement.c
+ * See placement.h.
+ *
+ * A searcher of a shard has two slots and is the only one in its data centre, so its own queue,
+ * pauses and slowness decide more than the way to it: each is turned into time and added up.
+ */
+#include "core/placement.h"
+
+#include <math.h>
+
+/* Before a searcher is measured, what the way adds: a round trip between regions is 24 to 40 ms in
+ * the deployments, within one 2 to 3 ms. */
+#define FAR_US 32000
+#define REGION_US 3000
+/* Before anything is measured: a sub-request of the deployments takes 3 to 15 ms at a searcher. */
+#define TYPICAL_UNKNOWN_US 12000
+/* What was measured of a searcher counts half after so long without news: slow spells last 5 to
+ * 12 s, and one that recovered is asked again within a second or two. */
+#define MEMORY_HALF_US 1500000
+/* A new connection costs a handshake of up to 6 ms at the searcher, and a round trip. */
+#define CONNECT_US 8000
+/* Pauses last 200 ms and start at any moment; a sub-request that is out three times as long as
+ * usual, and for at least 25 ms, meets one in most cases. */
+#define STUCK_TIMES 3
+#define STUCK_LEAST_US 25000
+/* What a stuck searcher costs: most of a pause is still to come. */
+#define STUCK_US 150000
+#define COLD_TIMES 1.6
+/* One that has just failed comes after all others. */
+#define AVOID_US 1000000
+/* VMs that know the same must not all choose the same one. */
+#define SPREAD 0.1
+
+static double typical_us(const pool_t *pool)
+{
+	return pool->typical.value_us > 0 ? pool->typical.value_us : TYPICAL_UNKNOWN_US;
+}
+
+static double unmeasured_us(const searcher_t *searcher, const pool_t *pool)
+{
+	static const double way_us[] = {
+		[DISTANCE_LOCAL] = 0, [DISTANCE_REGION] = REGION_US, [DISTANCE_FAR] = FAR_US};
+
+	return typical_us(pool) + way_us[searcher->distance];
+}
+
+static double latency_us(const searcher_t *searcher, const pool_t *pool, uint64_t now_us)
+{
+	double start_us = unmeasured_us(searcher, pool);
+	double age_us = (double)(now_us - searcher->sampled_us);
+
+	if (!searcher->sampled_us)
+		return start_us;
+	return start_us + (searcher->latency.value_us - start_us) * exp2(-age_us / MEMORY_HALF_US);
+}
+
+static uint64_t oldest_us(const searcher_t *searcher, uint64_t now_us)
+{
+	const sending_t *oldest = g_queue_peek_head((GQueue *)&searcher->out);
+
+	return oldest ? now_us - oldest->sent_us : 0;
+}
+
+bool placement_is_stuck(const searcher_t *searcher, const pool_t *pool, uint64_t now_us)
+{
+	double usual_us = latency_us(searcher, pool, now_us);
+
+	return (double)oldest_us(searcher, now_us) > MAX(STUCK_TIMES * usual_us, STUCK_LEAST_US);
+}
+
+double placement_cost_us(const searcher_t *searcher, const pool_t *pool, uint64_t now_us)
+{
+	double cost_us = latency_us(searcher, pool, now_us);
+
+	cost_us *= 1 + (double)searcher->out.length / searcher->slots;
+	if (now_us < searcher->cold_until_us)
+		cost_us *= COLD_TIMES;
+	if (!searcher->idle)
+		cost_us += CONNECT_US;
+	if (placement_is_stuck(searcher, pool, now_us))
+		cost_us += STUCK_US;
+	if (now_us < searcher->avoid_until_us)
+		cost_us += AVOID_US;
+	return cost_us;
+}
+
+static bool is_excluded(const GPtrArray *excluded, const searcher_t *searcher)
+{
+	return excluded && g_ptr_array_find((GPtrArray *)excluded, searcher, NULL);
+}
+
+searcher_t *placement_choose(const pool_t *pool, const GPtrArray *excluded, GRand *rand,
+			     uint64_t now_us)
+{
+	searcher_t *best = NULL;
+	double best_us = 0;
+
+	for (guint i = 0; i < pool->searchers->len; i++) {
+		searcher_t *searcher = g_ptr_array_index(pool->searchers, i);
+		double cost_us;
+
+		if (!searcher_is_usable(searcher) || !searcher_has_room(searcher) ||
+		    is_excluded(excluded, searcher))
+			continue;
+		cost_us = placement_cost_us(searcher, pool, now_us) *
+			  g_rand_double_range(rand, 1, 1 + SPREAD);
+		if (best && cost_us >= best_us)
+			continue;
+		best = searcher;
+		best_us = cost_us;
+	}
+	return best;
+}
+
+bool placement_is_possible(const pool_t *pool, const GPtrArray *excluded)
+{
+	for (guint i = 0; i < pool->searchers->len; i++) {
+		searcher_t *searcher = g_ptr_array_index(pool->searchers, i);
+
+		if (searcher_is_usable(searcher) && !is_excluded(excluded, searcher))
+			return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/src/core/placement.h
@@ -0,0 +1,29 @@
+/**
+ * @file placement.h
+ * Which searcher of a pool gets a sub-request.
+ */
+#ifndef DS_PLACEMENT_H
+#define DS_PLACEMENT_H
+
+#include "core/registry.h"
+
+/** A sub-request that was sent; embedded in its owner, linked in its searcher's queue. */
+typedef struct sending_t {
+	uint64_t sent_us;
+	GList link; /**< in searcher_t.out; data is the sending_t */
+} sending_t;
+
+/** Expected time until an answer, for comparing searchers. */
+double placement_cost_us(const searcher_t *searcher, const pool_t *pool, uint64_t now_us);
+/** Whether its oldest sub-request is out for much longer than usual: it pauses or hangs. */
+bool placement_is_stuck(const searcher_t *searcher, const pool_t *pool, uint64_t now_us);
+/**
+ * The searcher with the least cost that has room, or NULL.
+ * @param excluded searcher_t that were asked already
+ */
+searcher_t *placement_choose(const pool_t *pool, const GPtrArray *excluded, GRand *rand,
+			     uint64_t now_us);
+/** Whether any searcher outside @p excluded may be sent work, with room or without. */
+bool placement_is_possible(const pool_t *pool, const GPtrArray *excluded);
+
+#endif
--- a/src/core/platform_result.h
+++ b/src/core/platform_result.h
@@ -20,6 +20,8 @@
 	platform_end_t end;
 	uint64_t version;
 	json_t *value; /**< borrowed; NULL for none */
+	int status;    /**< as it was sent; 0 when no whole reply came */
+	json_t *body;  /**< the whole reply, borrowed; NULL when it is not JSON */
 } platform_result_t;
 
 #endif
--- /dev/null
+++ b/src/core/registry.c
@@ -0,0 +1,230 @@
+/**
+ * @file registry.c
+ * See registry.h.
+ */
+#include "core/registry.h"
+
+/* Searchers whose entries lapsed while the store was away register again within two seconds of its
+ * return; a little more for the way. Well below the time that a leaving searcher goes on serving.
+ */
+#define LAPSE_US 2300000
+/* The pool's median follows all its answers, so a smaller step keeps it steady. */
+#define TYPICAL_STEP 0.05
+
+struct registry_t {
+	place_t place;
+	retry_bound_t bound;
+	const registry_ops_t *ops;
+	void *ctx;
+	GHashTable *by_id;   /* id to searcher_t */
+	GHashTable *pools;   /* service to pool_t */
+	GHashTable *listed;  /* ids seen in the list being taken in; NULL between lists */
+	GHashTable *lapsing; /* id to nothing: missing, and perhaps registering again */
+	uint64_t lapse_end_us;
+	bool store_away;
+	bool known;
+};
+
+static void pool_free(void *data)
+{
+	pool_t *pool = data;
+
+	g_free(pool->service);
+	g_ptr_array_unref(pool->searchers);
+	g_free(pool);
+}
+
+registry_t *registry_new(const place_t *place, const retry_bound_t *bound,
+			 const registry_ops_t *ops, void *ctx)
+{
+	registry_t *registry = g_new0(registry_t, 1);
+
+	registry->place.data_centre = g_strdup(place->data_centre);
+	registry->place.regions = g_hash_table_ref(place->regions);
+	registry->bound = *bound;
+	registry->ops = ops;
+	registry->ctx = ctx;
+	registry->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						(GDestroyNotify)searcher_unref);
+	registry->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pool_free);
+	registry->lapsing = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return registry;
+}
+
+void registry_free(registry_t *registry)
+{
+	g_free(registry->place.data_centre);
+	g_hash_table_unref(registry->place.regions);
+	g_hash_table_unref(registry->pools);
+	g_hash_table_unref(registry->by_id);
+	g_hash_table_unref(registry->lapsing);
+	if (registry->listed)
+		g_hash_table_unref(registry->listed);
+	g_free(registry);
+}
+
+static distance_t distance_of(const registry_t *registry, const char *data_centre)
+{
+	const place_t *place = &registry->place;
+	const char *own = g_hash_table_lookup(place->regions, place->data_centre);
+	const char *other = g_hash_table_lookup(place->regions, data_centre);
+
+	if (g_str_equal(place->data_centre, data_centre))
+		return DISTANCE_LOCAL;
+	return own && other && g_str_equal(own, other) ? DISTANCE_REGION : DISTANCE_FAR;
+}
+
+pool_t *registry_pool(registry_t *registry, const char *service)
+{
+	pool_t *pool = g_hash_table_lookup(registry->pools, service);
+
+	if (pool)
+		return pool;
+	pool = g_new0(pool_t, 1);
+	pool->service = g_strdup(service);
+	pool->searchers = g_ptr_array_new_with_free_func((GDestroyNotify)searcher_unref);
+	pool->typical = (quantile_t){.fraction = 0.5, .step = TYPICAL_STEP};
+	retry_budget_init(&pool->budget, &registry->bound);
+	g_queue_init(&pool->waiting);
+	g_hash_table_insert(registry->pools, pool->service, pool);
+	return pool;
+}
+
+static void add(registry_t *registry, const searcher_entry_t *entry, uint64_t now_us)
+{
+	searcher_t *searcher =
+		searcher_new(entry, distance_of(registry, entry->data_centre), now_us);
+
+	if (entry->draining)
+		searcher->state = SEARCHER_DRAINING;
+	g_hash_table_insert(registry->by_id, searcher->id, searcher);
+	g_ptr_array_add(registry_pool(registry, entry->service)->searchers, searcher_ref(searcher));
+	registry->ops->changed(registry->ctx, searcher);
+}
+
+void registry_put(registry_t *registry, const searcher_entry_t *entry, uint64_t now_us)
+{
+	searcher_t *searcher = g_hash_table_lookup(registry->by_id, entry->id);
+
+	if (registry->listed)
+		g_hash_table_add(registry->listed, g_strdup(entry->id));
+	g_hash_table_remove(registry->lapsing, entry->id);
+	if (!searcher) {
+		add(registry, entry, now_us);
+		return;
+	}
+	/* Draining is final: a stale read must not bring work back to one that leaves. */
+	if (!entry->draining || searcher->state != SEARCHER_READY)
+		return;
+	searcher->state = SEARCHER_DRAINING;
+	registry->ops->changed(registry->ctx, searcher);
+}
+
+static void remove_now(registry_t *registry, const char *id)
+{
+	searcher_t *searcher = g_hash_table_lookup(registry->by_id, id);
+
+	if (!searcher)
+		return;
+	searcher_ref(searcher);
+	g_hash_table_remove(registry->by_id, id);
+	g_ptr_array_remove(registry_pool(registry, searcher->service)->searchers, searcher);
+	searcher->state = SEARCHER_GONE;
+	registry->ops->changed(registry->ctx, searcher);
+	searcher_unref(searcher);
+}
+
+/*
+ * While the store is away, entries lapse although their searchers live; on its return all of them
+ * seem to be gone at once, and every request would be refused. So a removal soon after its return
+ * waits for the searcher to register again.
+ */
+void registry_remove(registry_t *registry, const char *id, uint64_t now_us)
+{
+	searcher_t *searcher = g_hash_table_lookup(registry->by_id, id);
+	bool may_be_lapse = registry->store_away || now_us < registry->lapse_end_us;
+
+	if (!searcher)
+		return;
+	if (may_be_lapse && searcher->state == SEARCHER_READY)
+		g_hash_table_add(registry->lapsing, g_strdup(id));
+	else
+		remove_now(registry, id);
+}
+
+void registry_list_begin(registry_t *registry)
+{
+	if (registry->listed)
+		g_hash_table_unref(registry->listed);
+	registry->listed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+}
+
+void registry_list_end(registry_t *registry, uint64_t now_us)
+{
+	g_autoptr(GPtrArray) missing = g_ptr_array_new_with_free_func(g_free);
+	GHashTableIter iter;
+	gpointer id;
+
+	g_hash_table_iter_init(&iter, registry->by_id);
+	while (g_hash_table_iter_next(&iter, &id, NULL))
+		if (!g_hash_table_contains(registry->listed, id))
+			g_ptr_array_add(missing, g_strdup(id));
+	g_hash_table_unref(registry->listed);
+	registry->listed = NULL;
+	registry->known = true;
+	for (guint i = 0; i < missing->len; i++)
+		registry_remove(registry, g_ptr_array_index(missing, i), now_us);
+}
+
+void registry_store_lost(registry_t *registry)
+{
+	registry->store_away = true;
+}
+
+void registry_store_back(registry_t *registry, uint64_t now_us)
+{
+	if (!registry->store_away)
+		return;
+	registry->store_away = false;
+	registry->lapse_end_us = now_us + LAPSE_US;
+}
+
+uint64_t registry_run(registry_t *registry, uint64_t now_us)
+{
+	g_autoptr(GPtrArray) due = NULL;
+	GHashTableIter iter;
+	gpointer id;
+
+	if (registry->store_away || !g_hash_table_size(registry->lapsing))
+		return UINT64_MAX;
+	if (now_us < registry->lapse_end_us)
+		return registry->lapse_end_us;
+	due = g_ptr_array_new_with_free_func(g_free);
+	g_hash_table_iter_init(&iter, registry->lapsing);
+	while (g_hash_table_iter_next(&iter, &id, NULL))
+		g_ptr_array_add(due, g_strdup(id));
+	g_hash_table_remove_all(registry->lapsing);
+	for (guint i = 0; i < due->len; i++)
+		remove_now(registry, g_ptr_array_index(due, i));
+	return UINT64_MAX;
+}
+
+bool registry_is_known(const registry_t *registry)
+{
+	return registry->known;
+}
+
+searcher_t *registry_find(const registry_t *registry, const char *id)
+{
+	return g_hash_table_lookup(registry->by_id, id);
+}
+
+GHashTable *registry_searchers(const registry_t *registry)
+{
+	return registry->by_id;
+}
+
+const retry_bound_t *registry_bound(const registry_t *registry)
+{
+	return &registry->bound;
+}
--- /dev/null
+++ b/src/core/registry.h
@@ -0,0 +1,62 @@
+/**
+ * @file registry.h
+ * Which searchers there are, by service, as the platform's store lists them.
+ *
+ * The list is taken in whole, then kept up by events. A store that was away forgets searchers that
+ * live on: their removal is believed only once they had the time to register again.
+ */
+#ifndef DS_REGISTRY_H
+#define DS_REGISTRY_H
+
+#include "core/retry_budget.h"
+#include "core/searcher.h"
+
+/** The searchers of one service, and what all of them together are allowed. */
+typedef struct pool_t {
+	char *service;
+	GPtrArray *searchers; /**< searcher_t, references held */
+	retry_budget_t budget;
+	quantile_t typical; /**< median of sent to answered, over all its searchers */
+	GQueue waiting;	    /**< parts that found no room, by rank and age */
+} pool_t;
+
+/** Where this VM is, and the region of each data centre. */
+typedef struct place_t {
+	char *data_centre;
+	GHashTable *regions; /**< data centre to region */
+} place_t;
+
+typedef struct registry_ops_t {
+	/** A searcher is new, or its state has changed. */
+	void (*changed)(void *ctx, searcher_t *searcher);
+} registry_ops_t;
+
+typedef struct registry_t registry_t;
+
+registry_t *registry_new(const place_t *place, const retry_bound_t *bound,
+			 const registry_ops_t *ops, void *ctx);
+void registry_free(registry_t *registry);
+
+/** A whole list begins; entries follow by registry_put(), then registry_list_end(). */
+void registry_list_begin(registry_t *registry);
+void registry_put(registry_t *registry, const searcher_entry_t *entry, uint64_t now_us);
+/** Entries that were not in the list are removed, now or after the time to register again. */
+void registry_list_end(registry_t *registry, uint64_t now_us);
+/** The store says that @p id is no longer registered. */
+void registry_remove(registry_t *registry, const char *id, uint64_t now_us);
+/** The store did not answer; removals soon after its return may be lapses. */
+void registry_store_lost(registry_t *registry);
+void registry_store_back(registry_t *registry, uint64_t now_us);
+/** Carry out removals whose time has come; returns when to call again, or UINT64_MAX. */
+uint64_t registry_run(registry_t *registry, uint64_t now_us);
+/** Whether a whole list was taken in since the start. */
+bool registry_is_known(const registry_t *registry);
+
+/** The pool of @p service; made when first asked for. */
+pool_t *registry_pool(registry_t *registry, const char *service);
+searcher_t *registry_find(const registry_t *registry, const char *id);
+/** All searchers registered, by id; searcher_t. */
+GHashTable *registry_searchers(const registry_t *registry);
+const retry_bound_t *registry_bound(const registry_t *registry);
+
+#endif
--- /dev/null
+++ b/src/core/retry_budget.c
@@ -0,0 +1,71 @@
+/**
+ * @file retry_budget.c
+ * See retry_budget.h.
+ */
+#include "core/retry_budget.h"
+
+#include <string.h>
+
+/* A tenth of the ratio is left unused: windows of the VMs and of the bound do not begin together.
+ */
+#define RATIO_USED 0.9
+/* Hedges leave so much of the budget for requests that have failed outright. */
+#define SPEED_SHARE 0.75
+/* A VM with hardly any requests may still try once more. One for each of 90 VMs is well below the
+ * constant part of the bound (52 for 6 VMs, 192 for 76). */
+#define ALWAYS_ALLOWED 1.0
+
+void retry_budget_init(retry_budget_t *budget, const retry_bound_t *bound)
+{
+	memset(budget, 0, sizeof(*budget));
+	budget->slot_us = bound->window_us / RETRY_BUDGET_SLOTS;
+	if (!budget->slot_us)
+		budget->slot_us = 1;
+}
+
+/* Empty the slots that the window has left behind. */
+static uint32_t slide(retry_budget_t *budget, uint64_t now_us)
+{
+	uint64_t slot = now_us / budget->slot_us;
+
+	if (slot > budget->newest + RETRY_BUDGET_SLOTS)
+		budget->newest = slot - RETRY_BUDGET_SLOTS;
+	while (budget->newest < slot) {
+		uint32_t index = (uint32_t)(++budget->newest % RETRY_BUDGET_SLOTS);
+
+		budget->requests[index] = 0;
+		budget->extras[index] = 0;
+	}
+	return (uint32_t)(budget->newest % RETRY_BUDGET_SLOTS);
+}
+
+void retry_budget_note_request(retry_budget_t *budget, uint64_t now_us)
+{
+	budget->requests[slide(budget, now_us)]++;
+}
+
+double retry_budget_left(retry_budget_t *budget, const retry_bound_t *bound,
+			 retry_purpose_t purpose, uint64_t now_us)
+{
+	uint32_t requests = 0, extras = 0;
+	double allowed;
+
+	slide(budget, now_us);
+	for (uint32_t i = 0; i < RETRY_BUDGET_SLOTS; i++) {
+		requests += budget->requests[i];
+		extras += budget->extras[i];
+	}
+	allowed = RATIO_USED * bound->ratio * requests;
+	if (purpose == RETRY_FOR_SPEED)
+		allowed *= SPEED_SHARE;
+	return allowed + ALWAYS_ALLOWED - extras;
+}
+
+bool retry_budget_take(retry_budget_t *budget, const retry_bound_t *bound, retry_purpose_t purpose,
+		       uint64_t now_us)
+{
+	if (retry_budget_left(budget, bound, purpose, now_us) < 1)
+		return false;
+	budget->extras[slide(budget, now_us)]++;
+	return true;
+}
--- /dev/null
+++ b/src/core/routing.c
@@ -0,0 +1,123 @@
+/**
+ * @file routing.c
+ * See routing.h.
+ */
+#include "core/routing.h"
+
+#include <string.h>
+
+static void target_clear(void *data)
+{
+	g_free(((route_target_t *)data)->service);
+}
+
+static void route_free(void *data)
+{
+	route_t *route = data;
+
+	g_free(route->name);
+	g_free(route->host);
+	g_free(route->prefix);
+	g_array_unref(route->targets);
+	g_free(route);
+}
+
+routing_t *routing_new(uint64_t version)
+{
+	routing_t *routing = g_new0(routing_t, 1);
+
+	routing->refs = 1;
+	routing->version = version;
+	routing->routes = g_ptr_array_new_with_free_func(route_free);
+	routing->connections = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	routing->by_host = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						 (GDestroyNotify)g_ptr_array_unref);
+	return routing;
+}
+
+routing_t *routing_ref(routing_t *routing)
+{
+	routing->refs++;
+	return routing;
+}
+
+void routing_unref(routing_t *routing)
+{
+	if (!routing || --routing->refs)
+		return;
+	g_hash_table_unref(routing->by_host);
+	g_hash_table_unref(routing->connections);
+	g_ptr_array_unref(routing->routes);
+	g_free(routing);
+}
+
+route_t *routing_add(routing_t *routing)
+{
+	route_t *route = g_new0(route_t, 1);
+
+	route->targets = g_array_new(FALSE, TRUE, sizeof(route_target_t));
+	g_array_set_clear_func(route->targets, target_clear);
+	g_ptr_array_add(routing->routes, route);
+	return route;
+}
+
+void route_add_target(route_t *route, const char *service, double weight)
+{
+	const route_target_t target = {.service = g_strdup(service), .weight = weight};
+
+	g_array_append_val(route->targets, target);
+}
+
+void routing_set_connections(routing_t *routing, const char *service, uint32_t connections)
+{
+	g_hash_table_insert(routing->connections, g_strdup(service), GUINT_TO_POINTER(connections));
+}
+
+static gint longer_prefix_first(gconstpointer a, gconstpointer b)
+{
+	const route_t *left = *(route_t *const *)a, *right = *(route_t *const *)b;
+	size_t left_bytes = strlen(left->prefix), right_bytes = strlen(right->prefix);
+
+	return left_bytes == right_bytes ? 0 : left_bytes > right_bytes ? -1 : 1;
+}
+
+void routing_seal(routing_t *routing)
+{
+	GHashTableIter iter;
+	gpointer routes;
+
+	for (guint i = 0; i < routing->routes->len; i++) {
+		route_t *route = g_ptr_array_index(routing->routes, i);
+		GPtrArray *same = g_hash_table_lookup(routing->by_host, route->host);
+
+		if (!same) {
+			same = g_ptr_array_new();
+			g_hash_table_insert(routing->by_host, route->host, same);
+		}
+		g_ptr_array_add(same, route);
+	}
+	g_hash_table_iter_init(&iter, routing->by_host);
+	while (g_hash_table_iter_next(&iter, NULL, &routes))
+		g_ptr_array_sort(routes, longer_prefix_first);
+}
+
+const route_t *routing_match(const routing_t *routing, const char *host, const char *target)
+{
+	g_autofree char *name = g_ascii_strdown(host, (gssize)strcspn(host, ":"));
+	const GPtrArray *routes = g_hash_table_lookup(routing->by_host, name);
+	size_t path_bytes = strcspn(target, "?#");
+
+	for (guint i = 0; routes && i < routes->len; i++) {
+		const route_t *route = g_ptr_array_index(routes, i);
+		size_t prefix_bytes = strlen(route->prefix);
+
+		if (prefix_bytes <= path_bytes && !strncmp(target, route->prefix, prefix_bytes))
+			return route;
+	}
+	return NULL;
+}
+
+uint32_t routing_connections(const routing_t *routing, const char *service)
+{
+	return GPOINTER_TO_UINT(g_hash_table_lookup(routing->connections, service));
+}
--- /dev/null
+++ b/src/core/routing.h
@@ -0,0 +1,67 @@
+/**
+ * @file routing.h
+ * One version of the routes that operators accept: what a request may be forwarded to, and how long
+ * that may take. Immutable and shared by reference count.
+ */
+#ifndef DS_ROUTING_H
+#define DS_ROUTING_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/** One service that a route may use. */
+typedef struct route_target_t {
+	char *service;
+	double weight; /**< its share of the route's requests, relative to the others */
+} route_target_t;
+
+typedef struct route_t {
+	char *name;
+	char *host;   /**< without a port */
+	char *prefix; /**< of the path; begins and ends with a slash */
+	bool idempotent;
+	bool gathers;		/**< asks all targets and merges; else asks one of them */
+	uint32_t rank;		/**< 0 is served first */
+	uint32_t attempts_most; /**< searchers that may run one request, for each target */
+	uint64_t timeout_us;	/**< the longest that a caller is kept waiting */
+	uint64_t target_us;	/**< the time within which an answer is worth most */
+	uint32_t top;		/**< gathers: records in the answer */
+	double coverage_least;	/**< gathers: share of the targets that makes a success */
+	GArray *targets;	/**< route_target_t */
+} route_t;
+
+/** What callers may send, and how long they may take. */
+typedef struct caller_limits_t {
+	uint32_t head_bytes;
+	uint32_t body_bytes;
+	uint64_t receive_us;
+	uint64_t idle_us;
+} caller_limits_t;
+
+typedef struct routing_t {
+	gint refs;
+	uint64_t version;
+	GPtrArray *routes;	 /**< route_t */
+	GHashTable *connections; /**< service name to the connections that a searcher of it takes */
+	caller_limits_t limits;
+	GHashTable *by_host; /**< host to GPtrArray of route_t, longest prefix first */
+} routing_t;
+
+routing_t *routing_new(uint64_t version);
+routing_t *routing_ref(routing_t *routing);
+void routing_unref(routing_t *routing);
+
+/** A route to be filled in; it is the routing's from here on. */
+route_t *routing_add(routing_t *routing);
+void route_add_target(route_t *route, const char *service, double weight);
+void routing_set_connections(routing_t *routing, const char *service, uint32_t connections);
+/** Call once all routes are filled in. */
+void routing_seal(routing_t *routing);
+
+/** The route with the longest prefix of @p target's path for @p host, or NULL. */
+const route_t *routing_match(const routing_t *routing, const char *host, const char *target);
+/** Connections that one searcher of @p service takes from all VMs together; 0 if unknown. */
+uint32_t routing_connections(const routing_t *routing, const char *service);
+
+#endif
--- /dev/null
+++ b/src/core/searcher.c
@@ -0,0 +1,101 @@
+/**
+ * @file searcher.c
+ * See searcher.h.
+ */
+#include "core/searcher.h"
+
+/* The median moves by a fifth a sample: a searcher that turns eight times slower is known as such
+ * after a dozen answers, while one pause of 200 ms in 4.5 s hardly moves it. */
+#define LATENCY_STEP 0.2
+/* A searcher that failed is left alone for so long, doubled with each failure in a row. */
+#define AVOID_FIRST_US 100000
+#define AVOID_MOST_US 2000000
+/* One that refuses is full now; its queue of a dozen empties in about this time. */
+#define AVOID_FULL_US 40000
+
+void searcher_entry_clear(searcher_entry_t *entry)
+{
+	g_free(entry->id);
+	g_free(entry->service);
+	g_free(entry->address);
+	g_free(entry->data_centre);
+	*entry = (searcher_entry_t){0};
+}
+
+searcher_t *searcher_new(const searcher_entry_t *entry, distance_t distance, uint64_t now_us)
+{
+	searcher_t *searcher = g_new0(searcher_t, 1);
+
+	searcher->refs = 1;
+	searcher->id = g_strdup(entry->id);
+	searcher->service = g_strdup(entry->service);
+	searcher->address = g_strdup(entry->address);
+	searcher->port = entry->port;
+	searcher->data_centre = g_strdup(entry->data_centre);
+	searcher->slots = MAX(entry->slots, 1);
+	searcher->distance = distance;
+	searcher->cold_until_us = now_us + entry->cold_us;
+	searcher->latency = (quantile_t){.fraction = 0.5, .step = LATENCY_STEP};
+	searcher->connections_most = 1;
+	g_queue_init(&searcher->out);
+	return searcher;
+}
+
+searcher_t *searcher_ref(searcher_t *searcher)
+{
+	searcher->refs++;
+	return searcher;
+}
+
+void searcher_unref(searcher_t *searcher)
+{
+	if (!searcher || --searcher->refs)
+		return;
+	g_free(searcher->id);
+	g_free(searcher->service);
+	g_free(searcher->address);
+	g_free(searcher->data_centre);
+	g_free(searcher);
+}
+
+bool searcher_is_usable(const searcher_t *searcher)
+{
+	return searcher->state == SEARCHER_READY;
+}
+
+bool searcher_has_room(const searcher_t *searcher)
+{
+	return searcher->idle > 0 || searcher->connections < searcher->connections_most;
+}
+
+void searcher_note_answer(searcher_t *searcher, uint64_t latency_us, uint64_t now_us)
+{
+	quantile_add(&searcher->latency, latency_us);
+	searcher->sampled_us = now_us;
+	searcher->failures = 0;
+	searcher->avoid_until_us = 0;
+}
+
+void searcher_note_failure(searcher_t *searcher, uint64_t now_us)
+{
+	uint64_t avoid_us = AVOID_FIRST_US << MIN(searcher->failures, 8);
+
+	searcher->failures++;
+	searcher->avoid_until_us = now_us + MIN(avoid_us, AVOID_MOST_US);
+}
+
+void searcher_note_refusal(searcher_t *searcher, uint64_t now_us)
+{
+	searcher->avoid_until_us = MAX(searcher->avoid_until_us, now_us + AVOID_FULL_US);
+}
+
+const char *searcher_state_name(searcher_state_t state)
+{
+	static const char *const names[] = {
+		[SEARCHER_READY] = "ready",
+		[SEARCHER_DRAINING] = "draining",
+		[SEARCHER_GONE] = "gone",
+	};
+
+	return names[state];
+}
--- /dev/null
+++ b/src/core/searcher.h
@@ -0,0 +1,81 @@
+/**
+ * @file searcher.h
+ * One incarnation of a searcher as the registry knows it, and what this VM has measured of it.
+ */
+#ifndef DS_SEARCHER_H
+#define DS_SEARCHER_H
+
+#include "core/quantile.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef enum searcher_state_t {
+	SEARCHER_READY,
+	SEARCHER_DRAINING, /**< it leaves: nothing new */
+	SEARCHER_GONE,	   /**< no longer registered: nothing new */
+} searcher_state_t;
+
+/** Where it is, seen from this VM. */
+typedef enum distance_t {
+	DISTANCE_LOCAL,	 /**< this data centre */
+	DISTANCE_REGION, /**< another one of this region */
+	DISTANCE_FAR,
+} distance_t;
+
+/** What the registry says of a searcher; texts are owned by whoever made it. */
+typedef struct searcher_entry_t {
+	char *id; /**< unique to one start of the process */
+	char *service;
+	char *address; /**< an IP number */
+	uint16_t port;
+	char *data_centre;
+	uint32_t slots; /**< requests it works on at once */
+	bool draining;
+	uint64_t cold_us; /**< how much longer it is slow after its start */
+} searcher_entry_t;
+
+typedef struct searcher_t {
+	gint refs;
+	char *id;
+	char *service;
+	char *address;
+	uint16_t port;
+	char *data_centre;
+	uint32_t slots;
+	searcher_state_t state;
+	distance_t distance;
+	uint64_t cold_until_us;
+
+	quantile_t latency;	 /**< median of sent to answered */
+	uint64_t sampled_us;	 /**< when latency was last fed */
+	GQueue out;		 /**< attempts sent and not ended, oldest first */
+	uint32_t failures;	 /**< in a row, without an answer in between */
+	uint64_t avoid_until_us; /**< after failures: only if there is nobody else */
+
+	uint32_t idle;		   /**< open connections that carry nothing */
+	uint32_t connections;	   /**< all connections of this VM, opening ones too */
+	uint32_t connections_most; /**< this VM's share of what the searcher takes */
+	void *link;		   /**< the connections; set by the task that owns them */
+} searcher_t;
+
+void searcher_entry_clear(searcher_entry_t *entry);
+
+searcher_t *searcher_new(const searcher_entry_t *entry, distance_t distance, uint64_t now_us);
+searcher_t *searcher_ref(searcher_t *searcher);
+void searcher_unref(searcher_t *searcher);
+
+/** Whether it may be sent new work at all. */
+bool searcher_is_usable(const searcher_t *searcher);
+/** Whether a connection to it is free or may be opened. */
+bool searcher_has_room(const searcher_t *searcher);
+/** An answer came @p latency_us after the sending. */
+void searcher_note_answer(searcher_t *searcher, uint64_t latency_us, uint64_t now_us);
+/** A connection failed, or an answer was no answer. */
+void searcher_note_failure(searcher_t *searcher, uint64_t now_us);
+/** It refused without running the request. */
+void searcher_note_refusal(searcher_t *searcher, uint64_t now_us);
+const char *searcher_state_name(searcher_state_t state);
+
+#endif
--- a/src/dogwoodsaddled.c
+++ b/src/dogwoodsaddled.c
@@ -7,6 +7,7 @@
 #include "tasks/admin_task.h"
 #include "tasks/caller_task.h"
 #include "tasks/config_task.h"
+#include "tasks/front_task.h"
 #include "tasks/peer_task.h"
 #include "version.h"
 
@@ -17,6 +18,8 @@
 
 #define EXIT_BAD_SETTINGS 2
 #define STOP_CHECK_US 20000
+/* A planned stop ends by itself before the process is killed. */
+#define GRACE_MARGIN_US 150000
 
 const char *argp_program_version = "dogwoodsaddled " DS_VERSION;
 
@@ -36,13 +39,15 @@
 	peer_task_t *peers;
 	caller_task_t *callers;
 	admin_task_t *admin;
+	front_task_t *front; /* instead of the five before it, on a VM that forwards by routes */
 	status_source_t source;
 	loop_timer_t stop_timer;
 	uint64_t leaving_since_us;
 } daemon_t;
 
 static const struct argp_option options[] = {
-	{"config", 'c', "FILE", 0, "settings of this VM (INI)", 0},
+	{"config", 'c', "FILE", 0, "settings of this VM (INI); DOGWOODSADDLE_CONFIG names it too",
+	 0},
 	{"check", 'k', 0, 0, "check the settings and exit: 0 if they are right, 2 if not", 0},
 	{0},
 };
@@ -93,11 +98,19 @@
 	daemon_t *self = ctx;
 	uint64_t now = loop_now_us();
 	uint64_t quiet_us = (uint64_t)self->settings->quiet_ms * 1000;
+	bool idle = self->front ? front_task_open(self->front) == 0
+				: caller_task_open(self->callers) == 0 &&
+					  query_task_idle(self->queries);
+	uint64_t last_us = self->front ? front_task_last_request_us(self->front)
+				       : caller_task_last_request_us(self->callers);
 	bool drained = now - self->leaving_since_us >= (uint64_t)self->settings->drain_ms * 1000;
-	bool quiet = now - caller_task_last_request_us(self->callers) >= quiet_us;
+	bool quiet = now - last_us >= quiet_us;
+	bool over = now - self->leaving_since_us >=
+		    (uint64_t)self->settings->grace_s * 1000000 - GRACE_MARGIN_US;
 
-	if (drained && quiet && caller_task_open(self->callers) == 0 &&
-	    query_task_idle(self->queries)) {
+	if (self->front && drained)
+		front_task_close_idle(self->front);
+	if ((drained && quiet && idle) || over) {
 		timeline_add(self->timeline, "event=stopped");
 		loop_stop(self->loop);
 		return;
@@ -112,8 +125,12 @@
 	self->source.leaving = true;
 	self->leaving_since_us = loop_now_us();
 	timeline_add(self->timeline, "event=leaving drain_ms=%u", self->settings->drain_ms);
-	caller_task_leave(self->callers);
-	peer_task_leave(self->peers);
+	if (self->front) {
+		front_task_leave(self->front);
+	} else {
+		caller_task_leave(self->callers);
+		peer_task_leave(self->peers);
+	}
 	self->stop_timer = (loop_timer_t){.fire = check_stopped, .ctx = self};
 	loop_timer_set(self->loop, &self->stop_timer, STOP_CHECK_US);
 }
@@ -130,6 +147,7 @@
 	log_set_level(fresh->log_level);
 	self->settings->drain_ms = fresh->drain_ms;
 	self->settings->quiet_ms = fresh->quiet_ms;
+	self->settings->grace_s = fresh->grace_s;
 	g_free(self->settings->operators_token);
 	self->settings->operators_token = g_steal_pointer(&fresh->operators_token);
 	settings_free(fresh);
@@ -151,6 +169,19 @@
 	return gossip_is_watcher(peer_task_gossip(((daemon_t *)ctx)->peers));
 }
 
+static bool start_front(daemon_t *self)
+{
+	const endpoint_setting_t *store = &self->settings->front_store;
+
+	self->platform = platform_task_new(self->loop, store->address, store->port);
+	self->front = front_task_new(self->loop, self->settings, self->platform);
+	if (self->front)
+		return true;
+	g_warning("event=start-failed reason=listen address=%s port=%u",
+		  self->settings->front_callers.address, self->settings->front_callers.port);
+	return false;
+}
+
 static bool start_tasks(daemon_t *self)
 {
 	settings_t *settings = self->settings;
@@ -187,6 +218,7 @@
 					 0};
 	daemon_t self = {0};
 
+	self.arguments.config = getenv("DOGWOODSADDLE_CONFIG");
 	argp_parse(&argp, argc, argv, 0, NULL, &self.arguments);
 	self.settings = read_settings(self.arguments.config);
 	if (!self.settings)
@@ -199,7 +231,7 @@
 	self.timeline->sink = log_event;
 	timeline_add(self.timeline, "event=start version=%s data_centre=%s", DS_VERSION,
 		     self.settings->data_centre);
-	if (!start_tasks(&self))
+	if (!(self.settings->forwards ? start_front(&self) : start_tasks(&self)))
 		return 1;
 	loop_run(self.loop, on_signal, &self);
 	return 0;
--- /dev/null
+++ b/src/net/http_message.c
@@ -0,0 +1,333 @@
+/**
+ * @file http_message.c
+ * See http_message.h. http-parser's header and that of libwebsockets clash, so this file includes
+ * only the former.
+ */
+#include "net/http_message.h"
+
+#include <http_parser.h>
+#include <string.h>
+
+/* Lines of headers taken; more than any caller of ours sends. */
+#define HEADERS_MOST 100
+
+/* Where a text starts in `text`; offsets, because the buffer moves as it grows. */
+typedef struct header_place_t {
+	uint32_t name;
+	uint32_t value;
+} header_place_t;
+
+/* The head's bytes as they pass, to refuse what http-parser lets through. */
+typedef struct head_scan_t {
+	size_t bytes;
+	size_t line_bytes; /* of the line so far, without its end */
+	char before;
+	bool in_head;
+	bool any_line;
+} head_scan_t;
+
+struct http_message_t {
+	http_parser parser;
+	http_message_kind_t kind;
+	http_message_limits_t limits;
+	http_message_state_t state;
+	head_scan_t scan;
+	GString *text; /* NUL-ended texts: the target, then names and values */
+	header_place_t headers[HEADERS_MOST];
+	uint32_t header_count;
+	uint32_t target;
+	bool in_value;
+	bool has_head;
+	bool no_body;
+	GString *body;
+};
+
+static http_message_t *message_of(http_parser *parser)
+{
+	return parser->data;
+}
+
+static int add_target(http_parser *parser, const char *at, size_t length)
+{
+	g_string_append_len(message_of(parser)->text, at, (gssize)length);
+	return 0;
+}
+
+static int add_name(http_parser *parser, const char *at, size_t length)
+{
+	http_message_t *message = message_of(parser);
+
+	if (message->has_head) /* trailers are not headers */
+		return 0;
+	if (memchr(at, ' ', length) || memchr(at, '\t', length))
+		return -1;
+	if (message->in_value || message->header_count == 0) {
+		if (message->header_count == HEADERS_MOST)
+			return -1;
+		g_string_append_c(message->text, '\0');
+		message->in_value = false;
+		message->headers[message->header_count++].name = (uint32_t)message->text->len;
+	}
+	g_string_append_len(message->text, at, (gssize)length);
+	return 0;
+}
+
+static int add_value(http_parser *parser, const char *at, size_t length)
+{
+	http_message_t *message = message_of(parser);
+
+	if (message->has_head)
+		return 0;
+	if (!message->in_value) {
+		g_string_append_c(message->text, '\0');
+		message->in_value = true;
+		message->headers[message->header_count - 1].value = (uint32_t)message->text->len;
+	}
+	g_string_append_len(message->text, at, (gssize)length);
+	return 0;
+}
+
+static int end_head(http_parser *parser)
+{
+	http_message_t *message = message_of(parser);
+
+	message->has_head = true;
+	if (parser->http_major != 1)
+		return -1;
+	/* An offer to switch protocols is not taken; the request is served as it is. */
+	parser->upgrade = 0;
+	if (parser->content_length != UINT64_MAX &&
+	    parser->content_length > message->limits.body_bytes) {
+		message->state = HTTP_MESSAGE_BODY_TOO_LARGE;
+		return -1;
+	}
+	return message->no_body ? 1 : 0;
+}
+
+static int add_body(http_parser *parser, const char *at, size_t length)
+{
+	http_message_t *message = message_of(parser);
+
+	if (message->body->len + length > message->limits.body_bytes) {
+		message->state = HTTP_MESSAGE_BODY_TOO_LARGE;
+		return -1;
+	}
+	g_string_append_len(message->body, at, (gssize)length);
+	return 0;
+}
+
+static int end_message(http_parser *parser)
+{
+	message_of(parser)->state = HTTP_MESSAGE_WHOLE;
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static const http_parser_settings callbacks = {
+	.on_url = add_target,
+	.on_header_field = add_name,
+	.on_header_value = add_value,
+	.on_headers_complete = end_head,
+	.on_body = add_body,
+	.on_message_complete = end_message,
+};
+
+http_message_t *http_message_new(http_message_kind_t kind, http_message_limits_t limits)
+{
+	http_message_t *message = g_new0(http_message_t, 1);
+
+	message->kind = kind;
+	message->limits = limits;
+	message->text = g_string_sized_new(512);
+	message->body = g_string_sized_new(512);
+	http_message_reset(message);
+	return message;
+}
+
+void http_message_free(http_message_t *message)
+{
+	g_string_free(message->text, TRUE);
+	g_string_free(message->body, TRUE);
+	g_free(message);
+}
+
+void http_message_reset(http_message_t *message)
+{
+	http_parser_init(&message->parser,
+			 message->kind == HTTP_MESSAGE_REQUEST ? HTTP_REQUEST : HTTP_RESPONSE);
+	message->parser.data = message;
+	message->state = HTTP_MESSAGE_MORE;
+	message->scan = (head_scan_t){.in_head = true};
+	message->header_count = 0;
+	message->in_value = false;
+	message->has_head = false;
+	message->no_body = false;
+	g_string_truncate(message->text, 0);
+	g_string_truncate(message->body, 0);
+}
+
+void http_message_expect_no_body(http_message_t *message)
+{
+	message->no_body = true;
+}
+
+/* False when the head holds what another parser might read differently. */
+static bool scan_byte(head_scan_t *scan, char byte)
+{
+	char before = scan->before;
+
+	scan->before = byte;
+	scan->bytes++;
+	if (before == '\r' && byte != '\n')
+		return false;
+	if (byte == '\r')
+		return true;
+	if (byte != '\n') {
+		bool folded =
+			scan->line_bytes == 0 && scan->any_line && (byte == ' ' || byte == '\t');
+
+		scan->line_bytes++;
+		return !folded;
+	}
+	if (before != '\r')
+		return false;
+	if (scan->line_bytes == 0 && scan->any_line)
+		scan->in_head = false;
+	scan->any_line = scan->any_line || scan->line_bytes > 0;
+	scan->line_bytes = 0;
+	return true;
+}
+
+/* How many bytes of @p data belong to the head; sets the state when they are refused. */
+static size_t scan_head(http_message_t *message, const char *data, size_t bytes)
+{
+	size_t i = 0;
+
+	while (i < bytes && message->scan.in_head) {
+		if (!scan_byte(&message->scan, data[i++])) {
+			message->state = HTTP_MESSAGE_BAD;
+			return 0;
+		}
+		if (message->scan.bytes > message->limits.head_bytes) {
+			message->state = HTTP_MESSAGE_HEAD_TOO_LARGE;
+			return 0;
+		}
+	}
+	return i;
+}
+
+static size_t parse(http_message_t *message, const char *data, size_t bytes)
+{
+	size_t taken = http_parser_execute(&message->parser, &callbacks, data, bytes);
+
+	if (message->state == HTTP_MESSAGE_MORE && HTTP_PARSER_ERRNO(&message->parser) != HPE_OK)
+		message->state = HTTP_MESSAGE_BAD;
+	return taken;
+}
+
+/* Replies of the 100 range are announcements; the reply itself follows. */
+static bool is_interim(const http_message_t *message)
+{
+	return message->state == HTTP_MESSAGE_WHOLE && message->kind == HTTP_MESSAGE_REPLY &&
+	       message->parser.status_code / 100 == 1;
+}
+
+size_t http_message_feed(http_message_t *message, const char *data, size_t bytes)
+{
+	size_t taken = 0;
+
+	while (taken < bytes && message->state == HTTP_MESSAGE_MORE) {
+		size_t part = bytes - taken;
+
+		if (message->scan.in_head)
+			part = scan_head(message, data + taken, part);
+		if (message->state != HTTP_MESSAGE_MORE)
+			return taken;
+		taken += parse(message, data + taken, part);
+		if (is_interim(message)) {
+			bool no_body = message->no_body;
+
+			http_message_reset(message);
+			message->no_body = no_body;
+		}
+	}
+	return taken;
+}
+
+void http_message_feed_end(http_message_t *message)
+{
+	if (message->state == HTTP_MESSAGE_MORE && message->has_head)
+		parse(message, NULL, 0);
+	if (message->state == HTTP_MESSAGE_MORE)
+		message->state = HTTP_MESSAGE_BAD;
+}
+
+http_message_state_t http_message_state(const http_message_t *message)
+{
+	return message->state;
+}
+
+bool http_message_started(const http_message_t *message)
+{
+	return message->scan.bytes > 0;
+}
+
+bool http_message_has_head(const http_message_t *message)
+{
+	return message->has_head;
+}
+
+bool http_message_keeps_alive(const http_message_t *message)
+{
+	return message->state == HTTP_MESSAGE_WHOLE && http_should_keep_alive(&message->parser);
+}
+
+const char *http_message_method(const http_message_t *message)
+{
+	return http_method_str((enum http_method)message->parser.method);
+}
+
+const char *http_message_target(const http_message_t *message)
+{
+	return message->text->str + message->target;
+}
+
+int http_message_status(const http_message_t *message)
+{
+	return message->parser.status_code;
+}
+
+size_t http_message_header_count(const http_message_t *message)
+{
+	return message->header_count;
+}
+
+http_header_t http_message_header_at(const http_message_t *message, size_t index)
+{
+	const header_place_t *place = &message->headers[index];
+
+	return (http_header_t){.name = message->text->str + place->name,
+			       .value = message->text->str + place->value};
+}
+
+const char *http_message_header(const http_message_t *message, const char *name)
+{
+	for (uint32_t i = 0; i < message->header_count; i++)
+		if (!g_ascii_strcasecmp(message->text->str + message->headers[i].name, name))
+			return message->text->str + message->headers[i].value;
+	return NULL;
+}
+
+size_t http_message_header_times(const http_message_t *message, const char *name)
+{
+	size_t times = 0;
+
+	for (uint32_t i = 0; i < message->header_count; i++)
+		times += !g_ascii_strcasecmp(message->text->str + message->headers[i].name, name);
+	return times;
+}
+
+const GString *http_message_body(const http_message_t *message)
+{
+	return message->body;
+}
--- a/src/net/http_pool.h
+++ b/src/net/http_pool.h
@@ -3,8 +3,7 @@
  * HTTP client calls over numbered slots, each of which holds at most one connection to an endpoint.
  *
  * The caller picks a free slot; a slot is busy from http_call_start() until `finished`. So a bound
- * on slots is a bound on connections. libwebsockets looks up a connection to reuse per vhost, and
- * would queue a second request behind a busy one; hence one vhost a slot.
+ * on slots is a bound on connections.
  */
 #ifndef DS_HTTP_POOL_H
 #define DS_HTTP_POOL_H
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -4,58 +4,62 @@
  */
 #include "net/http_server.h"
 
-#include "net/socket_state.h"
+#include "net/sock.h"
 
-#include <stdlib.h>
 #include <string.h>
 
-#define HEADER_SPACE_BYTES 2048
-#define PATH_LIMIT_BYTES 1024
-#define GONE_CHECK_US 5000
+/* How often connections are looked over for their time limits: a tenth of the shortest of them. */
+#define SWEEP_US 250000
+/* A closing connection waits so long for the peer's end, so that the last reply is not lost to a
+ * reset caused by bytes still on their way. Above any round trip, far below a planned stop. */
+#define LINGER_US 1000000
+/* A caller who takes none of its reply for so long is given up. */
+#define UNREAD_REPLY_US 30000000
+/* Bytes kept of requests that follow one being answered; one that sends more is cut off. */
+#define PIPELINED_MOST_BYTES (1u << 20)
+
+/* One accepted connection. */
+typedef struct connection_t {
+	http_server_t *server;
+	sock_t *sock;
+	http_message_t *message;   /* the request being received */
+	http_exchange_t *exchange; /* the one being answered */
+	GByteArray *pipelined;	   /* received while one is being answered; NULL when nothing */
+	uint64_t serial;
+	uint64_t since_us; /* when it began to idle, to receive, to reply or to linger */
+	bool lingering;
+	bool feeding;
+	GList link; /* in the server's list */
+} connection_t;
 
 struct http_server_t {
 	const http_server_ops_t *ops;
 	void *ctx;
 	loop_t *loop;
-	struct lws_vhost *vhost;
-	struct lws_protocols protocols[2];
-	uint32_t connections;
+	http_server_limits_t limits;
+	GQueue connections;
 	uint32_t connections_peak;
 	uint32_t open_exchanges;
-	uint64_t last_connection;
-	GPtrArray *waiting; /* http_exchange_t delivered and not replied to */
-	loop_timer_t gone_check;
+	uint64_t last_serial;
+	loop_timer_t sweep;
 	bool leaving;
 };
 
 struct http_exchange_t {
 	gint refs;
 	http_server_t *server;
-	struct lws *wsi; /* NULL once the caller has gone */
-	const char *method;
-	char *path;
-	GHashTable *params;
-	GHashTable *headers;
-	GString *body;
-	size_t body_expected_bytes;
+	connection_t *connection; /* NULL once the caller has gone */
+	http_message_t *message;
+	char *path;	    /* decoded when first asked for */
+	GHashTable *params; /* likewise */
+	GPtrArray *joined;  /* values of repeated headers */
 	void *data;
-	uint64_t connection;
-	bool delivered;
+	uint64_t serial;
+	uint64_t begun_us;
 	bool replied;
-	bool close_after;
-	bool written; /* handed to libwebsockets, perhaps not yet to the kernel */
-	int status;
-	const char *content_type;
-	GString *reply_headers; /* "name:\0value\0" pairs */
-	GString *reply;
+	GString *reply_headers; /* whole lines; NULL when none */
 };
 
-/* libwebsockets gives a fresh one for each request on a connection. */
-typedef struct session_t {
-	http_exchange_t *exchange;
-	bool close_after; /* once the reply is flushed */
-} session_t;
-
 http_exchange_t *http_exchange_ref(http_exchange_t *exchange)
 {
 	exchange->refs++;
@@ -67,42 +71,89 @@
 	if (--exchange->refs)
 		return;
 	g_free(exchange->path);
-	g_hash_table_unref(exchange->params);
-	g_hash_table_unref(exchange->headers);
-	g_string_free(exchange->body, TRUE);
-	g_string_free(exchange->reply_headers, TRUE);
-	g_string_free(exchange->reply, TRUE);
+	if (exchange->params)
+		g_hash_table_unref(exchange->params);
+	if (exchange->joined)
+		g_ptr_array_unref(exchange->joined);
+	if (exchange->reply_headers)
+		g_string_free(exchange->reply_headers, TRUE);
+	http_message_free(exchange->message);
 	g_free(exchange);
 }
 
+const http_message_t *http_exchange_message(const http_exchange_t *exchange)
+{
+	return exchange->message;
+}
+
 const char *http_exchange_method(const http_exchange_t *exchange)
 {
-	return exchange->method;
+	return http_message_method(exchange->message);
 }
 
-const char *http_exchange_path(const http_exchange_t *exchange)
+static size_t path_bytes(const char *target)
 {
+	return strcspn(target, "?#");
+}
+
+const char *http_exchange_path(http_exchange_t *exchange)
+{
+	const char *target = http_message_target(exchange->message);
+
+	if (exchange->path)
+		return exchange->path;
+	exchange->path = g_uri_unescape_segment(target, target + path_bytes(target), NULL);
+	if (!exchange->path) /* a NUL or a broken escape: no path of ours */
+		exchange->path = g_strdup("");
 	return exchange->path;
 }
 
-const char *http_exchange_header(const http_exchange_t *exchange, const char *name)
+const char *http_exchange_header(http_exchange_t *exchange, const char *name)
 {
-	return g_hash_table_lookup(exchange->headers, name);
+	GString *all;
+
+	if (http_message_header_times(exchange->message, name) < 2)
+		return http_message_header(exchange->message, name);
+	all = g_string_new(NULL);
+	for (size_t i = 0; i < http_message_header_count(exchange->message); i++) {
+		http_header_t header = http_message_header_at(exchange->message, i);
+
+		if (g_ascii_strcasecmp(header.name, name))
+			continue;
+		g_string_append_printf(all, "%s%s", all->len ? "," : "", header.value);
+	}
+	if (!exchange->joined)
+		exchange->joined = g_ptr_array_new_with_free_func(g_free);
+	g_ptr_array_add(exchange->joined, g_string_free(all, FALSE));
+	return g_ptr_array_index(exchange->joined, exchange->joined->len - 1);
 }
 
-const char *http_exchange_param(const http_exchange_t *exchange, const char *name)
+const char *http_exchange_param(http_exchange_t *exchange, const char *name)
 {
+	const char *target = http_message_target(exchange->message);
+	const char *query = target + path_bytes(target);
+
+	if (!exchange->params)
+		exchange->params = g_uri_parse_params(*query == '?' ? query + 1 : "", -1, "&",
+						      G_URI_PARAMS_WWW_FORM, NULL);
+	if (!exchange->params) /* a broken escape: no parameter is taken from such a query */
+		exchange->params = g_hash_table_new(g_str_hash, g_str_equal);
 	return g_hash_table_lookup(exchange->params, name);
 }
 
 uint64_t http_exchange_connection(const http_exchange_t *exchange)
 {
-	return exchange->connection;
+	return exchange->serial;
 }
 
 const GString *http_exchange_body(const http_exchange_t *exchange)
 {
-	return exchange->body;
+	return http_message_body(exchange->message);
+}
+
+uint64_t http_exchange_begun_us(const http_exchange_t *exchange)
+{
+	return exchange->begun_us;
 }
 
 void http_exchange_set_data(http_exchange_t *exchange, void *data)
@@ -117,370 +168,376 @@
 
 void http_exchange_add_header(http_exchange_t *exchange, const char *name, const char *value)
 {
-	g_string_append_len(exchange->reply_headers, name, strlen(name) + 1);
-	g_string_append_len(exchange->reply_headers, value, strlen(value) + 1);
+	if (!exchange->reply_headers)
+		exchange->reply_headers = g_string_new(NULL);
+	g_string_append_printf(exchange->reply_headers, "%s: %s\r\n", name, value);
+}
+
+void http_exchange_add_lines(http_exchange_t *exchange, const char *lines)
+{
+	if (!exchange->reply_headers)
+		exchange->reply_headers = g_string_new(NULL);
+	g_string_append(exchange->reply_headers, lines);
+}
+
+static const char *reason_of(int status)
+{
+	switch (status) {
+	case 200:
+		return "OK";
+	case 400:
+		return "Bad Request";
+	case 404:
+		return "Not Found";
+	case 408:
+		return "Request Timeout";
+	case 413:
+		return "Content Too Large";
+	case 429:
+		return "Too Many Requests";
+	case 431:
+		return "Request Header Fields Too Large";
+	case 502:
+		return "Bad Gateway";
+	case 503:
+		return "Service Unavailable";
+	case 504:
+		return "Gateway Timeout";
+	default:
+		return "Status";
+	}
 }
 
-void http_exchange_reply(http_exchange_t *exchange, int status, const char *content_type,
-			 const char *body, size_t body_bytes)
+static bool is_head(const http_exchange_t *exchange)
 {
-	g_return_if_fail(!exchange->replied);
-	exchange->replied = true;
-	exchange->status = status;
-	exchange->content_type = content_type;
-	g_string_append_len(exchange->reply, body, body_bytes);
-	if (exchange->wsi)
-		lws_callback_on_writable(exchange->wsi);
+	return g_str_equal(http_exchange_method(exchange), "HEAD");
 }
 
-static void reply_error(http_exchange_t *exchange, int status, const char *detail)
+static void linger(connection_t *connection)
 {
-	const http_server_t *server = exchange->server;
-	g_autofree char *body = NULL;
-
-	exchange->close_after = true;
-	if (server->ops->error_body)
-		body = server->ops->error_body(server->ctx, status, detail);
-	http_exchange_reply(exchange, status, "application/problem+json", body ? body : detail,
-			    strlen(body ? body : detail));
+	connection->lingering = true;
+	connection->since_us = loop_now_us();
+	sock_shutdown(connection->sock);
 }
 
-static const char *method_name(int index)
-{
-	static const char *const names[] = {
-		[LWSHUMETH_GET] = "GET",	 [LWSHUMETH_POST] = "POST",
-		[LWSHUMETH_OPTIONS] = "OPTIONS", [LWSHUMETH_PUT] = "PUT",
-		[LWSHUMETH_PATCH] = "PATCH",	 [LWSHUMETH_DELETE] = "DELETE",
-		[LWSHUMETH_CONNECT] = "CONNECT", [LWSHUMETH_HEAD] = "HEAD",
-	};
+/* ---- the end of an exchange ---- */
 
-	if (index < 0 || (size_t)index >= G_N_ELEMENTS(names) || !names[index])
-		return "OTHER";
-	return names[index];
-}
+static void feed(connection_t *connection, const char *data, size_t bytes);
 
-static void keep_token_header(http_exchange_t *exchange, const char *name,
-			      enum lws_token_indexes token)
+static void feed_pipelined(connection_t *connection)
 {
-	int length = lws_hdr_total_length(exchange->wsi, token);
-	g_autofree char *value = NULL;
+	GByteArray *pipelined = connection->pipelined;
 
-	if (length <= 0)
+	connection->pipelined = NULL;
+	if (!pipelined)
 		return;
-	value = g_malloc0((gsize)length + 1);
-	if (lws_hdr_copy(exchange->wsi, value, length + 1, token) >= 0)
-		g_hash_table_insert(exchange->headers, g_strdup(name), g_steal_pointer(&value));
+	feed(connection, (const char *)pipelined->data, pipelined->len);
+	g_byte_array_unref(pipelined);
 }
 
-static void keep_custom_header(http_exchange_t *exchange, const char *name)
+static void end_exchange(connection_t *connection)
 {
-	int length = lws_hdr_custom_length(exchange->wsi, name, (int)strlen(name));
-	g_autofree char *value = NULL;
+	http_exchange_t *exchange = connection->exchange;
 
-	if (length < 0)
-		return;
-	value = g_malloc0((gsize)length + 1);
-	if (lws_hdr_custom_copy(exchange->wsi, value, length + 1, name, (int)strlen(name)) >= 0)
-		g_hash_table_insert(exchange->headers, g_strdup(name),
-				    g_strstrip(g_steal_pointer(&value)));
+	connection->exchange = NULL;
+	connection->since_us = loop_now_us();
+	exchange->connection = NULL;
+	exchange->server->open_exchanges--;
+	http_exchange_unref(exchange);
 }
 
-static void keep_headers(http_exchange_t *exchange)
+static void write_reply(http_exchange_t *exchange, int status, const char *content_type,
+			const char *body, size_t body_bytes, bool close_after)
 {
-	const char *const *name = exchange->server->ops->headers;
+	GString *text = g_string_sized_new(256 + body_bytes);
 
-	keep_token_header(exchange, "authorization:", WSI_TOKEN_HTTP_AUTHORIZATION);
-	keep_token_header(exchange, "content-type:", WSI_TOKEN_HTTP_CONTENT_TYPE);
-	for (; name && *name; name++)
-		keep_custom_header(exchange, *name);
+	g_string_append_printf(text, "HTTP/1.1 %d %s\r\n", status, reason_of(status));
+	if (content_type)
+		g_string_append_printf(text, "Content-Type: %s\r\n", content_type);
+	if (exchange->reply_headers)
+		g_string_append_len(text, exchange->reply_headers->str,
+				    (gssize)exchange->reply_headers->len);
+	if (close_after)
+		g_string_append(text, "Connection: close\r\n");
+	g_string_append_printf(text, "Content-Length: %zu\r\n\r\n", body_bytes);
+	if (!is_head(exchange))
+		g_string_append_len(text, body, (gssize)body_bytes);
+	sock_write(exchange->connection->sock, text->str, text->len);
+	g_string_free(text, TRUE);
 }
 
-static void keep_params(http_exchange_t *exchange)
+void http_exchange_reply(http_exchange_t *exchange, int status, const char *content_type,
+			 const char *body, size_t body_bytes)
 {
-	char fragment[PATH_LIMIT_BYTES];
+	connection_t *connection = exchange->connection;
+	bool close_after;
+
+	g_return_if_fail(!exchange->replied);
+	exchange->replied = true;
+	if (!connection)
+		return;
+	close_after = exchange->server->leaving || !http_message_keeps_alive(exchange->message);
+	write_reply(exchange, status, content_type, body, body_bytes, close_after);
+	connection->since_us = loop_now_us();
+	if (close_after)
+		linger(connection);
+	/* Counted as done before a slow caller has it all, a planned stop would cut it short. */
+	if (!sock_is_flushed(connection->sock))
+		return;
+	end_exchange(connection);
+	if (!connection->feeding)
+		feed_pipelined(connection);
+}
 
-	for (int i = 0; lws_hdr_copy_fragment(exchange->wsi, fragment, sizeof(fragment),
-					      WSI_TOKEN_HTTP_URI_ARGS, i) > 0;
-	     i++) {
-		char *equals = strchr(fragment, '=');
+/* ---- requests ---- */
 
-		if (!equals)
-			continue;
-		*equals = '\0';
-		g_hash_table_insert(exchange->params, g_strdup(fragment), g_strdup(equals + 1));
-	}
+/* The fault is answered on this connection, which can't carry another request. */
+static void refuse(connection_t *connection, int status, const char *detail)
+{
+	http_server_t *server = connection->server;
+	g_autofree char *body = NULL;
+	http_exchange_t fault = {
+		.server = server, .connection = connection, .message = connection->message};
+
+	if (server->ops->error_body)
+		body = server->ops->error_body(server->ctx, status, detail);
+	g_info("event=request-refused status=%d connection=%" G_GUINT64_FORMAT " reason=\"%s\"",
+	       status, connection->serial, detail);
+	write_reply(&fault, status, body ? "application/problem+json" : "text/plain",
+		    body ? body : detail, strlen(body ? body : detail), true);
+	linger(connection);
 }
 
-static http_exchange_t *exchange_new(http_server_t *server, struct lws *wsi)
+static void begin_exchange(connection_t *connection)
 {
+	http_server_t *server = connection->server;
 	http_exchange_t *exchange = g_new0(http_exchange_t, 1);
-	char *uri = NULL;
-	int uri_bytes = 0;
 
 	exchange->refs = 1;
 	exchange->server = server;
-	exchange->wsi = wsi;
-	exchange->method = method_name(lws_http_get_uri_and_method(wsi, &uri, &uri_bytes));
-	exchange->path = uri ? g_strndup(uri, (gsize)uri_bytes) : g_strdup("/");
-	exchange->params = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	exchange->headers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	exchange->body = g_string_new(NULL);
-	exchange->reply_headers = g_string_new(NULL);
-	exchange->reply = g_string_new(NULL);
-	keep_headers(exchange);
-	keep_params(exchange);
+	exchange->connection = connection;
+	exchange->message = connection->message;
+	exchange->serial = connection->serial;
+	exchange->begun_us = connection->since_us;
+	connection->message = http_message_new(HTTP_MESSAGE_REQUEST, server->limits.message);
+	connection->exchange = exchange;
 	server->open_exchanges++;
-	return exchange;
+	http_exchange_ref(exchange);
+	server->ops->request(server->ctx, exchange);
+	http_exchange_unref(exchange);
 }
 
-static void session_drop(session_t *session)
+static bool lacks_length(const connection_t *connection)
 {
-	http_exchange_t *exchange = session->exchange;
-	http_server_t *server;
-
-	if (!exchange)
-		return;
-	session->exchange = NULL;
-	server = exchange->server;
-	g_ptr_array_remove_fast(server->waiting, exchange);
-	server->open_exchanges--;
-	exchange->wsi = NULL;
-	if (exchange->delivered && !exchange->replied && server->ops->gone)
-		server->ops->gone(server->ctx, exchange);
-	http_exchange_unref(exchange);
+	return connection->server->ops->needs_length &&
+	       http_message_has_head(connection->message) &&
+	       http_message_header(connection->message, "Transfer-Encoding");
 }
 
-/*
- * libwebsockets 4.1 does not read from a connection whose request is being answered, yet polls it:
- * a caller who leaves is not noticed, and the loop spins until the reply is written. So the kernel
- * is asked who has gone, and such a connection is closed. (Switching reading off meanwhile by
- * lws_rx_flow_control() was tried: replies then stayed unsent.)
- */
-static void check_gone(void *ctx)
+/* Acts on what has been received so far; false when no more is to be read. */
+static bool take_state(connection_t *connection)
 {
-	http_server_t *server = ctx;
-
-	for (guint i = server->waiting->len; i-- > 0;) {
-		http_exchange_t *exchange = g_ptr_array_index(server->waiting, i);
-
-		if (!socket_peer_closed(lws_get_socket_fd(exchange->wsi)))
-			continue;
-		g_ptr_array_remove_index_fast(server->waiting, i);
-		lws_set_timeout(exchange->wsi, PENDING_TIMEOUT_CLOSE_SEND, LWS_TO_KILL_ASYNC);
+	if (lacks_length(connection)) {
+		refuse(connection, 411, "Content-Length is required");
+		return false;
+	}
+	switch (http_message_state(connection->message)) {
+	case HTTP_MESSAGE_MORE:
+		return true;
+	case HTTP_MESSAGE_WHOLE:
+		begin_exchange(connection);
+		return true;
+	case HTTP_MESSAGE_BAD:
+		refuse(connection, 400, "this is not a request in HTTP/1.1");
+		return false;
+	case HTTP_MESSAGE_HEAD_TOO_LARGE:
+		refuse(connection, 431, "the headers are larger than this server takes");
+		return false;
+	case HTTP_MESSAGE_BODY_TOO_LARGE:
+		refuse(connection, 413, "the body is larger than this server takes");
+		return false;
 	}
-	if (server->waiting->len)
-		loop_timer_set(server->loop, &server->gone_check, GONE_CHECK_US);
+	return false;
 }
 
-static void wait_for_reply(http_exchange_t *exchange)
+static void keep_pipelined(connection_t *connection, const char *data, size_t bytes)
 {
-	http_server_t *server = exchange->server;
+	if (!connection->pipelined)
+		connection->pipelined = g_byte_array_new();
+	g_byte_array_append(connection->pipelined, (const guint8 *)data, (guint)bytes);
+}
+
+static void feed(connection_t *connection, const char *data, size_t bytes)
+{
+	connection->feeding = true;
+	while (bytes && !connection->exchange && !connection->lingering) {
+		size_t taken;
 
-	g_ptr_array_add(server->waiting, exchange);
-	if (server->waiting->len == 1)
-		loop_timer_set(server->loop, &server->gone_check, GONE_CHECK_US);
+		if (!http_message_started(connection->message))
+			connection->since_us = loop_now_us();
+		taken = http_message_feed(connection->message, data, bytes);
+		data += taken;
+		bytes -= taken;
+		if (!take_state(connection))
+			break;
+	}
+	connection->feeding = false;
+	if (bytes && connection->exchange)
+		keep_pipelined(connection, data, bytes);
 }
 
-static void deliver(http_exchange_t *exchange)
+/* ---- connections ---- */
+
+static void connection_free(connection_t *connection)
 {
-	if (exchange->replied || exchange->delivered)
-		return;
-	exchange->delivered = true;
-	exchange->server->ops->request(exchange->server->ctx, exchange);
-	if (!exchange->replied)
-		wait_for_reply(exchange);
+	g_queue_unlink(&connection->server->connections, &connection->link);
+	http_message_free(connection->message);
+	if (connection->pipelined)
+		g_byte_array_unref(connection->pipelined);
+	g_free(connection);
 }
 
-static int on_request(http_server_t *server, session_t *session, struct lws *wsi)
+static void on_received(void *ctx, const char *data, size_t bytes)
 {
-	http_exchange_t *exchange;
-	char length[24];
+	connection_t *connection = ctx;
 
-	session_drop(session);
-	exchange = session->exchange = exchange_new(server, wsi);
-	exchange->connection = GPOINTER_TO_UINT(lws_get_opaque_user_data(wsi));
-	if (!g_str_equal(exchange->method, "POST") && !g_str_equal(exchange->method, "PUT")) {
-		deliver(exchange);
-		return 0;
-	}
-	if (lws_hdr_copy(wsi, length, sizeof(length), WSI_TOKEN_HTTP_CONTENT_LENGTH) <= 0) {
-		reply_error(exchange, 411, "Content-Length is required");
-		return 0;
-	}
-	exchange->body_expected_bytes = strtoull(length, NULL, 10);
-	if (exchange->body_expected_bytes > server->ops->body_limit_bytes) {
-		reply_error(exchange, 413, "the body is larger than this server takes");
-		return 0;
+	if (connection->lingering)
+		return;
+	if (!connection->exchange) {
+		feed(connection, data, bytes);
+		return;
 	}
-	if (exchange->body_expected_bytes == 0) {
-		deliver(exchange);
-		return 0;
+	keep_pipelined(connection, data, bytes);
+	if (connection->pipelined->len > PIPELINED_MOST_BYTES) {
+		g_info("event=caller-cut connection=%" G_GUINT64_FORMAT " reason=pipelined-bytes",
+		       connection->serial);
+		linger(connection);
 	}
-	if (server->ops->body_timeout_us)
-		lws_set_timer_usecs(wsi, (lws_usec_t)server->ops->body_timeout_us);
-	return 0;
 }
 
-static void on_body(session_t *session, const void *in, size_t len)
+static void on_flushed(void *ctx)
 {
-	http_exchange_t *exchange = session->exchange;
+	connection_t *connection = ctx;
 
-	if (!exchange || exchange->replied || exchange->delivered)
-		return;
-	g_string_append_len(exchange->body, in, (gssize)len);
-	if (exchange->body->len < exchange->body_expected_bytes)
+	if (!connection->exchange || !connection->exchange->replied)
 		return;
-	lws_set_timer_usecs(exchange->wsi, LWS_SET_TIMER_USEC_CANCEL);
-	deliver(exchange);
+	end_exchange(connection);
+	feed_pipelined(connection);
 }
 
-/*
- * A slow caller leaves part of the reply with libwebsockets. Counting the exchange as done then
- * would let a planned stop end the process and cut the reply short.
- */
-static int finish_reply(session_t *session, struct lws *wsi)
+static void on_ended(void *ctx, sock_end_t end)
 {
-	if (lws_partial_buffered(wsi)) {
-		lws_callback_on_writable(wsi);
-		return 0;
-	}
-	session_drop(session);
-	if (session->close_after)
-		return -1;
-	return lws_http_transaction_completed(wsi) ? -1 : 0;
-}
-
-static int write_reply(session_t *session, struct lws *wsi)
-{
-	http_exchange_t *exchange = session->exchange;
-	size_t space_bytes = LWS_PRE + HEADER_SPACE_BYTES + exchange->reply->len;
-	g_autofree unsigned char *buffer = g_malloc(space_bytes);
-	unsigned char *start = buffer + LWS_PRE, *p = start;
-	unsigned char *end = buffer + LWS_PRE + HEADER_SPACE_BYTES;
-	const char *name = exchange->reply_headers->str;
-	const char *names_end = name + exchange->reply_headers->len;
-	bool close_after = exchange->close_after || exchange->server->leaving;
-
-	if (lws_add_http_common_headers(wsi, (unsigned int)exchange->status, exchange->content_type,
-					exchange->reply->len, &p, end))
-		return -1;
-	while (name < names_end) {
-		const char *value = name + strlen(name) + 1;
-
-		if (lws_add_http_header_by_name(wsi, (const unsigned char *)name,
-						(const unsigned char *)value, (int)strlen(value),
-						&p, end))
-			return -1;
-		name = value + strlen(value) + 1;
+	connection_t *connection = ctx;
+	http_server_t *server = connection->server;
+	http_exchange_t *exchange = connection->exchange;
+
+	(void)end;
+	if (exchange) {
+		bool told = exchange->replied;
+
+		http_exchange_ref(exchange);
+		end_exchange(connection);
+		if (!told && server->ops->gone)
+			server->ops->gone(server->ctx, exchange);
+		http_exchange_unref(exchange);
 	}
-	if (close_after && lws_add_http_header_by_name(wsi, (const unsigned char *)"connection:",
-						       (const unsigned char *)"close", 5, &p, end))
-		return -1;
-	if (lws_finalize_http_header(wsi, &p, end))
-		return -1;
-	memcpy(p, exchange->reply->str, exchange->reply->len);
-	p += exchange->reply->len;
-	if (lws_write(wsi, start, (size_t)(p - start), LWS_WRITE_HTTP_HEADERS) < 0)
-		return -1;
-	exchange->written = true;
-	session->close_after = close_after;
-	return finish_reply(session, wsi);
+	connection_free(connection);
 }
 
-static bool accept_connection(http_server_t *server)
+static const sock_ops_t connection_ops = {
+	.received = on_received, .flushed = on_flushed, .ended = on_ended};
+
+static void on_accepted(void *ctx, sock_t *sock)
 {
-	return !server->ops->connection_limit ||
-	       server->connections < server->ops->connection_limit;
+	http_server_t *server = ctx;
+	connection_t *connection;
+
+	if (server->ops->connection_limit &&
+	    server->connections.length >= server->ops->connection_limit) {
+		sock_close(sock);
+		return;
+	}
+	connection = g_new0(connection_t, 1);
+	connection->server = server;
+	connection->sock = sock;
+	connection->message = http_message_new(HTTP_MESSAGE_REQUEST, server->limits.message);
+	connection->serial = ++server->last_serial;
+	connection->since_us = loop_now_us();
+	connection->link.data = connection;
+	g_queue_push_tail_link(&server->connections, &connection->link);
+	server->connections_peak = MAX(server->connections_peak, server->connections.length);
+	sock_set_ops(sock, &connection_ops, connection);
 }
 
-/* The connection's serial number is kept where it outlives the single request. */
-static void connection_opened(http_server_t *server, struct lws *wsi)
+static void drop(connection_t *connection)
 {
-	lws_set_opaque_user_data(wsi, GUINT_TO_POINTER(++server->last_connection));
-	server->connections++;
-	server->connections_peak = MAX(server->connections_peak, server->connections);
+	sock_close(connection->sock);
+	on_ended(connection, SOCK_CLOSED);
 }
 
-static void connection_closed(http_server_t *server, struct lws *wsi)
+static void check_limits(connection_t *connection, uint64_t now_us)
 {
-	if (!lws_get_opaque_user_data(wsi))
+	const http_server_limits_t *limits = &connection->server->limits;
+	uint64_t age_us = now_us - connection->since_us;
+	bool unread = connection->exchange && connection->exchange->replied;
+
+	if (unread) {
+		if (age_us > UNREAD_REPLY_US)
+			drop(connection);
+	} else if (connection->lingering) {
+		if (age_us > LINGER_US)
+			drop(connection);
+	} else if (connection->exchange) {
 		return;
-	lws_set_opaque_user_data(wsi, NULL);
-	server->connections--;
-}
-
-static int on_event(struct lws *wsi, enum lws_callback_reasons reason, void *user, void *in,
-		    size_t len)
-{
-	struct lws_vhost *vhost = lws_get_vhost(wsi);
-	http_server_t *server = vhost ? lws_vhost_user(vhost) : NULL;
-	session_t *session = user;
-
-	switch (reason) {
-	case LWS_CALLBACK_FILTER_NETWORK_CONNECTION:
-		return accept_connection(server) ? 0 : -1;
-	case LWS_CALLBACK_SERVER_NEW_CLIENT_INSTANTIATED:
-		connection_opened(server, wsi);
-		return 0;
-	case LWS_CALLBACK_WSI_DESTROY:
-		connection_closed(server, wsi);
-		return 0;
-	case LWS_CALLBACK_HTTP:
-		return on_request(server, session, wsi);
-	case LWS_CALLBACK_HTTP_BODY:
-		on_body(session, in, len);
-		return 0;
-	case LWS_CALLBACK_TIMER:
-		if (session->exchange && !session->exchange->delivered &&
-		    !session->exchange->replied)
-			reply_error(session->exchange, 408, "the body did not arrive in time");
-		return 0;
-	case LWS_CALLBACK_HTTP_WRITEABLE:
-		if (!session->exchange || !session->exchange->replied)
-			return 0;
-		return session->exchange->written ? finish_reply(session, wsi)
-						  : write_reply(session, wsi);
-	case LWS_CALLBACK_CLOSED_HTTP:
-		if (session)
-			session_drop(session);
-		return 0;
-	default:
-		return 0;
+	} else if (http_message_started(connection->message)) {
+		if (age_us > limits->receive_us)
+			refuse(connection, 408, "the request did not arrive in time");
+	} else if (age_us > limits->idle_us) {
+		drop(connection);
+	}
+}
+
+static void sweep(void *ctx)
+{
+	http_server_t *server = ctx;
+	uint64_t now_us = loop_now_us();
+	GList *next;
+
+	for (GList *item = server->connections.head; item; item = next) {
+		next = item->next;
+		check_limits(item->data, now_us);
 	}
+	loop_timer_set(server->loop, &server->sweep, SWEEP_US);
 }
 
 http_server_t *http_server_new(loop_t *loop, const char *address, uint16_t port,
-			       const http_server_ops_t *ops, void *ctx)
+			       const http_server_limits_t *limits, const http_server_ops_t *ops,
+			       void *ctx)
 {
 	http_server_t *server = g_new0(http_server_t, 1);
-	struct lws_context_creation_info info = {
-		.port = port,
-		.iface = address,
-		.protocols = server->protocols,
-		.user = server,
-		.keepalive_timeout = 60,
-		.timeout_secs = 10,
-		.vhost_name = "server",
-	};
 
 	server->ops = ops;
 	server->ctx = ctx;
 	server->loop = loop;
-	server->waiting = g_ptr_array_new();
-	server->gone_check = (loop_timer_t){.fire = check_gone, .ctx = server};
-	server->protocols[0] = (struct lws_protocols){
-		.name = "http", .callback = on_event, .per_session_data_size = sizeof(session_t)};
-	server->vhost = lws_create_vhost(loop_context(loop), &info);
-	if (!server->vhost) {
+	server->limits = *limits;
+	g_queue_init(&server->connections);
+	server->sweep = (loop_timer_t){.fire = sweep, .ctx = server};
+	if (!listener_new(loop, address, port, on_accepted, server)) {
 		g_free(server);
 		return NULL;
 	}
+	loop_timer_set(loop, &server->sweep, SWEEP_US);
 	return server;
 }
 
+void http_server_set_limits(http_server_t *server, const http_server_limits_t *limits)
+{
+	server->limits = *limits;
+}
+
 uint32_t http_server_connections(const http_server_t *server)
 {
-	return server->connections;
+	return server->connections.length;
 }
 
 uint32_t http_server_connections_peak(const http_server_t *server)
@@ -493,6 +550,17 @@
 	server->leaving = true;
 }
 
+void http_server_close_idle(http_server_t *server)
+{
+	for (GList *item = server->connections.head; item; item = item->next) {
+		connection_t *connection = item->data;
+
+		if (!connection->exchange && !connection->lingering &&
+		    !http_message_started(connection->message))
+			linger(connection);
+	}
+}
+
 uint32_t http_server_open_exchanges(const http_server_t *server)
 {
 	return server->open_exchanges;
@@ -500,5 +568,5 @@
 
 uint64_t http_server_connections_serial(const http_server_t *server)
 {
-	return server->last_connection;
+	return server->last_serial;
 }
--- a/src/net/loop.c
+++ b/src/net/loop.c
@@ -9,7 +9,8 @@
 #include <sys/timerfd.h>
 #include <unistd.h>
 
-#define SERVICE_BUFFER_BYTES (256u << 10)
+/* Beyond the most descriptors that any VM of the deployments has, 8192. */
+#define FD_LIMIT 8192
 
 typedef struct posted_t {
 	loop_receive_f receive;
@@ -21,9 +22,10 @@
 	struct lws_context *context;
 	GQueue mailbox;
 	timers_t timers;
-	int wake_fd;	   /* a timerfd, polled by libwebsockets */
-	uint64_t armed_us; /* when it is set to fire */
+	fd_watch_t wake;   /* a timerfd */
+	uint64_t armed_us; /* when it is set to fire; TIMERS_NEVER when it is not */
 	struct lws_protocols protocols[2];
+	struct lws_vhost *vhost; /* of all watched descriptors */
 	bool stopping;
 };
 
@@ -44,38 +46,75 @@
 	      "event=lws text=\"%.*s\"", (int)strcspn(line, "\n"), line);
 }
 
-static int on_wake(struct lws *wsi, enum lws_callback_reasons reason, void *user, void *in,
-		   size_t len)
+static int on_fd(struct lws *wsi, enum lws_callback_reasons reason, void *user, void *in,
+		 size_t len)
 {
-	uint64_t expirations;
+	fd_watch_t *watch = lws_get_opaque_user_data(wsi);
 
-	(void)wsi;
 	(void)user;
 	(void)in;
 	(void)len;
-	if (reason == LWS_CALLBACK_RAW_RX_FILE &&
-	    read((int)lws_get_socket_fd(wsi), &expirations, sizeof(expirations)) < 0)
+	if (!watch)
+		return 0;
+	switch (reason) {
+	case LWS_CALLBACK_RAW_RX_FILE:
+		return watch->event(watch, FD_READABLE) ? 0 : -1;
+	case LWS_CALLBACK_RAW_WRITEABLE_FILE:
+		return watch->event(watch, FD_WRITABLE) ? 0 : -1;
+	case LWS_CALLBACK_RAW_CLOSE_FILE:
+		lws_set_opaque_user_data(wsi, NULL);
+		watch->event(watch, FD_CLOSED);
+		return 0;
+	default:
+		return 0;
+	}
+}
+
+bool loop_watch(loop_t *loop, fd_watch_t *watch)
+{
+	lws_sock_file_fd_type fd = {.filefd = watch->fd};
+
+	watch->wsi =
+		lws_adopt_descriptor_vhost(loop->vhost, LWS_ADOPT_RAW_FILE_DESC, fd, "fd", NULL);
+	if (!watch->wsi)
+		return false;
+	lws_set_opaque_user_data(watch->wsi, watch);
+	return true;
+}
+
+void loop_want_write(fd_watch_t *watch)
+{
+	lws_callback_on_writable(watch->wsi);
+}
+
+void loop_unwatch(fd_watch_t *watch)
+{
+	lws_set_timeout(watch->wsi, PENDING_TIMEOUT_CLOSE_SEND, LWS_TO_KILL_SYNC);
+}
+
+static bool on_wake(fd_watch_t *watch, fd_event_t event)
+{
+	uint64_t expirations;
+
+	if (event == FD_READABLE && read(watch->fd, &expirations, sizeof(expirations)) < 0)
 		g_debug("event=timer-read-nothing");
-	return 0;
+	return true;
 }
 
-static void start_timers(loop_t *loop)
+static void start_watches(loop_t *loop)
 {
 	struct lws_context_creation_info info = {
 		.port = CONTEXT_PORT_NO_LISTEN,
 		.protocols = loop->protocols,
-		.vhost_name = "timers",
+		.vhost_name = "descriptors",
 	};
-	struct lws_vhost *vhost;
-	lws_sock_file_fd_type fd;
 
-	loop->protocols[0] = (struct lws_protocols){.name = "timers", .callback = on_wake};
-	vhost = lws_create_vhost(loop->context, &info);
+	loop->protocols[0] = (struct lws_protocols){.name = "fd", .callback = on_fd};
+	loop->vhost = lws_create_vhost(loop->context, &info);
 	loop->armed_us = TIMERS_NEVER;
-	loop->wake_fd = timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
-	fd.filefd = loop->wake_fd;
-	if (!vhost || loop->wake_fd < 0 ||
-	    !lws_adopt_descriptor_vhost(vhost, LWS_ADOPT_RAW_FILE_DESC, fd, "timers", NULL))
+	loop->wake = (fd_watch_t){.fd = timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC),
+				  .event = on_wake};
+	if (!loop->vhost || loop->wake.fd < 0 || !loop_watch(loop, &loop->wake))
 		g_error("event=loop-failed reason=timerfd");
 	timers_init(&loop->timers);
 }
@@ -84,13 +123,9 @@
 {
 	struct lws_context_creation_info info = {
 		.port = CONTEXT_PORT_NO_LISTEN,
-		.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS,
-		.fd_limit_per_thread = 4096,
-		/* A reply longer than this buffer was seen to wait for the next event on another
-		   socket. */
-		.pt_serv_buf_size = SERVICE_BUFFER_BYTES,
-		.max_http_header_pool = 2048,
-		.max_http_header_data = 4096,
+		/* Where IPv6 is not to be had, a context that may use it opens no socket. */
+		.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DISABLE_IPV6,
+		.fd_limit_per_thread = FD_LIMIT,
 		.timeout_secs = 10,
 	};
 	loop_t *loop = g_new0(loop_t, 1);
@@ -100,7 +135,7 @@
 	if (!loop->context)
 		g_error("event=loop-failed reason=context");
 	g_queue_init(&loop->mailbox);
-	start_timers(loop);
+	start_watches(loop);
 	return loop;
 }
 
@@ -129,7 +164,8 @@
 
 /*
  * Timers of our own on one timerfd: libwebsockets' timers were seen to fire up to half a second
- * late, when the next event came on some socket.
+ * late, when the next event came on some socket. A timer that was cancelled leaves the descriptor
+ * armed: one wake-up for nothing costs less than a system call for each request that ends in time.
  */
 static void arm_wake(loop_t *loop)
 {
@@ -137,14 +173,14 @@
 	uint64_t delay_us = next_us > now_us ? next_us - now_us : 1;
 	struct itimerspec at = {0};
 
-	if (next_us == loop->armed_us)
+	if (loop->armed_us <= now_us)
+		loop->armed_us = TIMERS_NEVER;
+	if (next_us >= loop->armed_us)
 		return;
 	loop->armed_us = next_us;
-	if (next_us != TIMERS_NEVER) {
-		at.it_value.tv_sec = (time_t)(delay_us / 1000000);
-		at.it_value.tv_nsec = (long)(delay_us % 1000000 * 1000);
-	}
-	timerfd_settime(loop->wake_fd, 0, &at, NULL);
+	at.it_value.tv_sec = (time_t)(delay_us / 1000000);
+	at.it_value.tv_nsec = (long)(delay_us % 1000000 * 1000);
+	timerfd_settime(loop->wake.fd, 0, &at, NULL);
 }
 
 static void timer_fired(void *ctx, uint64_t now_us)
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -28,6 +28,27 @@
 	struct loop_t *loop; /**< where it is set; NULL when it never was */
 } loop_timer_t;
 
+/** What happened to a watched descriptor. */
+typedef enum fd_event_t {
+	FD_READABLE,
+	FD_WRITABLE, /**< told once after loop_want_write() */
+	FD_CLOSED,   /**< the last event: the loop closes the descriptor after the return */
+} fd_event_t;
+
+/** A descriptor polled by the loop; embedded as the first member of its owner. */
+typedef struct fd_watch_t {
+	struct lws *wsi; /**< private to the loop */
+	int fd;
+	/** False asks the loop to close it; FD_CLOSED then follows. */
+	bool (*event)(struct fd_watch_t *watch, fd_event_t event);
+} fd_watch_t;
+
+/** Watch @p watch->fd, which the loop owns from here on, also when this fails. */
+bool loop_watch(loop_t *loop, fd_watch_t *watch);
+void loop_want_write(fd_watch_t *watch);
+/** Close at once; FD_CLOSED is told before the return. Not from inside its own event. */
+void loop_unwatch(fd_watch_t *watch);
+
 loop_t *loop_new(void);
 struct lws_context *loop_context(loop_t *loop);
 
--- /dev/null
+++ b/src/queries/front_metrics.h
@@ -0,0 +1,14 @@
+/**
+ * @file front_metrics.h
+ * Metrics of a VM that forwards by routes, as Prometheus text.
+ */
+#ifndef DS_FRONT_METRICS_H
+#define DS_FRONT_METRICS_H
+
+#include "core/forward.h"
+#include "tasks/link_task.h"
+
+GString *front_metrics_write(const forwarder_t *forwarder, const registry_t *registry,
+			     const link_counters_t *links);
+
+#endif
--- a/src/settings.c
+++ b/src/settings.c
@@ -11,12 +11,22 @@
 typedef enum setting_type_t {
 	SETTING_NAME,
 	SETTING_ADDRESS,
-	SETTING_NUMBER,
 	SETTING_SECRET,
 	SETTING_TEXT,
 	SETTING_LEVEL,
+	SETTING_TEXTS_END, /**< those before it are kept as text */
+	SETTING_NUMBER,
+	SETTING_ENDPOINT,
+	SETTING_RATIO,
 } setting_type_t;
 
+/** Which daemons need a key: a file with [front] is for one that forwards by routes. */
+typedef enum setting_use_t {
+	USE_ALWAYS,
+	USE_OWN,   /**< one that serves its own interface */
+	USE_FRONT, /**< one that forwards by routes */
+} setting_use_t;
+
 /** One key that may stand in the file. */
 typedef struct setting_t {
 	const char *group;
@@ -24,57 +34,73 @@
 	setting_type_t type;
 	size_t offset;
 	const char *fallback; /* NULL when the key must be given */
+	setting_use_t use;
 	uint32_t least, most;
 } setting_t;
 
+#define FRONT_GROUP "front"
+#define REGIONS_GROUP "regions"
 #define AT(field) offsetof(settings_t, field)
 
 static const setting_t known[] = {
 	{.group = "vm", .key = "name", .type = SETTING_NAME, .offset = AT(vm_name)},
 	{.group = "vm", .key = "data_centre", .type = SETTING_NAME, .offset = AT(data_centre)},
 	{.group = "listen",
+	 .use = USE_OWN,
 	 .key = "address",
 	 .type = SETTING_ADDRESS,
 	 .offset = AT(listen_address)},
 	{.group = "listen",
+	 .use = USE_OWN,
 	 .key = "callers_port",
 	 .type = SETTING_NUMBER,
 	 .offset = AT(callers_port),
 	 .least = 1,
 	 .most = 65535},
 	{.group = "listen",
+	 .use = USE_OWN,
 	 .key = "admin_port",
 	 .type = SETTING_NUMBER,
 	 .offset = AT(admin_port),
 	 .least = 1,
 	 .most = 65535},
 	{.group = "listen",
+	 .use = USE_OWN,
 	 .key = "peers_port",
 	 .type = SETTING_NUMBER,
 	 .offset = AT(peers_port),
 	 .least = 1,
 	 .most = 65535},
 	{.group = "platform",
+	 .use = USE_OWN,
 	 .key = "address",
 	 .type = SETTING_ADDRESS,
 	 .offset = AT(platform_address)},
 	{.group = "platform",
+	 .use = USE_OWN,
 	 .key = "port",
 	 .type = SETTING_NUMBER,
 	 .offset = AT(platform_port),
 	 .least = 1,
 	 .most = 65535},
 	{.group = "operators",
+	 .use = USE_OWN,
 	 .key = "token",
 	 .type = SETTING_SECRET,
 	 .offset = AT(operators_token)},
-	{.group = "peers", .key = "key", .type = SETTING_SECRET, .offset = AT(peers_key)},
 	{.group = "peers",
+	 .use = USE_OWN,
+	 .key = "key",
+	 .type = SETTING_SECRET,
+	 .offset = AT(peers_key)},
+	{.group = "peers",
+	 .use = USE_OWN,
 	 .key = "previous_key",
 	 .type = SETTING_TEXT,
 	 .offset = AT(peers_previous_key),
 	 .fallback = ""},
 	{.group = "peers",
+	 .use = USE_OWN,
 	 .key = "seeds",
 	 .type = SETTING_TEXT,
 	 .offset = AT(peers_seeds),
@@ -93,6 +119,47 @@
 	 .fallback = "500",
 	 .least = 0,
 	 .most = 60000},
+	{.group = "stop",
+	 .key = "grace_s",
+	 .type = SETTING_NUMBER,
+	 .offset = AT(grace_s),
+	 .fallback = "600",
+	 .least = 1,
+	 .most = 3600},
+	{.group = "front",
+	 .key = "callers",
+	 .type = SETTING_ENDPOINT,
+	 .offset = AT(front_callers),
+	 .use = USE_FRONT},
+	{.group = "front",
+	 .key = "ready",
+	 .type = SETTING_ENDPOINT,
+	 .offset = AT(front_ready),
+	 .use = USE_FRONT},
+	{.group = "front",
+	 .key = "metrics",
+	 .type = SETTING_ENDPOINT,
+	 .offset = AT(front_metrics),
+	 .use = USE_FRONT},
+	{.group = "front",
+	 .key = "store",
+	 .type = SETTING_ENDPOINT,
+	 .offset = AT(front_store),
+	 .use = USE_FRONT},
+	{.group = "retries",
+	 .key = "ratio",
+	 .type = SETTING_RATIO,
+	 .offset = AT(retry_ratio),
+	 .fallback = "0.1",
+	 .use = USE_FRONT},
+	{.group = "retries",
+	 .key = "window_s",
+	 .type = SETTING_NUMBER,
+	 .offset = AT(retry_window_s),
+	 .fallback = "10",
+	 .use = USE_FRONT,
+	 .least = 1,
+	 .most = 3600},
 	{.group = "log",
 	 .key = "level",
 	 .type = SETTING_LEVEL,
@@ -187,10 +254,12 @@
 	for (char **group = groups; *group; group++) {
 		g_auto(GStrv) keys = g_key_file_get_keys(reader->file, *group, NULL, NULL);
 
+		if (g_str_equal(*group, REGIONS_GROUP))
+			continue;
 		if (!find_setting(*group, NULL)) {
 			fault(reader, *group, NULL,
-			      "unknown section; known are vm, listen, platform, "
-			      "operators, peers, stop, log and policy");
+			      "unknown section; known are vm, listen, platform, operators, "
+			      "peers, front, regions, retries, stop, log and policy");
 			continue;
 		}
 		for (char **key = keys; key && *key; key++)
@@ -199,6 +268,17 @@
 	}
 }
 
+/* Any data centre may be a key there. */
+static void take_regions(reader_t *reader, settings_t *settings)
+{
+	g_auto(GStrv) keys = g_key_file_get_keys(reader->file, REGIONS_GROUP, NULL, NULL);
+
+	settings->regions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	for (char **key = keys; key && *key; key++)
+		g_hash_table_insert(settings->regions, g_strdup(*key),
+				    g_key_file_get_string(reader->file, REGIONS_GROUP, *key, NULL));
+}
+
 static bool is_name(const char *text)
 {
 	return *text && strlen(text) < 64 &&
@@ -238,6 +318,38 @@
 		      setting->most, text);
 }
 
+static void take_endpoint(reader_t *reader, const setting_t *setting, const char *text,
+			  endpoint_setting_t *out)
+{
+	const char *colon = strrchr(text, ':');
+	struct in_addr ignored;
+	guint64 port = 0;
+
+	if (colon && (size_t)(colon - text) < sizeof(out->address)) {
+		g_strlcpy(out->address, text, (gsize)(colon - text) + 1);
+		g_ascii_string_to_unsigned(colon + 1, 10, 1, G_MAXUINT16, &port, NULL);
+	}
+	out->port = (uint16_t)port;
+	if (!port || inet_pton(AF_INET, out->address, &ignored) != 1)
+		fault(reader, setting->group, setting->key,
+		      "must be an IPv4 number and a port, as in 10.1.0.9:8021, not \"%s\"", text);
+}
+
+static void take_ratio(reader_t *reader, const setting_t *setting, const char *text, double *out)
+{
+	char *end;
+
+	*out = g_ascii_strtod(text, &end);
+	if (end == text || *end || !(*out >= 0 && *out <= 1))
+		fault(reader, setting->group, setting->key,
+		      "must be a number from 0 to 1, not \"%s\"", text);
+}
+
+static bool is_used(const setting_t *setting, const settings_t *settings)
+{
+	return setting->use == USE_ALWAYS || (setting->use == USE_FRONT) == settings->forwards;
+}
+
 static void take(reader_t *reader, const setting_t *setting, settings_t *settings)
 {
 	g_autofree char *text =
@@ -252,9 +364,18 @@
 		return;
 	}
 	g_strstrip(text);
-	if (setting->type == SETTING_NUMBER) {
+	switch (setting->type) {
+	case SETTING_NUMBER:
 		take_number(reader, setting, text, field);
 		return;
+	case SETTING_ENDPOINT:
+		take_endpoint(reader, setting, text, field);
+		return;
+	case SETTING_RATIO:
+		take_ratio(reader, setting, text, field);
+		return;
+	default:
+		break;
 	}
 	problem = text_problem(setting->type, text);
 	if (problem)
@@ -281,9 +402,12 @@
 	reader.file = file;
 	reader.lines = lines;
 	settings = g_new0(settings_t, 1);
+	settings->forwards = g_key_file_has_group(file, FRONT_GROUP);
+	take_regions(&reader, settings);
 	check_unknown(&reader);
 	for (size_t i = 0; i < G_N_ELEMENTS(known); i++)
-		take(&reader, &known[i], settings);
+		if (is_used(&known[i], settings))
+			take(&reader, &known[i], settings);
 	if (faults->len == 0)
 		return settings;
 	settings_free(settings);
@@ -293,7 +417,8 @@
 void settings_free(settings_t *settings)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(known); i++)
-		if (known[i].type != SETTING_NUMBER)
+		if (known[i].type < SETTING_TEXTS_END)
 			g_free(*(char **)((char *)settings + known[i].offset));
+	g_hash_table_unref(settings->regions);
 	g_free(settings);
 }
--- a/src/settings.h
+++ b/src/settings.h
@@ -9,6 +9,12 @@
 
 #include <stdint.h>
 
+/** An "ip:port" as it was given. */
+typedef struct endpoint_setting_t {
+	char address[16];
+	uint16_t port;
+} endpoint_setting_t;
+
 typedef struct settings_t {
 	char *vm_name;
 	char *data_centre;
@@ -24,6 +30,12 @@
 	char *peers_seeds;	  /**< "ip:port ip:port", may be empty */
 	uint32_t drain_ms;	  /**< a planned stop serves at least so long */
 	uint32_t quiet_ms;	  /**< and until no request came for so long */
+	uint32_t grace_s;	  /**< and at most so long; the process is killed then */
+	bool forwards; /**< it forwards by routes, instead of serving its own interface */
+	endpoint_setting_t front_callers, front_ready, front_metrics, front_store;
+	double retry_ratio;	 /**< sub-requests beyond the first of each request, all VMs */
+	uint32_t retry_window_s; /**< the window in which they are counted */
+	GHashTable *regions;	 /**< data centre to region */
 	char *log_level;
 	uint32_t hedge, choose_by_cost, adapt_limit; /**< policy switches, for baselines */
 } settings_t;
--- a/src/tasks/admin_task.c
+++ b/src/tasks/admin_task.c
@@ -216,9 +216,9 @@
 };
 
 /* Compares all of it, so that the time taken tells nothing of the token. */
-static bool has_token(const admin_task_t *task, const http_exchange_t *exchange)
+static bool has_token(const admin_task_t *task, http_exchange_t *exchange)
 {
-	const char *given = http_exchange_header(exchange, "authorization:");
+	const char *given = http_exchange_header(exchange, "authorization");
 	g_autofree char *right =
 		g_strdup_printf("Bearer %s", task->source->settings->operators_token);
 	size_t length = strlen(right);
@@ -253,15 +253,15 @@
 
 admin_task_t *admin_task_new(loop_t *loop, const status_source_t *source, config_task_t *configs)
 {
-	static const http_server_ops_t ops = {.request = on_request,
-					      .body_limit_bytes = BODY_LIMIT_BYTES};
+	static const http_server_ops_t ops = {.request = on_request};
 	admin_task_t *task = g_new0(admin_task_t, 1);
 
 	task->loop = loop;
 	task->source = source;
 	task->configs = configs;
 	task->server = http_server_new(loop, source->settings->listen_address,
-				       (uint16_t)source->settings->admin_port, &ops, task);
+				       (uint16_t)source->settings->admin_port,
+				       &HTTP_SERVER_OWN_LIMITS(BODY_LIMIT_BYTES), &ops, task);
 	if (task->server)
 		return task;
 	g_free(task);
--- a/src/tasks/caller_task.c
+++ b/src/tasks/caller_task.c
@@ -12,7 +12,6 @@
 #include <string.h>
 
 #define BODY_LIMIT_BYTES 65536
-#define BODY_TIMEOUT_US 5000000
 #define TIMEOUT_MOST_MS 600000
 #define ID_LIMIT 128
 
@@ -31,19 +30,16 @@
 	const char *tail; /* what follows the service's name in the path */
 	service_kind_t kind;
 	bool takes_id; /* an id follows the tail */
-	bool (*parse)(const http_exchange_t *exchange, const char *id, request_t *request,
-		      err_t *err);
+	bool (*parse)(http_exchange_t *exchange, const char *id, request_t *request, err_t *err);
 } route_t;
 
-static bool parse_search(const http_exchange_t *exchange, const char *id, request_t *request,
-			 err_t *err)
+static bool parse_search(http_exchange_t *exchange, const char *id, request_t *request, err_t *err)
 {
 	(void)id;
 	return search_parse(http_exchange_body(exchange), request, err);
 }
 
-static bool parse_record(const http_exchange_t *exchange, const char *id, request_t *request,
-			 err_t *err)
+static bool parse_record(http_exchange_t *exchange, const char *id, request_t *request, err_t *err)
 {
 	(void)exchange;
 	if (!*id || strlen(id) > ID_LIMIT)
@@ -52,11 +48,10 @@
 	return true;
 }
 
-static bool parse_action(const http_exchange_t *exchange, const char *id, request_t *request,
-			 err_t *err)
+static bool parse_action(http_exchange_t *exchange, const char *id, request_t *request, err_t *err)
 {
 	(void)id;
-	return action_parse(http_exchange_header(exchange, "idempotency-key:"),
+	return action_parse(http_exchange_header(exchange, "idempotency-key"),
 			    http_exchange_body(exchange), request, err);
 }
 
@@ -76,7 +71,7 @@
 	g_autofree char *text = problem_format(refusal, detail, request_id, retry_after_us);
 
 	if (request_id)
-		http_exchange_add_header(exchange, "request-id:", request_id);
+		http_exchange_add_header(exchange, "request-id", request_id);
 	http_exchange_reply(exchange, refusal_class(refusal)->status, PROBLEM_CONTENT_TYPE, text,
 			    strlen(text));
 }
@@ -93,10 +88,9 @@
 	return true;
 }
 
-static bool take_id(caller_task_t *task, const http_exchange_t *exchange, request_t *request,
-		    err_t *err)
+static bool take_id(caller_task_t *task, http_exchange_t *exchange, request_t *request, err_t *err)
 {
-	const char *id = http_exchange_header(exchange, "request-id:");
+	const char *id = http_exchange_header(exchange, "request-id");
 
 	if (id && !id_is_plain(id))
 		return err_set(err, ERR_VALUE,
@@ -107,9 +101,9 @@
 	return true;
 }
 
-static bool take_class(const http_exchange_t *exchange, request_t *request, err_t *err)
+static bool take_class(http_exchange_t *exchange, request_t *request, err_t *err)
 {
-	const char *text = http_exchange_header(exchange, "request-class:");
+	const char *text = http_exchange_header(exchange, "request-class");
 
 	request->class = CLASS_NORMAL;
 	if (text && !request_class_parse(text, &request->class))
@@ -118,10 +112,10 @@
 	return true;
 }
 
-static bool take_deadline(const http_exchange_t *exchange, const service_t *service,
-			  request_t *request, err_t *err)
+static bool take_deadline(http_exchange_t *exchange, const service_t *service, request_t *request,
+			  err_t *err)
 {
-	const char *text = http_exchange_header(exchange, "request-timeout-ms:");
+	const char *text = http_exchange_header(exchange, "request-timeout-ms");
 	guint64 timeout_ms = service->timeout_us / 1000;
 
 	if (text && !g_ascii_string_to_unsigned(text, 10, 1, TIMEOUT_MOST_MS, &timeout_ms, NULL))
@@ -194,7 +188,7 @@
 	}
 	if (!g_str_equal(http_exchange_method(exchange), found->method)) {
 		detail = g_strdup_printf("use %s", found->method);
-		http_exchange_add_header(exchange, "allow:", found->method);
+		http_exchange_add_header(exchange, "allow", found->method);
 		reply_problem(exchange, REFUSAL_WRONG_METHOD, detail, NULL, 0);
 		return;
 	}
@@ -247,17 +241,17 @@
 
 	(void)self;
 	http_exchange_set_data(exchange, NULL);
-	http_exchange_add_header(exchange, "request-id:", reply->ticket->request_id);
+	http_exchange_add_header(exchange, "request-id", reply->ticket->request_id);
 	if (reply->snapshot) {
-		http_exchange_add_header(exchange, "snapshot:", reply->snapshot);
-		http_exchange_add_header(exchange, "coverage:", reply->coverage);
-		http_exchange_add_header(exchange, "complete:", reply->complete ? "true" : "false");
+		http_exchange_add_header(exchange, "snapshot", reply->snapshot);
+		http_exchange_add_header(exchange, "coverage", reply->coverage);
+		http_exchange_add_header(exchange, "complete", reply->complete ? "true" : "false");
 	}
 	if (reply->retry_after_us) {
 		g_autofree char *seconds = g_strdup_printf(
 			"%" G_GUINT64_FORMAT, (reply->retry_after_us + 999999) / 1000000);
 
-		http_exchange_add_header(exchange, "retry-after:", seconds);
+		http_exchange_add_header(exchange, "retry-after", seconds);
 	}
 	http_exchange_reply(exchange, reply->status, reply->content_type, reply->body,
 			    strlen(reply->body));
@@ -273,14 +267,10 @@
 
 caller_task_t *caller_task_new(loop_t *loop, const settings_t *settings, query_task_t *queries)
 {
-	static const char *const headers[] = {
-		"request-id:", "request-class:", "request-timeout-ms:", "idempotency-key:", NULL};
 	static const http_server_ops_t server_ops = {.request = on_request,
 						     .gone = on_gone,
 						     .error_body = error_body,
-						     .headers = headers,
-						     .body_limit_bytes = BODY_LIMIT_BYTES,
-						     .body_timeout_us = BODY_TIMEOUT_US};
+						     .needs_length = true};
 	static const query_task_ops_t query_ops = {.reply = on_reply};
 	caller_task_t *task = g_new0(caller_task_t, 1);
 
@@ -289,8 +279,9 @@
 	task->vm_name = g_strdup(settings->vm_name);
 	task->last_id = loop_wall_ms() << 8; /* does not repeat after a restart */
 	query_task_set_ops(queries, &query_ops, task);
-	task->server = http_server_new(loop, settings->listen_address,
-				       (uint16_t)settings->callers_port, &server_ops, task);
+	task->server =
+		http_server_new(loop, settings->listen_address, (uint16_t)settings->callers_port,
+				&HTTP_SERVER_OWN_LIMITS(BODY_LIMIT_BYTES), &server_ops, task);
 	if (task->server)
 		return task;
 	g_free(task->vm_name);
--- /dev/null
+++ b/src/tasks/follower.c
@@ -0,0 +1,182 @@
+/**
+ * @file follower.c
+ * See follower.h.
+ */
+#include "tasks/follower.h"
+
+/* A watch is a priced call for each VM; it must also end soon enough for one on a connection that
+ * went silent to be given up in time. Changes must be in force 3 s after their acknowledgement, on
+ * VMs whose connections were sound for 5 s: so both together stay below 5 s. */
+#define WATCH_MS 3500
+#define WATCH_SLACK_US 1200000
+/* A slow store was seen to take 0.4 s for an answer (a hundred times its usual 4 ms). */
+#define LIST_TIMEOUT_US 1500000
+/* Between tries; a random time, so that VMs do not all come back in one moment. */
+#define RETRY_LEAST_US 100000
+#define RETRY_MOST_US 400000
+
+struct follower_t {
+	loop_t *loop;
+	platform_task_t *platform;
+	store_kind_t kind;
+	const follower_ops_t *ops;
+	void *ctx;
+	GRand *rand;
+	loop_timer_t retry;
+	char *after;	/* the list's last name so far; NULL at its start */
+	bool listing;	/* a list is being read; else a watch waits */
+	bool away;	/* the last call was not answered */
+	uint64_t since; /* revision up to which everything is known */
+	uint64_t heard_us;
+	uint32_t serial; /* of the call whose reply is awaited */
+};
+
+typedef struct fetch_t {
+	follower_t *follower;
+	uint32_t serial;
+} fetch_t;
+
+static void ask(void *ctx);
+
+static void note_answer(follower_t *follower, bool answered)
+{
+	if (answered)
+		follower->heard_us = loop_now_us();
+	if (answered == !follower->away)
+		return;
+	follower->away = !answered;
+	g_message("event=store-%s kind=%d since=%" G_GUINT64_FORMAT, answered ? "back" : "lost",
+		  follower->kind, follower->since);
+	if (answered)
+		follower->ops->back(follower->ctx);
+	else
+		follower->ops->lost(follower->ctx);
+}
+
+static void start_list(follower_t *follower)
+{
+	g_free(follower->after);
+	follower->after = NULL;
+	follower->listing = true;
+}
+
+static void give_objects(follower_t *follower, const store_page_t *page)
+{
+	for (guint i = 0; i < page->objects->len; i++)
+		follower->ops->object(follower->ctx,
+				      &g_array_index(page->objects, store_object_t, i));
+}
+
+static void take_list_page(follower_t *follower, const store_page_t *page)
+{
+	const store_object_t *last;
+
+	if (!follower->after) {
+		/* Changes while later pages are read come again by the watch. */
+		follower->since = page->as_of;
+		follower->ops->list_begin(follower->ctx);
+	}
+	give_objects(follower, page);
+	if (page->more && page->objects->len) {
+		last = &g_array_index(page->objects, store_object_t, page->objects->len - 1);
+		g_free(follower->after);
+		follower->after = g_strdup(last->name);
+		return;
+	}
+	follower->listing = false;
+	follower->ops->list_end(follower->ctx);
+}
+
+static void take_page(follower_t *follower, const store_page_t *page)
+{
+	if (follower->listing) {
+		take_list_page(follower, page);
+		return;
+	}
+	give_objects(follower, page);
+	follower->since = MAX(follower->since, page->as_of);
+}
+
+/* True when the reply was of use. */
+static bool take_result(follower_t *follower, const platform_result_t *result)
+{
+	store_page_t page = {0};
+
+	if (result->status == 410) {
+		g_message("event=store-history-gone kind=%d since=%" G_GUINT64_FORMAT,
+			  follower->kind, follower->since);
+		start_list(follower);
+		return true;
+	}
+	if (result->status != 200 || !store_read_page(result->body, &page))
+		return false;
+	take_page(follower, &page);
+	store_page_clear(&page);
+	return true;
+}
+
+static void on_fetched(void *ctx, const platform_result_t *result)
+{
+	fetch_t *fetch = ctx;
+	follower_t *follower = fetch->follower;
+	bool current = fetch->serial == follower->serial;
+	uint64_t delay_us = 0;
+	bool answered;
+
+	g_free(fetch);
+	if (!current)
+		return;
+	answered = take_result(follower, result);
+	note_answer(follower, answered);
+	if (!answered)
+		delay_us =
+			(uint64_t)g_rand_int_range(follower->rand, RETRY_LEAST_US, RETRY_MOST_US);
+	loop_timer_set(follower->loop, &follower->retry, delay_us);
+}
+
+static void ask(void *ctx)
+{
+	follower_t *follower = ctx;
+	g_autofree char *target =
+		follower->listing ? store_list_target(follower->kind, follower->after)
+				  : store_watch_target(follower->kind, follower->since, WATCH_MS);
+	fetch_t *fetch = g_new(fetch_t, 1);
+
+	*fetch = (fetch_t){.follower = follower, .serial = ++follower->serial};
+	platform_task_fetch(follower->platform, target,
+			    follower->listing ? LIST_TIMEOUT_US : WATCH_MS * 1000 + WATCH_SLACK_US,
+			    on_fetched, fetch);
+}
+
+follower_t *follower_new(loop_t *loop, platform_task_t *platform, store_kind_t kind,
+			 const follower_ops_t *ops, void *ctx)
+{
+	follower_t *follower = g_new0(follower_t, 1);
+
+	follower->loop = loop;
+	follower->platform = platform;
+	follower->kind = kind;
+	follower->ops = ops;
+	follower->ctx = ctx;
+	follower->rand = g_rand_new();
+	follower->retry = (loop_timer_t){.fire = ask, .ctx = follower};
+	start_list(follower);
+	return follower;
+}
+
+void follower_start(follower_t *follower)
+{
+	ask(follower);
+}
+
+/* A reply that is still under way is ignored: its connection may be the one that went silent. */
+void follower_refresh(follower_t *follower)
+{
+	start_list(follower);
+	loop_timer_set(follower->loop, &follower->retry, 0);
+}
+
+uint64_t follower_heard_us(const follower_t *follower)
+{
+	return follower->heard_us;
+}
--- /dev/null
+++ b/src/tasks/follower.h
@@ -0,0 +1,34 @@
+/**
+ * @file follower.h
+ * Keeps up with one kind of objects in the platform's store: a whole list, then its changes.
+ *
+ * When the store does not answer, what is known is kept; the watch goes on from the same revision
+ * once it is back. When the store has forgotten that revision, the list is read again.
+ */
+#ifndef DS_FOLLOWER_H
+#define DS_FOLLOWER_H
+
+#include "store.h"
+#include "tasks/platform_task.h"
+
+typedef struct follower_t follower_t;
+
+typedef struct follower_ops_t {
+	void (*list_begin)(void *ctx);
+	/** An object of the list, or one that has changed; borrowed. */
+	void (*object)(void *ctx, const store_object_t *object);
+	void (*list_end)(void *ctx);
+	/** The store stopped answering, or answers again. */
+	void (*lost)(void *ctx);
+	void (*back)(void *ctx);
+} follower_ops_t;
+
+follower_t *follower_new(loop_t *loop, platform_task_t *platform, store_kind_t kind,
+			 const follower_ops_t *ops, void *ctx);
+void follower_start(follower_t *follower);
+/** What is known may be old: read the whole list now. */
+void follower_refresh(follower_t *follower);
+/** When the store last answered; 0: never. */
+uint64_t follower_heard_us(const follower_t *follower);
+
+#endif
--- /dev/null
+++ b/src/tasks/link_task.h
@@ -0,0 +1,40 @@
+/**
+ * @file link_task.h
+ * Owns the connections to registered searchers, and carries sub-requests on them.
+ *
+ * A searcher takes few connections from all VMs together, and resets what is beyond; a new one
+ * costs it a handshake. So connections are few, kept, and used by the one used last.
+ */
+#ifndef DS_LINK_TASK_H
+#define DS_LINK_TASK_H
+
+#include "core/forward.h"
+#include "net/loop.h"
+
+typedef struct link_task_t link_task_t;
+
+typedef struct link_task_ops_t {
+	/** Write the head of @p sub's request. These three are asked once, when it is sent. */
+	void (*write_head)(void *ctx, const sub_t *sub, GString *out);
+	const GString *(*body)(void *ctx, const sub_t *sub);
+	const char *(*id)(void *ctx, const sub_t *sub);
+	/** Takes @p reply. */
+	void (*ended)(void *ctx, sub_t *sub, sub_reply_t *reply);
+	/** A searcher of @p service has room again. */
+	void (*room)(void *ctx, const char *service);
+} link_task_ops_t;
+
+typedef struct link_counters_t {
+	uint64_t opened, refused, reset, garbage, cancelled, foreign;
+} link_counters_t;
+
+link_task_t *link_task_new(loop_t *loop, const link_task_ops_t *ops, void *ctx);
+/** Send @p sub; its end is told later, never before the return. */
+void link_task_send(link_task_t *task, sub_t *sub);
+/** Close the connection of @p sub; its end is not told. */
+void link_task_cancel(link_task_t *task, sub_t *sub);
+/** The searcher's state has changed: open a first connection, or close those that idle. */
+void link_task_searcher_changed(link_task_t *task, searcher_t *searcher);
+const link_counters_t *link_task_counters(const link_task_t *task);
+
+#endif
--- a/src/tasks/platform_task.c
+++ b/src/tasks/platform_task.c
@@ -9,7 +9,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#define CALL_SLOTS 4
+#define CALL_SLOTS PLATFORM_FETCHES_MOST
 #define CALL_TIMEOUT_US 1000000
 #define WATCH_MS 4000
 /* A watch whose connection went silent must not hide changes: past its own time it is given up. */
@@ -91,6 +91,8 @@
 		const GString *text = http_call_reply(http);
 
 		body = json_loadb(text->str, text->len, 0, NULL);
+		result.status = http_call_status(http);
+		result.body = body;
 		if (json_is_object(body))
 			result.end = end_of_status(http_call_status(http));
 		result.version = (uint64_t)json_integer_value(json_object_get(body, "version"));
@@ -189,6 +191,17 @@
 				      .timeout_us = CALL_TIMEOUT_US});
 }
 
+void platform_task_fetch(platform_task_t *task, const char *target, uint64_t timeout_us,
+			 platform_done_f done, void *ctx)
+{
+	task->counters.fetches++;
+	post(task, &(platform_call_t){.method = "GET",
+				      .path = g_strdup(target),
+				      .done = done,
+				      .ctx = ctx,
+				      .timeout_us = timeout_us});
+}
+
 void platform_task_write(platform_task_t *task, const char *path, uint64_t if_version,
 			 const json_t *value, platform_done_f done, void *ctx)
 {
--- a/src/tasks/platform_task.h
+++ b/src/tasks/platform_task.h
@@ -8,13 +8,16 @@
 #include "core/platform_result.h"
 #include "net/loop.h"
 
+/** Two lists being followed, and room for a read of each beside a watch that hangs. */
+#define PLATFORM_FETCHES_MOST 4
+
 typedef struct platform_task_t platform_task_t;
 
 /** Told once, from the loop. @p result and its value are borrowed. */
 typedef void (*platform_done_f)(void *ctx, const platform_result_t *result);
 
 typedef struct platform_counters_t {
-	uint64_t reads, writes, watches, unknown;
+	uint64_t reads, writes, watches, fetches, unknown;
 } platform_counters_t;
 
 platform_task_t *platform_task_new(loop_t *loop, const char *address, uint16_t port);
@@ -26,6 +29,12 @@
 /** Wait until the object passes @p version: OK, or UNCHANGED after a while. */
 void platform_task_watch(platform_task_t *task, const char *path, uint64_t version,
 			 platform_done_f done, void *ctx);
+/**
+ * Get any target of the platform's store; @p done reads status and body itself. Several may be
+ * under way at once, up to PLATFORM_FETCHES_MOST; more wait.
+ */
+void platform_task_fetch(platform_task_t *task, const char *target, uint64_t timeout_us,
+			 platform_done_f done, void *ctx);
 const platform_counters_t *platform_task_counters(const platform_task_t *task);
 
 #endif
--- a/standins/platform.c
+++ b/standins/platform.c
@@ -290,18 +290,17 @@
 {
 	static const struct argp argp = {options, parse_option, NULL, "A stand-in platform.", 0, 0,
 					 0};
-	static const http_server_ops_t ops = {
-		.request = on_request, .gone = on_gone, .body_limit_bytes = VALUE_LIMIT_BYTES};
-	static const http_server_ops_t control = {.request = on_control, .body_limit_bytes = 4096};
+	static const http_server_ops_t ops = {.request = on_request, .gone = on_gone};
+	static const http_server_ops_t control = {.request = on_control};
 	platform_t platform = {.address = "127.0.0.1"};
 
 	argp_parse(&argp, argc, argv, 0, NULL, &platform);
 	platform.loop = loop_new();
 	platform.objects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, object_free);
-	if (!http_server_new(platform.loop, platform.address, (uint16_t)platform.port, &ops,
-			     &platform) ||
+	if (!http_server_new(platform.loop, platform.address, (uint16_t)platform.port,
+			     &HTTP_SERVER_OWN_LIMITS(VALUE_LIMIT_BYTES), &ops, &platform) ||
 	    !http_server_new(platform.loop, platform.address, (uint16_t)platform.control_port,
-			     &control, &platform)) {
+			     &HTTP_SERVER_OWN_LIMITS(VALUE_LIMIT_BYTES), &control, &platform)) {
 		g_printerr("platform: cannot listen on port %d or %d\n", platform.port,
 			   platform.control_port);
 		return 1;
--- a/standins/searcher.c
+++ b/standins/searcher.c
@@ -204,7 +204,7 @@
 
 static void answer_action(searcher_t *searcher, http_exchange_t *exchange)
 {
-	const char *key = http_exchange_header(exchange, "idempotency-key:");
+	const char *key = http_exchange_header(exchange, "idempotency-key");
 	guint times;
 
 	if (!key)
@@ -483,18 +483,17 @@
 {
 	static const struct argp argp = {options, parse_option, NULL, "A stand-in searcher.", 0, 0,
 					 0};
-	static const char *const headers[] = {"idempotency-key:", NULL};
 	searcher_t searcher = {.address = "127.0.0.1",
 			       .name = "searcher",
 			       .slots = 2,
 			       .connection_limit = 25,
 			       .work_us = 5000,
 			       .records = 400};
-	http_server_ops_t ops = {.request = on_request,
-				 .gone = on_gone,
-				 .headers = headers,
-				 .body_limit_bytes = BODY_LIMIT_BYTES};
-	http_server_ops_t control = {.request = on_control, .body_limit_bytes = BODY_LIMIT_BYTES};
+	http_server_ops_t ops = {
+		.request = on_request,
+		.gone = on_gone,
+	};
+	http_server_ops_t control = {.request = on_control};
 
 	argp_parse(&argp, argc, argv, 0, NULL, &searcher);
 	ops.connection_limit = searcher.connection_limit;
@@ -502,11 +501,12 @@
 	searcher.actions_by_key = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	g_queue_init(&searcher.queue);
 	searcher.loop = loop_new();
-	searcher.server = http_server_new(searcher.loop, searcher.address, (uint16_t)searcher.port,
-					  &ops, &searcher);
+	searcher.server =
+		http_server_new(searcher.loop, searcher.address, (uint16_t)searcher.port,
+				&HTTP_SERVER_OWN_LIMITS(BODY_LIMIT_BYTES), &ops, &searcher);
 	if (!searcher.server ||
 	    !http_server_new(searcher.loop, searcher.address, (uint16_t)searcher.control_port,
-			     &control, &searcher)) {
+			     &HTTP_SERVER_OWN_LIMITS(BODY_LIMIT_BYTES), &control, &searcher)) {
 		g_printerr("%s: cannot listen on port %d or %d\n", searcher.name, searcher.port,
 			   searcher.control_port);
 		return 1;
