--- a/src/core/forward.c
+++ b/src/core/forward.c
@@ -67,8 +67,8 @@
 const char *sub_end_name(sub_end_t end)
 {
 	static const char *const names[] = {
-		[SUB_ANSWERED] = "answered", [SUB_FAILED] = "failed",	[SUB_NOT_RUN] = "not-run",
-		[SUB_NOT_SENT] = "not-sent", [SUB_UNKNOWN] = "unknown",
+		[SUB_ANSWERED] = "answered", [SUB_FAILED] = "failed",	  [SUB_NOT_RUN] = "not-run",
+		[SUB_REPLACED] = "replaced", [SUB_NOT_SENT] = "not-sent", [SUB_UNKNOWN] = "unknown",
 	};
 
 	return names[end];
@@ -527,11 +527,19 @@
 	case SUB_NOT_RUN:
 		searcher_note_refusal(sub->searcher, now_us);
 		break;
+	case SUB_REPLACED:
+		registry_note_replaced(forwarder->registry, sub->searcher);
+		break;
 	default:
 		searcher_note_failure(sub->searcher, now_us);
 	}
 }
 
+static bool has_not_run(sub_end_t end)
+{
+	return end == SUB_NOT_RUN || end == SUB_REPLACED || end == SUB_NOT_SENT;
+}
+
 static bool may_retry(part_t *part, sub_end_t end, uint64_t now_us)
 {
 	forwarder_t *forwarder = part->forward->forwarder;
@@ -539,9 +547,7 @@
 
 	if (end == SUB_NOT_SENT)
 		return part->refusals <= REFUSALS_MOST;
-	if (end == SUB_NOT_RUN && part->refusals > REFUSALS_MOST)
-		return false;
-	if (end != SUB_NOT_RUN && !may_run_again(part))
+	if (has_not_run(end) ? part->refusals > REFUSALS_MOST : !may_run_again(part))
 		return false;
 	return retry_budget_take(&part->pool->budget, bound, RETRY_FOR_ANSWER, now_us);
 }
@@ -550,7 +556,7 @@
 {
 	sub_end_t end = reply->end;
 
-	if (end == SUB_NOT_RUN || end == SUB_NOT_SENT) {
+	if (has_not_run(end)) {
 		part->runs--;
 		part->refusals++;
 	}
--- a/src/core/forward.h
+++ b/src/core/forward.h
@@ -21,6 +21,7 @@
 	SUB_ANSWERED, /**< a success that is the searcher's own */
 	SUB_FAILED,   /**< it ran, and the searcher answered with a failure */
 	SUB_NOT_RUN,  /**< the searcher said that it did not run it */
+	SUB_REPLACED, /**< not run: another searcher has the address now */
 	SUB_NOT_SENT, /**< no connection was made */
 	SUB_UNKNOWN,  /**< it may have run: cut, garbage, an answer to something else */
 } sub_end_t;
--- a/src/core/registry.c
+++ b/src/core/registry.c
@@ -152,6 +152,14 @@
 		remove_now(registry, id);
 }
 
+void registry_note_replaced(registry_t *registry, searcher_t *searcher)
+{
+	if (searcher->state == SEARCHER_GONE)
+		return;
+	searcher->state = SEARCHER_GONE;
+	registry->ops->changed(registry->ctx, searcher);
+}
+
 void registry_list_begin(registry_t *registry)
 {
 	if (registry->listed)
--- a/src/core/registry.h
+++ b/src/core/registry.h
@@ -44,6 +44,12 @@
 void registry_list_end(registry_t *registry, uint64_t now_us);
 /** The store says that @p id is no longer registered. */
 void registry_remove(registry_t *registry, const char *id, uint64_t now_us);
+/**
+ * Another searcher answers at the address of @p searcher: it has ended, whatever the store still
+ * says. Without this, work goes on being sent to a stranger until the entry lapses, and each try
+ * uses up the retry budget of the service that has the address now.
+ */
+void registry_note_replaced(registry_t *registry, searcher_t *searcher);
 /** The store did not answer; removals soon after its return may be lapses. */
 void registry_store_lost(registry_t *registry);
 void registry_store_back(registry_t *registry, uint64_t now_us);
