Watch wake-ups are grouped; a store that is away is asked less often

Cause: each wake-up of a watch is a priced call for each VM. Change: after a wake-up with changes the next watch waits 0.8 s; retries double from 0.2 to 1 s.

--- a/src/tasks/follower.c
+++ b/src/tasks/follower.c
@@ -9,11 +9,16 @@
  * VMs whose connections were sound for 5 s: so both together stay below 5 s. */
 #define WATCH_MS 3500
 #define WATCH_SLACK_US 1200000
+/* Changes come in groups: searchers that start, leave or lapse together. Each wake-up of a watch is
+ * a priced call, so after one with changes the next waits; what happens meanwhile comes with it. A
+ * change is then known within a second, of the 3 s that the deployments allow. */
+#define GROUP_US 800000
 /* A slow store was seen to take 0.4 s for an answer (a hundred times its usual 4 ms). */
 #define LIST_TIMEOUT_US 1500000
-/* Between tries; a random time, so that VMs do not all come back in one moment. */
-#define RETRY_LEAST_US 100000
-#define RETRY_MOST_US 400000
+/* Between tries; random, so that VMs do not all come back in one moment. At the most, the news that
+ * waited for the end of an outage are a second later. */
+#define RETRY_FIRST_US 200000
+#define RETRY_MOST_US 1000000
 
 struct follower_t {
 	loop_t *loop;
@@ -28,7 +33,9 @@
 	bool away;	/* the last call was not answered */
 	uint64_t since; /* revision up to which everything is known */
 	uint64_t heard_us;
-	uint32_t serial; /* of the call whose reply is awaited */
+	uint32_t failures; /* in a row */
+	bool changed;	   /* the last watch brought changes */
+	uint32_t serial;   /* of the call whose reply is awaited */
 };
 
 typedef struct fetch_t {
@@ -94,6 +101,7 @@
 		return;
 	}
 	give_objects(follower, page);
+	follower->changed = page->objects->len > 0;
 	follower->since = MAX(follower->since, page->as_of);
 }
 
@@ -115,23 +123,36 @@
 	return true;
 }
 
+/* After a failure, a random time that doubles up to a bound; else at once, or when the group is
+ * over.
+ */
+static uint64_t next_delay_us(follower_t *follower, bool answered)
+{
+	uint64_t most_us = RETRY_FIRST_US << MIN(follower->failures, 8);
+
+	if (answered) {
+		follower->failures = 0;
+		return follower->changed ? GROUP_US : 0;
+	}
+	follower->failures++;
+	most_us = MIN(most_us, RETRY_MOST_US);
+	return (uint64_t)g_rand_int_range(follower->rand, (gint32)most_us / 2, (gint32)most_us);
+}
+
 static void on_fetched(void *ctx, const platform_result_t *result)
 {
 	fetch_t *fetch = ctx;
 	follower_t *follower = fetch->follower;
 	bool current = fetch->serial == follower->serial;
-	uint64_t delay_us = 0;
 	bool answered;
 
 	g_free(fetch);
 	if (!current)
 		return;
+	follower->changed = false;
 	answered = take_result(follower, result);
 	note_answer(follower, answered);
-	if (!answered)
-		delay_us =
-			(uint64_t)g_rand_int_range(follower->rand, RETRY_LEAST_US, RETRY_MOST_US);
-	loop_timer_set(follower->loop, &follower->retry, delay_us);
+	loop_timer_set(follower->loop, &follower->retry, next_delay_us(follower, answered));
 }
 
 static void ask(void *ctx)
