VMs register in the store; in large data centres a few watch it and feed the rest

Ruled out: the product's gossip (tells configurations, not registrations; a second membership beside the store's), one watch for all kinds (the store has none). Change: each VM registers itself (one call) and reads the list cheaply; connections and the constant part of the retry bound are shared by their number; with more than four VMs in a data centre, two and more, chosen by hash, watch the store, the others hear from them over msgpack frames, with news twice a second, and watch for themselves when that fails.

--- /dev/null
+++ b/src/core/feed_book.h
@@ -0,0 +1,21 @@
+/**
+ * @file feed_book.h
+ * The objects of one kind as this VM knows them, kept as text to be handed on to subscribers.
+ */
+#ifndef DS_FEED_BOOK_H
+#define DS_FEED_BOOK_H
+
+#include "core/feed_message.h"
+
+typedef struct feed_book_t feed_book_t;
+
+feed_book_t *feed_book_new(uint32_t kind);
+void feed_book_free(feed_book_t *book);
+/** Take in a message about this kind of objects. */
+void feed_book_take(feed_book_t *book, const feed_message_t *message);
+/** Whether a whole list was taken in. */
+bool feed_book_is_known(const feed_book_t *book);
+/** Append the whole list as messages; nothing before it is known. */
+void feed_book_write(const feed_book_t *book, GByteArray *out);
+
+#endif
--- /dev/null
+++ b/src/core/feed_choice.c
@@ -0,0 +1,95 @@
+/**
+ * @file feed_choice.c
+ * See feed_choice.h.
+ */
+#include "core/feed_choice.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* Up to so many VMs of a data centre all watch: a feed would save hardly any calls, and each VM
+ * then depends on no other. */
+#define WATCH_ALL_MOST 4
+/* Watchers of a larger data centre: two, so that one may fail, and one more for each so many VMs:
+ * 40 subscribers take 40 x 250 B for each change of a searcher, 10 KB, of a link of 14 Mbit/s. */
+#define WATCHERS_LEAST 2
+#define VMS_A_WATCHER 40
+
+vm_t *vm_new(const char *name, const char *data_centre, const char *address, uint16_t port)
+{
+	vm_t *vm = g_new0(vm_t, 1);
+
+	vm->name = g_strdup(name);
+	vm->data_centre = g_strdup(data_centre);
+	vm->address = g_strdup(address);
+	vm->port = port;
+	return vm;
+}
+
+void vm_free(void *data)
+{
+	vm_t *vm = data;
+
+	g_free(vm->name);
+	g_free(vm->data_centre);
+	g_free(vm->address);
+	g_free(vm);
+}
+
+static uint64_t hash_of(const char *name, const char *salt)
+{
+	return XXH64(name, strlen(name), XXH64(salt, strlen(salt), 0));
+}
+
+typedef struct order_t {
+	const char *salt;
+} order_t;
+
+static gint by_hash(gconstpointer a, gconstpointer b, gpointer ctx)
+{
+	const order_t *order = ctx;
+	uint64_t left = hash_of((*(vm_t *const *)a)->name, order->salt);
+	uint64_t right = hash_of((*(vm_t *const *)b)->name, order->salt);
+
+	return left < right ? -1 : left > right;
+}
+
+static void sort(GPtrArray *vms, const char *salt)
+{
+	order_t order = {.salt = salt};
+
+	g_ptr_array_sort_with_data(vms, by_hash, &order);
+}
+
+static bool holds(const GPtrArray *vms, const char *name)
+{
+	for (guint i = 0; i < vms->len; i++)
+		if (g_str_equal(((vm_t *)g_ptr_array_index(vms, i))->name, name))
+			return true;
+	return false;
+}
+
+GPtrArray *feed_choose(const GPtrArray *vms, const char *own_name, const char *data_centre)
+{
+	GPtrArray *chosen = g_ptr_array_new();
+	guint watchers;
+
+	for (guint i = 0; i < vms->len; i++) {
+		vm_t *vm = g_ptr_array_index(vms, i);
+
+		if (g_str_equal(vm->data_centre, data_centre))
+			g_ptr_array_add(chosen, vm);
+	}
+	if (chosen->len <= WATCH_ALL_MOST) {
+		g_ptr_array_set_size(chosen, 0);
+		return chosen;
+	}
+	watchers = WATCHERS_LEAST + chosen->len / VMS_A_WATCHER;
+	/* All VMs agree on the watchers; each spreads itself over them by its own name. */
+	sort(chosen, data_centre);
+	g_ptr_array_set_size(chosen, (gint)MIN(watchers, chosen->len));
+	if (holds(chosen, own_name))
+		g_ptr_array_set_size(chosen, 0);
+	sort(chosen, own_name);
+	return chosen;
+}
--- /dev/null
+++ b/src/core/feed_message.c
@@ -0,0 +1,105 @@
+/**
+ * @file feed_message.c
+ * See feed_message.h.
+ */
+#include "core/feed_message.h"
+
+#include "core/msgpack_sizes.h"
+
+#include <msgpack.h>
+#include <string.h>
+
+#define FIELDS 6
+
+static void pack_text(msgpack_packer *packer, const char *text)
+{
+	size_t bytes = text ? strlen(text) : 0;
+
+	msgpack_pack_str(packer, bytes);
+	msgpack_pack_str_body(packer, text, bytes);
+}
+
+void feed_message_write(GByteArray *out, const feed_message_t *message)
+{
+	msgpack_sbuffer buffer;
+	msgpack_packer packer;
+	guint32 length;
+
+	msgpack_sbuffer_init(&buffer);
+	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+	msgpack_pack_array(&packer, FIELDS);
+	msgpack_pack_uint8(&packer, (uint8_t)message->type);
+	msgpack_pack_uint32(&packer, message->kind);
+	pack_text(&packer, message->name);
+	pack_text(&packer, message->text);
+	msgpack_pack_uint64(&packer, message->age_us);
+	msgpack_pack_uint8(&packer, message->away);
+	length = GUINT32_TO_BE((guint32)buffer.size);
+	g_byte_array_append(out, (const guint8 *)&length, sizeof(length));
+	g_byte_array_append(out, (const guint8 *)buffer.data, (guint)buffer.size);
+	msgpack_sbuffer_destroy(&buffer);
+}
+
+static bool is_number(const msgpack_object *object)
+{
+	return object->type == MSGPACK_OBJECT_POSITIVE_INTEGER;
+}
+
+/* The texts are copied: msgpack's are not ended by a NUL. */
+static bool take_fields(const msgpack_object *fields, feed_message_f take, void *ctx)
+{
+	g_autofree char *name = NULL;
+	g_autofree char *text = NULL;
+	feed_message_t message;
+
+	if (!is_number(&fields[0]) || fields[0].via.u64 >= FEED_TYPES || !is_number(&fields[1]) ||
+	    fields[2].type != MSGPACK_OBJECT_STR || fields[3].type != MSGPACK_OBJECT_STR ||
+	    !is_number(&fields[4]) || !is_number(&fields[5]))
+		return false;
+	name = g_strndup(fields[2].via.str.ptr, fields[2].via.str.size);
+	text = g_strndup(fields[3].via.str.ptr, fields[3].via.str.size);
+	message = (feed_message_t){.type = (feed_type_t)fields[0].via.u64,
+				   .kind = (uint32_t)fields[1].via.u64,
+				   .name = name,
+				   .text = text,
+				   .age_us = fields[4].via.u64,
+				   .away = fields[5].via.u64 != 0};
+	take(ctx, &message);
+	return true;
+}
+
+static bool take_payload(const char *payload, size_t bytes, feed_message_f take, void *ctx)
+{
+	msgpack_unpacked unpacked;
+	size_t offset = 0;
+	bool taken = false;
+
+	/* A length inside that promises more than there is would make the library allocate it. */
+	if (!msgpack_sizes_fit((const uint8_t *)payload, bytes))
+		return false;
+	msgpack_unpacked_init(&unpacked);
+	if (msgpack_unpack_next(&unpacked, payload, bytes, &offset) == MSGPACK_UNPACK_SUCCESS &&
+	    unpacked.data.type == MSGPACK_OBJECT_ARRAY && unpacked.data.via.array.size == FIELDS)
+		taken = take_fields(unpacked.data.via.array.ptr, take, ctx);
+	msgpack_unpacked_destroy(&unpacked);
+	return taken;
+}
+
+feed_read_t feed_message_read(const uint8_t *data, size_t bytes, size_t *used, feed_message_f take,
+			      void *ctx)
+{
+	guint32 length;
+
+	if (bytes < FEED_LENGTH_BYTES)
+		return FEED_READ_MORE;
+	memcpy(&length, data, sizeof(length));
+	length = GUINT32_FROM_BE(length);
+	if (length > FEED_FRAME_MOST_BYTES)
+		return FEED_READ_BAD;
+	if (bytes - FEED_LENGTH_BYTES < length)
+		return FEED_READ_MORE;
+	*used = FEED_LENGTH_BYTES + length;
+	return take_payload((const char *)data + FEED_LENGTH_BYTES, length, take, ctx)
+		       ? FEED_READ_ONE
+		       : FEED_READ_BAD;
+}
--- /dev/null
+++ b/src/core/feed_message.h
@@ -0,0 +1,58 @@
+/**
+ * @file feed_message.h
+ * What a VM that watches the platform's store tells those that do not: a length and a msgpack
+ * array.
+ *
+ * A subscriber is sent the whole list of each kind of objects, then changes as they come, and news
+ * of how old all of that is, whether or not anything changes.
+ */
+#ifndef DS_FEED_MESSAGE_H
+#define DS_FEED_MESSAGE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#define FEED_LENGTH_BYTES 4
+/* The largest object of the store is 1 MB; its name and the framing are small. */
+#define FEED_FRAME_MOST_BYTES ((1u << 20) + 4096)
+
+typedef enum feed_type_t {
+	FEED_LIST_BEGIN,
+	FEED_OBJECT,  /**< of the list, or changed */
+	FEED_REMOVED, /**< an object is no more */
+	FEED_LIST_END,
+	FEED_NEWS, /**< sent twice a second: how old the above is */
+	FEED_TYPES,
+} feed_type_t;
+
+/** One message; texts are borrowed. */
+typedef struct feed_message_t {
+	feed_type_t type;
+	uint32_t kind;	  /**< of the objects; for news, unused */
+	const char *name; /**< of the object, or "" */
+	const char *text; /**< the object's content, or "" */
+	uint64_t age_us;  /**< news: since the store was last heard, by whoever watches it */
+	bool away;	  /**< news: the store does not answer */
+} feed_message_t;
+
+/** Append the frame of @p message to @p out. */
+void feed_message_write(GByteArray *out, const feed_message_t *message);
+
+typedef enum feed_read_t {
+	FEED_READ_MORE, /**< the frame is not whole yet */
+	FEED_READ_ONE,
+	FEED_READ_BAD, /**< not a frame of ours: give the connection up */
+} feed_read_t;
+
+/** Called with a whole message. */
+typedef void (*feed_message_f)(void *ctx, const feed_message_t *message);
+
+/**
+ * Read the frame at the start of @p data and hand its message over.
+ * @param used bytes of the frame, when there was one
+ */
+feed_read_t feed_message_read(const uint8_t *data, size_t bytes, size_t *used, feed_message_f take,
+			      void *ctx);
+
+#endif
--- a/src/core/registry.c
+++ b/src/core/registry.c
@@ -173,6 +173,8 @@
 	GHashTableIter iter;
 	gpointer id;
 
+	if (!registry->listed) /* another list, from another source, has ended meanwhile */
+		return;
 	g_hash_table_iter_init(&iter, registry->by_id);
 	while (g_hash_table_iter_next(&iter, &id, NULL))
 		if (!g_hash_table_contains(registry->listed, id))
@@ -232,6 +234,11 @@
 	return registry->by_id;
 }
 
+void registry_set_constant(registry_t *registry, double constant)
+{
+	registry->bound.constant = constant;
+}
+
 const retry_bound_t *registry_bound(const registry_t *registry)
 {
 	return &registry->bound;
--- a/src/core/registry.h
+++ b/src/core/registry.h
@@ -63,6 +63,8 @@
 searcher_t *registry_find(const registry_t *registry, const char *id);
 /** All searchers registered, by id; searcher_t. */
 GHashTable *registry_searchers(const registry_t *registry);
+/** This VM's part of the constant in the bound on retries. */
+void registry_set_constant(registry_t *registry, double constant);
 const retry_bound_t *registry_bound(const registry_t *registry);
 
 #endif
--- a/src/core/retry_budget.c
+++ b/src/core/retry_budget.c
@@ -11,10 +11,6 @@
 #define RATIO_USED 0.9
 /* Hedges leave so much of the budget for requests that have failed outright. */
 #define SPEED_SHARE 0.75
-/* A VM with hardly any requests may still try once more. One for each of 90 VMs is well below the
- * constant part of the bound (52 for 6 VMs, 192 for 76). */
-#define ALWAYS_ALLOWED 1.0
-
 void retry_budget_init(retry_budget_t *budget, const retry_bound_t *bound)
 {
 	memset(budget, 0, sizeof(*budget));
@@ -58,7 +54,7 @@
 	allowed = RATIO_USED * bound->ratio * requests;
 	if (purpose == RETRY_FOR_SPEED)
 		allowed *= SPEED_SHARE;
-	return allowed + ALWAYS_ALLOWED - extras;
+	return allowed + bound->constant - extras;
 }
 
 bool retry_budget_take(retry_budget_t *budget, const retry_bound_t *bound, retry_purpose_t purpose,
--- a/src/core/retry_budget.h
+++ b/src/core/retry_budget.h
@@ -4,8 +4,8 @@
  *
  * Under trouble, retries multiply the load that caused it. All VMs share one bound for each
  * service: a ratio of its requests within a sliding window, and a constant. Each VM keeps to the
- * ratio of its own requests, so the sum keeps to the ratio of all; no VM needs to know of the
- * others, and VMs that come, go or restart change nothing.
+ * ratio of its own requests, so the sum keeps to the ratio of all, whichever VMs come, go or
+ * restart; of the constant it takes the part that its number of VMs gives it.
  */
 #ifndef DS_RETRY_BUDGET_H
 #define DS_RETRY_BUDGET_H
@@ -32,6 +32,7 @@
 typedef struct retry_bound_t {
 	double ratio;
 	uint64_t window_us;
+	double constant; /**< this VM's part of the bound's constant */
 } retry_bound_t;
 
 void retry_budget_init(retry_budget_t *budget, const retry_bound_t *bound);
--- a/src/settings.h
+++ b/src/settings.h
@@ -32,8 +32,9 @@
 	uint32_t quiet_ms;	  /**< and until no request came for so long */
 	uint32_t grace_s;	  /**< and at most so long; the process is killed then */
 	bool forwards; /**< it forwards by routes, instead of serving its own interface */
-	endpoint_setting_t front_callers, front_ready, front_metrics, front_store;
+	endpoint_setting_t front_callers, front_ready, front_metrics, front_feed, front_store;
 	double retry_ratio;	 /**< sub-requests beyond the first of each request, all VMs */
+	uint32_t retry_constant; /**< and so many more in a window */
 	uint32_t retry_window_s; /**< the window in which they are counted */
 	GHashTable *regions;	 /**< data centre to region */
 	char *log_level;
--- /dev/null
+++ b/src/tasks/feed_client.c
@@ -0,0 +1,125 @@
+/**
+ * @file feed_client.c
+ * See feed_client.h.
+ */
+#include "tasks/feed_client.h"
+
+#include "net/sock.h"
+
+/* News come twice a second. Three that are missing mean a VM that is gone, frozen or cut off, or a
+ * connection that went silent: changes must be known within 3 s all the same. */
+#define SILENT_MOST_US 1700000
+
+struct feed_client_t {
+	loop_t *loop;
+	const feed_client_ops_t *ops;
+	void *ctx;
+	sock_t *sock; /* NULL once it has ended */
+	GByteArray *in;
+	loop_timer_t silence;
+	bool in_callback;
+	bool freed; /* from inside a callback */
+};
+
+static void client_end(feed_client_t *client, const char *reason)
+{
+	loop_timer_cancel(&client->silence);
+	if (client->sock)
+		sock_close(client->sock);
+	client->sock = NULL;
+	client->ops->ended(client->ctx, reason);
+}
+
+static void dispose(feed_client_t *client)
+{
+	g_byte_array_unref(client->in);
+	g_free(client);
+}
+
+void feed_client_free(feed_client_t *client)
+{
+	loop_timer_cancel(&client->silence);
+	if (client->sock)
+		sock_close(client->sock);
+	client->sock = NULL;
+	client->freed = true;
+	if (!client->in_callback)
+		dispose(client);
+}
+
+static void on_silence(void *ctx)
+{
+	client_end(ctx, "silent");
+}
+
+static void on_opened(void *ctx)
+{
+	(void)ctx;
+}
+
+static void on_message(void *ctx, const feed_message_t *message)
+{
+	feed_client_t *client = ctx;
+
+	loop_timer_set(client->loop, &client->silence, SILENT_MOST_US);
+	client->ops->message(client->ctx, message);
+}
+
+/* False when the connection must be given up. */
+static bool take_frames(feed_client_t *client)
+{
+	size_t at = 0, used = 0;
+	feed_read_t read = FEED_READ_ONE;
+
+	while (read == FEED_READ_ONE && !client->freed) {
+		read = feed_message_read(client->in->data + at, client->in->len - at, &used,
+					 on_message, client);
+		if (read == FEED_READ_ONE)
+			at += used;
+	}
+	if (at)
+		g_byte_array_remove_range(client->in, 0, (guint)at);
+	return read != FEED_READ_BAD;
+}
+
+static void on_received(void *ctx, const char *data, size_t bytes)
+{
+	feed_client_t *client = ctx;
+
+	client->in_callback = true;
+	g_byte_array_append(client->in, (const guint8 *)data, (guint)bytes);
+	if (!take_frames(client) && !client->freed)
+		client_end(client, "garbage");
+	client->in_callback = false;
+	if (client->freed)
+		dispose(client);
+}
+
+static void on_ended(void *ctx, sock_end_t end)
+{
+	feed_client_t *client = ctx;
+
+	client->sock = NULL;
+	client_end(client, end == SOCK_REFUSED ? "refused" : "closed");
+}
+
+feed_client_t *feed_client_new(loop_t *loop, const char *address, uint16_t port,
+			       const feed_client_ops_t *ops, void *ctx)
+{
+	static const sock_ops_t sock_ops = {
+		.opened = on_opened, .received = on_received, .ended = on_ended};
+	feed_client_t *client = g_new0(feed_client_t, 1);
+
+	client->loop = loop;
+	client->ops = ops;
+	client->ctx = ctx;
+	client->in = g_byte_array_new();
+	client->sock = sock_connect(loop, address, port, &sock_ops, client);
+	if (!client->sock) {
+		dispose(client);
+		return NULL;
+	}
+	client->silence = (loop_timer_t){.fire = on_silence, .ctx = client};
+	loop_timer_set(loop, &client->silence, SILENT_MOST_US);
+	return client;
+}
--- /dev/null
+++ b/src/tasks/feed_server.h
@@ -0,0 +1,19 @@
+/**
+ * @file feed_server.h
+ * Tells other VMs of this data centre what this one knows of the platform's store.
+ */
+#ifndef DS_FEED_SERVER_H
+#define DS_FEED_SERVER_H
+
+#include "core/feed_message.h"
+#include "net/loop.h"
+
+typedef struct feed_server_t feed_server_t;
+
+/** NULL when the address can't be listened on. @p kinds: how many kinds of objects there are. */
+feed_server_t *feed_server_new(loop_t *loop, const char *address, uint16_t port, uint32_t kinds);
+/** Keep @p message, and send it to all subscribers. */
+void feed_server_tell(feed_server_t *server, const feed_message_t *message);
+uint32_t feed_server_subscribers(const feed_server_t *server);
+
+#endif
--- a/src/tasks/follower.c
+++ b/src/tasks/follower.c
@@ -16,9 +16,9 @@
 /* A slow store was seen to take 0.4 s for an answer (a hundred times its usual 4 ms). */
 #define LIST_TIMEOUT_US 1500000
 /* Between tries; random, so that VMs do not all come back in one moment. At the most, the news that
- * waited for the end of an outage are a second later. */
+ * waited for the end of an outage are so much later. */
 #define RETRY_FIRST_US 200000
-#define RETRY_MOST_US 1000000
+#define RETRY_MOST_US 2500000
 
 struct follower_t {
 	loop_t *loop;
@@ -185,11 +185,6 @@
 	return follower;
 }
 
-void follower_start(follower_t *follower)
-{
-	ask(follower);
-}
-
 /* A reply that is still under way is ignored: its connection may be the one that went silent. */
 void follower_refresh(follower_t *follower)
 {
@@ -197,6 +192,12 @@
 	loop_timer_set(follower->loop, &follower->retry, 0);
 }
 
+void follower_pause(follower_t *follower)
+{
+	follower->serial++;
+	loop_timer_cancel(&follower->retry);
+}
+
 uint64_t follower_heard_us(const follower_t *follower)
 {
 	return follower->heard_us;
--- a/src/tasks/follower.h
+++ b/src/tasks/follower.h
@@ -25,9 +25,10 @@
 
 follower_t *follower_new(loop_t *loop, platform_task_t *platform, store_kind_t kind,
 			 const follower_ops_t *ops, void *ctx);
-void follower_start(follower_t *follower);
-/** What is known may be old: read the whole list now. */
+/** Start, or start anew because what is known may be old: read the whole list now. */
 void follower_refresh(follower_t *follower);
+/** Ask nothing more until the next follower_refresh(). */
+void follower_pause(follower_t *follower);
 /** When the store last answered; 0: never. */
 uint64_t follower_heard_us(const follower_t *follower);
 
--- a/src/tasks/front_task.c
+++ b/src/tasks/front_task.c
@@ -6,13 +6,19 @@
 
 #include "headers.h"
 #include "queries/front_metrics.h"
-#include "tasks/follower.h"
 #include "tasks/link_task.h"
+#include "tasks/supply_task.h"
 
 #include <string.h>
 
-/* VMs that may share a searcher's connections, where nobody says how many there are. */
-#define VMS_ASSUMED 8
+/* VMs that share connections and budgets, before the store has listed them: of small deployments.
+ */
+#define VMS_ASSUMED 9
+/* VMs that were added a moment ago are not in the list yet. */
+#define VMS_SPARE 1
+/* Of the constant part of the bound on retries: requests for one service that reach a searcher of
+ * another one count there, too. */
+#define CONSTANT_USED 0.8
 /* Left free of a searcher's connections: VMs that start before others have closed theirs. */
 #define SHARE_USED 0.9
 /* Shares that were cut after a refusal are given back this often. */
@@ -29,12 +35,12 @@
 	forwarder_t *forwarder;
 	registry_t *registry;
 	link_task_t *links;
-	follower_t *searchers;
-	follower_t *configuration;
+	supply_task_t *supply;
 	loop_timer_t forwarder_timer;
 	loop_timer_t registry_timer;
 	loop_timer_t shares_timer;
 	uint64_t last_request_us;
+	uint32_t retry_constant;
 	bool leaving;
 };
 
@@ -80,12 +86,19 @@
 
 /* ---- connections to searchers ---- */
 
+static uint32_t vms(const front_task_t *task)
+{
+	uint32_t known = task->supply ? supply_task_vms(task->supply) : 0;
+
+	return known ? known + VMS_SPARE : VMS_ASSUMED;
+}
+
 static void set_share(front_task_t *task, searcher_t *searcher)
 {
 	const routing_t *routing = forwarder_routing(task->forwarder);
 	uint32_t most = routing ? routing_connections(routing, searcher->service) : 0;
 
-	searcher->connections_most = (uint32_t)MAX(most * SHARE_USED / VMS_ASSUMED, 1);
+	searcher->connections_most = (uint32_t)MAX(most * SHARE_USED / vms(task), 1);
 }
 
 static void set_shares(void *ctx)
@@ -97,6 +110,7 @@
 	g_hash_table_iter_init(&iter, registry_searchers(task->registry));
 	while (g_hash_table_iter_next(&iter, NULL, &searcher))
 		set_share(task, searcher);
+	registry_set_constant(task->registry, CONSTANT_USED * task->retry_constant / vms(task));
 	loop_timer_set(task->loop, &task->shares_timer, SHARES_PERIOD_US);
 }
 
@@ -279,22 +293,8 @@
 
 /* ---- what the store says ---- */
 
-static void on_list_begin(void *ctx)
-{
-	registry_list_begin(((front_task_t *)ctx)->registry);
-}
-
-static void on_list_end(void *ctx)
-{
-	front_task_t *task = ctx;
-
-	registry_list_end(task->registry, loop_now_us());
-	run_registry(task);
-}
-
-static void on_searcher(void *ctx, const store_object_t *object)
+static void take_searcher(front_task_t *task, const store_object_t *object)
 {
-	front_task_t *task = ctx;
 	searcher_entry_t entry;
 	err_t err = {0};
 
@@ -325,11 +325,6 @@
 	run_registry(task);
 }
 
-static void ignore(void *ctx)
-{
-	(void)ctx;
-}
-
 static void apply(front_task_t *task, routing_t *routing)
 {
 	const http_server_limits_t limits = {.message = {.head_bytes = routing->limits.head_bytes,
@@ -345,9 +340,8 @@
 }
 
 /* A version once in force is never followed by an older one. */
-static void on_configuration(void *ctx, const store_object_t *object)
+static void take_configuration(front_task_t *task, const store_object_t *object)
 {
-	front_task_t *task = ctx;
 	const routing_t *current = forwarder_routing(task->forwarder);
 	routing_t *routing;
 	err_t err = {0};
@@ -369,6 +363,35 @@
 	apply(task, routing);
 }
 
+static void on_list_begin(void *ctx, store_kind_t kind)
+{
+	if (kind == STORE_SEARCHERS)
+		registry_list_begin(((front_task_t *)ctx)->registry);
+}
+
+static void on_object(void *ctx, store_kind_t kind, const store_object_t *object)
+{
+	if (kind == STORE_SEARCHERS)
+		take_searcher(ctx, object);
+	else
+		take_configuration(ctx, object);
+}
+
+static void on_list_end(void *ctx, store_kind_t kind)
+{
+	front_task_t *task = ctx;
+
+	if (kind != STORE_SEARCHERS)
+		return;
+	registry_list_end(task->registry, loop_now_us());
+	run_registry(task);
+}
+
+static void on_members(void *ctx)
+{
+	set_shares(ctx);
+}
+
 /* ---- readiness ---- */
 
 static void on_ready_request(void *ctx, http_exchange_t *exchange)
@@ -420,26 +443,6 @@
 	task->registry = registry_new(&place, &bound, &ops, task);
 }
 
-static void start_followers(front_task_t *task, platform_task_t *platform)
-{
-	static const follower_ops_t searcher_ops = {.list_begin = on_list_begin,
-						    .object = on_searcher,
-						    .list_end = on_list_end,
-						    .lost = on_store_lost,
-						    .back = on_store_back};
-	static const follower_ops_t configuration_ops = {.list_begin = ignore,
-							 .object = on_configuration,
-							 .list_end = ignore,
-							 .lost = ignore,
-							 .back = ignore};
-
-	task->searchers = follower_new(task->loop, platform, STORE_SEARCHERS, &searcher_ops, task);
-	task->configuration =
-		follower_new(task->loop, platform, STORE_CONFIGURATION, &configuration_ops, task);
-	follower_start(task->searchers);
-	follower_start(task->configuration);
-}
-
 front_task_t *front_task_new(loop_t *loop, const settings_t *settings, platform_task_t *platform)
 {
 	static const forwarder_ops_t forwarder_ops = {
@@ -449,9 +452,16 @@
 						 .id = id_of,
 						 .ended = on_sub_ended,
 						 .room = on_room};
+	static const supply_ops_t supply_ops = {.list_begin = on_list_begin,
+						.object = on_object,
+						.list_end = on_list_end,
+						.lost = on_store_lost,
+						.back = on_store_back,
+						.members = on_members};
 	front_task_t *task = g_new0(front_task_t, 1);
 
 	task->loop = loop;
+	task->retry_constant = settings->retry_constant;
 	start_registry(task, settings);
 	task->links = link_task_new(loop, &link_ops, task);
 	task->forwarder = forwarder_new(&forwarder_ops, task, task->registry, g_random_int());
@@ -460,8 +470,8 @@
 	task->shares_timer = (loop_timer_t){.fire = set_shares, .ctx = task};
 	if (!listen_all(task, settings))
 		return NULL;
-	start_followers(task, platform);
-	return task;
+	task->supply = supply_task_new(loop, settings, platform, &supply_ops, task);
+	return task->supply ? task : NULL;
 }
 
 void front_task_leave(front_task_t *task)
--- /dev/null
+++ b/src/tasks/member_task.h
@@ -0,0 +1,23 @@
+/**
+ * @file member_task.h
+ * Registers this VM in the platform's store, and knows which others have.
+ */
+#ifndef DS_MEMBER_TASK_H
+#define DS_MEMBER_TASK_H
+
+#include "store.h"
+#include "tasks/platform_task.h"
+
+typedef struct member_task_t member_task_t;
+
+/** Told when the list of VMs may have changed. */
+typedef void (*member_changed_f)(void *ctx);
+
+/** @p own is taken over. */
+member_task_t *member_task_new(loop_t *loop, platform_task_t *platform, vm_t *own,
+			       member_changed_f changed, void *ctx);
+/** The VMs registered, vm_t; perhaps some seconds old, and those that ended stay in it. */
+const GPtrArray *member_task_vms(const member_task_t *task);
+const vm_t *member_task_own(const member_task_t *task);
+
+#endif
--- a/src/tasks/platform_task.c
+++ b/src/tasks/platform_task.c
@@ -130,6 +130,7 @@
 			       .address = task->address,
 			       .port = task->port,
 			       .path = call->path,
+			       .headers = call->body ? "Content-Type: application/json\r\n" : NULL,
 			       .body = call->body,
 			       .body_bytes = call->body ? strlen(call->body) : 0,
 			       .finished = call_finished,
@@ -202,6 +203,18 @@
 				      .timeout_us = timeout_us});
 }
 
+void platform_task_send(platform_task_t *task, const char *method, const char *target,
+			const char *body, uint64_t timeout_us, platform_done_f done, void *ctx)
+{
+	task->counters.writes++;
+	post(task, &(platform_call_t){.method = method,
+				      .path = g_strdup(target),
+				      .body = g_strdup(body),
+				      .done = done,
+				      .ctx = ctx,
+				      .timeout_us = timeout_us});
+}
+
 void platform_task_write(platform_task_t *task, const char *path, uint64_t if_version,
 			 const json_t *value, platform_done_f done, void *ctx)
 {
--- /dev/null
+++ b/src/tasks/supply_task.c
@@ -0,0 +1,353 @@
+/**
+ * @file supply_task.c
+ * See supply_task.h.
+ */
+#include "tasks/supply_task.h"
+
+#include "tasks/feed_client.h"
+#include "tasks/feed_server.h"
+#include "tasks/follower.h"
+
+#include <string.h>
+
+/* Three of these may be lost before a subscriber gives its feed up. */
+#define NEWS_PERIOD_US 500000
+/* A sound watch is heard every 3.5 s; beyond this, whoever feeds us does not hear the store. */
+#define AGE_MOST_US 6500000
+/* After a feed failed, the store is watched for a while; random, so that VMs do not all move. */
+#define AGAIN_LEAST_US 3000000
+#define AGAIN_MOST_US 6000000
+/* The kinds that are watched and fed: searchers and configuration. */
+#define FED_KINDS 2
+
+/** One kind of objects being followed. */
+typedef struct supply_kind_t {
+	supply_task_t *task;
+	store_kind_t kind;
+	follower_t *follower;
+	bool fed; /* the feed has sent its list */
+} supply_kind_t;
+
+struct supply_task_t {
+	loop_t *loop;
+	const supply_ops_t *ops;
+	void *ctx;
+	GRand *rand;
+	member_task_t *members;
+	supply_kind_t kinds[FED_KINDS];
+	feed_server_t *server;
+	feed_client_t *client; /* NULL without a feed */
+	char *feeder;	       /* name of the VM that feeds us; NULL without a feed */
+	uint32_t tries;	       /* feeds tried so far */
+	bool following;	       /* watches the store itself */
+	bool away;	       /* the store can't be heard */
+	uint64_t fed_heard_us; /* when the feeder last heard the store */
+	loop_timer_t news_timer;
+	loop_timer_t again_timer;
+};
+
+static void note_away(supply_task_t *task, bool away)
+{
+	if (task->away == away)
+		return;
+	task->away = away;
+	if (away)
+		task->ops->lost(task->ctx);
+	else
+		task->ops->back(task->ctx);
+}
+
+/* ---- what comes in, from wherever ---- */
+
+static void tell(supply_kind_t *kind, feed_type_t type, const store_object_t *object)
+{
+	char *text = object && !object->removed ? json_dumps(object->content, JSON_COMPACT) : NULL;
+	const feed_message_t message = {.type = type,
+					.kind = kind->kind,
+					.name = object ? object->name : "",
+					.text = text ? text : ""};
+
+	feed_server_tell(kind->task->server, &message);
+	free(text);
+}
+
+static void give_list_begin(void *ctx)
+{
+	supply_kind_t *kind = ctx;
+
+	tell(kind, FEED_LIST_BEGIN, NULL);
+	kind->task->ops->list_begin(kind->task->ctx, kind->kind);
+}
+
+static void give_object(void *ctx, const store_object_t *object)
+{
+	supply_kind_t *kind = ctx;
+
+	tell(kind, object->removed ? FEED_REMOVED : FEED_OBJECT, object);
+	kind->task->ops->object(kind->task->ctx, kind->kind, object);
+}
+
+static void give_list_end(void *ctx)
+{
+	supply_kind_t *kind = ctx;
+
+	tell(kind, FEED_LIST_END, NULL);
+	kind->task->ops->list_end(kind->task->ctx, kind->kind);
+}
+
+static void on_lost(void *ctx)
+{
+	note_away(((supply_kind_t *)ctx)->task, true);
+}
+
+static void on_back(void *ctx)
+{
+	note_away(((supply_kind_t *)ctx)->task, false);
+}
+
+/* ---- following the store, or a feed ---- */
+
+static void follow_store(supply_task_t *task)
+{
+	if (task->following)
+		return;
+	task->following = true;
+	for (uint32_t i = 0; i < FED_KINDS; i++)
+		follower_refresh(task->kinds[i].follower);
+}
+
+static void stop_following(supply_task_t *task)
+{
+	task->following = false;
+	for (uint32_t i = 0; i < FED_KINDS; i++)
+		follower_pause(task->kinds[i].follower);
+}
+
+static void drop_feed(supply_task_t *task)
+{
+	if (task->client)
+		feed_client_free(task->client);
+	task->client = NULL;
+	g_free(task->feeder);
+	task->feeder = NULL;
+	for (uint32_t i = 0; i < FED_KINDS; i++)
+		task->kinds[i].fed = false;
+}
+
+static bool seek_other(supply_task_t *task);
+
+static void leave_feed(supply_task_t *task, const char *reason)
+{
+	if (!task->client)
+		return;
+	g_message("event=feed-lost vm=%s reason=%s age_us=%" G_GUINT64_FORMAT, task->feeder, reason,
+		  supply_task_age_us(task));
+	drop_feed(task);
+	task->tries++;
+	if (seek_other(task))
+		return;
+	follow_store(task);
+	loop_timer_set(task->loop, &task->again_timer,
+		       (uint64_t)g_rand_int_range(task->rand, AGAIN_LEAST_US, AGAIN_MOST_US));
+}
+
+static bool is_fed_whole(const supply_task_t *task)
+{
+	for (uint32_t i = 0; i < FED_KINDS; i++)
+		if (!task->kinds[i].fed)
+			return false;
+	return true;
+}
+
+static void take_news(supply_task_t *task, const feed_message_t *message)
+{
+	if (message->away || message->age_us > AGE_MOST_US) {
+		leave_feed(task, "store-away");
+		return;
+	}
+	task->fed_heard_us = loop_now_us() - message->age_us;
+	if (!task->following || !is_fed_whole(task))
+		return;
+	g_message("event=feed-taken vm=%s age_us=%" G_GUINT64_FORMAT, task->feeder,
+		  message->age_us);
+	stop_following(task);
+	note_away(task, false);
+}
+
+static void take_object(supply_kind_t *kind, const feed_message_t *message)
+{
+	json_t *content = message->type == FEED_REMOVED ? NULL : json_loads(message->text, 0, NULL);
+	const store_object_t object = {.name = message->name,
+				       .content = content,
+				       .removed = message->type == FEED_REMOVED};
+
+	if (content || object.removed)
+		give_object(kind, &object);
+	else
+		g_warning("event=feed-object-ignored name=%s reason=not-json", message->name);
+	json_decref(content);
+}
+
+/* The feed's list is taken while the store is still watched: both say the same, or nearly, and the
+ * later of two reports about a searcher or a version wins wherever it comes from. */
+static void on_feed_message(void *ctx, const feed_message_t *message)
+{
+	supply_task_t *task = ctx;
+	supply_kind_t *kind = message->kind < FED_KINDS ? &task->kinds[message->kind] : NULL;
+
+	if (message->type == FEED_NEWS) {
+		take_news(task, message);
+		return;
+	}
+	if (!kind)
+		return;
+	switch (message->type) {
+	case FEED_LIST_BEGIN:
+		give_list_begin(kind);
+		break;
+	case FEED_LIST_END:
+		give_list_end(kind);
+		kind->fed = true;
+		break;
+	default:
+		take_object(kind, message);
+	}
+}
+
+static void on_feed_ended(void *ctx, const char *reason)
+{
+	leave_feed(ctx, reason);
+}
+
+static GPtrArray *feeders_of(const supply_task_t *task)
+{
+	const vm_t *own = member_task_own(task->members);
+
+	return feed_choose(member_task_vms(task->members), own->name, own->data_centre);
+}
+
+static void take_feed(supply_task_t *task, const vm_t *feeder)
+{
+	static const feed_client_ops_t ops = {.message = on_feed_message, .ended = on_feed_ended};
+
+	task->client = feed_client_new(task->loop, feeder->address, feeder->port, &ops, task);
+	if (task->client)
+		task->feeder = g_strdup(feeder->name);
+}
+
+/* All VMs of a data centre that turn to the store because one of them is gone would cost more calls
+ * than the feed saved: the next feeder is asked first, unless all have failed in this round. */
+static bool seek_other(supply_task_t *task)
+{
+	g_autoptr(GPtrArray) feeders = feeders_of(task);
+
+	if (!feeders->len || task->tries % feeders->len == 0)
+		return false;
+	take_feed(task, g_ptr_array_index(feeders, task->tries % feeders->len));
+	return task->client != NULL;
+}
+
+static void seek_feed(void *ctx)
+{
+	supply_task_t *task = ctx;
+	g_autoptr(GPtrArray) feeders = feeders_of(task);
+
+	if (!task->client && feeders->len)
+		take_feed(task, g_ptr_array_index(feeders, task->tries % feeders->len));
+}
+
+static void on_members(void *ctx)
+{
+	supply_task_t *task = ctx;
+	g_autoptr(GPtrArray) feeders = feeders_of(task);
+
+	if (task->client && !feeders->len)
+		leave_feed(task, "chosen-to-watch");
+	else if (!task->again_timer.entry.place)
+		seek_feed(task);
+	task->ops->members(task->ctx);
+}
+
+static void send_news(void *ctx)
+{
+	supply_task_t *task = ctx;
+	const feed_message_t message = {
+		.type = FEED_NEWS, .age_us = supply_task_age_us(task), .away = task->away};
+
+	feed_server_tell(task->server, &message);
+	loop_timer_set(task->loop, &task->news_timer, NEWS_PERIOD_US);
+}
+
+/* ---- start ---- */
+
+static void start_followers(supply_task_t *task, platform_task_t *platform)
+{
+	static const follower_ops_t ops = {.list_begin = give_list_begin,
+					   .object = give_object,
+					   .list_end = give_list_end,
+					   .lost = on_lost,
+					   .back = on_back};
+
+	for (uint32_t i = 0; i < FED_KINDS; i++) {
+		supply_kind_t *kind = &task->kinds[i];
+
+		*kind = (supply_kind_t){.task = task, .kind = (store_kind_t)i};
+		kind->follower = follower_new(task->loop, platform, kind->kind, &ops, kind);
+	}
+	follow_store(task);
+}
+
+supply_task_t *supply_task_new(loop_t *loop, const settings_t *settings, platform_task_t *platform,
+			       const supply_ops_t *ops, void *ctx)
+{
+	supply_task_t *task = g_new0(supply_task_t, 1);
+	const endpoint_setting_t *feed = &settings->front_feed;
+
+	task->loop = loop;
+	task->ops = ops;
+	task->ctx = ctx;
+	task->rand = g_rand_new();
+	task->server = feed_server_new(loop, feed->address, feed->port, FED_KINDS);
+	if (!task->server)
+		return NULL;
+	task->news_timer = (loop_timer_t){.fire = send_news, .ctx = task};
+	task->again_timer = (loop_timer_t){.fire = seek_feed, .ctx = task};
+	start_followers(task, platform);
+	task->members = member_task_new(
+		loop, platform,
+		vm_new(settings->vm_name, settings->data_centre, feed->address, feed->port),
+		on_members, task);
+	loop_timer_set(loop, &task->news_timer, NEWS_PERIOD_US);
+	return task;
+}
+
+void supply_task_refresh(supply_task_t *task)
+{
+	if (task->following) {
+		task->following = false;
+		follow_store(task);
+		return;
+	}
+	leave_feed(task, "refresh");
+}
+
+uint32_t supply_task_vms(const supply_task_t *task)
+{
+	return member_task_vms(task->members)->len;
+}
+
+uint64_t supply_task_age_us(const supply_task_t *task)
+{
+	uint64_t now_us = loop_now_us(), oldest_us = now_us;
+
+	if (!task->following)
+		return now_us - task->fed_heard_us;
+	for (uint32_t i = 0; i < FED_KINDS; i++)
+		oldest_us = MIN(oldest_us, follower_heard_us(task->kinds[i].follower));
+	return now_us - oldest_us;
+}
+
+bool supply_task_is_fed(const supply_task_t *task)
+{
+	return !task->following;
+}
--- /dev/null
+++ b/src/tasks/supply_task.h
@@ -0,0 +1,42 @@
+/**
+ * @file supply_task.h
+ * Supplies a VM with what the platform's store holds: by watching it, or by hearing of it from
+ * another VM that does. What is known is handed on to VMs that ask this one.
+ *
+ * Whoever feeds this VM may end, freeze or lose the store at any moment; then this VM watches the
+ * store itself, from a whole list on, and later looks for somebody to feed it again.
+ */
+#ifndef DS_SUPPLY_TASK_H
+#define DS_SUPPLY_TASK_H
+
+#include "settings.h"
+#include "store.h"
+#include "tasks/member_task.h"
+#include "tasks/platform_task.h"
+
+typedef struct supply_task_t supply_task_t;
+
+typedef struct supply_ops_t {
+	void (*list_begin)(void *ctx, store_kind_t kind);
+	void (*object)(void *ctx, store_kind_t kind, const store_object_t *object);
+	void (*list_end)(void *ctx, store_kind_t kind);
+	/** The store can't be heard, or is heard again. */
+	void (*lost)(void *ctx);
+	void (*back)(void *ctx);
+	/** The number of VMs may have changed. */
+	void (*members)(void *ctx);
+} supply_ops_t;
+
+/** NULL when the feed's address can't be listened on. */
+supply_task_t *supply_task_new(loop_t *loop, const settings_t *settings, platform_task_t *platform,
+			       const supply_ops_t *ops, void *ctx);
+/** What is known may be old, as after a freeze: read it anew. */
+void supply_task_refresh(supply_task_t *task);
+/** VMs registered, this one included. */
+uint32_t supply_task_vms(const supply_task_t *task);
+/** Since the store was last heard, by whoever watches it. */
+uint64_t supply_task_age_us(const supply_task_t *task);
+/** Whether another VM feeds this one. */
+bool supply_task_is_fed(const supply_task_t *task);
+
+#endif
