--- a/src/core/feed_message.c
+++ b/src/core/feed_message.c
@@ -45,6 +45,13 @@
 	return object->type == MSGPACK_OBJECT_POSITIVE_INTEGER;
 }
 
+static char *copy_text(const msgpack_object *object)
+{
+	const msgpack_object_str *text = &object->via.str;
+
+	return text->size ? g_strndup(text->ptr, text->size) : g_strdup("");
+}
+
 /* The texts are copied: msgpack's are not ended by a NUL. */
 static bool take_fields(const msgpack_object *fields, feed_message_f take, void *ctx)
 {
@@ -56,8 +63,8 @@
 	    fields[2].type != MSGPACK_OBJECT_STR || fields[3].type != MSGPACK_OBJECT_STR ||
 	    !is_number(&fields[4]) || !is_number(&fields[5]))
 		return false;
-	name = g_strndup(fields[2].via.str.ptr, fields[2].via.str.size);
-	text = g_strndup(fields[3].via.str.ptr, fields[3].via.str.size);
+	name = copy_text(&fields[2]);
+	text = copy_text(&fields[3]);
 	message = (feed_message_t){.type = (feed_type_t)fields[0].via.u64,
 				   .kind = (uint32_t)fields[1].via.u64,
 				   .name = name,
--- a/src/core/forward.h
+++ b/src/core/forward.h
@@ -75,6 +75,7 @@
 	GPtrArray *asked;   /**< searcher_t, referenced; NULL before the first */
 	GPtrArray *out;	    /**< sub_t */
 	sub_reply_t *reply; /**< the answer, or the last failure */
+	bool crowded;	    /**< it would have waited for room past its deadline */
 	bool unknown;	    /**< some sub-request may have run without our knowing its end */
 } part_t;
 
--- /dev/null
+++ b/src/core/forward_private.h
@@ -0,0 +1,61 @@
+/**
+ * @file forward_private.h
+ * Shared by the parts of the forwarder: forwarder.c takes requests in, forward.c leads one to its
+ * answer, part.c gets the answer of one service, sub.c is one sub-request. Each calls only what
+ * stands after it in this list, but for part_* telling its request to settle.
+ */
+#ifndef DS_FORWARD_PRIVATE_H
+#define DS_FORWARD_PRIVATE_H
+
+#include "core/forward.h"
+
+/** What is measured of one route, over all versions of the configuration. */
+typedef struct route_state_t {
+	quantile_t typical; /* median of its sub-requests, sent to answered */
+	GArray *credits;    /* double: for the shares of a split, by target */
+} route_state_t;
+
+struct forwarder_t {
+	const forwarder_ops_t *ops;
+	void *ctx;
+	registry_t *registry;
+	routing_t *routing;
+	GHashTable *states; /* route name to route_state_t */
+	timers_t timers;
+	GRand *rand;
+	uint32_t open;
+	forwarder_counters_t counters;
+};
+
+/** A sub-request on its way to @p searcher; its request and service are those of @p part. */
+sub_t *sub_new(part_t *part, searcher_t *searcher, sub_purpose_t purpose, uint64_t now_us);
+void sub_free(sub_t *sub);
+/** Its request is over; it may still end by itself @p within_us, which saves the connection. */
+void sub_release(sub_t *sub, uint64_t within_us, uint64_t now_us);
+
+/** Send the part's next sub-request, or queue it, or lose it. */
+void part_start(part_t *part, sub_purpose_t purpose, uint64_t now_us);
+/** Send once more, if that is due and allowed; else set when to look again. */
+void part_hedge(part_t *part, uint64_t now_us);
+/** A sub-request of the part has ended; takes @p reply. */
+void part_take_reply(part_t *part, sub_t *sub, sub_reply_t *reply, uint64_t now_us);
+/** Room was found at @p searcher for a part that waits. */
+void part_send_waiting(part_t *part, searcher_t *searcher, uint64_t now_us);
+/** Stop waiting for room. */
+void part_unqueue(part_t *part);
+/** Give the part up. */
+void part_lose(part_t *part);
+
+/** Answer if it is time to; true when the request is over, and freed. */
+bool forward_settle(forward_t *forward, uint64_t now_us);
+/** Set the timer for what is next. */
+void forward_arm(forward_t *forward, uint64_t now_us);
+/** End the request without an answer of a searcher. */
+void forward_refuse(forward_t *forward, forward_end_t end, uint64_t now_us);
+/** Let go of what is out; it is cancelled after @p within_us. */
+void forward_release(forward_t *forward, uint64_t within_us, uint64_t now_us);
+void forward_free(forward_t *forward);
+/** The request's timer. */
+void forward_tick(void *ctx, uint64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/core/forwarder.c
@@ -0,0 +1,327 @@
+/**
+ * @file forwarder.c
+ * Takes requests in, and the ends of sub-requests. See forward.h.
+ */
+#include "core/forward_private.h"
+
+/* The caller's clock started a trip earlier, and the answer needs another: 1 to 3 ms each way in
+ * the deployments, and a turn of this loop. */
+#define WAY_US 9000
+/* Callers that do not say how long they wait, on routes without a timeout. */
+#define PATIENCE_UNKNOWN_US 5000000
+/* A caller that left must not keep searchers at work for half a second: close well before that. */
+#define LEFT_US 250000
+/* While nothing is known yet, news come within a second of the start. */
+#define RETRY_AFTER_START_US 300000
+#define TYPICAL_STEP 0.06
+
+static void state_free(void *data)
+{
+	route_state_t *state = data;
+
+	g_array_unref(state->credits);
+	g_free(state);
+}
+
+forwarder_t *forwarder_new(const forwarder_ops_t *ops, void *ctx, registry_t *registry,
+			   uint32_t seed)
+{
+	forwarder_t *forwarder = g_new0(forwarder_t, 1);
+
+	forwarder->ops = ops;
+	forwarder->ctx = ctx;
+	forwarder->registry = registry;
+	forwarder->states = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, state_free);
+	forwarder->rand = g_rand_new_with_seed(seed);
+	timers_init(&forwarder->timers);
+	return forwarder;
+}
+
+void forwarder_free(forwarder_t *forwarder)
+{
+	routing_unref(forwarder->routing);
+	g_hash_table_unref(forwarder->states);
+	timers_clear(&forwarder->timers);
+	g_rand_free(forwarder->rand);
+	g_free(forwarder);
+}
+
+void forwarder_set_routing(forwarder_t *forwarder, routing_t *routing)
+{
+	routing_unref(forwarder->routing);
+	forwarder->routing = routing;
+}
+
+const routing_t *forwarder_routing(const forwarder_t *forwarder)
+{
+	return forwarder->routing;
+}
+
+uint64_t forwarder_next_us(const forwarder_t *forwarder)
+{
+	return timers_next_us(&forwarder->timers);
+}
+
+void forwarder_run(forwarder_t *forwarder, uint64_t now_us)
+{
+	timers_run(&forwarder->timers, now_us);
+}
+
+uint32_t forwarder_open(const forwarder_t *forwarder)
+{
+	return forwarder->open;
+}
+
+const forwarder_counters_t *forwarder_counters(const forwarder_t *forwarder)
+{
+	return &forwarder->counters;
+}
+
+static route_state_t *state_of(forwarder_t *forwarder, const route_t *route)
+{
+	route_state_t *state = g_hash_table_lookup(forwarder->states, route->name);
+
+	if (state)
+		return state;
+	state = g_new0(route_state_t, 1);
+	state->typical = (quantile_t){.fraction = 0.5, .step = TYPICAL_STEP};
+	state->credits = g_array_new(FALSE, TRUE, sizeof(double));
+	g_hash_table_insert(forwarder->states, g_strdup(route->name), state);
+	return state;
+}
+
+/* ---- replies ---- */
+
+static void measure(forwarder_t *forwarder, sub_t *sub, const sub_reply_t *reply, uint64_t now_us)
+{
+	uint64_t took_us = now_us - sub->sending.sent_us;
+
+	forwarder->counters.sub_ends[reply->end]++;
+	switch (reply->end) {
+	case SUB_ANSWERED:
+		searcher_note_answer(sub->searcher, took_us, now_us);
+		quantile_add(&sub->pool->typical, took_us);
+		if (sub->forward)
+			quantile_add(&sub->forward->state->typical, took_us);
+		break;
+	case SUB_NOT_RUN:
+		searcher_note_refusal(sub->searcher, now_us);
+		break;
+	case SUB_REPLACED:
+		registry_note_replaced(forwarder->registry, sub->searcher);
+		break;
+	default:
+		searcher_note_failure(sub->searcher, now_us);
+	}
+}
+
+static void take_reply(sub_t *sub, sub_reply_t *reply, uint64_t now_us)
+{
+	forward_t *forward = sub->forward;
+
+	part_take_reply(&forward->parts[sub->part], sub, reply, now_us);
+	if (!forward_settle(forward, now_us))
+		forward_arm(forward, now_us);
+}
+
+void forwarder_sub_ended(forwarder_t *forwarder, sub_t *sub, sub_reply_t *reply, uint64_t now_us)
+{
+	pool_t *pool = sub->pool;
+
+	measure(forwarder, sub, reply, now_us);
+	if (sub->forward)
+		take_reply(sub, reply, now_us);
+	else
+		sub_reply_free(reply);
+	sub_free(sub);
+	forwarder_room(forwarder, pool->service, now_us);
+}
+
+/* The first waiting part for which nobody is left, or NULL. */
+static part_t *hopeless_part(const pool_t *pool)
+{
+	for (GList *item = pool->waiting.head; item; item = item->next) {
+		part_t *part = item->data;
+
+		if (!placement_is_possible(pool, part->asked))
+			return part;
+	}
+	return NULL;
+}
+
+/* Searchers that leave while parts wait for them must not leave those waiting to their deadline. */
+static void lose_hopeless(pool_t *pool, uint64_t now_us)
+{
+	part_t *part;
+
+	while ((part = hopeless_part(pool))) {
+		forward_t *forward = part->forward;
+
+		part_lose(part);
+		if (!forward_settle(forward, now_us))
+			forward_arm(forward, now_us);
+	}
+}
+
+void forwarder_room(forwarder_t *forwarder, const char *service, uint64_t now_us)
+{
+	pool_t *pool = registry_pool(forwarder->registry, service);
+	GList *next;
+
+	for (GList *item = pool->waiting.head; item; item = next) {
+		part_t *part = item->data;
+		searcher_t *searcher = placement_choose(pool, part->asked, forwarder->rand, now_us);
+
+		next = item->next;
+		if (!searcher && !part->asked)
+			break; /* nobody has room, for any part */
+		if (!searcher)
+			continue;
+		part_send_waiting(part, searcher, now_us);
+		forward_arm(part->forward, now_us);
+	}
+	lose_hopeless(pool, now_us);
+}
+
+/* ---- requests ---- */
+
+/* The target furthest behind its share: exact over any stretch of requests. */
+static uint32_t split_choose(forwarder_t *forwarder, forward_t *forward)
+{
+	const GArray *targets = forward->route->targets;
+	GArray *credits = forward->state->credits;
+	uint32_t best = 0;
+	double total = 0;
+
+	if (credits->len != targets->len) {
+		g_array_set_size(credits, 0);
+		g_array_set_size(credits, targets->len);
+		/* VMs that start together must not all begin with the same target. */
+		for (guint i = 0; i < targets->len; i++)
+			g_array_index(credits, double, i) = g_rand_double(forwarder->rand);
+	}
+	for (guint i = 0; i < targets->len; i++) {
+		double weight = g_array_index(targets, route_target_t, i).weight;
+
+		total += weight;
+		g_array_index(credits, double, i) += weight;
+		if (g_array_index(credits, double, i) > g_array_index(credits, double, best))
+			best = i;
+	}
+	g_array_index(credits, double, best) -= total;
+	return best;
+}
+
+static void part_init(forward_t *forward, uint32_t index, const char *service, uint64_t now_us)
+{
+	part_t *part = &forward->parts[index];
+
+	part->forward = forward;
+	part->pool = registry_pool(forward->forwarder->registry, service);
+	part->state = PART_WAITING;
+	retry_budget_note_request(&part->pool->budget, now_us);
+}
+
+static void lay_out_parts(forward_t *forward, uint64_t now_us)
+{
+	const GArray *targets = forward->route->targets;
+
+	forward->part_count = forward->route->gathers ? targets->len : 1;
+	forward->parts = g_new0(part_t, forward->part_count);
+	if (!forward->route->gathers) {
+		uint32_t chosen = targets->len > 1 ? split_choose(forward->forwarder, forward) : 0;
+
+		part_init(forward, 0, g_array_index(targets, route_target_t, chosen).service,
+			  now_us);
+		return;
+	}
+	for (uint32_t i = 0; i < forward->part_count; i++)
+		part_init(forward, i, g_array_index(targets, route_target_t, i).service, now_us);
+}
+
+/* Before anything is sent: what is hopeless from the start must not put any searcher to work. */
+static void lose_impossible(forward_t *forward)
+{
+	for (uint32_t i = 0; i < forward->part_count; i++)
+		if (!placement_is_possible(forward->parts[i].pool, NULL))
+			part_lose(&forward->parts[i]);
+}
+
+static void set_times(forward_t *forward)
+{
+	const forward_request_t *request = &forward->request;
+	const route_t *route = forward->route;
+	uint64_t wait_us = request->patience_us ? request->patience_us : PATIENCE_UNKNOWN_US;
+
+	if (route->timeout_us)
+		wait_us = MIN(wait_us, route->timeout_us);
+	forward->deadline_us =
+		request->received_us + (wait_us > 2 * WAY_US ? wait_us - WAY_US : wait_us / 2);
+	forward->partial_us =
+		request->received_us +
+		(route->target_us > 2 * WAY_US ? route->target_us - WAY_US : route->target_us / 2);
+}
+
+static void answer_unrouted(forwarder_t *forwarder, const forward_request_t *request, void *owner,
+			    forward_end_t end)
+{
+	forward_t forward = {.forwarder = forwarder, .request = *request, .owner = owner};
+	forward_answer_t answer = {.end = end};
+
+	if (end == FORWARD_NOT_READY)
+		answer.retry_after_us = RETRY_AFTER_START_US;
+	forwarder->counters.ends[end]++;
+	forwarder->ops->answer(forwarder->ctx, &forward, &answer);
+}
+
+forward_t *forwarder_submit(forwarder_t *forwarder, const forward_request_t *request, void *owner,
+			    uint64_t now_us)
+{
+	const route_t *route;
+	forward_t *forward;
+
+	forwarder->counters.requests++;
+	if (!forwarder->routing || !registry_is_known(forwarder->registry)) {
+		answer_unrouted(forwarder, request, owner, FORWARD_NOT_READY);
+		return NULL;
+	}
+	route = routing_match(forwarder->routing, request->host, request->target);
+	if (!route) {
+		answer_unrouted(forwarder, request, owner, FORWARD_NO_ROUTE);
+		return NULL;
+	}
+	forward = g_new0(forward_t, 1);
+	forward->forwarder = forwarder;
+	forward->request = *request;
+	forward->owner = owner;
+	forward->routing = routing_ref(forwarder->routing);
+	forward->route = route;
+	forward->state = state_of(forwarder, route);
+	forward->timer = (timer_entry_t){.fire = forward_tick, .ctx = forward};
+	forwarder->open++;
+	set_times(forward);
+	lay_out_parts(forward, now_us);
+	/* Read late, after a long turn of the loop: a searcher would work for nobody. */
+	if (forward_left_us(forward, now_us) == 0) {
+		forward_refuse(forward, FORWARD_TOO_LATE, now_us);
+		return NULL;
+	}
+	lose_impossible(forward);
+	if (forward_settle(forward, now_us))
+		return NULL;
+	for (uint32_t i = 0; i < forward->part_count; i++)
+		if (forward->parts[i].state == PART_WAITING)
+			part_start(&forward->parts[i], SUB_FIRST, now_us);
+	if (forward_settle(forward, now_us))
+		return NULL;
+	forward_arm(forward, now_us);
+	return forward;
+}
+
+void forwarder_abandon(forwarder_t *forwarder, forward_t *forward, uint64_t now_us)
+{
+	forwarder->counters.left++;
+	forward->finished = true;
+	forward_release(forward, LEFT_US, now_us);
+	forward_free(forward);
+}
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -32,11 +32,24 @@
 /* VMs that know the same must not all choose the same one. */
 #define SPREAD 0.1
 
-static double typical_us(const pool_t *pool)
+double placement_typical_us(const pool_t *pool)
 {
 	return pool->typical.value_us > 0 ? pool->typical.value_us : TYPICAL_UNKNOWN_US;
 }
 
+uint32_t placement_room_most(const pool_t *pool)
+{
+	uint32_t most = 0;
+
+	for (guint i = 0; i < pool->searchers->len; i++) {
+		const searcher_t *searcher = g_ptr_array_index(pool->searchers, i);
+
+		if (searcher_is_usable(searcher))
+			most += searcher->connections_most;
+	}
+	return most;
+}
+
 static double way_us(const searcher_t *searcher)
 {
 	static const double ways_us[] = {
@@ -47,7 +60,7 @@
 
 static double unmeasured_us(const searcher_t *searcher, const pool_t *pool)
 {
-	return typical_us(pool) + way_us(searcher);
+	return placement_typical_us(pool) + way_us(searcher);
 }
 
 static double latency_us(const searcher_t *searcher, const pool_t *pool, uint64_t now_us)
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -13,6 +13,10 @@
 	GList link; /**< in searcher_t.out; data is the sending_t */
 } sending_t;
 
+/** What a sub-request to the pool usually takes. */
+double placement_typical_us(const pool_t *pool);
+/** Connections that this VM may have to all usable searchers of the pool. */
+uint32_t placement_room_most(const pool_t *pool);
 /** Expected time until an answer, for comparing searchers. */
 double placement_cost_us(const searcher_t *searcher, const pool_t *pool, uint64_t now_us);
 /** Whether its oldest sub-request is out for much longer than usual: it pauses or hangs. */
--- a/src/core/searcher.c
+++ b/src/core/searcher.c
@@ -7,9 +7,9 @@
 #include <math.h>
 
 /* What an answer says of a searcher weighs as much as the time that it stands for: at one answer a
- * second (90 VMs) it counts for a third, so a searcher that turned ten times slower is avoided after
- * two; at thirty a second (6 VMs) for a twentieth, so that a pause of 200 ms hardly moves it and a
- * slow spell is still known within a second. */
+ * second (90 VMs) it counts for a third, so a searcher that turned ten times slower is avoided
+ * after two; at thirty a second (6 VMs) for a twentieth, so that a pause of 200 ms hardly moves it
+ * and a slow spell is still known within a second. */
 #define LATENCY_MEMORY_US 2500000.0
 #define LATENCY_WEIGHT_LEAST 0.05
 /* A searcher that failed is left alone for so long, doubled with each failure in a row. */
--- /dev/null
+++ b/src/core/sub.c
@@ -0,0 +1,96 @@
+/**
+ * @file sub.c
+ * One sub-request and its reply. See forward.h.
+ */
+#include "core/forward_private.h"
+
+/* Pauses last 200 ms, and a searcher ten times slower answers within 120 ms. */
+#define HANGS_US 500000
+
+const char *forward_end_name(forward_end_t end)
+{
+	static const char *const names[FORWARD_ENDS] = {
+		[FORWARD_ANSWERED] = "answered", [FORWARD_NOT_READY] = "not-ready",
+		[FORWARD_NO_ROUTE] = "no-route", [FORWARD_NO_SEARCHER] = "no-searcher",
+		[FORWARD_TOO_LATE] = "too-late", [FORWARD_FULL] = "full",
+		[FORWARD_REJECTED] = "rejected", [FORWARD_TOO_FEW] = "too-few",
+		[FORWARD_FAILED] = "failed",	 [FORWARD_TIMEOUT] = "timeout",
+	};
+
+	return names[end];
+}
+
+const char *sub_end_name(sub_end_t end)
+{
+	static const char *const names[] = {
+		[SUB_ANSWERED] = "answered", [SUB_FAILED] = "failed",	  [SUB_NOT_RUN] = "not-run",
+		[SUB_REPLACED] = "replaced", [SUB_NOT_SENT] = "not-sent", [SUB_UNKNOWN] = "unknown",
+	};
+
+	return names[end];
+}
+
+sub_reply_t *sub_reply_new(sub_end_t end)
+{
+	sub_reply_t *reply = g_new0(sub_reply_t, 1);
+
+	reply->end = end;
+	return reply;
+}
+
+void sub_reply_free(sub_reply_t *reply)
+{
+	if (!reply)
+		return;
+	g_free(reply->stamp);
+	g_free(reply->headers);
+	if (reply->body)
+		g_string_free(reply->body, TRUE);
+	g_free(reply);
+}
+
+sub_t *sub_new(part_t *part, searcher_t *searcher, sub_purpose_t purpose, uint64_t now_us)
+{
+	sub_t *sub = g_new0(sub_t, 1);
+
+	sub->forwarder = part->forward->forwarder;
+	sub->forward = part->forward;
+	sub->part = (uint32_t)(part - part->forward->parts);
+	sub->purpose = purpose;
+	sub->searcher = searcher_ref(searcher);
+	sub->pool = part->pool;
+	sub->sending.sent_us = now_us;
+	sub->sending.link.data = sub;
+	g_queue_push_tail_link(&searcher->out, &sub->sending.link);
+	return sub;
+}
+
+void sub_free(sub_t *sub)
+{
+	timers_cancel(&sub->forwarder->timers, &sub->leave);
+	g_queue_unlink(&sub->searcher->out, &sub->sending.link);
+	searcher_unref(sub->searcher);
+	g_free(sub);
+}
+
+static void cancel_unneeded(void *ctx, uint64_t now_us)
+{
+	sub_t *sub = ctx;
+	forwarder_t *forwarder = sub->forwarder;
+	pool_t *pool = sub->pool;
+
+	/* A pause would be over: it hangs, is dark, or its connection went silent. */
+	if (now_us - sub->sending.sent_us > HANGS_US)
+		searcher_note_failure(sub->searcher, now_us);
+	forwarder->ops->cancel(forwarder->ctx, sub);
+	sub_free(sub);
+	forwarder_room(forwarder, pool->service, now_us);
+}
+
+void sub_release(sub_t *sub, uint64_t within_us, uint64_t now_us)
+{
+	sub->forward = NULL;
+	sub->leave.fire = cancel_unneeded;
+	sub->leave.ctx = sub;
+	timers_set(&sub->forwarder->timers, &sub->leave, now_us + within_us);
+}
--- a/src/net/http_message.c
+++ b/src/net/http_message.c
@@ -26,12 +26,32 @@
 	bool any_line;
 } head_scan_t;
 
+/* Where the bytes of a body in chunks are; http-parser, as it is built here, takes any two bytes
+ * for the end of a chunk, and a parser behind us would see other requests than we do. */
+typedef enum chunk_place_t {
+	CHUNK_SIZE,	 /* hexadecimal digits */
+	CHUNK_EXTENSION, /* what may follow the size */
+	CHUNK_SIZE_LF,
+	CHUNK_DATA,
+	CHUNK_DATA_CR,
+	CHUNK_DATA_LF,
+	CHUNK_TRAILER, /* lines after the last chunk; the parser finds their end */
+} chunk_place_t;
+
+typedef struct chunk_scan_t {
+	chunk_place_t place;
+	uint64_t left; /* of the chunk */
+	uint32_t digits;
+} chunk_scan_t;
+
 struct http_message_t {
 	http_parser parser;
 	http_message_kind_t kind;
 	http_message_limits_t limits;
 	http_message_state_t state;
 	head_scan_t scan;
+	chunk_scan_t chunks;
+	bool is_chunked;
 	GString *text; /* NUL-ended texts: the target, then names and values */
 	header_place_t headers[HEADERS_MOST];
 	uint32_t header_count;
@@ -53,6 +73,15 @@
 	return 0;
 }
 
+/* Spaces after a value are not part of it. */
+static void end_value(http_message_t *message)
+{
+	GString *text = message->text;
+
+	while (message->in_value && text->len && g_ascii_isspace(text->str[text->len - 1]))
+		g_string_truncate(text, text->len - 1);
+}
+
 static int add_name(http_parser *parser, const char *at, size_t length)
 {
 	http_message_t *message = message_of(parser);
@@ -62,6 +91,7 @@
 	if (memchr(at, ' ', length) || memchr(at, '\t', length))
 		return -1;
 	if (message->in_value || message->header_count == 0) {
+		end_value(message);
 		if (message->header_count == HEADERS_MOST)
 			return -1;
 		g_string_append_c(message->text, '\0');
@@ -92,6 +122,8 @@
 	http_message_t *message = message_of(parser);
 
 	message->has_head = true;
+	message->is_chunked = parser->flags & F_CHUNKED;
+	end_value(message);
 	if (parser->http_major != 1)
 		return -1;
 	/* An offer to switch protocols is not taken; the request is served as it is. */
@@ -158,6 +190,8 @@
 	message->parser.data = message;
 	message->state = HTTP_MESSAGE_MORE;
 	message->scan = (head_scan_t){.in_head = true};
+	message->chunks = (chunk_scan_t){0};
+	message->is_chunked = false;
 	message->header_count = 0;
 	message->in_value = false;
 	message->has_head = false;
@@ -216,6 +250,58 @@
 	return i;
 }
 
+/* True while @p byte may stand in the line of a chunk's size. */
+static bool scan_size(chunk_scan_t *chunks, char byte)
+{
+	if (byte == '\r' && chunks->digits) {
+		chunks->place = CHUNK_SIZE_LF;
+		return true;
+	}
+	if (chunks->place == CHUNK_EXTENSION)
+		return byte != '\n' && byte != '\r';
+	if (byte == ';' && chunks->digits) {
+		chunks->place = CHUNK_EXTENSION;
+		return true;
+	}
+	if (!g_ascii_isxdigit(byte) || ++chunks->digits > 2 * sizeof(chunks->left))
+		return false;
+	chunks->left = chunks->left * 16 + (uint64_t)g_ascii_xdigit_value(byte);
+	return true;
+}
+
+static bool scan_chunk_byte(chunk_scan_t *chunks, char byte)
+{
+	switch (chunks->place) {
+	case CHUNK_SIZE:
+	case CHUNK_EXTENSION:
+		return scan_size(chunks, byte);
+	case CHUNK_SIZE_LF:
+		chunks->place = chunks->left ? CHUNK_DATA : CHUNK_TRAILER;
+		return byte == '\n';
+	case CHUNK_DATA:
+		if (--chunks->left == 0)
+			chunks->place = CHUNK_DATA_CR;
+		return true;
+	case CHUNK_DATA_CR:
+		chunks->place = CHUNK_DATA_LF;
+		return byte == '\r';
+	case CHUNK_DATA_LF:
+		*chunks = (chunk_scan_t){.place = CHUNK_SIZE};
+		return byte == '\n';
+	case CHUNK_TRAILER:
+		return true;
+	}
+	return false;
+}
+
+static bool scan_chunks(chunk_scan_t *chunks, const char *data, size_t bytes)
+{
+	for (size_t i = 0; i < bytes && chunks->place != CHUNK_TRAILER; i++)
+		if (!scan_chunk_byte(chunks, data[i]))
+			return false;
+	return true;
+}
+
 static size_t parse(http_message_t *message, const char *data, size_t bytes)
 {
 	size_t taken = http_parser_execute(&message->parser, &callbacks, data, bytes);
@@ -241,6 +327,8 @@
 
 		if (message->scan.in_head)
 			part = scan_head(message, data + taken, part);
+		else if (message->is_chunked && !scan_chunks(&message->chunks, data + taken, part))
+			message->state = HTTP_MESSAGE_BAD;
 		if (message->state != HTTP_MESSAGE_MORE)
 			return taken;
 		taken += parse(message, data + taken, part);
--- /dev/null
+++ b/tests/forward_test.c
@@ -0,0 +1,482 @@
+/**
+ * @file forward_test.c
+ * Plays the scripts of tests/forward over the forwarder: no sockets, and time as the script says.
+ *
+ * A script holds commands and, after "> ", the lines that they must print. Commands:
+ *
+ *     route NAME HOST PREFIX single|gather idempotent|once KEY=NUMBER... SERVICE[*WEIGHT]...
+ *     routing VERSION             put the routes so far in force
+ *     searcher ID SERVICE local|far [slots]
+ *     drain ID, gone ID           the store says so
+ *     lost, back                  the store stops answering, or answers again
+ *     list ID...                  the store's whole list
+ *     room ID CONNECTIONS         this VM's share of the searcher's connections
+ *     constant N                  this VM's part of the constant of the retry bound
+ *     request ID HOST TARGET [patience_ms]
+ *     leave ID                    the caller goes away
+ *     at MS                       time passes up to then
+ *     answer SEARCHER ID [BODY]   also: fail, refuse, replaced, unsent, cut
+ *     many N SECONDS ID HOST TARGET   N requests, each answered at once by whom it is sent to
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include "core/forward.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SCRIPTS "tests/forward"
+#define BOUND_WINDOW_US 10000000
+
+typedef struct play_t {
+	GString *out;
+	uint64_t now_us;
+	registry_t *registry;
+	forwarder_t *forwarder;
+	routing_t *routing;   /* being put together */
+	GHashTable *forwards; /* id to forward_t */
+	GPtrArray *subs;      /* sub_t that are out */
+	GHashTable *regions;
+	bool quiet; /* `many` prints nothing */
+} play_t;
+
+static void say(play_t *play, const char *format, ...) G_GNUC_PRINTF(2, 3);
+
+static void say(play_t *play, const char *format, ...)
+{
+	va_list args;
+
+	if (play->quiet)
+		return;
+	va_start(args, format);
+	g_string_append(play->out, "> ");
+	g_string_append_vprintf(play->out, format, args);
+	g_string_append_c(play->out, '\n');
+	va_end(args);
+}
+
+static void on_send(void *ctx, sub_t *sub)
+{
+	static const char *const purposes[] = {"first", "hedge", "retry"};
+	play_t *play = ctx;
+
+	g_ptr_array_add(play->subs, sub);
+	sub->searcher->connections++;
+	say(play, "send %s part=%u %s to=%s left_ms=%" G_GUINT64_FORMAT, sub->forward->request.id,
+	    sub->part, purposes[sub->purpose], sub->searcher->id,
+	    forward_left_us(sub->forward, play->now_us) / 1000);
+}
+
+static void on_cancel(void *ctx, sub_t *sub)
+{
+	play_t *play = ctx;
+
+	sub->searcher->connections--;
+	g_ptr_array_remove(play->subs, sub);
+	say(play, "cancel to=%s", sub->searcher->id);
+}
+
+static void on_answer(void *ctx, forward_t *forward, const forward_answer_t *answer)
+{
+	play_t *play = ctx;
+	g_autoptr(GString) text = g_string_new(NULL);
+
+	if (answer->stamps)
+		g_string_append_printf(text, " stamps=\"%s\" missing=%u records=%s",
+				       answer->stamps->str, answer->missing, answer->records->str);
+	if (answer->reply)
+		g_string_append_printf(text, " status=%d", answer->reply->status);
+	if (answer->retry_after_us)
+		g_string_append_printf(text, " back_in_ms=%" G_GUINT64_FORMAT,
+				       answer->retry_after_us / 1000);
+	say(play, "reply %s %s%s", forward->request.id, forward_end_name(answer->end), text->str);
+	g_hash_table_remove(play->forwards, forward->request.id);
+}
+
+static void on_changed(void *ctx, searcher_t *searcher)
+{
+	play_t *play = ctx;
+
+	say(play, "searcher %s %s", searcher->id, searcher_state_name(searcher->state));
+	if (play->forwarder && searcher->state != SEARCHER_READY)
+		forwarder_room(play->forwarder, searcher->service, play->now_us);
+}
+
+static play_t *play_new(void)
+{
+	static const registry_ops_t registry_ops = {.changed = on_changed};
+	static const forwarder_ops_t ops = {
+		.send = on_send, .cancel = on_cancel, .answer = on_answer};
+	play_t *play = g_new0(play_t, 1);
+	const retry_bound_t bound = {.ratio = 0.2, .window_us = BOUND_WINDOW_US, .constant = 2};
+	place_t place = {.data_centre = "here"};
+
+	play->out = g_string_new(NULL);
+	play->now_us = 1000000000;
+	play->regions = g_hash_table_new(g_str_hash, g_str_equal);
+	g_hash_table_insert(play->regions, "here", "one");
+	g_hash_table_insert(play->regions, "there", "two");
+	place.regions = play->regions;
+	play->registry = registry_new(&place, &bound, &registry_ops, play);
+	play->forwarder = forwarder_new(&ops, play, play->registry, 1);
+	play->forwards = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	play->subs = g_ptr_array_new();
+	return play;
+}
+
+static void pass_to(play_t *play, uint64_t until_us)
+{
+	uint64_t next_us;
+
+	while ((next_us = MIN(forwarder_next_us(play->forwarder),
+			      registry_run(play->registry, play->now_us))) <= until_us) {
+		play->now_us = MAX(next_us, play->now_us);
+		forwarder_run(play->forwarder, play->now_us);
+		registry_run(play->registry, play->now_us);
+	}
+	play->now_us = until_us;
+}
+
+static void play_free(play_t *play)
+{
+	g_autoptr(GList) open = g_hash_table_get_values(play->forwards);
+
+	/* What the script left open ends without a word. */
+	play->quiet = true;
+	for (GList *item = open; item; item = item->next)
+		if (item->data)
+			forwarder_abandon(play->forwarder, item->data, play->now_us);
+	pass_to(play, play->now_us + 10 * BOUND_WINDOW_US);
+	g_ptr_array_unref(play->subs);
+	g_hash_table_unref(play->forwards);
+	forwarder_free(play->forwarder);
+	registry_free(play->registry);
+	routing_unref(play->routing);
+	g_hash_table_unref(play->regions);
+	g_string_free(play->out, TRUE);
+	g_free(play);
+}
+
+static void route_option(route_t *route, const char *word)
+{
+	const char *equals = strchr(word, '=');
+	double value = g_ascii_strtod(equals + 1, NULL);
+
+	if (g_str_has_prefix(word, "timeout_ms="))
+		route->timeout_us = (uint64_t)value * 1000;
+	else if (g_str_has_prefix(word, "target_ms="))
+		route->target_us = (uint64_t)value * 1000;
+	else if (g_str_has_prefix(word, "attempts="))
+		route->attempts_most = (uint32_t)value;
+	else if (g_str_has_prefix(word, "rank="))
+		route->rank = (uint32_t)value;
+	else if (g_str_has_prefix(word, "top="))
+		route->top = (uint32_t)value;
+	else if (g_str_has_prefix(word, "least="))
+		route->coverage_least = value;
+}
+
+static void do_route(play_t *play, char **words)
+{
+	route_t *route;
+
+	if (!play->routing)
+		play->routing = routing_new(0);
+	route = routing_add(play->routing);
+	route->name = g_strdup(words[1]);
+	route->host = g_strdup(words[2]);
+	route->prefix = g_strdup(words[3]);
+	route->gathers = g_str_equal(words[4], "gather");
+	route->idempotent = g_str_equal(words[5], "idempotent");
+	route->attempts_most = 1;
+	for (char **word = words + 6; *word; word++) {
+		char *star = strchr(*word, '*');
+
+		if (strchr(*word, '=')) {
+			route_option(route, *word);
+			continue;
+		}
+		if (star)
+			*star = '\0';
+		route_add_target(route, *word, star ? g_ascii_strtod(star + 1, NULL) : 1);
+	}
+}
+
+static void do_routing(play_t *play, char **words)
+{
+	play->routing->version = strtoull(words[1], NULL, 10);
+	routing_seal(play->routing);
+	forwarder_set_routing(play->forwarder, play->routing);
+	play->routing = NULL;
+}
+
+static void put(play_t *play, const char *id, const char *service, bool local, const char *slots,
+		bool draining)
+{
+	const searcher_entry_t entry = {.id = (char *)id,
+					.service = (char *)service,
+					.address = "127.0.0.1",
+					.port = 1,
+					.data_centre = local ? "here" : "there",
+					.slots = slots ? (uint32_t)atoi(slots) : 2,
+					.draining = draining};
+	searcher_t *searcher;
+
+	registry_put(play->registry, &entry, play->now_us);
+	searcher = registry_find(play->registry, id);
+	if (searcher)
+		searcher->connections_most = MAX(searcher->connections_most, 8);
+}
+
+static void do_searcher(play_t *play, char **words)
+{
+	if (!registry_is_known(play->registry)) {
+		registry_list_begin(play->registry);
+		registry_list_end(play->registry, play->now_us);
+	}
+	put(play, words[1], words[2], g_str_equal(words[3], "local"), words[4], false);
+}
+
+static void do_drain(play_t *play, char **words)
+{
+	searcher_t *searcher = registry_find(play->registry, words[1]);
+
+	put(play, words[1], searcher->service, true, NULL, true);
+}
+
+static void do_gone(play_t *play, char **words)
+{
+	registry_remove(play->registry, words[1], play->now_us);
+	registry_run(play->registry, play->now_us);
+}
+
+static void do_list(play_t *play, char **words)
+{
+	registry_list_begin(play->registry);
+	for (char **id = words + 1; *id; id++) {
+		searcher_t *searcher = registry_find(play->registry, *id);
+
+		if (searcher)
+			put(play, *id, searcher->service, true, NULL, false);
+	}
+	registry_list_end(play->registry, play->now_us);
+}
+
+static void do_lost(play_t *play, char **words)
+{
+	(void)words;
+	registry_store_lost(play->registry);
+}
+
+static void do_back(play_t *play, char **words)
+{
+	(void)words;
+	registry_store_back(play->registry, play->now_us);
+}
+
+static void do_room(play_t *play, char **words)
+{
+	searcher_t *searcher = registry_find(play->registry, words[1]);
+
+	searcher->connections_most = (uint32_t)atoi(words[2]);
+	forwarder_room(play->forwarder, searcher->service, play->now_us);
+}
+
+static void do_constant(play_t *play, char **words)
+{
+	registry_set_constant(play->registry, g_ascii_strtod(words[1], NULL));
+}
+
+static void submit(play_t *play, const char *id, const char *host, const char *target,
+		   const char *patience_ms)
+{
+	/* The key lives as long as the table's entry; the request borrows it. */
+	char *key = g_strdup(id);
+	const forward_request_t request = {
+		.id = key,
+		.host = host,
+		.target = target,
+		.received_us = play->now_us,
+		.patience_us = patience_ms ? strtoull(patience_ms, NULL, 10) * 1000 : 0};
+	forward_t *forward;
+
+	g_hash_table_insert(play->forwards, key, NULL);
+	forward = forwarder_submit(play->forwarder, &request, NULL, play->now_us);
+	if (forward)
+		g_hash_table_insert(play->forwards, g_strdup(id), forward);
+}
+
+static void do_request(play_t *play, char **words)
+{
+	submit(play, words[1], words[2], words[3], words[4]);
+}
+
+static void do_leave(play_t *play, char **words)
+{
+	forwarder_abandon(play->forwarder, g_hash_table_lookup(play->forwards, words[1]),
+			  play->now_us);
+	g_hash_table_remove(play->forwards, words[1]);
+}
+
+static void do_at(play_t *play, char **words)
+{
+	pass_to(play, 1000000000 + strtoull(words[1], NULL, 10) * 1000);
+}
+
+static sub_t *find_sub(play_t *play, const char *searcher, const char *id)
+{
+	for (guint i = 0; i < play->subs->len; i++) {
+		sub_t *sub = g_ptr_array_index(play->subs, i);
+		bool same = sub->forward ? g_str_equal(sub->forward->request.id, id)
+					 : g_str_equal(id, "-");
+
+		if (same && g_str_equal(sub->searcher->id, searcher))
+			return sub;
+	}
+	return NULL;
+}
+
+static void end_sub(play_t *play, sub_t *sub, sub_end_t end, const char *body)
+{
+	sub_reply_t *reply = sub_reply_new(end);
+
+	g_ptr_array_remove(play->subs, sub);
+	sub->searcher->connections--;
+	reply->status = end == SUB_ANSWERED ? 200 : 500;
+	reply->stamp = g_strdup_printf("by-%s", sub->searcher->id);
+	reply->body = g_string_new(body);
+	forwarder_sub_ended(play->forwarder, sub, reply, play->now_us);
+}
+
+static void do_end(play_t *play, char **words)
+{
+	static const char *const names[] = {"answer",	"fail",	  "refuse",
+					    "replaced", "unsent", "cut"};
+	static const sub_end_t ends[] = {SUB_ANSWERED, SUB_FAILED,   SUB_NOT_RUN,
+					 SUB_REPLACED, SUB_NOT_SENT, SUB_UNKNOWN};
+	sub_t *sub = find_sub(play, words[1], words[2]);
+
+	if (!sub) {
+		say(play, "nothing is out to %s for %s", words[1], words[2]);
+		return;
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
+		if (g_str_equal(words[0], names[i]))
+			end_sub(play, sub, ends[i], words[3] ? words[3] : "");
+}
+
+static void do_many(play_t *play, char **words)
+{
+	guint count = (guint)atoi(words[1]);
+	uint64_t step_us = (uint64_t)(g_ascii_strtod(words[2], NULL) * 1e6 / count);
+
+	play->quiet = true;
+	for (guint i = 0; i < count; i++) {
+		submit(play, words[3], words[4], words[5], NULL);
+		while (play->subs->len)
+			end_sub(play, g_ptr_array_index(play->subs, 0), SUB_ANSWERED, "");
+		pass_to(play, play->now_us + step_us);
+	}
+	play->quiet = false;
+}
+
+typedef struct command_t {
+	const char *name;
+	void (*run)(play_t *play, char **words);
+} command_t;
+
+static const command_t commands[] = {
+	{"route", do_route},
+	{"routing", do_routing},
+	{"searcher", do_searcher},
+	{"drain", do_drain},
+	{"gone", do_gone},
+	{"list", do_list},
+	{"lost", do_lost},
+	{"back", do_back},
+	{"room", do_room},
+	{"constant", do_constant},
+	{"request", do_request},
+	{"leave", do_leave},
+	{"at", do_at},
+	{"answer", do_end},
+	{"fail", do_end},
+	{"refuse", do_end},
+	{"replaced", do_end},
+	{"unsent", do_end},
+	{"cut", do_end},
+	{"many", do_many},
+};
+
+static void run_line(play_t *play, const char *line)
+{
+	g_auto(GStrv) words = g_strsplit(line, " ", 0);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
+		if (!g_str_equal(commands[i].name, words[0]))
+			continue;
+		commands[i].run(play, words);
+		return;
+	}
+	fail_msg("unknown command: %s", line);
+}
+
+/* What the script would be with the lines that were really printed. */
+static char *play_script(char **lines)
+{
+	play_t *play = play_new();
+	char *whole;
+
+	for (char **line = lines; *line; line++) {
+		if (g_str_has_prefix(*line, "> "))
+			continue;
+		g_string_append(play->out, *line);
+		if (line[1])
+			g_string_append_c(play->out, '\n');
+		if (**line && **line != '#')
+			run_line(play, *line);
+	}
+	whole = g_strdup(play->out->str);
+	play_free(play);
+	return whole;
+}
+
+static void test_script(void **state)
+{
+	const char *path = *state;
+	g_autofree char *text = NULL;
+	g_autofree char *got = NULL;
+	g_auto(GStrv) lines = NULL;
+
+	assert_true(g_file_get_contents(path, &text, NULL, NULL));
+	lines = g_strsplit(text, "\n", 0);
+	got = play_script(lines);
+	if (g_getenv("WRITE_SCRIPTS"))
+		g_file_set_contents(path, got, -1, NULL);
+	else
+		assert_string_equal(got, text);
+}
+
+int main(void)
+{
+	GArray *tests = g_array_new(FALSE, TRUE, sizeof(struct CMUnitTest));
+	GDir *dir = g_dir_open(SCRIPTS, 0, NULL);
+	const char *name;
+	int failed;
+
+	while (dir && (name = g_dir_read_name(dir))) {
+		struct CMUnitTest test = {.name = g_strdup(name),
+					  .test_func = test_script,
+					  .initial_state = g_build_filename(SCRIPTS, name, NULL)};
+
+		g_array_append_val(tests, test);
+	}
+	failed = _cmocka_run_group_tests("forward", (struct CMUnitTest *)(void *)tests->data,
+					 tests->len, NULL, NULL);
+	g_dir_close(dir);
+	return failed;
+}
--- /dev/null
+++ b/tests/message_test.c
@@ -0,0 +1,190 @@
+/**
+ * @file message_test.c
+ * What the HTTP codec makes of requests and replies, whole and byte by byte.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include "net/http_message.h"
+
+#include <string.h>
+
+#define HEAD_MOST 256
+#define BODY_MOST 64
+
+typedef struct message_case_t {
+	const char *what;
+	http_message_kind_t kind;
+	const char *bytes;
+	http_message_state_t state;
+	const char *body; /* of a whole one */
+	bool keeps_alive;
+} message_case_t;
+
+#define REQUEST HTTP_MESSAGE_REQUEST
+#define REPLY HTTP_MESSAGE_REPLY
+#define WHOLE HTTP_MESSAGE_WHOLE
+#define BAD HTTP_MESSAGE_BAD
+#define MORE HTTP_MESSAGE_MORE
+
+static const message_case_t cases[] = {
+	{"no body", REQUEST, "GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n", WHOLE, "", true},
+	{"length", REQUEST, "POST /a/ HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc", WHOLE, "abc",
+	 true},
+	{"chunks", REQUEST,
+	 "POST /a/ HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
+	 WHOLE, "abc", true},
+	{"trailers are dropped", REQUEST,
+	 "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: y\r\n\r\n", WHOLE, "", true},
+	{"close", REQUEST, "GET / HTTP/1.1\r\nConnection: close\r\n\r\n", WHOLE, "", false},
+	{"empty header", REQUEST, "GET / HTTP/1.1\r\nX:\r\nY: z\r\n\r\n", WHOLE, "", true},
+	{"offer to upgrade", REQUEST, "GET / HTTP/1.1\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+	 WHOLE, "", true},
+	{"both lengths", REQUEST,
+	 "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	 BAD},
+	{"two lengths", REQUEST,
+	 "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc", BAD},
+	{"negative length", REQUEST, "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", BAD},
+	{"folded header", REQUEST, "GET / HTTP/1.1\r\nX: a\r\n b\r\n\r\n", BAD},
+	{"folded by a tab", REQUEST, "GET / HTTP/1.1\r\nX: a\r\n\tb\r\n\r\n", BAD},
+	{"bare line feed", REQUEST, "GET / HTTP/1.1\nHost: h\n\n", BAD},
+	{"bare carriage return", REQUEST, "GET / HTTP/1.1\r\nX: a\rb\r\n\r\n", BAD},
+	{"space before the colon", REQUEST, "GET / HTTP/1.1\r\nContent-Length : 3\r\n\r\nabc", BAD},
+	{"chunk size that is none", REQUEST,
+	 "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n", BAD},
+	{"chunk without its end", REQUEST,
+	 "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nabcd", BAD},
+	{"no version", REQUEST, "GET /\r\n\r\n", BAD},
+	{"not HTTP", REQUEST, "\x16\x03\x01\x02", BAD},
+	{"body over the limit", REQUEST, "POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n",
+	 HTTP_MESSAGE_BODY_TOO_LARGE},
+	{"chunks over the limit", REQUEST,
+	 "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	 "41\r\n01234567890123456789012345678901234567890123456789012345678901234\r\n",
+	 HTTP_MESSAGE_BODY_TOO_LARGE},
+	{"part of a head", REQUEST, "GET / HTTP/1.1\r\nHost", MORE},
+	{"reply", REPLY, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", WHOLE, "ab", true},
+	{"reply without a body", REPLY, "HTTP/1.1 204 No\r\n\r\n", WHOLE, "", true},
+	{"interim reply first", REPLY,
+	 "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na", WHOLE, "a",
+	 true},
+	{"reply cut short", REPLY, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab", MORE},
+	{"reply without a length", REPLY, "HTTP/1.1 200 OK\r\n\r\nab", MORE},
+	{"reply that is none", REPLY, "garbage\r\n\r\n", BAD},
+};
+
+static http_message_t *message_new(http_message_kind_t kind)
+{
+	const http_message_limits_t limits = {.head_bytes = HEAD_MOST, .body_bytes = BODY_MOST};
+
+	return http_message_new(kind, limits);
+}
+
+static void check(const message_case_t *row, const http_message_t *message)
+{
+	if (http_message_state(message) != row->state)
+		fail_msg("%s: state %d", row->what, http_message_state(message));
+	if (row->state != WHOLE)
+		return;
+	assert_string_equal(http_message_body(message)->str, row->body);
+	assert_int_equal(http_message_keeps_alive(message), row->keeps_alive);
+}
+
+static void test_cases(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		http_message_t *message = message_new(cases[i].kind);
+
+		http_message_feed(message, cases[i].bytes, strlen(cases[i].bytes));
+		check(&cases[i], message);
+		http_message_free(message);
+	}
+}
+
+/* However the bytes are cut into reads, they mean the same. */
+static void test_byte_by_byte(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		http_message_t *message = message_new(cases[i].kind);
+
+		for (const char *byte = cases[i].bytes; *byte; byte++)
+			http_message_feed(message, byte, 1);
+		check(&cases[i], message);
+		http_message_free(message);
+	}
+}
+
+static void test_head_limit(void **state)
+{
+	g_autofree char *long_value = g_strnfill(HEAD_MOST, 'x');
+	g_autofree char *text = g_strdup_printf("GET / HTTP/1.1\r\nX: %s\r\n\r\n", long_value);
+	http_message_t *message = message_new(REQUEST);
+
+	(void)state;
+	http_message_feed(message, text, strlen(text));
+	assert_int_equal(http_message_state(message), HTTP_MESSAGE_HEAD_TOO_LARGE);
+	http_message_free(message);
+}
+
+/* Two requests on one connection: the second one's bytes are left for it. */
+static void test_pipelined(void **state)
+{
+	static const char text[] = "GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n";
+	http_message_t *message = message_new(REQUEST);
+	size_t taken = http_message_feed(message, text, strlen(text));
+
+	(void)state;
+	assert_string_equal(http_message_target(message), "/a");
+	http_message_reset(message);
+	http_message_feed(message, text + taken, strlen(text) - taken);
+	assert_string_equal(http_message_target(message), "/b");
+	http_message_free(message);
+}
+
+/* A reply without a length is whole once its connection is closed in order, and not before. */
+static void test_closed_reply(void **state)
+{
+	static const char text[] = "HTTP/1.1 200 OK\r\n\r\nab";
+	http_message_t *message = message_new(REPLY);
+
+	(void)state;
+	http_message_feed(message, text, strlen(text));
+	http_message_feed_end(message);
+	assert_int_equal(http_message_state(message), WHOLE);
+	assert_false(http_message_keeps_alive(message));
+	http_message_reset(message);
+	http_message_feed(message, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab", 40);
+	http_message_feed_end(message);
+	assert_int_equal(http_message_state(message), BAD);
+	http_message_free(message);
+}
+
+static void test_headers(void **state)
+{
+	static const char text[] = "GET / HTTP/1.1\r\nX-Own: 1\r\nx-own:  2 \r\nHost: h\r\n\r\n";
+	http_message_t *message = message_new(REQUEST);
+
+	(void)state;
+	http_message_feed(message, text, strlen(text));
+	assert_int_equal(http_message_header_times(message, "X-OWN"), 2);
+	assert_string_equal(http_message_header(message, "x-own"), "1");
+	assert_string_equal(http_message_header_at(message, 1).value, "2");
+	assert_null(http_message_header(message, "Own"));
+	http_message_free(message);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_cases),	     cmocka_unit_test(test_byte_by_byte),
+		cmocka_unit_test(test_head_limit),   cmocka_unit_test(test_pipelined),
+		cmocka_unit_test(test_closed_reply), cmocka_unit_test(test_headers),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/parts_test.c
@@ -0,0 +1,354 @@
+/**
+ * @file parts_test.c
+ * The small parts of forwarding, each by itself: merge, budget, shares, feeds.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include "core/connection_share.h"
+#include "core/feed_book.h"
+#include "core/feed_choice.h"
+#include "core/placement.h"
+#include "core/top_records.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SECOND_US 1000000ull
+
+static gint falling(gconstpointer a, gconstpointer b)
+{
+	return memcmp(b, a, RECORD_BYTES);
+}
+
+/* Against a plain sort, with many equal records and bytes above 127. */
+static void test_top_records(void **state)
+{
+	GRand *rand = g_rand_new_with_seed(7);
+
+	(void)state;
+	for (int round = 0; round < 200; round++) {
+		guint count = (guint)g_rand_int_range(rand, 0, 60);
+		guint most = (guint)g_rand_int_range(rand, 0, 20);
+		g_autofree char *all = g_malloc0((gsize)count * RECORD_BYTES + 1);
+		top_records_t *top = top_records_new(most);
+		GString *out = g_string_new(NULL);
+
+		for (guint i = 0; i < count; i++)
+			all[i * RECORD_BYTES + (i % 2 ? 0 : 15)] =
+				(char)g_rand_int_range(rand, 0, 256);
+		top_records_add(top, all, (gsize)(count / 2) * RECORD_BYTES);
+		top_records_add(top, all + (gsize)(count / 2) * RECORD_BYTES,
+				(gsize)(count - count / 2) * RECORD_BYTES);
+		top_records_take(top, out);
+		qsort(all, count, RECORD_BYTES, falling);
+		assert_int_equal(out->len, MIN(count, most) * RECORD_BYTES);
+		assert_memory_equal(out->str, all, out->len);
+		top_records_free(top);
+		g_string_free(out, TRUE);
+	}
+	g_rand_free(rand);
+}
+
+/* In no window of ten seconds are there more extra requests than the bound allows, however they and
+ * the requests fall. */
+static void test_retry_budget(void **state)
+{
+	const retry_bound_t bound = {.ratio = 0.2, .window_us = 10 * SECOND_US, .constant = 3};
+	GRand *rand = g_rand_new_with_seed(3);
+	retry_budget_t budget;
+	uint32_t requests[600] = {0}, extras[600] = {0};
+
+	(void)state;
+	retry_budget_init(&budget, &bound);
+	for (int tenth = 0; tenth < 600; tenth++) {
+		uint64_t now_us = 5000 * SECOND_US + (uint64_t)tenth * SECOND_US / 10;
+		int load = tenth / 100 % 2 ? 8 : 1;
+
+		for (int i = g_rand_int_range(rand, 0, load); i > 0; i--) {
+			retry_budget_note_request(&budget, now_us);
+			requests[tenth]++;
+		}
+		while (retry_budget_take(&budget, &bound, RETRY_FOR_ANSWER, now_us))
+			extras[tenth]++;
+	}
+	for (int start = 0; start + 100 <= 600; start++) {
+		uint32_t most = 0, extra = 0;
+
+		for (int i = start; i < start + 100; i++)
+			extra += extras[i];
+		/* The bound counts the window, the one before, or the one half a window before. */
+		for (int back = 0; back <= 100; back += 50) {
+			uint32_t sum = 0;
+
+			for (int i = MAX(start - back, 0); i < start - back + 100; i++)
+				sum += requests[i];
+			most = MAX(most, sum);
+		}
+		if (extra > 0.2 * most + bound.constant + 1)
+			fail_msg("window at %d: %u extra for %u requests", start, extra, most);
+	}
+	g_rand_free(rand);
+}
+
+static void test_budget_for_speed(void **state)
+{
+	const retry_bound_t bound = {.ratio = 0.2, .window_us = 10 * SECOND_US, .constant = 10};
+	retry_budget_t budget;
+
+	(void)state;
+	retry_budget_init(&budget, &bound);
+	while (retry_budget_take(&budget, &bound, RETRY_FOR_SPEED, 100 * SECOND_US))
+		;
+	assert_true(retry_budget_take(&budget, &bound, RETRY_FOR_ANSWER, 100 * SECOND_US));
+	assert_false(retry_budget_take(&budget, &bound, RETRY_FOR_SPEED, 101 * SECOND_US));
+	assert_true(retry_budget_take(&budget, &bound, RETRY_FOR_SPEED, 111 * SECOND_US));
+}
+
+/* ---- searchers ---- */
+
+typedef struct site_t {
+	registry_t *registry;
+	GHashTable *regions;
+	pool_t *pool;
+} site_t;
+
+static void ignore_changed(void *ctx, searcher_t *searcher)
+{
+	(void)ctx;
+	(void)searcher;
+}
+
+static void site_start(site_t *site, const char *data_centre)
+{
+	static const registry_ops_t ops = {.changed = ignore_changed};
+	static const char *const centres[] = {"a", "b", "c", "d", "e", "f"};
+	static const char *const regions[] = {"1", "2", "3", "1", "2", "3"};
+	const retry_bound_t bound = {.ratio = 0.2, .window_us = 10 * SECOND_US};
+	place_t place = {.data_centre = (char *)data_centre};
+
+	site->regions = g_hash_table_new(g_str_hash, g_str_equal);
+	for (size_t i = 0; i < G_N_ELEMENTS(centres); i++)
+		g_hash_table_insert(site->regions, (gpointer)centres[i], (gpointer)regions[i]);
+	place.regions = site->regions;
+	site->registry = registry_new(&place, &bound, &ops, NULL);
+	site->pool = registry_pool(site->registry, "s");
+	for (size_t i = 0; i < 3; i++) {
+		char id[8];
+		const searcher_entry_t entry = {.id = id,
+						.service = "s",
+						.address = "127.0.0.1",
+						.port = 1,
+						.data_centre = (char *)centres[i],
+						.slots = 4};
+
+		snprintf(id, sizeof(id), "i-%zu", i);
+		registry_put(site->registry, &entry, SECOND_US);
+	}
+}
+
+static void site_end(site_t *site)
+{
+	registry_free(site->registry);
+	g_hash_table_unref(site->regions);
+}
+
+/* Ninety VMs and 77 connections a searcher: held by its region and half as many others, no searcher
+ * is promised more than it takes. */
+static void test_shares_of_many(void **state)
+{
+	static const char *const centres[] = {"a", "b", "c", "d", "e", "f"};
+	uint32_t held[3] = {0};
+
+	(void)state;
+	for (int vm = 0; vm < 90; vm++) {
+		char name[16];
+		site_t site;
+		vm_counts_t counts = {.own_name = name, .all = 91};
+
+		snprintf(name, sizeof(name), "vm-%d", vm);
+		site_start(&site, centres[vm % 6]);
+		counts.regions = site.regions;
+		counts.by_region = g_hash_table_new(g_str_hash, g_str_equal);
+		for (int region = 0; region < 3; region++)
+			g_hash_table_insert(counts.by_region,
+					    (gpointer)(region == 0   ? "1"
+						       : region == 1 ? "2"
+								     : "3"),
+					    GUINT_TO_POINTER(30));
+		connection_share_set(site.pool, 77, &counts);
+		for (guint i = 0; i < 3; i++) {
+			const searcher_t *searcher = g_ptr_array_index(site.pool->searchers, i);
+
+			assert_true(searcher->connections_most >= 1);
+			held[i] +=
+				searcher->distance == DISTANCE_FAR ? 0 : searcher->connections_most;
+		}
+		g_hash_table_unref(counts.by_region);
+		site_end(&site);
+	}
+	for (int i = 0; i < 3; i++)
+		assert_in_range(held[i], 30, 69);
+}
+
+static void test_shares_of_few(void **state)
+{
+	site_t site;
+	vm_counts_t counts = {.own_name = "vm", .all = 7};
+
+	(void)state;
+	site_start(&site, "a");
+	counts.regions = site.regions;
+	connection_share_set(site.pool, 25, &counts);
+	for (guint i = 0; i < 3; i++)
+		assert_int_equal(((searcher_t *)g_ptr_array_index(site.pool->searchers, i))
+					 ->connections_most,
+				 3);
+	connection_share_set(site.pool, 0, &counts);
+	assert_int_equal(
+		((searcher_t *)g_ptr_array_index(site.pool->searchers, 0))->connections_most, 1);
+	site_end(&site);
+}
+
+/* Local first; elsewhere once the local one is slow, and back when that is long ago. */
+static void test_placement(void **state)
+{
+	GRand *rand = g_rand_new_with_seed(1);
+	uint64_t now_us = 100 * SECOND_US;
+	searcher_t *near;
+	site_t site;
+
+	(void)state;
+	site_start(&site, "a");
+	near = g_ptr_array_index(site.pool->searchers, 0);
+	for (guint i = 0; i < 3; i++) {
+		searcher_t *searcher = g_ptr_array_index(site.pool->searchers, i);
+
+		searcher->connections_most = 2;
+		searcher->idle = 1;
+	}
+	assert_ptr_equal(placement_choose(site.pool, NULL, rand, now_us), near);
+	for (int i = 0; i < 4; i++)
+		searcher_note_answer(near, 150000, now_us += SECOND_US);
+	assert_ptr_not_equal(placement_choose(site.pool, NULL, rand, now_us), near);
+	now_us += 10 * SECOND_US;
+	assert_ptr_equal(placement_choose(site.pool, NULL, rand, now_us), near);
+	searcher_note_failure(near, now_us);
+	assert_ptr_not_equal(placement_choose(site.pool, NULL, rand, now_us), near);
+	site_end(&site);
+	g_rand_free(rand);
+}
+
+/* ---- feeds ---- */
+
+static GPtrArray *vms_new(int count)
+{
+	GPtrArray *vms = g_ptr_array_new_with_free_func(vm_free);
+
+	for (int i = 0; i < count; i++) {
+		g_autofree char *name = g_strdup_printf("vm-%d", i);
+
+		g_ptr_array_add(vms, vm_new(name, "here", "127.0.0.1", 1, i % 7 ? 14 : 140));
+	}
+	return vms;
+}
+
+/* Small data centres need no feed; in large ones a few watch, all VMs agree on who, and the
+ * subscribers spread over them. */
+static void test_feed_choice(void **state)
+{
+	GPtrArray *few = vms_new(4), *many = vms_new(100);
+	GPtrArray *chosen = feed_choose(few, "vm-1", "here");
+	GHashTable *loads = g_hash_table_new(g_str_hash, g_str_equal);
+	int watchers = 0;
+
+	(void)state;
+	assert_int_equal(chosen->len, 0);
+	g_ptr_array_unref(chosen);
+	for (guint i = 0; i < many->len; i++) {
+		vm_t *first;
+
+		chosen = feed_choose(many, ((vm_t *)g_ptr_array_index(many, i))->name, "here");
+		watchers += chosen->len == 0;
+		if (chosen->len) {
+			first = g_ptr_array_index(chosen, 0);
+			assert_int_equal(first->link_mbps, 140);
+			g_hash_table_insert(loads, first->name,
+					    GUINT_TO_POINTER(GPOINTER_TO_UINT(g_hash_table_lookup(
+								     loads, first->name)) +
+							     1));
+		}
+		g_ptr_array_unref(chosen);
+	}
+	assert_int_equal(watchers, 4);
+	assert_int_equal(g_hash_table_size(loads), 4);
+	chosen = feed_choose(many, "vm-1", "elsewhere");
+	assert_int_equal(chosen->len, 0);
+	g_ptr_array_unref(chosen);
+	g_hash_table_unref(loads);
+	g_ptr_array_unref(few);
+	g_ptr_array_unref(many);
+}
+
+static void write_down(void *ctx, const feed_message_t *message)
+{
+	g_string_append_printf(ctx, "%d %u %s %s;", message->type, message->kind, message->name,
+			       message->text);
+}
+
+/* What a subscriber reads is what was told, however the bytes arrive; garbage is found out. */
+static void test_feed(void **state)
+{
+	feed_book_t *book = feed_book_new(1);
+	GByteArray *bytes = g_byte_array_new();
+	GString *read = g_string_new(NULL);
+	size_t at = 0, used = 0;
+
+	(void)state;
+	feed_book_take(book, &(feed_message_t){.type = FEED_OBJECT, .kind = 1, .name = "early"});
+	feed_book_write(book, bytes);
+	assert_int_equal(bytes->len, 0);
+	feed_book_take(book, &(feed_message_t){.type = FEED_LIST_BEGIN, .kind = 1});
+	feed_book_take(book,
+		       &(feed_message_t){.type = FEED_OBJECT, .kind = 1, .name = "a", .text = "x"});
+	feed_book_take(book, &(feed_message_t){.type = FEED_LIST_END, .kind = 1});
+	feed_book_take(book,
+		       &(feed_message_t){.type = FEED_OBJECT, .kind = 1, .name = "b", .text = "y"});
+	feed_book_take(book, &(feed_message_t){.type = FEED_REMOVED, .kind = 1, .name = "a"});
+	feed_book_write(book, bytes);
+	for (guint have = 0; have <= bytes->len; have++) {
+		feed_read_t got =
+			feed_message_read(bytes->data + at, have - at, &used, write_down, read);
+
+		assert_int_not_equal(got, FEED_READ_BAD);
+		if (got == FEED_READ_ONE)
+			at += used;
+	}
+	assert_string_equal(read->str, "0 1  ;1 1 b y;4 1  ;");
+	assert_int_equal(
+		feed_message_read((const uint8_t *)"\xff\xff\xff\xff", 4, &used, write_down, read),
+		FEED_READ_BAD);
+	assert_int_equal(
+		feed_message_read((const uint8_t *)"\0\0\0\2\x92\x01", 6, &used, write_down, read),
+		FEED_READ_BAD);
+	feed_book_clear(book);
+	assert_false(feed_book_is_known(book));
+	feed_book_free(book);
+	g_byte_array_unref(bytes);
+	g_string_free(read, TRUE);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_top_records),	 cmocka_unit_test(test_retry_budget),
+		cmocka_unit_test(test_budget_for_speed), cmocka_unit_test(test_shares_of_many),
+		cmocka_unit_test(test_shares_of_few),	 cmocka_unit_test(test_placement),
+		cmocka_unit_test(test_feed_choice),	 cmocka_unit_test(test_feed),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/platform_test.c
@@ -0,0 +1,254 @@
+/**
+ * @file platform_test.c
+ * The translation of the platform's store and headers.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include "headers.h"
+#include "store.h"
+
+#include <string.h>
+
+static http_message_t *message_of(http_message_kind_t kind, const char *text)
+{
+	const http_message_limits_t limits = {.head_bytes = 16384, .body_bytes = 16384};
+	http_message_t *message = http_message_new(kind, limits);
+
+	http_message_feed(message, text, strlen(text));
+	assert_int_equal(http_message_state(message), HTTP_MESSAGE_WHOLE);
+	return message;
+}
+
+/* Everything goes on unchanged but what concerns the one connection, and what is set anew. */
+static void test_request_head(void **state)
+{
+	http_message_t *message =
+		message_of(HTTP_MESSAGE_REQUEST,
+			   "GET /a/?q=1 HTTP/1.1\r\nHost: h\r\nX-Own: 1\r\nX-Own: 2\r\n"
+			   "Connection: keep-alive, x-hop\r\nX-Hop: 3\r\nTE: trailers\r\n"
+			   "Dogwoodsaddle-Request-Id: id\r\n"
+			   "Dogwoodsaddle-Request-Deadline: 800\r\n"
+			   "Dogwoodsaddle-Expected-Instance: other\r\n\r\n");
+	const searcher_t searcher = {.id = "i-1"};
+	caller_headers_t headers;
+	GString *head = g_string_new(NULL);
+
+	(void)state;
+	headers_read_caller(message, &headers);
+	assert_string_equal(headers.id, "id");
+	assert_string_equal(headers.host, "h");
+	assert_int_equal(headers.patience_us, 800000);
+	headers_write_common(head, message);
+	headers_write_sub(head, &searcher, 750900);
+	assert_string_equal(head->str, "GET /a/?q=1 HTTP/1.1\r\nHost: h\r\nX-Own: 1\r\nX-Own: 2\r\n"
+				       "Dogwoodsaddle-Request-Id: id\r\n"
+				       "Dogwoodsaddle-Request-Deadline: 750\r\n"
+				       "Dogwoodsaddle-Expected-Instance: i-1\r\n\r\n");
+	g_string_free(head, TRUE);
+	http_message_free(message);
+}
+
+typedef struct reply_case_t {
+	const char *what;
+	const char *text;
+	sub_end_t end;
+	bool foreign;
+} reply_case_t;
+
+#define STAMPED "Dogwoodsaddle-Response-Signature: s\r\n"
+
+static const reply_case_t replies[] = {
+	{"success", "HTTP/1.1 200 OK\r\n" STAMPED "Content-Length: 0\r\n\r\n", SUB_ANSWERED},
+	{"no stamp", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", SUB_UNKNOWN},
+	{"encoded",
+	 "HTTP/1.1 200 OK\r\n" STAMPED "Content-Encoding: gzip\r\nContent-Length: 0\r\n\r\n",
+	 SUB_UNKNOWN},
+	{"own failure", "HTTP/1.1 500 No\r\n" STAMPED "Content-Length: 0\r\n\r\n", SUB_FAILED},
+	{"refused", "HTTP/1.1 503 No\r\nDogwoodsaddle-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+	 SUB_NOT_RUN},
+	{"503 that promises nothing", "HTTP/1.1 503 No\r\n" STAMPED "Content-Length: 0\r\n\r\n",
+	 SUB_UNKNOWN},
+	{"another searcher", "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n", SUB_REPLACED},
+	{"echoed id",
+	 "HTTP/1.1 200 OK\r\n" STAMPED "Dogwoodsaddle-Request-Id: id\r\nContent-Length: 0\r\n\r\n",
+	 SUB_ANSWERED},
+	{"reply to another request",
+	 "HTTP/1.1 200 OK\r\n" STAMPED "Dogwoodsaddle-Request-Id: old\r\nContent-Length: 0\r\n\r\n",
+	 SUB_UNKNOWN, true},
+};
+
+static void test_replies(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(replies); i++) {
+		http_message_t *message = message_of(HTTP_MESSAGE_REPLY, replies[i].text);
+		bool foreign;
+		sub_reply_t *reply = headers_read_reply(message, "id", &foreign);
+
+		if (reply->end != replies[i].end || foreign != replies[i].foreign)
+			fail_msg("%s: %s", replies[i].what, sub_end_name(reply->end));
+		sub_reply_free(reply);
+		http_message_free(message);
+	}
+}
+
+static const char configuration[] =
+	"{\"version\":7,\"routes\":["
+	"{\"name\":\"g\",\"host\":\"h.example\",\"path-prefix\":\"/a/b/"
+	"\",\"route-type\":\"idempotent\","
+	"\"timeout-ms\":600,\"target-latency-ms\":100,\"priority\":2,\"max-attempts\":2,\"top-k\":"
+	"5,"
+	"\"min-coverage\":0.75,\"fanout-services\":[\"s1\",\"s2\"]},"
+	"{\"name\":\"o\",\"host\":\"h.example\",\"path-prefix\":\"/a/"
+	"\",\"route-type\":\"non_idempotent\","
+	"\"split\":[{\"service\":\"s1\",\"weight\":3},{\"service\":\"s2\",\"weight\":1}]}],"
+	"\"services\":[{\"name\":\"s1\",\"max-connections\":25}],"
+	"\"limits\":{\"max-header-bytes\":100,\"max-body-bytes\":200,\"header-timeout-ms\":3,"
+	"\"idle-timeout-ms\":4}}";
+
+static void test_routing(void **state)
+{
+	json_t *json = json_loads(configuration, 0, NULL);
+	err_t err = {0};
+	routing_t *routing = store_read_routing(json, &err);
+	const route_t *route;
+
+	(void)state;
+	assert_non_null(routing);
+	assert_int_equal(routing->version, 7);
+	assert_int_equal(routing->limits.idle_us, 4000);
+	assert_int_equal(routing_connections(routing, "s1"), 25);
+	assert_int_equal(routing_connections(routing, "s2"), 0);
+	route = routing_match(routing, "H.example:80", "/a/b/c?x=/a/");
+	assert_string_equal(route->name, "g");
+	assert_true(route->gathers && route->idempotent);
+	assert_int_equal(route->rank, 2);
+	assert_int_equal(route->target_us, 100000);
+	route = routing_match(routing, "h.example", "/a/c");
+	assert_string_equal(route->name, "o");
+	assert_false(route->gathers || route->idempotent);
+	assert_true(g_array_index(route->targets, route_target_t, 0).weight == 3);
+	assert_null(routing_match(routing, "h.example", "/b/"));
+	assert_null(routing_match(routing, "h.example", "/a"));
+	assert_null(routing_match(routing, "else", "/a/"));
+	routing_unref(routing);
+	json_decref(json);
+}
+
+static void test_bad_routing(void **state)
+{
+	static const char *const texts[] = {
+		"{}",
+		"{\"version\":1,\"routes\":[{}]}",
+		"{\"version\":1,\"routes\":[{\"name\":\"n\",\"host\":\"h\",\"path-prefix\":\"/"
+		"\"}]}",
+		"{\"version\":1,\"routes\":[{\"name\":\"n\",\"host\":\"h\",\"path-prefix\":\"/\","
+		"\"fanout-services\":[1]}]}",
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		json_t *json = json_loads(texts[i], 0, NULL);
+		err_t err = {0};
+
+		assert_null(store_read_routing(json, &err));
+		assert_true(*err.text);
+		json_decref(json);
+	}
+}
+
+static void test_searcher(void **state)
+{
+	json_t *json = json_loads("{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+				  "\"slots\":2,\"state\":\"draining\",\"cold-remaining-ms\":5}",
+				  0, NULL);
+	const store_object_t object = {.name = "i-1", .content = json};
+	searcher_entry_t entry;
+	err_t err = {0};
+
+	(void)state;
+	assert_true(store_read_searcher(&object, &entry, &err));
+	assert_string_equal(entry.address, "10.0.0.1");
+	assert_int_equal(entry.port, 80);
+	assert_string_equal(entry.data_centre, "z");
+	assert_true(entry.draining);
+	assert_int_equal(entry.cold_us, 5000);
+	searcher_entry_clear(&entry);
+	json_object_set_new(json, "address", json_string("nowhere"));
+	assert_false(store_read_searcher(&object, &entry, &err));
+	json_decref(json);
+}
+
+static void test_pages(void **state)
+{
+	json_t *list = json_loads("{\"items\":[{\"meta\":{\"name\":\"a\"},\"spec\":{\"x\":1}},{}],"
+				  "\"more\":true,\"as-of\":5}",
+				  0, NULL);
+	json_t *events = json_loads("{\"events\":[{\"deleted\":true,\"object\":{\"meta\":"
+				    "{\"name\":\"b\"},\"spec\":null}}],\"as-of\":6}",
+				    0, NULL);
+	json_t *none = json_loads("{\"error\":\"no\"}", 0, NULL);
+	store_page_t page = {0};
+
+	(void)state;
+	assert_true(store_read_page(list, &page));
+	assert_int_equal(page.objects->len, 1);
+	assert_true(page.more);
+	assert_int_equal(page.as_of, 5);
+	store_page_clear(&page);
+	assert_true(store_read_page(events, &page));
+	assert_true(g_array_index(page.objects, store_object_t, 0).removed);
+	assert_false(page.more);
+	store_page_clear(&page);
+	assert_false(store_read_page(none, &page));
+	json_decref(list);
+	json_decref(events);
+	json_decref(none);
+}
+
+/* A VM's own object is read back as it was written. */
+static void test_vm(void **state)
+{
+	vm_t *vm = vm_new("vm-1", "z", "10.0.0.1", 7741, 14);
+	g_autofree char *text = store_write_vm(vm);
+	json_t *json = json_loads(text, 0, NULL);
+	const store_object_t object = {.name = "vm-1", .content = json_object_get(json, "spec")};
+	vm_t *read = store_read_vm(&object);
+
+	(void)state;
+	assert_string_equal(read->name, "vm-1");
+	assert_string_equal(read->data_centre, "z");
+	assert_string_equal(read->address, "10.0.0.1");
+	assert_int_equal(read->port, 7741);
+	assert_int_equal(read->link_mbps, 14);
+	vm_free(vm);
+	vm_free(read);
+	json_decref(json);
+}
+
+static void test_targets(void **state)
+{
+	g_autofree char *list = store_list_target(STORE_SEARCHERS, NULL);
+	g_autofree char *next = store_list_target(STORE_SEARCHERS, "a/b");
+	g_autofree char *watch = store_watch_target(STORE_CONFIGURATION, 5, 100);
+
+	(void)state;
+	assert_string_equal(list, "/objects/servers");
+	assert_string_equal(next, "/objects/servers?after=a%2Fb");
+	assert_string_equal(watch, "/objects/config?watch=5&wait-ms=100");
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_request_head), cmocka_unit_test(test_replies),
+		cmocka_unit_test(test_routing),	     cmocka_unit_test(test_bad_routing),
+		cmocka_unit_test(test_searcher),     cmocka_unit_test(test_pages),
+		cmocka_unit_test(test_vm),	     cmocka_unit_test(test_targets),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
