--- a/src/core/forward.h
+++ b/src/core/forward.h
@@ -42,6 +42,8 @@
 /** Why a sub-request is sent. */
 typedef enum sub_purpose_t { SUB_FIRST, SUB_HEDGE, SUB_RETRY } sub_purpose_t;
 
+const char *sub_purpose_name(sub_purpose_t purpose);
+
 /** One sub-request that was sent. */
 typedef struct sub_t {
 	sending_t sending;  /* first: a searcher's queue holds pointers to it */
@@ -173,6 +175,7 @@
 void forwarder_run(forwarder_t *forwarder, uint64_t now_us);
 uint32_t forwarder_open(const forwarder_t *forwarder);
 const forwarder_counters_t *forwarder_counters(const forwarder_t *forwarder);
+const char *part_state_name(part_state_t state);
 const char *forward_end_name(forward_end_t end);
 
 #endif
--- a/src/core/sub.c
+++ b/src/core/sub.c
@@ -30,6 +30,24 @@
 	return names[end];
 }
 
+const char *sub_purpose_name(sub_purpose_t purpose)
+{
+	static const char *const names[] = {
+		[SUB_FIRST] = "first", [SUB_HEDGE] = "hedge", [SUB_RETRY] = "retry"};
+
+	return names[purpose];
+}
+
+const char *part_state_name(part_state_t state)
+{
+	static const char *const names[] = {[PART_WAITING] = "waiting",
+					    [PART_SENT] = "sent",
+					    [PART_ANSWERED] = "answered",
+					    [PART_LOST] = "lost"};
+
+	return names[state];
+}
+
 sub_reply_t *sub_reply_new(sub_end_t end)
 {
 	sub_reply_t *reply = g_new0(sub_reply_t, 1);
--- a/src/dogwoodsaddled.c
+++ b/src/dogwoodsaddled.c
@@ -85,7 +85,7 @@
 static void log_event(void *ctx, hlc_t at, const char *text)
 {
 	(void)ctx;
-	g_log(NULL, G_LOG_LEVEL_INFO, "%s hlc=%" G_GUINT64_FORMAT, text, at);
+	g_log(NULL, G_LOG_LEVEL_MESSAGE, "%s hlc=%" G_GUINT64_FORMAT, text, at);
 }
 
 /*
@@ -164,6 +164,15 @@
 		begin_stop(self);
 }
 
+static void on_woke(void *ctx, uint64_t still_us)
+{
+	daemon_t *self = ctx;
+
+	timeline_add(self->timeline, "event=woke still_us=%" G_GUINT64_FORMAT, still_us);
+	if (self->front)
+		front_task_refresh(self->front);
+}
+
 static bool is_watcher(void *ctx)
 {
 	return gossip_is_watcher(peer_task_gossip(((daemon_t *)ctx)->peers));
@@ -233,6 +242,9 @@
 		     self.settings->data_centre);
 	if (!(self.settings->forwards ? start_front(&self) : start_tasks(&self)))
 		return 1;
+	loop_set_turn(self.loop, log_flush, NULL);
+	loop_set_woke(self.loop, on_woke, &self);
 	loop_run(self.loop, on_signal, &self);
+	log_flush(NULL);
 	return 0;
 }
--- a/src/net/loop.c
+++ b/src/net/loop.c
@@ -7,8 +7,14 @@
 #include <signal.h>
 #include <string.h>
 #include <sys/timerfd.h>
+#include <time.h>
 #include <unistd.h>
 
+/* Longer than the clocks are read apart on a busy machine, shorter than anything that matters. */
+#define STILL_LEAST_US 300000
+/* A timer so late was not held up by load: a processor's quota takes a tenth of a second away,
+ * other processes less. */
+#define LATE_LEAST_US 600000
 /* A wait that ends so soon found its events there already. */
 #define AT_ONCE_US 1000
 
@@ -29,6 +35,11 @@
 	uint64_t armed_us; /* when it is set to fire; TIMERS_NEVER when it is not */
 	struct lws_protocols protocols[2];
 	struct lws_vhost *vhost; /* of all watched descriptors */
+	void (*turn_done)(void *ctx);
+	void *turn_ctx;
+	void (*woke)(void *ctx, uint64_t still_us);
+	void *woke_ctx;
+	int64_t still_us; /* time that the machine has stood still since it started */
 	bool stopping;
 	uint64_t wait_us;   /* when it began to wait for events */
 	uint64_t woke_us;   /* when the first event after that was told; 0: not yet */
@@ -223,6 +234,45 @@
 	loop_deliver(loop);
 }
 
+void loop_set_turn(loop_t *loop, void (*done)(void *ctx), void *ctx)
+{
+	loop->turn_done = done;
+	loop->turn_ctx = ctx;
+}
+
+/* The two clocks are read one after the other: the difference may go back a little. */
+static int64_t still_us(void)
+{
+	return (int64_t)loop_now_us() - g_get_monotonic_time();
+}
+
+void loop_set_woke(loop_t *loop, void (*woke)(void *ctx, uint64_t still_us), void *ctx)
+{
+	loop->woke = woke;
+	loop->woke_ctx = ctx;
+	loop->still_us = still_us();
+}
+
+/*
+ * A machine that stood still goes on as if nothing had happened: it would send work to searchers
+ * that left meanwhile. After a suspension one clock has counted that time and the other has not;
+ * after any other halt the timer that was armed is late.
+ */
+static void check_still(loop_t *loop)
+{
+	int64_t now_still_us = still_us();
+	int64_t more_us = now_still_us - loop->still_us;
+
+	uint64_t now_us = loop_now_us();
+	bool late = loop->armed_us != TIMERS_NEVER && now_us > loop->armed_us + LATE_LEAST_US;
+
+	loop->still_us = now_still_us;
+	if (more_us > STILL_LEAST_US)
+		loop->woke(loop->woke_ctx, (uint64_t)more_us);
+	else if (late)
+		loop->woke(loop->woke_ctx, now_us - loop->armed_us);
+}
+
 void loop_run(loop_t *loop, void (*on_signal)(void *ctx, int signal_number), void *ctx)
 {
 	static const int watched[] = {SIGTERM, SIGINT, SIGHUP};
@@ -239,8 +289,12 @@
 		loop->before_us = loop->woke_us;
 		loop->woke_us = 0;
 		loop->wait_us = loop_now_us();
+		if (loop->turn_done)
+			loop->turn_done(loop->turn_ctx);
 		if (lws_service(loop->context, 0) < 0)
 			break;
+		if (loop->woke)
+			check_still(loop);
 		for (size_t i = 0; i < G_N_ELEMENTS(watched); i++) {
 			if (!pending_signals[watched[i]])
 				continue;
@@ -269,7 +323,10 @@
 
 uint64_t loop_now_us(void)
 {
-	return (uint64_t)g_get_monotonic_time();
+	struct timespec now;
+
+	clock_gettime(CLOCK_BOOTTIME, &now);
+	return (uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000;
 }
 
 uint64_t loop_wall_ms(void)
--- a/src/tasks/front_task.c
+++ b/src/tasks/front_task.c
@@ -12,6 +12,8 @@
 
 #include <string.h>
 
+/* Parts of an answer whose loss its line tells. */
+#define MISSING_TOLD 4
 /* VMs that share connections and budgets, before the store has listed them: as many as the largest
  * deployment has. Too few assumed by many at once would break the bound on retries. */
 #define VMS_ASSUMED 100
@@ -194,10 +196,26 @@
 	link_task_cancel(((front_task_t *)ctx)->links, sub);
 }
 
+/* Second tries, and whatever was no answer: the rest is told by the request's own line. */
+static void log_sub(const sub_t *sub, const sub_reply_t *reply)
+{
+	bool failed = reply->end != SUB_ANSWERED;
+
+	if (!failed && sub->purpose == SUB_FIRST)
+		return;
+	g_log(NULL, failed ? G_LOG_LEVEL_MESSAGE : G_LOG_LEVEL_INFO,
+	      "event=sub-request request=%s service=%s searcher=%s purpose=%s outcome=%s status=%d "
+	      "took_us=%" G_GUINT64_FORMAT " out=%u",
+	      sub->forward ? sub->forward->request.id : "-", sub->pool->service, sub->searcher->id,
+	      sub_purpose_name(sub->purpose), sub_end_name(reply->end), reply->status,
+	      loop_now_us() - sub->sending.sent_us, sub->searcher->out.length);
+}
+
 static void on_sub_ended(void *ctx, sub_t *sub, sub_reply_t *reply)
 {
 	front_task_t *task = ctx;
 
+	log_sub(sub, reply);
 	forwarder_sub_ended(task->forwarder, sub, reply, loop_now_us());
 	arm_forwarder(task);
 }
@@ -224,18 +242,47 @@
 	return statuses[end];
 }
 
+/* What became of the parts that are missing; the first few tell the cause. */
+static void append_missing(GString *line, const forward_t *forward)
+{
+	uint32_t told = 0;
+
+	for (uint32_t i = 0; i < forward->part_count && told < MISSING_TOLD; i++) {
+		const part_t *part = &forward->parts[i];
+		const searcher_t *last =
+			part->asked && part->asked->len
+				? g_ptr_array_index(part->asked, part->asked->len - 1)
+				: NULL;
+
+		if (part->state == PART_ANSWERED)
+			continue;
+		told++;
+		g_string_append_printf(line, " lost=%s:%s:%s:%s", part->pool->service,
+				       part_state_name(part->state), last ? last->id : "nobody",
+				       part->reply ? sub_end_name(part->reply->end) : "no-reply");
+	}
+}
+
 static void log_answer(const relay_t *relay, const forward_t *forward,
-		       const forward_answer_t *answer)
+		       const forward_answer_t *answer, int status)
 {
+	bool whole = answer->end == FORWARD_ANSWERED && !answer->missing;
+	g_autoptr(GString) line = g_string_sized_new(256);
 	uint64_t now_us = loop_now_us();
 
-	g_log(NULL, answer->end == FORWARD_ANSWERED ? G_LOG_LEVEL_DEBUG : G_LOG_LEVEL_INFO,
-	      "event=answer request=%s route=%s outcome=%s took_us=%" G_GUINT64_FORMAT
-	      " parts=%u missing=%u version=%" G_GUINT64_FORMAT,
-	      relay->headers.id ? relay->headers.id : "",
-	      forward->route ? forward->route->name : "", forward_end_name(answer->end),
-	      now_us - forward->request.received_us, answer->parts, answer->missing,
-	      forward->routing ? forward->routing->version : 0);
+	g_string_append_printf(
+		line,
+		"event=answer request=%s route=%s outcome=%s status=%d took_us=%" G_GUINT64_FORMAT
+		" patience_us=%" G_GUINT64_FORMAT " parts=%u missing=%u version=%" G_GUINT64_FORMAT
+		" store_age_us=%" G_GUINT64_FORMAT,
+		relay->headers.id ? relay->headers.id : "",
+		forward->route ? forward->route->name : "", forward_end_name(answer->end), status,
+		now_us - forward->request.received_us, forward->request.patience_us, answer->parts,
+		answer->missing, forward->routing ? forward->routing->version : 0,
+		supply_task_age_us(relay->task->supply));
+	if (!whole)
+		append_missing(line, forward);
+	g_log(NULL, whole ? G_LOG_LEVEL_INFO : G_LOG_LEVEL_MESSAGE, "%s", line->str);
 }
 
 static void relay_free(relay_t *relay)
@@ -255,7 +302,9 @@
 	int status = status_of(answer->end);
 
 	(void)ctx;
-	log_answer(relay, forward, answer);
+	if (answer->reply)
+		status = answer->reply->status;
+	log_answer(relay, forward, answer, status);
 	http_exchange_set_data(exchange, NULL);
 	if (answer->retry_after_us)
 		headers_add_retry_after(exchange, answer->retry_after_us);
@@ -264,7 +313,6 @@
 	if (answer->reply) {
 		headers_add_reply(exchange, answer->reply);
 		body = answer->reply->body;
-		status = answer->reply->status;
 	}
 	http_exchange_reply(exchange, status, body ? NULL : "text/plain", body ? body->str : text,
 			    body ? body->len : strlen(text));
@@ -507,6 +555,12 @@
 	return task->supply ? task : NULL;
 }
 
+void front_task_refresh(front_task_t *task)
+{
+	supply_task_refresh(task->supply);
+	run_forwarder(task);
+}
+
 void front_task_leave(front_task_t *task)
 {
 	task->leaving = true;
--- a/tests/forward_test.c
+++ b/tests/forward_test.c
@@ -61,13 +61,13 @@
 
 static void on_send(void *ctx, sub_t *sub)
 {
-	static const char *const purposes[] = {"first", "hedge", "retry"};
+
 	play_t *play = ctx;
 
 	g_ptr_array_add(play->subs, sub);
 	sub->searcher->connections++;
 	say(play, "send %s part=%u %s to=%s left_ms=%" G_GUINT64_FORMAT, sub->forward->request.id,
-	    sub->part, purposes[sub->purpose], sub->searcher->id,
+	    sub->part, sub_purpose_name(sub->purpose), sub->searcher->id,
 	    forward_left_us(sub->forward, play->now_us) / 1000);
 }
 
