--- /dev/null
+++ b/tests/system/front_logs.sh
@@ -0,0 +1,38 @@
+# Three failed requests are explained from their ids and the logs alone, as docs/OPERATIONS.md shows it;
+# a reader that stops reading the log loses lines, and no request waits for it.
+. tests/front_lib.sh
+fronts_start 1
+LOGS=$RUN/front-0.log
+answer_line() { sleep 0.3; grep -h "event=answer request=$1 " "$LOGS"; }
+sub_lines() { grep -h "event=sub-request request=$1 " "$LOGS"; }
+
+users hang i-shard-1 >/dev/null
+find_all partial >/dev/null
+[[ $(answer_line partial) == *"outcome=answered status=200"*"missing=1"*"lost=shard-1:sent:i-shard-1-"* ]] || bad "a part is missing: $(answer_line partial)"
+users ok i-shard-1 >/dev/null
+
+users shed i-single >/dev/null
+get_one refused /get/act/x -X POST -d body >/dev/null
+[[ $(answer_line refused) == *"outcome=rejected status=503"* ]] || bad "refused: $(answer_line refused)"
+[ "$(sub_lines refused | grep -c 'outcome=not-run')" = 2 ] || bad "by both searchers: $(sub_lines refused)"
+users ok i-single >/dev/null
+sleep 0.1
+
+users foreign i-single >/dev/null
+get_one broken /get/act/x -X POST -d body >/dev/null
+[[ $(answer_line broken) == *"outcome=failed status=502"* ]] || bad "failed: $(answer_line broken)"
+[ "$(sub_lines broken | grep -c 'outcome=unknown')" = 1 ] || bad "by one searcher: $(sub_lines broken)"
+users ok i-single >/dev/null
+
+# A daemon whose log goes to a pipe that nobody reads.
+mkfifo "$RUN/pipe"
+front_settings 1
+exec 5<>"$RUN/pipe"
+"$BUILD/dogwoodsaddled" --config "$RUN/front-1.ini" >"$RUN/pipe" 2>&1 &
+PIDS+=($!)
+wait_until is_ready 1
+for i in $(seq 1500); do printf 'GET /none/ HTTP/1.1\r\nHost: x\r\n\r\n'; done >"$RUN/requests"
+exec 6<>"/dev/tcp/127.0.0.1/$((FRONT_FROM + 10))"
+cat "$RUN/requests" >&6 &
+[ "$(timeout 20 grep -a -m 1500 -c 'HTTP/1.1 404' <&6)" = 1500 ] || bad "requests wait for the log's reader"
+exec 6>&- 5>&-
