--- a/Makefile
+++ b/Makefile
@@ -52,8 +52,10 @@
 bench: build
 	@BUILD=$(BUILD) scripts/bench.sh
 
+# Fresh seeds each time: real processes under faults, and random schedules over the core.
 soak: san
 	@$(SAN_BUILD)/random_test $(or $(SEEDS),20000)
+	@from=$$(date +%s); BUILD=$(SAN_BUILD) tests/soak/run.sh $$from $$((from + 19)) 8
 
 fuzz: setup-check
 	@scripts/fuzz.sh $(or $(SECONDS_EACH),30)
--- a/src/core/registry.c
+++ b/src/core/registry.c
@@ -239,8 +239,9 @@
 	return registry->by_id;
 }
 
-void registry_set_constant(registry_t *registry, double constant)
+void registry_set_bound(registry_t *registry, double ratio, double constant)
 {
+	registry->bound.ratio = ratio;
 	registry->bound.constant = constant;
 }
 
--- a/src/core/registry.h
+++ b/src/core/registry.h
@@ -66,8 +66,8 @@
 GHashTable *registry_pools(const registry_t *registry);
 /** All searchers registered, by id; searcher_t. */
 GHashTable *registry_searchers(const registry_t *registry);
-/** This VM's part of the constant in the bound on retries. */
-void registry_set_constant(registry_t *registry, double constant);
+/** The bound on retries: its ratio, and this VM's part of its constant. */
+void registry_set_bound(registry_t *registry, double ratio, double constant);
 const retry_bound_t *registry_bound(const registry_t *registry);
 
 #endif
--- a/src/dogwoodsaddled.c
+++ b/src/dogwoodsaddled.c
@@ -15,9 +15,12 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <sys/stat.h>
 
 #define EXIT_BAD_SETTINGS 2
 #define STOP_CHECK_US 20000
+/* A change of the file is in force within the 3 s that any change is given. */
+#define FILE_CHECK_US 2000000
 /* A planned stop ends by itself before the process is killed. */
 #define GRACE_MARGIN_US 150000
 
@@ -43,6 +46,8 @@
 	status_source_t source;
 	loop_timer_t stop_timer;
 	uint64_t leaving_since_us;
+	loop_timer_t file_timer;
+	struct stat file_seen; /* of the settings file, when it was last read; size 0 at first */
 } daemon_t;
 
 static const struct argp_option options[] = {
@@ -148,12 +153,32 @@
 	self->settings->drain_ms = fresh->drain_ms;
 	self->settings->quiet_ms = fresh->quiet_ms;
 	self->settings->grace_s = fresh->grace_s;
+	if (self->front)
+		front_task_configure(self->front, fresh);
 	g_free(self->settings->operators_token);
 	self->settings->operators_token = g_steal_pointer(&fresh->operators_token);
 	settings_free(fresh);
 	timeline_add(self->timeline, "event=reloaded");
 }
 
+/* The file may change without a signal. */
+static void check_file(void *ctx)
+{
+	daemon_t *self = ctx;
+	struct stat now;
+
+	loop_timer_set(self->loop, &self->file_timer, FILE_CHECK_US);
+	if (stat(self->arguments.config, &now))
+		return; /* being replaced: the next look sees the new one */
+	if (now.st_mtim.tv_sec == self->file_seen.st_mtim.tv_sec &&
+	    now.st_mtim.tv_nsec == self->file_seen.st_mtim.tv_nsec &&
+	    now.st_size == self->file_seen.st_size)
+		return;
+	if (self->file_seen.st_size)
+		reload(self);
+	self->file_seen = now;
+}
+
 static void on_signal(void *ctx, int number)
 {
 	daemon_t *self = ctx;
@@ -242,6 +267,8 @@
 		     self.settings->data_centre);
 	if (!(self.settings->forwards ? start_front(&self) : start_tasks(&self)))
 		return 1;
+	self.file_timer = (loop_timer_t){.fire = check_file, .ctx = &self};
+	check_file(&self);
 	loop_set_turn(self.loop, log_flush, NULL);
 	loop_set_woke(self.loop, on_woke, &self);
 	loop_run(self.loop, on_signal, &self);
--- a/src/log.c
+++ b/src/log.c
@@ -17,6 +17,8 @@
 #define FAILURES_BURST 300.0
 #define SUCCESSES_A_SECOND 6.0
 #define SUCCESSES_BURST 40.0
+/* How often the number of lost lines is told, while lines are lost. */
+#define LOST_TOLD_US 5000000
 /* Kept for a reader that is slow; beyond it lines are lost. */
 #define BUFFER_MOST_BYTES (64u << 10)
 /* A pipe that can be written to takes so much without waiting. */
@@ -96,10 +98,13 @@
 
 static void append_lost(void)
 {
+	static gint64 told_us;
+	gint64 now_us = g_get_monotonic_time();
 	char text[96];
 
-	if (!failures.lost && !successes.lost)
+	if ((!failures.lost && !successes.lost) || now_us < told_us + LOST_TOLD_US)
 		return;
+	told_us = now_us;
 	g_snprintf(text, sizeof(text),
 		   "event=log-lost failures=%" G_GUINT64_FORMAT " successes=%" G_GUINT64_FORMAT,
 		   failures.lost, successes.lost);
--- a/src/tasks/front_task.c
+++ b/src/tasks/front_task.c
@@ -41,6 +41,7 @@
 	loop_timer_t registry_timer;
 	loop_timer_t shares_timer;
 	uint64_t last_request_us;
+	double retry_ratio;
 	uint32_t retry_constant;
 	char *vm_name;
 	GHashTable *regions; /* data centre to region */
@@ -135,7 +136,8 @@
 	g_hash_table_iter_init(&iter, registry_pools(task->registry));
 	while (g_hash_table_iter_next(&iter, NULL, &pool))
 		set_pool_shares(task, pool, &counts);
-	registry_set_constant(task->registry, CONSTANT_USED * task->retry_constant / counts.all);
+	registry_set_bound(task->registry, task->retry_ratio,
+			   CONSTANT_USED * task->retry_constant / counts.all);
 	if (counts.by_region)
 		g_hash_table_unref(counts.by_region);
 }
@@ -540,6 +542,7 @@
 	front_task_t *task = g_new0(front_task_t, 1);
 
 	task->loop = loop;
+	task->retry_ratio = settings->retry_ratio;
 	task->retry_constant = settings->retry_constant;
 	task->vm_name = g_strdup(settings->vm_name);
 	task->regions = g_hash_table_ref(settings->regions);
@@ -555,6 +558,13 @@
 	return task->supply ? task : NULL;
 }
 
+void front_task_configure(front_task_t *task, const settings_t *settings)
+{
+	task->retry_ratio = settings->retry_ratio;
+	task->retry_constant = settings->retry_constant;
+	shares_due(task);
+}
+
 void front_task_refresh(front_task_t *task)
 {
 	supply_task_refresh(task->supply);
--- a/src/tasks/front_task.h
+++ b/src/tasks/front_task.h
@@ -12,6 +12,8 @@
 
 /** NULL when an address can't be listened on. */
 front_task_t *front_task_new(loop_t *loop, const settings_t *settings, platform_task_t *platform);
+/** Take what a reload may change: the bound on retries. */
+void front_task_configure(front_task_t *task, const settings_t *settings);
 /** What is known may be old: the VM stood still. It is read again. */
 void front_task_refresh(front_task_t *task);
 /** A planned stop begins: not ready, answers tell callers to close, requests are still served. */
--- a/src/tasks/link_task.c
+++ b/src/tasks/link_task.c
@@ -268,7 +268,8 @@
 	count(link);
 	g_string_truncate(task->head, 0);
 	task->ops->write_head(task->ctx, sub, task->head);
-	http_conn_send(conn->conn, task->head->str, task->head->len, body->str, body->len, false);
+	http_conn_send(conn->conn, task->head->str, task->head->len, body->str, body->len,
+		       g_str_has_prefix(task->head->str, "HEAD "));
 }
 
 void link_task_cancel(link_task_t *task, sub_t *sub)
--- a/standins/users_platform.c
+++ b/standins/users_platform.c
@@ -24,7 +24,8 @@
 
 typedef struct users_t {
 	loop_t *loop;
-	int store_port, control_port, searchers_from, shards, work_ms;
+	int store_port, control_port, searchers_from, shards, work_ms, advertise;
+	GHashTable *posted;  /* id of a POST to how often it ran */
 	GHashTable *objects; /* "kind/name" to json_t */
 	GPtrArray *history;  /* json_t events, each with "rev" and "kind" */
 	GPtrArray *watches;  /* watch_t */
@@ -266,11 +267,35 @@
 	g_free(job);
 }
 
+static void note_posted(users_t *users, http_exchange_t *exchange)
+{
+	const char *id = http_exchange_header(exchange, "Dogwoodsaddle-Request-Id");
+	guint times;
+
+	if (!id || !g_str_equal(http_exchange_method(exchange), "POST"))
+		return;
+	times = GPOINTER_TO_UINT(g_hash_table_lookup(users->posted, id));
+	g_hash_table_insert(users->posted, g_strdup(id), GUINT_TO_POINTER(times + 1));
+}
+
+static json_t *posted(const users_t *users)
+{
+	json_t *all = json_object();
+	GHashTableIter iter;
+	gpointer id, times;
+
+	g_hash_table_iter_init(&iter, users->posted);
+	while (g_hash_table_iter_next(&iter, &id, &times))
+		json_object_set_new(all, id, json_integer(GPOINTER_TO_UINT(times)));
+	return all;
+}
+
 static void run(searcher_t *searcher, http_exchange_t *exchange)
 {
 	job_t *job = g_new0(job_t, 1);
 
 	searcher->runs++;
+	note_posted(searcher->users, exchange);
 	job->searcher = searcher;
 	job->exchange = http_exchange_ref(exchange);
 	job->timer = (loop_timer_t){.fire = answer, .ctx = job};
@@ -310,7 +335,8 @@
 
 static void register_searcher(searcher_t *searcher, const char *state)
 {
-	g_autofree char *address = g_strdup_printf("127.0.0.1:%d", searcher->port);
+	g_autofree char *address =
+		g_strdup_printf("127.0.0.1:%d", searcher->port + searcher->users->advertise);
 
 	put(searcher->users, "servers", searcher->id,
 	    json_pack("{s:s,s:s,s:s,s:i,s:s,s:i,s:i}", "service", searcher->service, "address",
@@ -407,8 +433,8 @@
 		json_object_set_new(runs, searcher->id, json_integer((json_int_t)searcher->runs));
 		json_object_set_new(left, searcher->id, json_integer((json_int_t)searcher->left));
 	}
-	return json_pack("{s:o,s:o,s:I}", "runs", runs, "left", left, "store_calls",
-			 (json_int_t)users->calls);
+	return json_pack("{s:o,s:o,s:o,s:I}", "runs", runs, "left", left, "posted", posted(users),
+			 "store_calls", (json_int_t)users->calls);
 }
 
 static void on_control(void *ctx, http_exchange_t *exchange)
@@ -444,6 +470,7 @@
 	{"control", 'c', "PORT", 0, "the control address's port", 0},
 	{"searchers", 'f', "PORT", 0, "the first searcher's port", 0},
 	{"shards", 'n', "COUNT", 0, "shards of the route that gathers", 0},
+	{"advertise", 'a', "OFFSET", 0, "searchers register ports higher by this", 0},
 	{"work-ms", 'w', "MS", 0, "how long a searcher works", 0},
 	{0},
 };
@@ -451,11 +478,9 @@
 static error_t parse_option(int key, char *arg, struct argp_state *state)
 {
 	users_t *users = state->input;
-	int *const fields[] = {['s'] = &users->store_port,
-			       ['c'] = &users->control_port,
-			       ['f'] = &users->searchers_from,
-			       ['n'] = &users->shards,
-			       ['w'] = &users->work_ms};
+	int *const fields[] = {['s'] = &users->store_port,     ['c'] = &users->control_port,
+			       ['f'] = &users->searchers_from, ['n'] = &users->shards,
+			       ['w'] = &users->work_ms,	       ['a'] = &users->advertise};
 
 	if (key <= 0 || (size_t)key >= G_N_ELEMENTS(fields) || !fields[key])
 		return ARGP_ERR_UNKNOWN;
@@ -498,6 +523,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)json_decref);
 	users.history = g_ptr_array_new_with_free_func((GDestroyNotify)json_decref);
 	users.watches = g_ptr_array_new();
+	users.posted = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	users.searchers = g_ptr_array_new();
 	if (users.shards > SHARDS_MOST ||
 	    !http_server_new(users.loop, "127.0.0.1", (uint16_t)users.store_port,
--- a/tests/forward_test.c
+++ b/tests/forward_test.c
@@ -288,7 +288,7 @@
 
 static void do_constant(play_t *play, char **words)
 {
-	registry_set_constant(play->registry, g_ascii_strtod(words[1], NULL));
+	registry_set_bound(play->registry, 0.2, g_ascii_strtod(words[1], NULL));
 }
 
 static void submit(play_t *play, const char *id, const char *host, const char *target,
--- a/tests/run-all.sh
+++ b/tests/run-all.sh
@@ -6,3 +6,5 @@
 make --no-print-directory spec
 make --no-print-directory unit
 make --no-print-directory system
+# Real processes under faults: two seeds, a few seconds each. `make soak` runs many with fresh ones.
+BUILD=build tests/soak/run.sh 1 2 4
--- /dev/null
+++ b/tests/soak/front_soak.sh
@@ -0,0 +1,129 @@
+#!/usr/bin/env bash
+# Real daemons under faults from outside, by a seed: signals in series and overlapping, a store that is
+# down, forgets or changes, searchers that hang, refuse, fail or leave, connections that a loopback proxy
+# delays, silences, cuts one way or closes. While it runs, callers check what they get:
+#
+#   a merged answer names each part once, by its own request's id, says truly how many are missing, and
+#   holds the greatest records of just those parts; a single answer is the searcher's; what was refused
+#   as not run did not run; what must not be repeated ran once at most; afterwards all VMs serve again.
+#
+#   tests/soak/front_soak.sh SEED [SECONDS]
+set -u
+cd "$(dirname "$0")/../.."
+SEED=$1 SECONDS_RUN=${2:-10}
+PORT_BASE=${PORT_BASE:-$((15000 + SEED % 8 * 600))}
+. tests/front_lib.sh
+RANDOM=$SEED
+VMS_RUN=3 SHARDS=3 OFFSET=100
+PROXY=$((PORT_BASE + 2)) STORE_DOOR=$((PORT_BASE + 3))
+pick() { local -a all=("$@"); echo "${all[RANDOM % ${#all[@]}]}"; }
+proxy() { curl -s -m 2 "http://127.0.0.1:$PROXY/do?mode=$1${2:-}" >/dev/null; }
+
+doors=("$STORE_DOOR:$STORE")
+for ((i = 0; i < 2 * (SHARDS + 1); i++)); do doors+=("$((SHARDS_FROM + OFFSET + i)):$((SHARDS_FROM + i))"); done
+"$BUILD/standin-proxy" "$PROXY" "${doors[@]}" >>"$RUN/proxy.log" 2>&1 &
+PIDS+=($!)
+REAL_STORE=$STORE
+"$BUILD/standin-users-platform" --store "$REAL_STORE" --control "$CONTROL" --searchers "$SHARDS_FROM" \
+	--advertise $OFFSET >>"$RUN/users.log" 2>&1 &
+PIDS+=($!)
+STORE=$STORE_DOOR
+wait_until users none
+for ((i = 0; i < VMS_RUN; i++)); do front_start "$i"; done
+for ((i = 0; i < VMS_RUN; i++)); do wait_until is_ready "$i" || bad "seed $SEED: VM $i is not ready at the start"; done
+
+# What the merge of these shards (numbers) must be: the stand-in's records, greatest first.
+merged() {
+	local n i
+	for n in "$@"; do for ((i = 0; i < 8; i++)); do printf '%06d-%04d-%04d\n' $(((8 - i) * 100 + n)) "$n" "$i"; done; done | sort -r | head -n 5 | tr -d '\n'
+}
+
+check_gather() { # id head body
+	local stamps missing numbers
+	stamps=$(tr -d '\r' <"$2" | grep -i '^Dogwoodsaddle-Part-Stamps:' | cut -d' ' -f2- | tr ',' '\n' | tr -d ' ')
+	missing=$(tr -d '\r' <"$2" | grep -i '^Dogwoodsaddle-Missing-Parts:' | cut -d' ' -f2)
+	numbers=$(sed 's/^i-shard-\([0-9]*\)-.*/\1/' <<<"$stamps" | sort -n | uniq)
+	[ "$(grep -c "\.$1\$" <<<"$stamps")" = "$(wc -l <<<"$stamps")" ] || { echo "$1: a part of another request: $stamps"; return; }
+	[ "$(wc -l <<<"$numbers")" = "$(wc -l <<<"$stamps")" ] || { echo "$1: a part twice: $stamps"; return; }
+	[ $(($(wc -l <<<"$stamps") + missing)) = $SHARDS ] || { echo "$1: parts and missing don't make up $SHARDS: $stamps, $missing"; return; }
+	# shellcheck disable=SC2086
+	[ "$(cat "$3")" = "$(merged $numbers)" ] || echo "$1: not the greatest records of $numbers"
+}
+
+caller() { # number
+	local n=0 id vm at code
+	while [ ! -e "$RUN/over" ]; do
+		n=$((n + 1)) id=c$1-$n vm=$((n % VMS_RUN))
+		at=http://127.0.0.1:$((FRONT_FROM + 10 * vm))
+		if [ $((n % 3)) = 0 ]; then
+			code=$(curl -s -m 3 -o "$RUN/b.$1" -w '%{http_code}' -H 'Host: get.example' -H "Dogwoodsaddle-Request-Id: $id" \
+				-H 'Dogwoodsaddle-Request-Deadline: 1500' -d body "$at/get/act/x")
+			echo "$code $id" >>"$RUN/posts.$1"
+		else
+			code=$(curl -s -m 3 -D "$RUN/h.$1" -o "$RUN/b.$1" -w '%{http_code}' -H 'Host: find.example' -H "Dogwoodsaddle-Request-Id: $id" \
+				-H 'Dogwoodsaddle-Request-Deadline: 1500' "$at/find/x")
+			[ "$code" != 200 ] || check_gather "$id" "$RUN/h.$1" "$RUN/b.$1" >>"$RUN/wrong"
+		fi
+		case $code in 200 | 000 | 500 | 502 | 503 | 504) ;; *) echo "$id: status $code" >>"$RUN/wrong" ;; esac
+		echo "$code" >>"$RUN/codes"
+	done
+}
+
+restart() { # vm signal
+	kill "-$2" "${FRONT_PID[$1]}" 2>/dev/null
+	wait "${FRONT_PID[$1]}" 2>/dev/null
+	[ -e "$RUN/over" ] || front_start "$1"
+}
+
+version=1
+fault() {
+	local vm=$((RANDOM % VMS_RUN)) searcher
+	searcher=$(pick i-shard-0-here i-shard-1-here i-shard-2-there i-single-here i-shard-1)
+	case $((RANDOM % 12)) in
+	0) restart $vm KILL ;;
+	1) restart $vm TERM & ;;
+	2) kill -STOP "${FRONT_PID[$vm]}"; sleep 1; kill -CONT "${FRONT_PID[$vm]}" ;;
+	3) kill -HUP "${FRONT_PID[$vm]}" ;;
+	4) users down '' 1 >/dev/null; sleep 1; users down '' 0 >/dev/null ;;
+	5) users forget >/dev/null ;;
+	6) version=$((version + 1 + RANDOM % 3)); users configure '' $version >/dev/null ;;
+	7) users "$(pick hang shed foreign fail)" "$searcher" >/dev/null; sleep 0.7; users ok i- >/dev/null ;;
+	8) users drain i-shard-2-there >/dev/null; sleep 0.5; users ready i-shard-2-there >/dev/null ;;
+	9) proxy "$(pick silent oneway)" '&open=1' ;;
+	10) proxy delay; sleep 0.7; proxy pass ;;
+	11) proxy cut ;;
+	esac
+}
+
+callers=()
+for ((i = 0; i < 4; i++)); do caller $i & callers+=($!); done
+end=$(($(date +%s) + SECONDS_RUN))
+while [ "$(date +%s)" -lt $end ]; do
+	fault
+	sleep "0.$((RANDOM % 6))"
+done
+proxy pass
+proxy cut
+users ok i- >/dev/null
+users down '' 0 >/dev/null
+touch "$RUN/over"
+wait "${callers[@]}"
+rm "$RUN/over"
+for ((i = 0; i < VMS_RUN; i++)); do
+	kill -CONT "${FRONT_PID[$i]}" 2>/dev/null || front_start "$i"
+	wait_until is_ready "$i" || bad "seed $SEED: VM $i is not ready at the end"
+	served=0
+	for ((n = 0; n < 10; n++)); do
+		[ "$(curl -s -m 3 -o /dev/null -w '%{http_code}' -H 'Host: find.example' -H "Dogwoodsaddle-Request-Id: end$i$n" "http://127.0.0.1:$((FRONT_FROM + 10 * i))/find/x")" = 200 ] && served=$((served + 1))
+		sleep 0.5
+	done
+	[ $served -ge 5 ] || bad "seed $SEED: VM $i served $served of 10 after the faults"
+done
+posted=$(users none | jq '.posted')
+jq -e 'all(.[]; . < 2)' <<<"$posted" >/dev/null || bad "seed $SEED: ran more than once: $(jq -c 'with_entries(select(.value > 1))' <<<"$posted")"
+for id in $(cat "$RUN"/posts.* | awk '$1 == 503 {print $2}'); do
+	jq -e --arg id "$id" 'has($id) | not' <<<"$posted" >/dev/null || bad "seed $SEED: refused as not run, and ran: $id"
+done
+[ ! -s "$RUN/wrong" ] || bad "seed $SEED: $(head -n 3 "$RUN/wrong")"
+[ "$(grep -c 200 "$RUN/codes")" -ge 5 ] || bad "seed $SEED: hardly anything was served"
+echo "seed $SEED: $(sort "$RUN/codes" | uniq -c | awk '{printf "%s x %s  ", $1, $2}')"
--- a/tests/system/front_stop.sh
+++ b/tests/system/front_stop.sh
@@ -20,3 +20,13 @@
 wait_until is_ready 0
 find_all again >/dev/null
 [ "$(status)" = 200 ] || bad "a start after a kill"
+
+# The settings file changes: with a signal or without one it is in force, and a faulty one is refused,
+# with what was in force kept.
+sed -i 's/^constant = .*/constant = 60/' "$RUN/front-0.ini"
+wait_until grep -q 'event=reloaded' "$RUN/front-0.log" || bad "a silent change is taken"
+sed -i 's/^constant = .*/constant = many/' "$RUN/front-0.ini"
+kill -HUP "${FRONT_PID[0]}"
+wait_until grep -q 'event=reload-refused reason=settings' "$RUN/front-0.log" || bad "a faulty one is refused"
+find_all reloaded >/dev/null
+[ "$(status)" = 200 ] || bad "and cuts nothing"
