--- a/src/log.c
+++ b/src/log.c
@@ -73,7 +73,7 @@
 	return true;
 }
 
-/* "2026-01-02T03:04:05." is formed once a second. */
+/* All but the fraction is formed once a second. */
 static void append_time(void)
 {
 	static char second_text[32];
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -2,7 +2,7 @@
  * @file http_server.c
  * See http_server.h.
  */
-#include "net/http_server.h"
+#include "net/http_exchange_private.h"
 
 #include "net/sock.h"
 
@@ -19,7 +19,7 @@
 #define PIPELINED_MOST_BYTES (1u << 20)
 
 /* One accepted connection. */
-typedef struct connection_t {
+struct connection_t {
 	http_server_t *server;
 	sock_t *sock;
 	http_message_t *message;   /* the request being received */
@@ -30,7 +30,7 @@
 	bool lingering;
 	bool feeding;
 	GList link; /* in the server's list */
-} connection_t;
+};
 
 struct http_server_t {
 	const http_server_ops_t *ops;
@@ -45,141 +45,6 @@
 	bool leaving;
 };
 
-struct http_exchange_t {
-	gint refs;
-	http_server_t *server;
-	connection_t *connection; /* NULL once the caller has gone */
-	http_message_t *message;
-	char *path;	    /* decoded when first asked for */
-	GHashTable *params; /* likewise */
-	GPtrArray *joined;  /* values of repeated headers */
-	void *data;
-	uint64_t serial;
-	uint64_t begun_us;
-	bool replied;
-	GString *reply_headers; /* whole lines; NULL when none */
-};
-
-http_exchange_t *http_exchange_ref(http_exchange_t *exchange)
-{
-	exchange->refs++;
-	return exchange;
-}
-
-void http_exchange_unref(http_exchange_t *exchange)
-{
-	if (--exchange->refs)
-		return;
-	g_free(exchange->path);
-	if (exchange->params)
-		g_hash_table_unref(exchange->params);
-	if (exchange->joined)
-		g_ptr_array_unref(exchange->joined);
-	if (exchange->reply_headers)
-		g_string_free(exchange->reply_headers, TRUE);
-	http_message_free(exchange->message);
-	g_free(exchange);
-}
-
-const http_message_t *http_exchange_message(const http_exchange_t *exchange)
-{
-	return exchange->message;
-}
-
-const char *http_exchange_method(const http_exchange_t *exchange)
-{
-	return http_message_method(exchange->message);
-}
-
-static size_t path_bytes(const char *target)
-{
-	return strcspn(target, "?#");
-}
-
-const char *http_exchange_path(http_exchange_t *exchange)
-{
-	const char *target = http_message_target(exchange->message);
-
-	if (exchange->path)
-		return exchange->path;
-	exchange->path = g_uri_unescape_segment(target, target + path_bytes(target), NULL);
-	if (!exchange->path) /* a NUL or a broken escape: no path of ours */
-		exchange->path = g_strdup("");
-	return exchange->path;
-}
-
-const char *http_exchange_header(http_exchange_t *exchange, const char *name)
-{
-	GString *all;
-
-	if (http_message_header_times(exchange->message, name) < 2)
-		return http_message_header(exchange->message, name);
-	all = g_string_new(NULL);
-	for (size_t i = 0; i < http_message_header_count(exchange->message); i++) {
-		http_header_t header = http_message_header_at(exchange->message, i);
-
-		if (g_ascii_strcasecmp(header.name, name))
-			continue;
-		g_string_append_printf(all, "%s%s", all->len ? "," : "", header.value);
-	}
-	if (!exchange->joined)
-		exchange->joined = g_ptr_array_new_with_free_func(g_free);
-	g_ptr_array_add(exchange->joined, g_string_free(all, FALSE));
-	return g_ptr_array_index(exchange->joined, exchange->joined->len - 1);
-}
-
-const char *http_exchange_param(http_exchange_t *exchange, const char *name)
-{
-	const char *target = http_message_target(exchange->message);
-	const char *query = target + path_bytes(target);
-
-	if (!exchange->params)
-		exchange->params = g_uri_parse_params(*query == '?' ? query + 1 : "", -1, "&",
-						      G_URI_PARAMS_WWW_FORM, NULL);
-	if (!exchange->params) /* a broken escape: no parameter is taken from such a query */
-		exchange->params = g_hash_table_new(g_str_hash, g_str_equal);
-	return g_hash_table_lookup(exchange->params, name);
-}
-
-uint64_t http_exchange_connection(const http_exchange_t *exchange)
-{
-	return exchange->serial;
-}
-
-const GString *http_exchange_body(const http_exchange_t *exchange)
-{
-	return http_message_body(exchange->message);
-}
-
-uint64_t http_exchange_begun_us(const http_exchange_t *exchange)
-{
-	return exchange->begun_us;
-}
-
-void http_exchange_set_data(http_exchange_t *exchange, void *data)
-{
-	exchange->data = data;
-}
-
-void *http_exchange_data(const http_exchange_t *exchange)
-{
-	return exchange->data;
-}
-
-void http_exchange_add_header(http_exchange_t *exchange, const char *name, const char *value)
-{
-	if (!exchange->reply_headers)
-		exchange->reply_headers = g_string_new(NULL);
-	g_string_append_printf(exchange->reply_headers, "%s: %s\r\n", name, value);
-}
-
-void http_exchange_add_lines(http_exchange_t *exchange, const char *lines)
-{
-	if (!exchange->reply_headers)
-		exchange->reply_headers = g_string_new(NULL);
-	g_string_append(exchange->reply_headers, lines);
-}
-
 static const char *reason_of(int status)
 {
 	switch (status) {
--- /dev/null
+++ b/src/queries/front_log.c
@@ -0,0 +1,66 @@
+/**
+ * @file front_log.c
+ * See front_log.h.
+ */
+#include "queries/front_log.h"
+
+#include "net/loop.h"
+
+/* Parts of an answer whose loss its line tells. */
+#define MISSING_TOLD 4
+
+/* What became of the parts that are missing; the first few tell the cause. */
+static void append_missing(GString *line, const forward_t *forward)
+{
+	uint32_t told = 0;
+
+	for (uint32_t i = 0; i < forward->part_count && told < MISSING_TOLD; i++) {
+		const part_t *part = &forward->parts[i];
+		const searcher_t *last =
+			part->asked && part->asked->len
+				? g_ptr_array_index(part->asked, part->asked->len - 1)
+				: NULL;
+
+		if (part->state == PART_ANSWERED)
+			continue;
+		told++;
+		g_string_append_printf(line, " lost=%s:%s:%s:%s", part->pool->service,
+				       part_state_name(part->state), last ? last->id : "nobody",
+				       part->reply ? sub_end_name(part->reply->end) : "no-reply");
+	}
+}
+
+void front_log_answer(const char *id, const forward_t *forward, const forward_answer_t *answer,
+		      int status, uint64_t store_age_us)
+{
+	bool whole = answer->end == FORWARD_ANSWERED && !answer->missing;
+	g_autoptr(GString) line = g_string_sized_new(256);
+	uint64_t took_us = loop_now_us() - forward->request.received_us;
+
+	g_string_append_printf(
+		line,
+		"event=answer request=%s route=%s outcome=%s status=%d took_us=%" G_GUINT64_FORMAT
+		" patience_us=%" G_GUINT64_FORMAT " parts=%u missing=%u version=%" G_GUINT64_FORMAT
+		" store_age_us=%" G_GUINT64_FORMAT,
+		id ? id : "", forward->route ? forward->route->name : "",
+		forward_end_name(answer->end), status, took_us, forward->request.patience_us,
+		answer->parts, answer->missing, forward->routing ? forward->routing->version : 0,
+		store_age_us);
+	if (!whole)
+		append_missing(line, forward);
+	g_log(NULL, whole ? G_LOG_LEVEL_INFO : G_LOG_LEVEL_MESSAGE, "%s", line->str);
+}
+
+void front_log_sub(const sub_t *sub, const sub_reply_t *reply)
+{
+	bool failed = reply->end != SUB_ANSWERED;
+
+	if (!failed && sub->purpose == SUB_FIRST)
+		return;
+	g_log(NULL, failed ? G_LOG_LEVEL_MESSAGE : G_LOG_LEVEL_INFO,
+	      "event=sub-request request=%s service=%s searcher=%s purpose=%s outcome=%s status=%d "
+	      "took_us=%" G_GUINT64_FORMAT " out=%u",
+	      sub->forward ? sub->forward->request.id : "-", sub->pool->service, sub->searcher->id,
+	      sub_purpose_name(sub->purpose), sub_end_name(reply->end), reply->status,
+	      loop_now_us() - sub->sending.sent_us, sub->searcher->out.length);
+}
--- a/src/tasks/front_task.c
+++ b/src/tasks/front_task.c
@@ -6,14 +6,13 @@
 
 #include "core/connection_share.h"
 #include "headers.h"
+#include "queries/front_log.h"
 #include "queries/front_metrics.h"
 #include "tasks/link_task.h"
 #include "tasks/supply_task.h"
 
 #include <string.h>
 
-/* Parts of an answer whose loss its line tells. */
-#define MISSING_TOLD 4
 /* VMs that share connections and budgets, before the store has listed them: as many as the largest
  * deployment has. Too few assumed by many at once would break the bound on retries. */
 #define VMS_ASSUMED 100
@@ -198,26 +197,11 @@
 	link_task_cancel(((front_task_t *)ctx)->links, sub);
 }
 
-/* Second tries, and whatever was no answer: the rest is told by the request's own line. */
-static void log_sub(const sub_t *sub, const sub_reply_t *reply)
-{
-	bool failed = reply->end != SUB_ANSWERED;
-
-	if (!failed && sub->purpose == SUB_FIRST)
-		return;
-	g_log(NULL, failed ? G_LOG_LEVEL_MESSAGE : G_LOG_LEVEL_INFO,
-	      "event=sub-request request=%s service=%s searcher=%s purpose=%s outcome=%s status=%d "
-	      "took_us=%" G_GUINT64_FORMAT " out=%u",
-	      sub->forward ? sub->forward->request.id : "-", sub->pool->service, sub->searcher->id,
-	      sub_purpose_name(sub->purpose), sub_end_name(reply->end), reply->status,
-	      loop_now_us() - sub->sending.sent_us, sub->searcher->out.length);
-}
-
 static void on_sub_ended(void *ctx, sub_t *sub, sub_reply_t *reply)
 {
 	front_task_t *task = ctx;
 
-	log_sub(sub, reply);
+	front_log_sub(sub, reply);
 	forwarder_sub_ended(task->forwarder, sub, reply, loop_now_us());
 	arm_forwarder(task);
 }
@@ -244,49 +228,6 @@
 	return statuses[end];
 }
 
-/* What became of the parts that are missing; the first few tell the cause. */
-static void append_missing(GString *line, const forward_t *forward)
-{
-	uint32_t told = 0;
-
-	for (uint32_t i = 0; i < forward->part_count && told < MISSING_TOLD; i++) {
-		const part_t *part = &forward->parts[i];
-		const searcher_t *last =
-			part->asked && part->asked->len
-				? g_ptr_array_index(part->asked, part->asked->len - 1)
-				: NULL;
-
-		if (part->state == PART_ANSWERED)
-			continue;
-		told++;
-		g_string_append_printf(line, " lost=%s:%s:%s:%s", part->pool->service,
-				       part_state_name(part->state), last ? last->id : "nobody",
-				       part->reply ? sub_end_name(part->reply->end) : "no-reply");
-	}
-}
-
-static void log_answer(const relay_t *relay, const forward_t *forward,
-		       const forward_answer_t *answer, int status)
-{
-	bool whole = answer->end == FORWARD_ANSWERED && !answer->missing;
-	g_autoptr(GString) line = g_string_sized_new(256);
-	uint64_t now_us = loop_now_us();
-
-	g_string_append_printf(
-		line,
-		"event=answer request=%s route=%s outcome=%s status=%d took_us=%" G_GUINT64_FORMAT
-		" patience_us=%" G_GUINT64_FORMAT " parts=%u missing=%u version=%" G_GUINT64_FORMAT
-		" store_age_us=%" G_GUINT64_FORMAT,
-		relay->headers.id ? relay->headers.id : "",
-		forward->route ? forward->route->name : "", forward_end_name(answer->end), status,
-		now_us - forward->request.received_us, forward->request.patience_us, answer->parts,
-		answer->missing, forward->routing ? forward->routing->version : 0,
-		supply_task_age_us(relay->task->supply));
-	if (!whole)
-		append_missing(line, forward);
-	g_log(NULL, whole ? G_LOG_LEVEL_INFO : G_LOG_LEVEL_MESSAGE, "%s", line->str);
-}
-
 static void relay_free(relay_t *relay)
 {
 	if (relay->common)
@@ -306,7 +247,8 @@
 	(void)ctx;
 	if (answer->reply)
 		status = answer->reply->status;
-	log_answer(relay, forward, answer, status);
+	front_log_answer(relay->headers.id, forward, answer, status,
+			 supply_task_age_us(relay->task->supply));
 	http_exchange_set_data(exchange, NULL);
 	if (answer->retry_after_us)
 		headers_add_retry_after(exchange, answer->retry_after_us);
