--- a/tests/soak/front_soak.sh
+++ b/tests/soak/front_soak.sh
@@ -69,19 +69,25 @@
 	done
 }
 
-restart() { # vm signal
-	kill "-$2" "${FRONT_PID[$1]}" 2>/dev/null
-	wait "${FRONT_PID[$1]}" 2>/dev/null
-	[ -e "$RUN/over" ] || front_start "$1"
+# A process that ended is started again, as the platform does.
+ended() { case $(awk '{print $3}' "/proc/${FRONT_PID[$1]}/stat" 2>/dev/null) in '' | Z) return 0 ;; esac; return 1; }
+supervise() {
+	local i
+	for ((i = 0; i < VMS_RUN; i++)); do
+		ended "$i" || continue
+		wait "${FRONT_PID[$i]}" 2>/dev/null
+		front_start "$i"
+	done
 }
+is_up() { supervise; is_ready "$1"; }
 
 version=1
 fault() {
 	local vm=$((RANDOM % VMS_RUN)) searcher
 	searcher=$(pick i-shard-0-here i-shard-1-here i-shard-2-there i-single-here i-shard-1)
 	case $((RANDOM % 12)) in
-	0) restart $vm KILL ;;
-	1) restart $vm TERM & ;;
+	0) kill -KILL "${FRONT_PID[$vm]}" ;;
+	1) kill -TERM "${FRONT_PID[$vm]}" ;;
 	2) kill -STOP "${FRONT_PID[$vm]}"; sleep 1; kill -CONT "${FRONT_PID[$vm]}" ;;
 	3) kill -HUP "${FRONT_PID[$vm]}" ;;
 	4) users down '' 1 >/dev/null; sleep 1; users down '' 0 >/dev/null ;;
@@ -100,6 +106,7 @@
 end=$(($(date +%s) + SECONDS_RUN))
 while [ "$(date +%s)" -lt $end ]; do
 	fault
+	supervise
 	sleep "0.$((RANDOM % 6))"
 done
 proxy pass
@@ -108,10 +115,9 @@
 users down '' 0 >/dev/null
 touch "$RUN/over"
 wait "${callers[@]}"
-rm "$RUN/over"
 for ((i = 0; i < VMS_RUN; i++)); do
-	kill -CONT "${FRONT_PID[$i]}" 2>/dev/null || front_start "$i"
-	wait_until is_ready "$i" || bad "seed $SEED: VM $i is not ready at the end"
+	kill -CONT "${FRONT_PID[$i]}" 2>/dev/null
+	wait_until is_up "$i" || bad "seed $SEED: VM $i is not ready at the end: $(tail -n 3 "$RUN/front-$i.log")"
 	served=0
 	for ((n = 0; n < 10; n++)); do
 		[ "$(curl -s -m 3 -o /dev/null -w '%{http_code}' -H 'Host: find.example' -H "Dogwoodsaddle-Request-Id: end$i$n" "http://127.0.0.1:$((FRONT_FROM + 10 * i))/find/x")" = 200 ] && served=$((served + 1))
