Out goes what nobody calls, and a branch that could not be taken

A hedge's second look at the budget asked the same question as the first, since both use the same bound: now it is asked once, by taking from the budget, and only when to look again is decided beside it. Behaviour is as it was; no test is changed.

--- a/src/core/part.c
+++ b/src/core/part.c
@@ -11,9 +11,6 @@
 #define HEDGE_LEAST_US 13000
 #define HEDGE_UNKNOWN_US 60000
 
-/* With so little of the budget left, a hedge waits for the last moment at which it is of use: half
- * of the pauses are over by then. Sparing earlier was measured to answer fewer in time. */
-#define HEDGE_SPARING_BELOW 1.0
 /* Room for a second answer that takes longer than expected. */
 #define HEDGE_LATE_TIMES 1.3
 /* When the budget refuses, ask again after so long. */
@@ -140,20 +137,13 @@
 
 /* ---- hedges ---- */
 
-/* Whether to send once more now; else sets when to look again. */
-static bool is_hedge_due(part_t *part, const searcher_t *searcher, uint64_t now_us)
+/* The budget is used up: look again at the last moment at which a hedge is of use, and after it. */
+static void hedge_postpone(part_t *part, const searcher_t *searcher, uint64_t now_us)
 {
-	const retry_bound_t *bound = registry_bound(part->forward->forwarder->registry);
-	double left = retry_budget_left(&part->pool->budget, bound, RETRY_FOR_SPEED, now_us);
-	uint64_t late_us;
+	double cost_us = placement_cost_us(searcher, part->pool, now_us);
+	uint64_t late_us = hedge_late_us(part->forward, cost_us);
 
-	if (left >= HEDGE_SPARING_BELOW)
-		return true;
-	late_us = hedge_late_us(part->forward, placement_cost_us(searcher, part->pool, now_us));
-	if (now_us >= late_us)
-		return left >= 1;
-	part->hedge_us = late_us;
-	return false;
+	part->hedge_us = now_us < late_us ? late_us : now_us + HEDGE_AGAIN_US;
 }
 
 void part_hedge(part_t *part, uint64_t now_us)
@@ -166,11 +156,12 @@
 	if (!may_run_again(part))
 		return;
 	searcher = placement_choose(part->pool, part->asked, forwarder->rand, now_us);
-	if (searcher && is_hedge_due(part, searcher, now_us) &&
-	    retry_budget_take(&part->pool->budget, bound, RETRY_FOR_SPEED, now_us))
-		part_send(part, searcher, SUB_HEDGE, now_us);
-	else if (!part->hedge_us)
+	if (!searcher)
 		part->hedge_us = now_us + HEDGE_AGAIN_US;
+	else if (retry_budget_take(&part->pool->budget, bound, RETRY_FOR_SPEED, now_us))
+		part_send(part, searcher, SUB_HEDGE, now_us);
+	else
+		hedge_postpone(part, searcher, now_us);
 }
 
 /* ---- replies ---- */
--- a/src/net/http_conn.c
+++ b/src/net/http_conn.c
@@ -21,7 +21,6 @@
 	const http_conn_ops_t *ops;
 	void *ctx;
 	http_message_t *reply;
-	bool open;
 	bool busy; /* a request is out */
 	bool in_callback;
 	bool ended;	   /* freed when the callback returns */
@@ -83,7 +82,6 @@
 {
 	http_conn_t *conn = ctx;
 
-	conn->open = true;
 	if (conn->ops->opened)
 		conn->ops->opened(conn->ctx);
 }
@@ -163,11 +161,6 @@
 	sock_write(conn->sock, body, body_bytes);
 }
 
-bool http_conn_is_open(const http_conn_t *conn)
-{
-	return conn->open;
-}
-
 bool http_conn_is_stale(const http_conn_t *conn, uint64_t now_us)
 {
 	return conn->stale_us && now_us >= conn->stale_us;
--- a/src/net/http_conn.h
+++ b/src/net/http_conn.h
@@ -41,7 +41,6 @@
 /** Send a request: its whole head and its body. Only when none is out. */
 void http_conn_send(http_conn_t *conn, const char *head, size_t head_bytes, const char *body,
 		    size_t body_bytes, bool is_head);
-bool http_conn_is_open(const http_conn_t *conn);
 /** Whether the peer said how long it keeps idle connections and that time is nearly over. */
 bool http_conn_is_stale(const http_conn_t *conn, uint64_t now_us);
 /** Close at once; no callback follows. */
--- a/src/net/http_message.c
+++ b/src/net/http_message.c
@@ -55,7 +55,6 @@
 	GString *text; /* NUL-ended texts: the target, then names and values */
 	header_place_t headers[HEADERS_MOST];
 	uint32_t header_count;
-	uint32_t target;
 	bool in_value;
 	bool has_head;
 	bool no_body;
@@ -377,7 +376,7 @@
 
 const char *http_message_target(const http_message_t *message)
 {
-	return message->text->str + message->target;
+	return message->text->str;
 }
 
 int http_message_status(const http_message_t *message)
--- a/src/net/http_pool.h
+++ b/src/net/http_pool.h
@@ -2,7 +2,7 @@
  * @file http_pool.h
  * HTTP client calls over numbered slots, each of which holds at most one connection to an endpoint.
  *
- * The caller picks a free slot; a slot is busy from http_call_start() until `finished`. So a bound
+ * The caller picks a free slot; a slot is busy from http_pool_start() until `finished`. So a bound
  * on slots is a bound on connections.
  */
 #ifndef DS_HTTP_POOL_H
--- a/src/tasks/feed_server.c
+++ b/src/tasks/feed_server.c
@@ -97,8 +97,3 @@
 			return false;
 	return true;
 }
-
-uint32_t feed_server_subscribers(const feed_server_t *server)
-{
-	return server->subscribers->len;
-}
--- a/src/tasks/feed_server.h
+++ b/src/tasks/feed_server.h
@@ -18,6 +18,5 @@
 void feed_server_clear(feed_server_t *server);
 /** Whether a whole list of each kind was told. */
 bool feed_server_is_known(const feed_server_t *server);
-uint32_t feed_server_subscribers(const feed_server_t *server);
 
 #endif
