A planned stop refuses what comes near its end

Callers went on sending to a VM that left, so it was never quiet; at the end of its grace time the process ended with a request under way that it had taken 5.8 s after SIGTERM. Change: from 2.5 s before the end of the grace time requests are refused as not run, with a time to come back, and don't keep the process waiting. The test fails without it (the caller's connection is cut).

--- a/src/core/forward.h
+++ b/src/core/forward.h
@@ -87,6 +87,7 @@
 	FORWARD_NOT_READY, /**< no configuration or no searchers known yet */
 	FORWARD_NO_ROUTE,
 	FORWARD_NO_SEARCHER, /**< none is registered that may be sent work */
+	FORWARD_LEAVING,     /**< this VM is about to end, and takes nothing new */
 	FORWARD_TOO_LATE,    /**< its time was over when it was read */
 	FORWARD_FULL,	     /**< no room, and none in time */
 	FORWARD_REJECTED,    /**< every searcher asked refused it without running it */
@@ -159,6 +160,8 @@
 void forwarder_set_routing(forwarder_t *forwarder, routing_t *routing);
 const routing_t *forwarder_routing(const forwarder_t *forwarder);
 
+/** Take nothing more: requests to come are refused as not run. What is under way goes on. */
+void forwarder_leave(forwarder_t *forwarder);
 /** Take in a request. The answer may come before the return; then NULL is returned. */
 forward_t *forwarder_submit(forwarder_t *forwarder, const forward_request_t *request, void *owner,
 			    uint64_t now_us);
--- a/src/core/forward_private.h
+++ b/src/core/forward_private.h
@@ -24,6 +24,7 @@
 	timers_t timers;
 	GRand *rand;
 	uint32_t open;
+	bool leaving;
 	forwarder_counters_t counters;
 };
 
--- a/src/core/forwarder.c
+++ b/src/core/forwarder.c
@@ -11,6 +11,8 @@
 #define PATIENCE_UNKNOWN_US 5000000
 /* A caller that left must not keep searchers at work for half a second: close well before that. */
 #define LEFT_US 250000
+/* A caller that comes again is sent to another VM: this one has not been ready for seconds. */
+#define RETRY_AFTER_LEAVING_US 10000
 /* While nothing is known yet, news come within a second of the start. */
 #define RETRY_AFTER_START_US 300000
 #define TYPICAL_STEP 0.06
@@ -62,6 +64,11 @@
 	return timers_next_us(&forwarder->timers);
 }
 
+void forwarder_leave(forwarder_t *forwarder)
+{
+	forwarder->leaving = true;
+}
+
 void forwarder_run(forwarder_t *forwarder, uint64_t now_us)
 {
 	timers_run(&forwarder->timers, now_us);
@@ -270,6 +277,8 @@
 
 	if (end == FORWARD_NOT_READY)
 		answer.retry_after_us = RETRY_AFTER_START_US;
+	if (end == FORWARD_LEAVING)
+		answer.retry_after_us = RETRY_AFTER_LEAVING_US;
 	forwarder->counters.ends[end]++;
 	forwarder->ops->answer(forwarder->ctx, &forward, &answer);
 }
@@ -281,6 +290,10 @@
 	forward_t *forward;
 
 	forwarder->counters.requests++;
+	if (forwarder->leaving) {
+		answer_unrouted(forwarder, request, owner, FORWARD_LEAVING);
+		return NULL;
+	}
 	if (!forwarder->routing || !registry_is_known(forwarder->registry)) {
 		answer_unrouted(forwarder, request, owner, FORWARD_NOT_READY);
 		return NULL;
--- a/src/core/sub.c
+++ b/src/core/sub.c
@@ -12,9 +12,10 @@
 	static const char *const names[FORWARD_ENDS] = {
 		[FORWARD_ANSWERED] = "answered", [FORWARD_NOT_READY] = "not-ready",
 		[FORWARD_NO_ROUTE] = "no-route", [FORWARD_NO_SEARCHER] = "no-searcher",
-		[FORWARD_TOO_LATE] = "too-late", [FORWARD_FULL] = "full",
-		[FORWARD_REJECTED] = "rejected", [FORWARD_TOO_FEW] = "too-few",
-		[FORWARD_FAILED] = "failed",	 [FORWARD_TIMEOUT] = "timeout",
+		[FORWARD_LEAVING] = "leaving",	 [FORWARD_TOO_LATE] = "too-late",
+		[FORWARD_FULL] = "full",	 [FORWARD_REJECTED] = "rejected",
+		[FORWARD_TOO_FEW] = "too-few",	 [FORWARD_FAILED] = "failed",
+		[FORWARD_TIMEOUT] = "timeout",
 	};
 
 	return names[end];
--- a/src/dogwoodsaddled.c
+++ b/src/dogwoodsaddled.c
@@ -19,6 +19,9 @@
 
 #define EXIT_BAD_SETTINGS 2
 #define STOP_CHECK_US 20000
+/* Requests taken later than this before the end might not be answered in time: the longest timeout
+ * of the deployments' routes is 2.5 s (3 s where the grace time leaves room). */
+#define LAST_REQUEST_US 2500000
 /* A change of the file is in force within the 3 s that any change is given. */
 #define FILE_CHECK_US 2000000
 /* A planned stop ends by itself before the process is killed. */
@@ -93,6 +96,16 @@
 	g_log(NULL, G_LOG_LEVEL_MESSAGE, "%s hlc=%" G_GUINT64_FORMAT, text, at);
 }
 
+/* Callers that go on sending to the last would have their requests cut by the end of the process.
+ */
+static bool is_end_near(const daemon_t *self, uint64_t now_us)
+{
+	uint64_t grace_us = (uint64_t)self->settings->grace_s * 1000000;
+	uint64_t since_us = now_us - self->leaving_since_us;
+
+	return since_us + LAST_REQUEST_US >= grace_us;
+}
+
 /*
  * A planned stop. The balancer and keep-alive callers go on sending until they have heard of it, so
  * the listener stays open until the drain time is over and no request has come for a while; closing
@@ -115,6 +128,8 @@
 
 	if (self->front && drained)
 		front_task_close_idle(self->front);
+	if (self->front && drained && is_end_near(self, now))
+		front_task_refuse(self->front);
 	if ((drained && quiet && idle) || over) {
 		timeline_add(self->timeline, "event=stopped");
 		loop_stop(self->loop);
--- a/src/tasks/front_task.c
+++ b/src/tasks/front_task.c
@@ -45,6 +45,7 @@
 	char *vm_name;
 	GHashTable *regions; /* data centre to region */
 	bool leaving;
+	bool refusing;
 };
 
 /* One caller's request on its way. */
@@ -220,9 +221,9 @@
 {
 	static const int statuses[FORWARD_ENDS] = {
 		[FORWARD_ANSWERED] = 200,    [FORWARD_NOT_READY] = 503, [FORWARD_NO_ROUTE] = 404,
-		[FORWARD_NO_SEARCHER] = 503, [FORWARD_TOO_LATE] = 503,	[FORWARD_FULL] = 503,
-		[FORWARD_REJECTED] = 503,    [FORWARD_TOO_FEW] = 502,	[FORWARD_FAILED] = 502,
-		[FORWARD_TIMEOUT] = 504,
+		[FORWARD_NO_SEARCHER] = 503, [FORWARD_LEAVING] = 503,	[FORWARD_TOO_LATE] = 503,
+		[FORWARD_FULL] = 503,	     [FORWARD_REJECTED] = 503,	[FORWARD_TOO_FEW] = 502,
+		[FORWARD_FAILED] = 502,	     [FORWARD_TIMEOUT] = 504,
 	};
 
 	return statuses[end];
@@ -280,7 +281,8 @@
 	forward_t *forward;
 	relay_t *relay;
 
-	task->last_request_us = loop_now_us();
+	if (!task->refusing)
+		task->last_request_us = loop_now_us();
 	if (*target != '/' || http_message_header_times(message, "Host") != 1) {
 		refuse(exchange, "a path and one Host are required");
 		return;
@@ -295,7 +297,7 @@
 				      .target = target,
 				      .received_us = http_exchange_begun_us(exchange),
 				      .patience_us = relay->headers.patience_us};
-	forward = forwarder_submit(task->forwarder, &request, relay, task->last_request_us);
+	forward = forwarder_submit(task->forwarder, &request, relay, loop_now_us());
 	if (forward) /* else it was answered at once, and the relay is gone */
 		relay->forward = forward;
 	arm_forwarder(task);
@@ -519,6 +521,12 @@
 	http_server_leave(task->callers);
 }
 
+void front_task_refuse(front_task_t *task)
+{
+	task->refusing = true;
+	forwarder_leave(task->forwarder);
+}
+
 void front_task_close_idle(front_task_t *task)
 {
 	http_server_close_idle(task->callers);
--- a/src/tasks/front_task.h
+++ b/src/tasks/front_task.h
@@ -18,6 +18,8 @@
 void front_task_refresh(front_task_t *task);
 /** A planned stop begins: not ready, answers tell callers to close, requests are still served. */
 void front_task_leave(front_task_t *task);
+/** Take nothing new: requests to come are refused as not run, and don't count as requests. */
+void front_task_refuse(front_task_t *task);
 /** Close kept connections on which nothing has begun: the end of a planned stop is near. */
 void front_task_close_idle(front_task_t *task);
 /** Requests not wholly answered yet. */
--- a/tests/system/front_stop.sh
+++ b/tests/system/front_stop.sh
@@ -13,6 +13,16 @@
 wait $request
 [ -s "$RUN/body" ] || bad "the request that was under way is answered"
 wait "${FRONT_PID[0]}" || bad "it ends with 0"
+# A caller that goes on sending to the last: towards the end of the grace time it is refused, as not run
+# and with a time to come back, so that the end of the process cuts none of its requests.
+front_start 0
+wait_until is_ready 0
+kill -TERM "${FRONT_PID[0]}"
+n=0
+while [ "$(get_one "on$n" /get/x -o /dev/null -w '%{http_code}')" = 200 ]; do n=$((n + 1)); done
+[ "$(status)" = 503 ] && [ -n "$(header Retry-After)" ] || bad "refused at the end: $(cat "$RUN/head")"
+grep -q "event=answer request=on$n .*outcome=leaving" "$RUN/front-0.log" || bad "the log says why"
+wait "${FRONT_PID[0]}" || bad "it ends with 0"
 is_ready 1 || bad "the other one goes on"
 kill -KILL "${FRONT_PID[1]}"
 wait "${FRONT_PID[1]}" 2>/dev/null
