A health probe that is still out is no failure of the searcher

A probe that was due while the last one was out counted as a failure. So one connection that went silent made three failures, and the searcher was taken for down. When all connections went silent at once, whole groups of sound searchers were down for a second: partial answers, refusals with no-upstream. The logs showed `upstream-down reason=health` for 20 searchers of a VM within 4 ms. Change: while a probe is out on a kept connection, nothing is counted; its timeout counts once, and the next probe has a new connection.

--- a/src/tasks/upstream_task.c
+++ b/src/tasks/upstream_task.c
@@ -16,6 +16,7 @@
 	struct flight_t *slots[SLOTS_MAX];
 	GQueue pending; /* sub_request_t: all slots are busy, some perhaps closing */
 	bool probing;
+	bool probe_kept; /* the probes' connection was kept from one probe to the next */
 } endpoint_t;
 
 /** A sub-request on a connection. */
@@ -248,19 +249,27 @@
 
 /* ---- health probes ---- */
 
+static probe_end_t probe_end_of(const http_call_t *call, const upstream_report_t *report)
+{
+	if (http_call_end(call) == HTTP_END_NOT_SENT)
+		return PROBE_REFUSED;
+	return report ? PROBE_REPORTED : PROBE_SILENT;
+}
+
 static void probe_finished(void *ctx, http_call_t *call)
 {
 	probe_t *probe = ctx;
 	upstream_task_t *task = probe->task;
 	upstream_report_t *report = NULL;
 	const GString *body = http_call_reply(call);
+	bool replied = http_call_end(call) == HTTP_END_REPLIED;
 
 	loop_timer_cancel(&probe->timer);
 	probe->endpoint->probing = false;
-	if (http_call_end(call) == HTTP_END_REPLIED)
+	probe->endpoint->probe_kept = replied;
+	if (replied)
 		report = reply_parse_health(http_call_status(call), body->str, body->len);
-	task->ops->probed(task->ctx, probe->upstream, report,
-			  http_call_end(call) == HTTP_END_NOT_SENT);
+	task->ops->probed(task->ctx, probe->upstream, report, probe_end_of(call, report));
 	g_free(probe->address);
 	g_free(probe);
 }
@@ -282,8 +291,16 @@
 			       .ctx = probe};
 
 	probe->endpoint = endpoint_of(task, probe->address, probe->port);
-	if (probe->endpoint->probing) { /* the last one is still closing */
-		task->ops->probed(task->ctx, probe->upstream, NULL, false);
+	/*
+	 * The last probe is still out. On a connection made for it the searcher itself is silent;
+	 * on a kept one the connection may be. Counted all the same, one silent connection made
+	 * three failures, and when all connections went silent at once whole groups of sound
+	 * searchers were taken for down: partial answers for a second. The probe's own timeout
+	 * counts once, and the next has a new connection.
+	 */
+	if (probe->endpoint->probing) {
+		task->ops->probed(task->ctx, probe->upstream, NULL,
+				  probe->endpoint->probe_kept ? PROBE_UNKNOWN : PROBE_SILENT);
 		g_free(probe->address);
 		g_free(probe);
 		return;
--- a/src/tasks/upstream_task.h
+++ b/src/tasks/upstream_task.h
@@ -23,11 +23,19 @@
 	bool fresh_connection;
 } sub_request_t;
 
+/** What a health probe has shown. */
+typedef enum probe_end_t {
+	PROBE_REPORTED,
+	PROBE_REFUSED, /**< nobody listens there */
+	PROBE_SILENT,  /**< no report, or one that can't be read */
+	PROBE_UNKNOWN, /**< it says nothing of the searcher */
+} probe_end_t;
+
 /** Where results go; called from the loop. The receiver takes replies and reports. */
 typedef struct upstream_task_ops_t {
 	void (*ended)(void *ctx, uint64_t attempt_id, reply_t *reply);
-	/** @p report is NULL when the probe failed; @p refused: nobody listens there. */
-	void (*probed)(void *ctx, void *upstream, upstream_report_t *report, bool refused);
+	/** @p report is NULL but for PROBE_REPORTED. */
+	void (*probed)(void *ctx, void *upstream, upstream_report_t *report, probe_end_t end);
 } upstream_task_ops_t;
 
 upstream_task_t *upstream_task_new(loop_t *loop, const upstream_task_ops_t *ops, void *ctx);
