A VM that wakes takes no old reply for its new list

Cause: after it stood still, a VM reads the store anew. follower_refresh() set the list up, but the reply to the watch that was under way, ready in the kernel meanwhile, was read first and passed for the list's first page: empty, so all searchers were dropped, and nothing asked for them again. The VMs that it feeds were told the same. Seen in the log of front_feed: eight `searcher-gone` in the millisecond of the wake. Ruled out: the store's list (the stand-in gave it whole), lapses (the store was not away). Change: whatever is under way when a list is started is ignored, by its serial.

--- a/src/tasks/follower.c
+++ b/src/tasks/follower.c
@@ -61,8 +61,14 @@
 		follower->ops->lost(follower->ctx);
 }
 
+/*
+ * Whatever is under way is ignored. After the VM stood still, the reply to its old watch is read
+ * before anything new is asked; taken for a page of the list it would drop every searcher, and
+ * every request would be refused until searchers change.
+ */
 static void start_list(follower_t *follower)
 {
+	follower->serial++;
 	g_free(follower->after);
 	follower->after = NULL;
 	follower->listing = true;
@@ -188,7 +194,6 @@
 	return follower;
 }
 
-/* A reply that is still under way is ignored: its connection may be the one that went silent. */
 void follower_refresh(follower_t *follower)
 {
 	follower->once = false;
