--- a/src/core/forward.c
+++ b/src/core/forward.c
@@ -51,6 +51,7 @@
 		return;
 	forward->finished = true;
 	forwarder->counters.ends[answer->end]++;
+	latency_buckets_add(&forward->state->latency, now_us - forward->request.received_us);
 	forward_release(forward, UNNEEDED_US, now_us);
 	forwarder->ops->answer(forwarder->ctx, forward, answer);
 	forward_free(forward);
--- a/src/core/forward.h
+++ b/src/core/forward.h
@@ -178,6 +178,10 @@
 void forwarder_run(forwarder_t *forwarder, uint64_t now_us);
 uint32_t forwarder_open(const forwarder_t *forwarder);
 const forwarder_counters_t *forwarder_counters(const forwarder_t *forwarder);
+/** Called with how long the answers of @p route took. */
+typedef void (*forwarder_latency_f)(void *ctx, const char *route, const latency_buckets_t *latency);
+/** Visit all routes that were used since the start. */
+void forwarder_visit_latency(const forwarder_t *forwarder, forwarder_latency_f visit, void *ctx);
 const char *part_state_name(part_state_t state);
 const char *forward_end_name(forward_end_t end);
 
--- a/src/core/forward_private.h
+++ b/src/core/forward_private.h
@@ -8,11 +8,13 @@
 #define DS_FORWARD_PRIVATE_H
 
 #include "core/forward.h"
+#include "core/latency_buckets.h"
 
 /** What is measured of one route, over all versions of the configuration. */
 typedef struct route_state_t {
-	quantile_t typical; /* median of its sub-requests, sent to answered */
-	GArray *credits;    /* double: for the shares of a split, by target */
+	quantile_t typical;	   /* median of its sub-requests, sent to answered */
+	GArray *credits;	   /* double: for the shares of a split, by target */
+	latency_buckets_t latency; /* of its answers, from the caller's request on */
 } route_state_t;
 
 struct forwarder_t {
--- a/src/core/forwarder.c
+++ b/src/core/forwarder.c
@@ -84,6 +84,16 @@
 	return &forwarder->counters;
 }
 
+void forwarder_visit_latency(const forwarder_t *forwarder, forwarder_latency_f visit, void *ctx)
+{
+	GHashTableIter iter;
+	gpointer route, state;
+
+	g_hash_table_iter_init(&iter, forwarder->states);
+	while (g_hash_table_iter_next(&iter, &route, &state))
+		visit(ctx, route, &((const route_state_t *)state)->latency);
+}
+
 static route_state_t *state_of(forwarder_t *forwarder, const route_t *route)
 {
 	route_state_t *state = g_hash_table_lookup(forwarder->states, route->name);
@@ -108,6 +118,7 @@
 	case SUB_ANSWERED:
 		searcher_note_answer(sub->searcher, took_us, now_us);
 		quantile_add(&sub->pool->typical, took_us);
+		latency_buckets_add(&sub->pool->latency, took_us);
 		if (sub->forward)
 			quantile_add(&sub->forward->state->typical, took_us);
 		break;
--- a/src/core/registry.h
+++ b/src/core/registry.h
@@ -8,6 +8,7 @@
 #ifndef DS_REGISTRY_H
 #define DS_REGISTRY_H
 
+#include "core/latency_buckets.h"
 #include "core/retry_budget.h"
 #include "core/quantile.h"
 #include "core/searcher.h"
@@ -17,8 +18,9 @@
 	char *service;
 	GPtrArray *searchers; /**< searcher_t, references held */
 	retry_budget_t budget;
-	quantile_t typical; /**< median of sent to answered, over all its searchers */
-	GQueue waiting;	    /**< parts that found no room, by rank and age */
+	quantile_t typical;	   /**< median of sent to answered, over all its searchers */
+	latency_buckets_t latency; /**< the same, for metrics */
+	GQueue waiting;		   /**< parts that found no room, by rank and age */
 } pool_t;
 
 /** Where this VM is, and the region of each data centre. */
--- a/src/queries/front_metrics.c
+++ b/src/queries/front_metrics.c
@@ -45,19 +45,72 @@
 	put(out, "connections_ended_total", "reason", "foreign", links->foreign);
 }
 
-GString *front_metrics_write(const forwarder_t *forwarder, const registry_t *registry,
-			     const link_counters_t *links, const supply_task_t *supply)
+/* Prometheus counts within each bound what lies below it, too. */
+static void put_latency(GString *out, const char *name, const char *label, const char *value,
+			const latency_buckets_t *latency)
+{
+	uint64_t below = 0;
+
+	for (uint32_t i = 0; i < LATENCY_BOUNDS; i++) {
+		below += latency->counts[i];
+		g_string_append_printf(out,
+				       "dogwoodsaddle_%s_bucket{%s=\"%s\",le=\"%" G_GUINT64_FORMAT
+				       "\"} %" G_GUINT64_FORMAT "\n",
+				       name, label, value, latency_bounds_us[i], below);
+	}
+	g_string_append_printf(out,
+			       "dogwoodsaddle_%s_bucket{%s=\"%s\",le=\"+Inf\"} %" G_GUINT64_FORMAT
+			       "\ndogwoodsaddle_%s_sum{%s=\"%s\"} %" G_GUINT64_FORMAT
+			       "\ndogwoodsaddle_%s_count{%s=\"%s\"} %" G_GUINT64_FORMAT "\n",
+			       name, label, value, latency->count, name, label, value,
+			       latency->sum_us, name, label, value, latency->count);
+}
+
+static void put_route_latency(void *ctx, const char *route, const latency_buckets_t *latency)
+{
+	put_latency(ctx, "answer_latency_us", "route", route, latency);
+}
+
+static void put_service(GString *out, const pool_t *pool)
+{
+	if (!pool->latency.count)
+		return;
+	put_latency(out, "sub_reply_latency_us", "service", pool->service, &pool->latency);
+	put(out, "parts_waiting", "service", pool->service, pool->waiting.length);
+}
+
+static void put_services(GString *out, const registry_t *registry)
+{
+	GHashTableIter iter;
+	gpointer pool;
+
+	g_hash_table_iter_init(&iter, registry_pools((registry_t *)registry));
+	while (g_hash_table_iter_next(&iter, NULL, &pool))
+		put_service(out, pool);
+}
+
+static void put_store(GString *out, const supply_task_t *supply, const platform_counters_t *store)
+{
+	put(out, "store_is_fed", NULL, NULL, supply_task_is_fed(supply));
+	put(out, "store_age_us", NULL, NULL, supply_task_age_us(supply));
+	put(out, "store_calls_total", "kind", "read", store->fetches);
+	put(out, "store_calls_total", "kind", "write", store->writes);
+	put(out, "store_calls_unanswered_total", NULL, NULL, store->unknown);
+}
+
+GString *front_metrics_write(const front_sources_t *sources)
 {
 	GString *out = g_string_sized_new(4096);
-	const routing_t *routing = forwarder_routing(forwarder);
+	const routing_t *routing = forwarder_routing(sources->forwarder);
 
 	put(out, "configuration_version", NULL, NULL, routing ? routing->version : 0);
 	put(out, "searchers", NULL, NULL,
-	    g_hash_table_size(registry_searchers((registry_t *)registry)));
-	put(out, "store_is_fed", NULL, NULL, supply_task_is_fed(supply));
-	put(out, "store_age_us", NULL, NULL, supply_task_age_us(supply));
-	put(out, "vms", NULL, NULL, supply_task_vms(supply)->len);
-	put_requests(out, forwarder);
-	put_links(out, links);
+	    g_hash_table_size(registry_searchers((registry_t *)sources->registry)));
+	put(out, "vms", NULL, NULL, supply_task_vms(sources->supply)->len);
+	put_store(out, sources->supply, sources->store);
+	put_requests(out, sources->forwarder);
+	put_links(out, sources->links);
+	forwarder_visit_latency(sources->forwarder, put_route_latency, out);
+	put_services(out, sources->registry);
 	return out;
 }
--- a/src/queries/front_metrics.h
+++ b/src/queries/front_metrics.h
@@ -7,9 +7,18 @@
 
 #include "core/forward.h"
 #include "tasks/link_task.h"
+#include "tasks/platform_task.h"
 #include "tasks/supply_task.h"
 
-GString *front_metrics_write(const forwarder_t *forwarder, const registry_t *registry,
-			     const link_counters_t *links, const supply_task_t *supply);
+/** Where the figures come from; borrowed for the call. */
+typedef struct front_sources_t {
+	const forwarder_t *forwarder;
+	const registry_t *registry;
+	const link_counters_t *links;
+	const supply_task_t *supply;
+	const platform_counters_t *store;
+} front_sources_t;
+
+GString *front_metrics_write(const front_sources_t *sources);
 
 #endif
--- a/src/tasks/front_task.c
+++ b/src/tasks/front_task.c
@@ -36,6 +36,7 @@
 	registry_t *registry;
 	link_task_t *links;
 	supply_task_t *supply;
+	platform_task_t *platform;
 	loop_timer_t forwarder_timer;
 	loop_timer_t registry_timer;
 	loop_timer_t shares_timer;
@@ -432,8 +433,12 @@
 static void on_metrics_request(void *ctx, http_exchange_t *exchange)
 {
 	front_task_t *task = ctx;
-	g_autoptr(GString) text = front_metrics_write(
-		task->forwarder, task->registry, link_task_counters(task->links), task->supply);
+	const front_sources_t sources = {.forwarder = task->forwarder,
+					 .registry = task->registry,
+					 .links = link_task_counters(task->links),
+					 .supply = task->supply,
+					 .store = platform_task_counters(task->platform)};
+	g_autoptr(GString) text = front_metrics_write(&sources);
 
 	http_exchange_reply(exchange, 200, "text/plain; version=0.0.4", text->str, text->len);
 }
@@ -486,6 +491,7 @@
 	front_task_t *task = g_new0(front_task_t, 1);
 
 	task->loop = loop;
+	task->platform = platform;
 	task->retry_ratio = settings->retry_ratio;
 	task->retry_constant = settings->retry_constant;
 	task->vm_name = g_strdup(settings->vm_name);
