VMs of a data centre tell each other of searchers that are slow, stuck or hang

Change: what differs from expectation (an answer 2.5 times later or sooner, no answer at three times the usual, none for longer than a pause) goes to the VM's feeder and from there to the others that it feeds; each takes it as if it had seen it. Five safeguards more in tests/mutants.sh, all missed when taken out.

--- a/src/core/feed_message.h
+++ b/src/core/feed_message.h
@@ -4,7 +4,8 @@
  * array.
  *
  * A subscriber is sent the whole list of each kind of objects, then changes as they come, and news
- * of how old all of that is, whether or not anything changes.
+ * of how old all of that is, whether or not anything changes. Both sides tell sightings of
+ * searchers.
  */
 #ifndef DS_FEED_MESSAGE_H
 #define DS_FEED_MESSAGE_H
@@ -30,17 +31,19 @@
 	FEED_CHANGED, /**< an object that is too large to be fed: read it from the store */
 	FEED_REMOVED, /**< an object is no more */
 	FEED_LIST_END,
-	FEED_NEWS, /**< sent twice a second: how old the above is */
+	FEED_NEWS,     /**< sent twice a second: how old the above is */
+	FEED_SIGHTING, /**< of a searcher; either way, and handed on to the other subscribers */
 	FEED_TYPES,
 } feed_type_t;
 
 /** One message; texts are borrowed. */
 typedef struct feed_message_t {
 	feed_type_t type;
-	uint32_t kind;	  /**< of the objects; for news, unused */
-	const char *name; /**< of the object, or "" */
+	uint32_t kind;	  /**< of the objects; of a sighting its type; for news, unused */
+	const char *name; /**< of the object, the searcher of a sighting, or "" */
 	const char *text; /**< the object's content, or "" */
-	uint64_t age_us;  /**< news: since the store was last heard, by whoever watches it */
+	uint64_t age_us;  /**< news: since the store was last heard, by whoever watches it;
+			   * sightings: since the sub-request was sent */
 	bool away;	  /**< news: the store does not answer */
 } feed_message_t;
 
--- a/src/core/forward.h
+++ b/src/core/forward.h
@@ -11,6 +11,7 @@
 
 #include "core/placement.h"
 #include "core/routing.h"
+#include "core/sighting.h"
 #include "core/timers.h"
 
 typedef struct forwarder_t forwarder_t;
@@ -53,7 +54,9 @@
 	searcher_t *searcher;
 	pool_t *pool;
 	void *carrier;	     /**< the connection; set by the task that owns it */
+	bool connects;	     /**< no connection was idle: its time includes making one */
 	timer_entry_t leave; /**< when an unneeded one is cancelled */
+	timer_entry_t watch; /**< when its searcher is taken to pause, then to hang */
 	forwarder_t *forwarder;
 } sub_t;
 
@@ -141,6 +144,8 @@
 	void (*cancel)(void *ctx, sub_t *sub);
 	/** The one answer; the request is freed after the return. */
 	void (*answer)(void *ctx, forward_t *forward, const forward_answer_t *answer);
+	/** Something that other VMs should know. May be NULL. */
+	void (*sighted)(void *ctx, const sighting_t *sighting);
 } forwarder_ops_t;
 
 /** Counters, for metrics. */
@@ -169,6 +174,8 @@
 void forwarder_abandon(forwarder_t *forwarder, forward_t *forward, uint64_t now_us);
 /** A sub-request has ended; takes @p reply. @p sub is freed. */
 void forwarder_sub_ended(forwarder_t *forwarder, sub_t *sub, sub_reply_t *reply, uint64_t now_us);
+/** Another VM of this data centre has seen this of a searcher. */
+void forwarder_take_sighting(forwarder_t *forwarder, const sighting_t *sighting, uint64_t now_us);
 /** A searcher has room again, or is new. */
 void forwarder_room(forwarder_t *forwarder, const char *service, uint64_t now_us);
 /** What is left of the caller's time, for the sub-request's own deadline. */
--- a/src/core/forward_private.h
+++ b/src/core/forward_private.h
@@ -24,12 +24,18 @@
 	routing_t *routing;
 	GHashTable *states; /* route name to route_state_t */
 	timers_t timers;
+	timers_t watches; /* of sub-requests that are out: they decide nothing of a request */
 	GRand *rand;
 	uint32_t open;
 	bool leaving;
+	sighting_filter_t sightings;
 	forwarder_counters_t counters;
 };
 
+/** Tell the other VMs what was seen of the searcher of @p sub. */
+void forwarder_sight(forwarder_t *forwarder, const sub_t *sub, sighting_type_t type,
+		     uint64_t now_us);
+
 /** A sub-request on its way to @p searcher; its request and service are those of @p part. */
 sub_t *sub_new(part_t *part, searcher_t *searcher, sub_purpose_t purpose, uint64_t now_us);
 void sub_free(sub_t *sub);
--- a/src/core/forwarder.c
+++ b/src/core/forwarder.c
@@ -36,6 +36,7 @@
 	forwarder->states = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, state_free);
 	forwarder->rand = g_rand_new_with_seed(seed);
 	timers_init(&forwarder->timers);
+	timers_init(&forwarder->watches);
 	return forwarder;
 }
 
@@ -44,6 +45,7 @@
 	routing_unref(forwarder->routing);
 	g_hash_table_unref(forwarder->states);
 	timers_clear(&forwarder->timers);
+	timers_clear(&forwarder->watches);
 	g_rand_free(forwarder->rand);
 	g_free(forwarder);
 }
@@ -61,7 +63,7 @@
 
 uint64_t forwarder_next_us(const forwarder_t *forwarder)
 {
-	return timers_next_us(&forwarder->timers);
+	return MIN(timers_next_us(&forwarder->timers), timers_next_us(&forwarder->watches));
 }
 
 void forwarder_leave(forwarder_t *forwarder)
@@ -71,6 +73,7 @@
 
 void forwarder_run(forwarder_t *forwarder, uint64_t now_us)
 {
+	timers_run(&forwarder->watches, now_us);
 	timers_run(&forwarder->timers, now_us);
 }
 
@@ -109,6 +112,40 @@
 
 /* ---- replies ---- */
 
+void forwarder_sight(forwarder_t *forwarder, const sub_t *sub, sighting_type_t type,
+		     uint64_t now_us)
+{
+	const sighting_t sighting = {.type = type,
+				     .searcher = sub->searcher->id,
+				     .after_us = now_us - sub->sending.sent_us};
+
+	/* The time to connect says little of the searcher, and is long when many VMs start. */
+	if (sub->connects || !forwarder->ops->sighted)
+		return;
+	if (sighting_filter_passes(&forwarder->sightings, type, now_us))
+		forwarder->ops->sighted(forwarder->ctx, &sighting);
+}
+
+void forwarder_take_sighting(forwarder_t *forwarder, const sighting_t *sighting, uint64_t now_us)
+{
+	if (sighting_filter_passes(&forwarder->sightings, sighting->type, now_us))
+		sighting_take(forwarder->registry, sighting, now_us);
+}
+
+static void measure_answer(forwarder_t *forwarder, sub_t *sub, uint64_t took_us, uint64_t now_us)
+{
+	bool is_news = sighting_is_news(sub->searcher, sub->pool, took_us, now_us);
+
+	sighting_filter_note(&forwarder->sightings, is_news, now_us);
+	if (is_news)
+		forwarder_sight(forwarder, sub, SIGHTING_ANSWERED, now_us);
+	searcher_note_answer(sub->searcher, took_us, now_us);
+	quantile_add(&sub->pool->typical, took_us);
+	latency_buckets_add(&sub->pool->latency, took_us);
+	if (sub->forward)
+		quantile_add(&sub->forward->state->typical, took_us);
+}
+
 static void measure(forwarder_t *forwarder, sub_t *sub, const sub_reply_t *reply, uint64_t now_us)
 {
 	uint64_t took_us = now_us - sub->sending.sent_us;
@@ -116,11 +153,7 @@
 	forwarder->counters.sub_ends[reply->end]++;
 	switch (reply->end) {
 	case SUB_ANSWERED:
-		searcher_note_answer(sub->searcher, took_us, now_us);
-		quantile_add(&sub->pool->typical, took_us);
-		latency_buckets_add(&sub->pool->latency, took_us);
-		if (sub->forward)
-			quantile_add(&sub->forward->state->typical, took_us);
+		measure_answer(forwarder, sub, took_us, now_us);
 		break;
 	case SUB_NOT_RUN:
 		searcher_note_refusal(sub->searcher, now_us);
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -26,6 +26,14 @@
 #define STUCK_LEAST_US 25000
 /* What a stuck searcher costs: most of a pause is still to come. */
 #define STUCK_US 150000
+/* One that another VM found stuck: 80 ms of the pause are still to come on average. A little less,
+ * so that all VMs of a data centre turn to the far searchers that they are connected to (44 ms),
+ * and not to those where they would have to connect first, all at once (84 ms). */
+#define STUCK_TOLD_US 60000
+/* Pauses last 200 ms and a searcher ten times slower answers within 120 ms; where requests take
+ * longer, four times the usual. */
+#define HANGS_LEAST_US 300000
+#define HANGS_TIMES 4
 #define COLD_TIMES 1.6
 /* One that has just failed comes after all others. */
 #define AVOID_US 1000000
@@ -63,7 +71,7 @@
 	return placement_typical_us(pool) + way_us(searcher);
 }
 
-static double latency_us(const searcher_t *searcher, const pool_t *pool, uint64_t now_us)
+double placement_expected_us(const searcher_t *searcher, const pool_t *pool, uint64_t now_us)
 {
 	double start_us = unmeasured_us(searcher, pool);
 	double age_us = (double)(now_us - searcher->sampled_us);
@@ -80,16 +88,28 @@
 	return oldest ? now_us - oldest->sent_us : 0;
 }
 
+uint64_t placement_stuck_us(const searcher_t *searcher, const pool_t *pool, uint64_t now_us)
+{
+	double usual_us = placement_expected_us(searcher, pool, now_us);
+
+	return (uint64_t)MAX(STUCK_TIMES * usual_us, STUCK_LEAST_US);
+}
+
 bool placement_is_stuck(const searcher_t *searcher, const pool_t *pool, uint64_t now_us)
 {
-	double usual_us = latency_us(searcher, pool, now_us);
+	return oldest_us(searcher, now_us) > placement_stuck_us(searcher, pool, now_us);
+}
+
+uint64_t placement_hang_us(const searcher_t *searcher, const pool_t *pool, uint64_t now_us)
+{
+	double usual_us = placement_expected_us(searcher, pool, now_us);
 
-	return (double)oldest_us(searcher, now_us) > MAX(STUCK_TIMES * usual_us, STUCK_LEAST_US);
+	return (uint64_t)MAX(HANGS_TIMES * usual_us, HANGS_LEAST_US);
 }
 
 double placement_cost_us(const searcher_t *searcher, const pool_t *pool, uint64_t now_us)
 {
-	double cost_us = latency_us(searcher, pool, now_us);
+	double cost_us = placement_expected_us(searcher, pool, now_us);
 
 	cost_us *= 1 + (double)searcher->out.length / searcher->slots;
 	if (now_us < searcher->cold_until_us)
@@ -98,6 +118,8 @@
 		cost_us += CONNECT_US + way_us(searcher);
 	if (placement_is_stuck(searcher, pool, now_us))
 		cost_us += STUCK_US;
+	else if (now_us < searcher->stuck_until_us)
+		cost_us += STUCK_TOLD_US;
 	if (now_us < searcher->avoid_until_us)
 		cost_us += AVOID_US;
 	return cost_us;
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -19,8 +19,14 @@
 uint32_t placement_room_most(const pool_t *pool);
 /** Expected time until an answer, for comparing searchers. */
 double placement_cost_us(const searcher_t *searcher, const pool_t *pool, uint64_t now_us);
-/** Whether its oldest sub-request is out for much longer than usual: it pauses or hangs. */
+/** What a sub-request to it should take, by what was measured of late. */
+double placement_expected_us(const searcher_t *searcher, const pool_t *pool, uint64_t now_us);
+/** After how long without an answer it is taken to pause, or to hang. */
+uint64_t placement_stuck_us(const searcher_t *searcher, const pool_t *pool, uint64_t now_us);
+/** Whether its oldest sub-request is out for so long. */
 bool placement_is_stuck(const searcher_t *searcher, const pool_t *pool, uint64_t now_us);
+/** After how long without an answer it is taken to hang: well beyond a pause. */
+uint64_t placement_hang_us(const searcher_t *searcher, const pool_t *pool, uint64_t now_us);
 /**
  * The searcher with the least cost that has room, or NULL.
  * @param excluded searcher_t that were asked already
--- a/src/core/searcher.c
+++ b/src/core/searcher.c
@@ -15,6 +15,10 @@
 /* A searcher that failed is left alone for so long, doubled with each failure in a row. */
 #define AVOID_FIRST_US 100000
 #define AVOID_MOST_US 2000000
+/* One that hangs is left alone for longer: with 90 VMs each asks a searcher about once a second, so
+ * after a tenth of a second the next request would hang, too. Dark spells last 4 to 8 s. */
+#define AVOID_HUNG_FIRST_US 1000000
+#define AVOID_HUNG_MOST_US 4000000
 /* One that refuses is full now; its queue of a dozen empties in about this time. */
 #define AVOID_FULL_US 40000
 
@@ -73,6 +77,13 @@
 }
 
 void searcher_note_answer(searcher_t *searcher, uint64_t latency_us, uint64_t now_us)
+{
+	searcher->answered_us = now_us;
+	searcher->stuck_until_us = 0;
+	searcher_note_heard(searcher, latency_us, now_us);
+}
+
+void searcher_note_heard(searcher_t *searcher, uint64_t latency_us, uint64_t now_us)
 {
 	double age_us = (double)(now_us - searcher->sampled_us);
 	double weight = MAX(1 - exp(-age_us / LATENCY_MEMORY_US), LATENCY_WEIGHT_LEAST);
@@ -96,6 +107,17 @@
 	searcher->avoid_until_us = now_us + MIN(avoid_us, AVOID_MOST_US);
 }
 
+void searcher_note_hang(searcher_t *searcher, uint64_t now_us)
+{
+	uint64_t avoid_us = AVOID_HUNG_FIRST_US << MIN(searcher->failures, 8);
+
+	/* Several that hang at once are one piece of news. */
+	if (now_us < searcher->avoid_until_us)
+		return;
+	searcher->failures++;
+	searcher->avoid_until_us = now_us + MIN(avoid_us, AVOID_HUNG_MOST_US);
+}
+
 void searcher_note_refusal(searcher_t *searcher, uint64_t now_us)
 {
 	searcher->avoid_until_us = MAX(searcher->avoid_until_us, now_us + AVOID_FULL_US);
--- a/src/core/searcher.h
+++ b/src/core/searcher.h
@@ -51,6 +51,8 @@
 	GQueue out;		 /**< attempts sent and not ended, oldest first */
 	uint32_t failures;	 /**< in a row, without an answer in between */
 	uint64_t avoid_until_us; /**< after failures: only if there is nobody else */
+	uint64_t answered_us;	 /**< when it last answered this VM; 0: never */
+	uint64_t stuck_until_us; /**< another VM found it in a pause that lasts until then */
 
 	uint32_t idle;		   /**< open connections that carry nothing */
 	uint32_t connections;	   /**< all connections of this VM, opening ones too */
@@ -70,8 +72,12 @@
 bool searcher_has_room(const searcher_t *searcher);
 /** An answer came @p latency_us after the sending. */
 void searcher_note_answer(searcher_t *searcher, uint64_t latency_us, uint64_t now_us);
+/** The same, but the answer came to another VM of this data centre. */
+void searcher_note_heard(searcher_t *searcher, uint64_t latency_us, uint64_t now_us);
 /** A connection failed, or an answer was no answer. */
 void searcher_note_failure(searcher_t *searcher, uint64_t now_us);
+/** A sub-request is out for so long that no pause explains it: it hangs, or nothing reaches it. */
+void searcher_note_hang(searcher_t *searcher, uint64_t now_us);
 /** It refused without running the request. */
 void searcher_note_refusal(searcher_t *searcher, uint64_t now_us);
 const char *searcher_state_name(searcher_state_t state);
--- /dev/null
+++ b/src/core/sighting.c
@@ -0,0 +1,84 @@
+/**
+ * @file sighting.c
+ * See sighting.h.
+ */
+#include "core/sighting.h"
+
+/* Sub-requests of one service take 0.4 to 2 times the usual, by their route; slow spells of the
+ * deployments begin at 4 times. */
+#define NEWS_TIMES 2.5
+/* Weight of one sub-request in the share of odd ones: a gather of 36 parts moves it by four fifths.
+ */
+#define ODD_WEIGHT 0.05
+/* At the worst of the deployments' days half of the searchers are slow or dark at once. A VM that
+ * is slow itself, or cut off, sees nearly all of them so; told, that would turn the others away
+ * from sound searchers. */
+#define ODD_MOST 0.6
+/*
+ * VMs that start together all connect at once, and wait for each other's handshakes of 6 ms. Told
+ * as slowness, that turned them from the near searchers to the far ones, where they had to connect
+ * as well: after 90 VMs had lost power 8,757 connections were made beyond what searchers take, and
+ * 184 of 333 requests of the first two seconds failed; 1,276 and 149 without. So slowness counts
+ * only once a VM has its connections; by then the searchers' own are back to the usual, too.
+ */
+#define SETTLE_US 6000000
+/* How long searchers pause. */
+#define PAUSE_US 200000
+
+bool sighting_is_news(const searcher_t *searcher, const pool_t *pool, uint64_t took_us,
+		      uint64_t now_us)
+{
+	double expected_us = placement_expected_us(searcher, pool, now_us);
+	double took = (double)MAX(took_us, 1);
+
+	return took > expected_us * NEWS_TIMES || took * NEWS_TIMES < expected_us ||
+	       now_us < searcher->avoid_until_us;
+}
+
+void sighting_filter_note(sighting_filter_t *filter, bool odd, uint64_t now_us)
+{
+	if (!filter->first_us)
+		filter->first_us = now_us;
+	filter->odd += ODD_WEIGHT * ((odd ? 1 : 0) - filter->odd);
+}
+
+bool sighting_filter_passes(const sighting_filter_t *filter, sighting_type_t type, uint64_t now_us)
+{
+	bool settled = filter->first_us && now_us - filter->first_us > SETTLE_US;
+
+	return filter->odd < ODD_MOST && (settled || type == SIGHTING_HUNG);
+}
+
+/* An answer to this VM that came after the other one had sent its sub-request. */
+static bool answered_since(const searcher_t *searcher, uint64_t after_us, uint64_t now_us)
+{
+	return searcher->answered_us && now_us - searcher->answered_us < after_us;
+}
+
+void sighting_take(registry_t *registry, const sighting_t *sighting, uint64_t now_us)
+{
+	searcher_t *searcher = registry_find(registry, sighting->searcher);
+	uint64_t after_us = sighting->after_us;
+
+	if (!searcher)
+		return;
+	if (sighting->type == SIGHTING_ANSWERED)
+		searcher_note_heard(searcher, after_us, now_us);
+	else if (answered_since(searcher, after_us, now_us))
+		return;
+	else if (sighting->type == SIGHTING_HUNG)
+		searcher_note_hang(searcher, now_us);
+	else if (after_us < PAUSE_US)
+		searcher->stuck_until_us = now_us + PAUSE_US - after_us;
+}
+
+const char *sighting_type_name(sighting_type_t type)
+{
+	static const char *const names[SIGHTING_TYPES] = {
+		[SIGHTING_ANSWERED] = "answered",
+		[SIGHTING_STUCK] = "stuck",
+		[SIGHTING_HUNG] = "hung",
+	};
+
+	return names[type];
+}
--- /dev/null
+++ b/src/core/sighting.h
@@ -0,0 +1,45 @@
+/**
+ * @file sighting.h
+ * What a VM has just seen of a searcher, told to other VMs of its data centre.
+ *
+ * With many VMs each asks a searcher about once a second. Alone, each needs several late answers
+ * and seconds to learn that a searcher is slow or hangs, and a slow spell is over by then; all of
+ * them together learn it within a few hundred ms. Told is only what differs from what was expected.
+ * VMs of one data centre have the same way to a searcher, so what one measures holds for all.
+ */
+#ifndef DS_SIGHTING_H
+#define DS_SIGHTING_H
+
+#include "core/placement.h"
+
+typedef enum sighting_type_t {
+	SIGHTING_ANSWERED, /**< much later or sooner than expected */
+	SIGHTING_STUCK,	   /**< no answer yet, though one was due: a pause, or worse */
+	SIGHTING_HUNG,	   /**< no answer for longer than any pause */
+	SIGHTING_TYPES,
+} sighting_type_t;
+
+typedef struct sighting_t {
+	sighting_type_t type;
+	const char *searcher; /**< its id; borrowed */
+	uint64_t after_us;    /**< from sending a sub-request to the answer, or to now */
+} sighting_t;
+
+/** Whether what this VM sees tells of the searchers, or only of itself. Zeroed at the start. */
+typedef struct sighting_filter_t {
+	double odd; /**< share of its latest sub-requests that ended, or last, unexpectedly */
+	uint64_t first_us; /**< when it sent its first sub-request; 0: not yet */
+} sighting_filter_t;
+
+/** Whether an answer after @p took_us says something that the other VMs would not expect. */
+bool sighting_is_news(const searcher_t *searcher, const pool_t *pool, uint64_t took_us,
+		      uint64_t now_us);
+/** A sub-request has ended, or hangs; @p odd: as was not expected. */
+void sighting_filter_note(sighting_filter_t *filter, bool odd, uint64_t now_us);
+/** Whether to tell @p type, or to believe another VM's. */
+bool sighting_filter_passes(const sighting_filter_t *filter, sighting_type_t type, uint64_t now_us);
+/** Another VM of this data centre has seen this. */
+void sighting_take(registry_t *registry, const sighting_t *sighting, uint64_t now_us);
+const char *sighting_type_name(sighting_type_t type);
+
+#endif
--- a/src/core/sub.c
+++ b/src/core/sub.c
@@ -4,8 +4,8 @@
  */
 #include "core/forward_private.h"
 
-/* Pauses last 200 ms, and a searcher ten times slower answers within 120 ms. */
-#define HANGS_US 500000
+/* A timer that fires so late says that this VM stood still, not the searcher. */
+#define LATE_US 50000
 
 const char *forward_end_name(forward_end_t end)
 {
@@ -68,6 +68,36 @@
 	g_free(reply);
 }
 
+/* After a long turn of the loop, or a freeze, answers may lie unread beside the timer. */
+static bool fired_late(const sub_t *sub, uint64_t now_us)
+{
+	return now_us > sub->watch.at_us + LATE_US;
+}
+
+static void note_hang(void *ctx, uint64_t now_us)
+{
+	sub_t *sub = ctx;
+	forwarder_t *forwarder = sub->forwarder;
+
+	if (fired_late(sub, now_us))
+		return;
+	sighting_filter_note(&forwarder->sightings, true, now_us);
+	if (now_us >= sub->searcher->avoid_until_us)
+		forwarder_sight(forwarder, sub, SIGHTING_HUNG, now_us);
+	searcher_note_hang(sub->searcher, now_us);
+}
+
+static void note_stuck(void *ctx, uint64_t now_us)
+{
+	sub_t *sub = ctx;
+
+	if (!fired_late(sub, now_us))
+		forwarder_sight(sub->forwarder, sub, SIGHTING_STUCK, now_us);
+	sub->watch.fire = note_hang;
+	timers_set(&sub->forwarder->watches, &sub->watch,
+		   sub->sending.sent_us + placement_hang_us(sub->searcher, sub->pool, now_us));
+}
+
 sub_t *sub_new(part_t *part, searcher_t *searcher, sub_purpose_t purpose, uint64_t now_us)
 {
 	sub_t *sub = g_new0(sub_t, 1);
@@ -79,7 +109,11 @@
 	sub->searcher = searcher_ref(searcher);
 	sub->pool = part->pool;
 	sub->sending.sent_us = now_us;
+	sub->connects = !searcher->idle;
 	sub->sending.link.data = sub;
+	sub->watch = (timer_entry_t){.fire = note_stuck, .ctx = sub};
+	timers_set(&sub->forwarder->watches, &sub->watch,
+		   now_us + placement_stuck_us(searcher, part->pool, now_us));
 	g_queue_push_tail_link(&searcher->out, &sub->sending.link);
 	return sub;
 }
@@ -87,6 +121,7 @@
 void sub_free(sub_t *sub)
 {
 	timers_cancel(&sub->forwarder->timers, &sub->leave);
+	timers_cancel(&sub->forwarder->watches, &sub->watch);
 	g_queue_unlink(&sub->searcher->out, &sub->sending.link);
 	searcher_unref(sub->searcher);
 	g_free(sub);
@@ -98,9 +133,6 @@
 	forwarder_t *forwarder = sub->forwarder;
 	pool_t *pool = sub->pool;
 
-	/* A pause would be over: it hangs, is dark, or its connection went silent. */
-	if (now_us - sub->sending.sent_us > HANGS_US)
-		searcher_note_failure(sub->searcher, now_us);
 	forwarder->ops->cancel(forwarder->ctx, sub);
 	sub_free(sub);
 	forwarder_room(forwarder, pool->service, now_us);
--- a/src/tasks/feed_client.c
+++ b/src/tasks/feed_client.c
@@ -4,6 +4,7 @@
  */
 #include "tasks/feed_client.h"
 
+#include "core/feed_reader.h"
 #include "net/sock.h"
 
 /* News come twice a second. Three that are missing mean a VM that is gone, frozen or cut off, or a
@@ -15,7 +16,7 @@
 	const feed_client_ops_t *ops;
 	void *ctx;
 	sock_t *sock; /* NULL once it has ended */
-	GByteArray *in;
+	feed_reader_t *reader;
 	loop_timer_t silence;
 	bool in_callback;
 	bool freed; /* from inside a callback */
@@ -32,10 +33,16 @@
 
 static void dispose(feed_client_t *client)
 {
-	g_byte_array_unref(client->in);
+	feed_reader_free(client->reader);
 	g_free(client);
 }
 
+void feed_client_write(feed_client_t *client, const GByteArray *frames)
+{
+	if (client->sock)
+		sock_write(client->sock, frames->data, frames->len);
+}
+
 void feed_client_free(feed_client_t *client)
 {
 	loop_timer_cancel(&client->silence);
@@ -61,34 +68,18 @@
 {
 	feed_client_t *client = ctx;
 
+	if (client->freed) /* by what it was told before, of the same bytes */
+		return;
 	loop_timer_set(client->loop, &client->silence, SILENT_MOST_US);
 	client->ops->message(client->ctx, message);
 }
 
-/* False when the connection must be given up. */
-static bool take_frames(feed_client_t *client)
-{
-	size_t at = 0, used = 0;
-	feed_read_t read = FEED_READ_ONE;
-
-	while (read == FEED_READ_ONE && !client->freed) {
-		read = feed_message_read(client->in->data + at, client->in->len - at, &used,
-					 on_message, client);
-		if (read == FEED_READ_ONE)
-			at += used;
-	}
-	if (at)
-		g_byte_array_remove_range(client->in, 0, (guint)at);
-	return read != FEED_READ_BAD;
-}
-
 static void on_received(void *ctx, const char *data, size_t bytes)
 {
 	feed_client_t *client = ctx;
 
 	client->in_callback = true;
-	g_byte_array_append(client->in, (const guint8 *)data, (guint)bytes);
-	if (!take_frames(client) && !client->freed)
+	if (!feed_reader_take(client->reader, data, bytes, on_message, client) && !client->freed)
 		client_end(client, "garbage");
 	client->in_callback = false;
 	if (client->freed)
@@ -113,7 +104,7 @@
 	client->loop = loop;
 	client->ops = ops;
 	client->ctx = ctx;
-	client->in = g_byte_array_new();
+	client->reader = feed_reader_new();
 	client->sock = sock_connect(loop, address, port, &sock_ops, client);
 	if (!client->sock) {
 		dispose(client);
--- a/src/tasks/feed_client.h
+++ b/src/tasks/feed_client.h
@@ -19,6 +19,8 @@
 /** Connect; NULL when no descriptor is left. */
 feed_client_t *feed_client_new(loop_t *loop, const char *address, uint16_t port,
 			       const feed_client_ops_t *ops, void *ctx);
+/** Tell the other VM something: whole frames. */
+void feed_client_write(feed_client_t *client, const GByteArray *frames);
 /** Close and free; `ended` is not told. */
 void feed_client_free(feed_client_t *client);
 
--- a/src/tasks/feed_server.c
+++ b/src/tasks/feed_server.c
@@ -5,6 +5,7 @@
 #include "tasks/feed_server.h"
 
 #include "core/feed_book.h"
+#include "core/feed_reader.h"
 #include "net/sock.h"
 
 struct feed_server_t {
@@ -12,27 +13,71 @@
 	uint32_t kinds;
 	GPtrArray *subscribers; /* subscriber_t */
 	GByteArray *frame;	/* being written */
+	feed_message_f heard;
+	void *ctx;
 };
 
 typedef struct subscriber_t {
 	feed_server_t *server;
 	sock_t *sock;
+	feed_reader_t *reader;
 } subscriber_t;
 
-static void on_received(void *ctx, const char *data, size_t bytes)
+static void subscriber_free(subscriber_t *subscriber)
 {
-	(void)ctx; /* subscribers have nothing to say */
-	(void)data;
-	(void)bytes;
+	g_ptr_array_remove_fast(subscriber->server->subscribers, subscriber);
+	feed_reader_free(subscriber->reader);
+	g_free(subscriber);
 }
 
-static void on_ended(void *ctx, sock_end_t end)
+static void write_to_others(const feed_server_t *server, const subscriber_t *but,
+			    const GByteArray *frames)
+{
+	for (guint i = 0; i < server->subscribers->len; i++) {
+		subscriber_t *subscriber = g_ptr_array_index(server->subscribers, i);
+
+		if (subscriber != but)
+			sock_write(subscriber->sock, frames->data, frames->len);
+	}
+}
+
+static void hand_on(feed_server_t *server, const subscriber_t *from, const feed_message_t *message)
+{
+	if (!server->subscribers->len)
+		return;
+	g_byte_array_set_size(server->frame, 0);
+	feed_message_write(server->frame, message);
+	write_to_others(server, from, server->frame);
+}
+
+static void on_message(void *ctx, const feed_message_t *message)
+{
+	subscriber_t *subscriber = ctx;
+	feed_server_t *server = subscriber->server;
+
+	if (message->type != FEED_SIGHTING) {
+		g_info("event=feed-message-ignored type=%d reason=not-for-feeders", message->type);
+		return;
+	}
+	server->heard(server->ctx, message);
+	hand_on(server, subscriber, message);
+}
+
+static void on_received(void *ctx, const char *data, size_t bytes)
 {
 	subscriber_t *subscriber = ctx;
 
+	if (feed_reader_take(subscriber->reader, data, bytes, on_message, subscriber))
+		return;
+	g_message("event=subscriber-lost reason=garbage");
+	sock_close(subscriber->sock);
+	subscriber_free(subscriber);
+}
+
+static void on_ended(void *ctx, sock_end_t end)
+{
 	(void)end;
-	g_ptr_array_remove_fast(subscriber->server->subscribers, subscriber);
-	g_free(subscriber);
+	subscriber_free(ctx);
 }
 
 static void on_accepted(void *ctx, sock_t *sock)
@@ -43,6 +88,7 @@
 
 	subscriber->server = server;
 	subscriber->sock = sock;
+	subscriber->reader = feed_reader_new();
 	g_ptr_array_add(server->subscribers, subscriber);
 	sock_set_ops(sock, &ops, subscriber);
 	g_byte_array_set_size(server->frame, 0);
@@ -51,10 +97,13 @@
 	sock_write(sock, server->frame->data, server->frame->len);
 }
 
-feed_server_t *feed_server_new(loop_t *loop, const char *address, uint16_t port, uint32_t kinds)
+feed_server_t *feed_server_new(loop_t *loop, const char *address, uint16_t port, uint32_t kinds,
+			       feed_message_f heard, void *ctx)
 {
 	feed_server_t *server = g_new0(feed_server_t, 1);
 
+	server->heard = heard;
+	server->ctx = ctx;
 	server->kinds = kinds;
 	server->books = g_new0(feed_book_t *, kinds);
 	for (uint32_t kind = 0; kind < kinds; kind++)
@@ -71,17 +120,14 @@
 
 void feed_server_tell(feed_server_t *server, const feed_message_t *message)
 {
-	if (message->type != FEED_NEWS && message->kind < server->kinds)
+	if (message->type < FEED_NEWS && message->kind < server->kinds)
 		feed_book_take(server->books[message->kind], message);
-	if (!server->subscribers->len)
-		return;
-	g_byte_array_set_size(server->frame, 0);
-	feed_message_write(server->frame, message);
-	for (guint i = 0; i < server->subscribers->len; i++) {
-		subscriber_t *subscriber = g_ptr_array_index(server->subscribers, i);
+	hand_on(server, NULL, message);
+}
 
-		sock_write(subscriber->sock, server->frame->data, server->frame->len);
-	}
+void feed_server_write(feed_server_t *server, const GByteArray *frames)
+{
+	write_to_others(server, NULL, frames);
 }
 
 void feed_server_clear(feed_server_t *server)
--- a/src/tasks/feed_server.h
+++ b/src/tasks/feed_server.h
@@ -10,10 +10,17 @@
 
 typedef struct feed_server_t feed_server_t;
 
-/** NULL when the address can't be listened on. @p kinds: how many kinds of objects there are. */
-feed_server_t *feed_server_new(loop_t *loop, const char *address, uint16_t port, uint32_t kinds);
+/**
+ * NULL when the address can't be listened on.
+ * @param kinds how many kinds of objects there are
+ * @param heard called with sightings that subscribers tell; the others are told, too
+ */
+feed_server_t *feed_server_new(loop_t *loop, const char *address, uint16_t port, uint32_t kinds,
+			       feed_message_f heard, void *ctx);
 /** Keep @p message, and send it to all subscribers. */
 void feed_server_tell(feed_server_t *server, const feed_message_t *message);
+/** Send whole frames to all subscribers. */
+void feed_server_write(feed_server_t *server, const GByteArray *frames);
 /** Forget what was told: this VM no longer knows it at first hand. */
 void feed_server_clear(feed_server_t *server);
 /** Whether a whole list of each kind was told. */
--- a/src/tasks/front_task.c
+++ b/src/tasks/front_task.c
@@ -216,6 +216,30 @@
 	arm_forwarder(task);
 }
 
+/* ---- what VMs of this data centre see of searchers ---- */
+
+static void on_sighted(void *ctx, const sighting_t *sighting)
+{
+	front_task_t *task = ctx;
+
+	if (sighting->type == SIGHTING_HUNG)
+		g_message("event=searcher-hangs searcher=%s after_us=%" G_GUINT64_FORMAT
+			  " outcome=avoided",
+			  sighting->searcher, sighting->after_us);
+	supply_task_tell(task->supply, sighting);
+}
+
+static void on_sighting(void *ctx, const sighting_t *sighting)
+{
+	front_task_t *task = ctx;
+
+	if (sighting->type == SIGHTING_HUNG)
+		g_info("event=searcher-hangs searcher=%s after_us=%" G_GUINT64_FORMAT
+		       " told_by=other-vm",
+		       sighting->searcher, sighting->after_us);
+	forwarder_take_sighting(task->forwarder, sighting, loop_now_us());
+}
+
 /* ---- answers ---- */
 
 static int status_of(forward_end_t end)
@@ -476,7 +500,7 @@
 front_task_t *front_task_new(loop_t *loop, const settings_t *settings, platform_task_t *platform)
 {
 	static const forwarder_ops_t forwarder_ops = {
-		.send = on_send, .cancel = on_cancel, .answer = on_answer};
+		.send = on_send, .cancel = on_cancel, .answer = on_answer, .sighted = on_sighted};
 	static const link_task_ops_t link_ops = {.write_head = write_head,
 						 .body = body_of,
 						 .id = id_of,
@@ -487,6 +511,7 @@
 						.list_end = on_list_end,
 						.lost = on_store_lost,
 						.back = on_store_back,
+						.sighting = on_sighting,
 						.members = on_members};
 	front_task_t *task = g_new0(front_task_t, 1);
 
--- a/src/tasks/supply_task.c
+++ b/src/tasks/supply_task.c
@@ -23,6 +23,10 @@
 #define START_MOST_US 1200000
 /* Until then, VMs that start together with this one may not listen yet: asked again so soon. */
 #define START_AGAIN_US 100000
+/* Sightings wait so long for others to go with them: a pause that is told lasts 150 ms more. */
+#define SIGHTINGS_GROUP_US 10000
+/* A VM in a data centre where much is slow sees some 30 odd answers a second; more is dropped. */
+#define SIGHTINGS_MOST_BYTES 4096
 /* The kinds that are watched and fed: searchers and configuration. */
 #define FED_KINDS 2
 
@@ -53,6 +57,8 @@
 	loop_timer_t news_timer;
 	loop_timer_t again_timer;
 	loop_timer_t start_timer;
+	GByteArray *sightings; /* frames that wait to be told */
+	loop_timer_t sightings_timer;
 };
 
 static void note_away(supply_task_t *task, bool away)
@@ -219,6 +225,50 @@
 	json_decref(content);
 }
 
+static void take_sighting(supply_task_t *task, const feed_message_t *message)
+{
+	const sighting_t sighting = {.type = (sighting_type_t)message->kind,
+				     .searcher = message->name,
+				     .after_us = message->age_us};
+
+	if (message->kind >= SIGHTING_TYPES) {
+		g_info("event=sighting-ignored type=%u reason=unknown", message->kind);
+		return;
+	}
+	task->ops->sighting(task->ctx, &sighting);
+}
+
+static void on_heard(void *ctx, const feed_message_t *message)
+{
+	take_sighting(ctx, message);
+}
+
+static void send_sightings(void *ctx)
+{
+	supply_task_t *task = ctx;
+
+	if (task->fed)
+		feed_client_write(task->client, task->sightings);
+	else
+		feed_server_write(task->server, task->sightings);
+	g_byte_array_set_size(task->sightings, 0);
+}
+
+void supply_task_tell(supply_task_t *task, const sighting_t *sighting)
+{
+	const feed_message_t message = {.type = FEED_SIGHTING,
+					.kind = sighting->type,
+					.name = sighting->searcher,
+					.text = "",
+					.age_us = sighting->after_us};
+
+	if (!task->feeds || task->sightings->len > SIGHTINGS_MOST_BYTES)
+		return;
+	if (!task->sightings->len)
+		loop_timer_set(task->loop, &task->sightings_timer, SIGHTINGS_GROUP_US);
+	feed_message_write(task->sightings, &message);
+}
+
 /* The feed's list is taken while the store is still watched: both say the same, or nearly, and the
  * later of two reports about a searcher or a version wins wherever it comes from. */
 static void on_feed_message(void *ctx, const feed_message_t *message)
@@ -230,6 +280,10 @@
 		take_news(task, message);
 		return;
 	}
+	if (message->type == FEED_SIGHTING) {
+		take_sighting(task, message);
+		return;
+	}
 	if (!kind)
 		return;
 	switch (message->type) {
@@ -351,11 +405,13 @@
 	task->ctx = ctx;
 	task->rand = g_rand_new();
 	task->feeds = true; /* until it is known that the data centre is small */
-	task->server = feed_server_new(loop, feed->address, feed->port, FED_KINDS);
+	task->server = feed_server_new(loop, feed->address, feed->port, FED_KINDS, on_heard, task);
 	if (!task->server)
 		return NULL;
 	task->news_timer = (loop_timer_t){.fire = send_news, .ctx = task};
 	task->again_timer = (loop_timer_t){.fire = seek_feed, .ctx = task};
+	task->sightings = g_byte_array_new();
+	task->sightings_timer = (loop_timer_t){.fire = send_sightings, .ctx = task};
 	task->start_timer = (loop_timer_t){.fire = follow_store, .ctx = task};
 	start_followers(task, platform);
 	task->members = member_task_new(loop, platform,
--- a/src/tasks/supply_task.h
+++ b/src/tasks/supply_task.h
@@ -10,6 +10,7 @@
 #define DS_SUPPLY_TASK_H
 
 #include "settings.h"
+#include "core/sighting.h"
 #include "store.h"
 #include "tasks/member_task.h"
 #include "tasks/platform_task.h"
@@ -23,6 +24,8 @@
 	/** The store can't be heard, or is heard again. */
 	void (*lost)(void *ctx);
 	void (*back)(void *ctx);
+	/** Another VM of this data centre has seen this of a searcher. */
+	void (*sighting)(void *ctx, const sighting_t *sighting);
 	/** The number of VMs may have changed. */
 	void (*members)(void *ctx);
 } supply_ops_t;
@@ -32,6 +35,8 @@
 			       const supply_ops_t *ops, void *ctx);
 /** What is known may be old, as after a freeze: read it anew. */
 void supply_task_refresh(supply_task_t *task);
+/** Tell the VMs of this data centre, soon, if they are so many that it is of use. */
+void supply_task_tell(supply_task_t *task, const sighting_t *sighting);
 /** VMs registered, vm_t; empty until the first list. */
 const GPtrArray *supply_task_vms(const supply_task_t *task);
 /** Since the store was last heard, by whoever watches it. */
--- a/tests/forward_test.c
+++ b/tests/forward_test.c
@@ -12,6 +12,9 @@
  *     list ID...                  the store's whole list
  *     room ID CONNECTIONS         this VM's share of the searcher's connections
  *     constant N                  this VM's part of the constant of the retry bound
+ *     idle ID CONNECTIONS         this VM has so many connections to it that carry nothing
+ *     told TYPE ID MS             another VM saw it answered, stuck or hung after so long
+ *     tell                        from now on, print what other VMs would be told
  *     request ID HOST TARGET [patience_ms]
  *     leave ID                    the caller goes away
  *     at MS                       time passes up to then
@@ -42,6 +45,7 @@
 	GPtrArray *subs;      /* sub_t that are out */
 	GHashTable *regions;
 	bool quiet; /* `many` prints nothing */
+	bool tells;
 } play_t;
 
 static void say(play_t *play, const char *format, ...) G_GNUC_PRINTF(2, 3);
@@ -97,6 +101,16 @@
 	g_hash_table_remove(play->forwards, forward->request.id);
 }
 
+static void on_sighted(void *ctx, const sighting_t *sighting)
+{
+	play_t *play = ctx;
+
+	if (play->tells)
+		say(play, "tell %s %s after_ms=%" G_GUINT64_FORMAT,
+		    sighting_type_name(sighting->type), sighting->searcher,
+		    sighting->after_us / 1000);
+}
+
 static void on_changed(void *ctx, searcher_t *searcher)
 {
 	play_t *play = ctx;
@@ -110,7 +124,7 @@
 {
 	static const registry_ops_t registry_ops = {.changed = on_changed};
 	static const forwarder_ops_t ops = {
-		.send = on_send, .cancel = on_cancel, .answer = on_answer};
+		.send = on_send, .cancel = on_cancel, .answer = on_answer, .sighted = on_sighted};
 	play_t *play = g_new0(play_t, 1);
 	const retry_bound_t bound = {.ratio = 0.2, .window_us = BOUND_WINDOW_US, .constant = 2};
 	place_t place = {.data_centre = "here"};
@@ -291,6 +305,27 @@
 	registry_set_bound(play->registry, 0.2, g_ascii_strtod(words[1], NULL));
 }
 
+static void do_idle(play_t *play, char **words)
+{
+	registry_find(play->registry, words[1])->idle = (uint32_t)atoi(words[2]);
+}
+
+static void do_told(play_t *play, char **words)
+{
+	sighting_t sighting = {.searcher = words[2],
+			       .after_us = strtoull(words[3], NULL, 10) * 1000};
+
+	while (!g_str_equal(sighting_type_name(sighting.type), words[1]))
+		sighting.type++;
+	forwarder_take_sighting(play->forwarder, &sighting, play->now_us);
+}
+
+static void do_tell(play_t *play, char **words)
+{
+	(void)words;
+	play->tells = true;
+}
+
 static void submit(play_t *play, const char *id, const char *host, const char *target,
 		   const char *patience_ms)
 {
@@ -390,25 +425,17 @@
 } command_t;
 
 static const command_t commands[] = {
-	{"route", do_route},
-	{"routing", do_routing},
-	{"searcher", do_searcher},
-	{"drain", do_drain},
-	{"gone", do_gone},
-	{"list", do_list},
-	{"lost", do_lost},
-	{"back", do_back},
-	{"room", do_room},
-	{"constant", do_constant},
-	{"request", do_request},
-	{"leave", do_leave},
-	{"at", do_at},
-	{"answer", do_end},
-	{"fail", do_end},
-	{"refuse", do_end},
-	{"replaced", do_end},
-	{"unsent", do_end},
-	{"cut", do_end},
+	{"route", do_route},	   {"routing", do_routing},
+	{"searcher", do_searcher}, {"drain", do_drain},
+	{"gone", do_gone},	   {"list", do_list},
+	{"lost", do_lost},	   {"back", do_back},
+	{"room", do_room},	   {"constant", do_constant},
+	{"idle", do_idle},	   {"told", do_told},
+	{"tell", do_tell},	   {"request", do_request},
+	{"leave", do_leave},	   {"at", do_at},
+	{"answer", do_end},	   {"fail", do_end},
+	{"refuse", do_end},	   {"replaced", do_end},
+	{"unsent", do_end},	   {"cut", do_end},
 	{"many", do_many},
 };
 
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -42,6 +42,11 @@
 	'a chunk may end in anything|src/net/http_message.c|s/if \(!scan_chunk_byte\(chunks, data\[i\]\)\)/if (0)/'
 	'a folded header is taken|src/net/http_message.c|s/return !folded;/return true;/'
 	'all are served in order of arrival|src/core/gate.c|s/\+\+gate->turn % FAIR_TURN/0/'
+	'a VM that is slow itself tells of searchers|src/core/sighting.c|s/return filter->odd < ODD_MOST &&/return/'
+	'slowness counts while all connect|src/core/sighting.c|s/\(settled \|\| type == SIGHTING_HUNG\)/1/'
+	'the word of another VM goes before an own answer|src/core/sighting.c|s/else if \(answered_since\(searcher, after_us, now_us\)\)/else if (0)/'
+	'all VMs connect to far searchers at once|src/core/placement.c|s/define STUCK_TOLD_US 60000/define STUCK_TOLD_US 150000/'
+	'the time to connect is told as slowness|src/core/forwarder.c|s/if \(sub->connects \|\| /if (/'
 )
 SCRATCH=$(mktemp -d)
 trap 'rm -rf "$SCRATCH"' EXIT
--- /dev/null
+++ b/tests/system/front_sightings.sh
@@ -0,0 +1,28 @@
+# Seven VMs of one data centre. A searcher hangs, and a caller of one VM waits for it; the other VMs are
+# told through the VM that feeds them, and the callers of these are not sent there in the first place:
+# whole answers, without the time that a second try takes.
+. tests/front_lib.sh
+fronts_start 7
+list_fed() { for ((i = 0; i < 7; i++)); do [ "$(metric store_is_fed "$i")" = 1 ] && echo "$i"; done; }
+five_fed() { [ "$(list_fed | wc -l)" -ge 5 ]; }
+wait_until five_fed || bad "five of seven are fed"
+at() { echo "http://127.0.0.1:$((FRONT_FROM + 10 * $1))/find/x?q=1"; }
+ask() { # vm id
+	curl -s -m 5 -o /dev/null -D "$RUN/head" -H 'Host: find.example' -H "Dogwoodsaddle-Request-Id: $2" \
+		-H 'Dogwoodsaddle-Request-Deadline: 2000' "$(at "$1")"
+}
+# Connections first: what has to connect says nothing of the searcher.
+for ((i = 0; i < 7; i++)); do ask "$i" "warm$i"; done
+users hang i-shard-1-here >/dev/null
+asker=$(list_fed | head -n 1)
+ask "$asker" hung1
+heard() { grep -l 'event=searcher-hangs searcher=i-shard-1-here .*told_by=other-vm' "$RUN"/front-*.log 2>/dev/null | wc -l; }
+told() { [ "$(heard)" -ge 2 ]; }
+wait_until told || bad "$(heard) VMs were told"
+grep -q 'event=searcher-hangs searcher=i-shard-1-here .*outcome=avoided' "$RUN/front-$asker.log" ||
+	bad "VM $asker does not tell its own log"
+vm=$(grep -l 'told_by=other-vm' "$RUN"/front-*.log | head -n 1 | sed 's/.*front-\([0-9]\).log/\1/')
+before=$(metric 'sub_requests_total{purpose="hedge"}' "$vm")
+ask "$vm" spared
+[ "$(status) $(header Dogwoodsaddle-Missing-Parts)" = "200 0" ] || bad "VM $vm: $(cat "$RUN/head")"
+[ "$(metric 'sub_requests_total{purpose="hedge"}' "$vm")" = "$before" ] || bad "VM $vm needed a second try"
