The tool explains a failed request by the logs of all VMs, and shows their time line

`dogwoodsaddle explain ID LOG...` goes the way that docs/OPERATIONS.md describes by hand: the answer and what it means, the sub-requests, what became of each searcher that was asked and how it served others around that time, and what the VM went through before. `timeline LOG...` merges logs as it does the rings of live daemons. The answer's line now names all searchers that a missing part was sent to, not the last one only: with that alone the searcher that hung first could not be found.

--- a/src/queries/front_log.c
+++ b/src/queries/front_log.c
@@ -9,6 +9,15 @@
 /* Parts of an answer whose loss its line tells. */
 #define MISSING_TOLD 4
 
+static void append_asked(GString *line, const part_t *part)
+{
+	if (!part->asked || !part->asked->len)
+		g_string_append(line, "nobody");
+	for (guint i = 0; part->asked && i < part->asked->len; i++)
+		g_string_append_printf(line, "%s%s", i ? "+" : "",
+				       ((searcher_t *)g_ptr_array_index(part->asked, i))->id);
+}
+
 /* What became of the parts that are missing; the first few tell the cause. */
 static void append_missing(GString *line, const forward_t *forward)
 {
@@ -16,16 +25,14 @@
 
 	for (uint32_t i = 0; i < forward->part_count && told < MISSING_TOLD; i++) {
 		const part_t *part = &forward->parts[i];
-		const searcher_t *last =
-			part->asked && part->asked->len
-				? g_ptr_array_index(part->asked, part->asked->len - 1)
-				: NULL;
 
 		if (part->state == PART_ANSWERED)
 			continue;
 		told++;
-		g_string_append_printf(line, " lost=%s:%s:%s:%s", part->pool->service,
-				       part_state_name(part->state), last ? last->id : "nobody",
+		g_string_append_printf(line, " lost=%s:%s:", part->pool->service,
+				       part_state_name(part->state));
+		append_asked(line, part);
+		g_string_append_printf(line, ":%s",
 				       part->reply ? sub_end_name(part->reply->end) : "no-reply");
 	}
 }
--- a/src/tool/dogwoodsaddle.c
+++ b/src/tool/dogwoodsaddle.c
@@ -4,10 +4,12 @@
  */
 #include "core/config.h"
 #include "tool/client.h"
+#include "tool/explain.h"
 #include "tool/timeline_view.h"
 #include "version.h"
 
 #include <argp.h>
+#include <errno.h>
 #include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -18,6 +20,8 @@
 #define EXIT_USAGE 2
 #define EXIT_UNREACHED 3
 #define WAIT_STEP_US 100000
+/* One a VM; the largest deployment that is planned has 2,600. */
+#define LOGS_MOST 10000
 
 const char *argp_program_version = "dogwoodsaddle " DS_VERSION;
 
@@ -174,12 +178,51 @@
 	return code;
 }
 
+/* NULL when one can't be read, which is said. */
+static GPtrArray *read_logs(char **paths)
+{
+	GPtrArray *lines = g_ptr_array_new_with_free_func(log_line_free);
+
+	for (; *paths; paths++) {
+		if (log_lines_read(*paths, lines))
+			continue;
+		fprintf(stderr, "can't read %s: %s\n", *paths, g_strerror(errno));
+		g_ptr_array_unref(lines);
+		return NULL;
+	}
+	return lines;
+}
+
 static int run_timeline(tool_t *tool, char **args)
 {
 	const timeline_filter_t filter = {.since_ms = tool->since_ms, .request = tool->request};
 
-	(void)args;
-	return timeline_view(tool->client, &filter, tool->json) ? EXIT_UNREACHED : 0;
+	g_autoptr(GPtrArray) lines = NULL;
+
+	if (!*args)
+		return timeline_view(tool->client, &filter, tool->json) ? EXIT_UNREACHED : 0;
+	lines = read_logs(args);
+	if (!lines)
+		return EXIT_USAGE;
+	timeline_view_logs(lines, &filter, tool->json);
+	return 0;
+}
+
+static int run_explain(tool_t *tool, char **args)
+{
+	g_autoptr(GPtrArray) lines = read_logs(args + 1);
+
+	(void)tool;
+	if (!lines)
+		return EXIT_USAGE;
+	g_ptr_array_sort(lines, log_line_compare);
+	if (explain_request(lines, args[0]))
+		return 0;
+	fprintf(stderr,
+		"no line of these logs names request %s: are the logs of all VMs here, and does "
+		"event=log-lost stand in one?\n",
+		args[0]);
+	return EXIT_REFUSED;
 }
 
 /* ---- configuration ---- */
@@ -390,7 +433,10 @@
 	{"services", "", "services as one daemon sees them", 0, 0, run_services},
 	{"upstreams", "", "searchers as one daemon sees them", 0, 0, run_upstreams},
 	{"members", "", "the other daemons as one of them sees them", 0, 0, run_members},
-	{"timeline", "", "events of all daemons in causal order", 0, 0, run_timeline},
+	{"timeline", "[LOG...]", "events of all daemons, or of logs, in causal order", 0, LOGS_MOST,
+	 run_timeline},
+	{"explain", "REQUEST LOG...", "why a request failed, by the logs of all VMs", 2, LOGS_MOST,
+	 run_explain},
 	{"config", "show|history|diff FILE|propose FILE|wait NUMBER", "the configuration", 1, 2,
 	 run_config},
 	{"take-out", "NAME", "plan: a data centre or searcher gets no new work", 1, 1,
--- a/src/tool/timeline_view.c
+++ b/src/tool/timeline_view.c
@@ -9,41 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-typedef struct row_t {
-	uint64_t at; /* hybrid logical clock: milliseconds << 16 | counter */
-	char *vm;
-	char *text;
-} row_t;
-
-static gint compare_rows(gconstpointer a, gconstpointer b)
-{
-	const row_t *x = *(row_t *const *)a, *y = *(row_t *const *)b;
-
-	if (x->at != y->at)
-		return x->at < y->at ? -1 : 1;
-	return strcmp(x->vm, y->vm);
-}
-
-static void row_free(void *data)
-{
-	row_t *row = data;
-
-	g_free(row->vm);
-	g_free(row->text);
-	g_free(row);
-}
-
-/* The value ends at a blank: "request=ab" is not in "request=abc". */
-static bool names_request(const char *text, const char *request)
-{
-	g_autofree char *pair = g_strdup_printf(" request=%s ", request);
-	g_autofree char *padded = g_strdup_printf("%s ", text);
-
-	return strstr(padded, pair) != NULL;
-}
-
-static void collect(const json_t *reply, const timeline_filter_t *filter, uint64_t since,
-		    GPtrArray *rows)
+static void collect(const json_t *reply, uint64_t since, GPtrArray *rows)
 {
 	const char *vm = json_string_value(json_object_get(reply, "vm"));
 	size_t i;
@@ -52,27 +18,26 @@
 	json_array_foreach (json_object_get(reply, "events"), i, event) {
 		uint64_t at = (uint64_t)json_integer_value(json_object_get(event, "at"));
 		const char *text = json_string_value(json_object_get(event, "text"));
-		row_t *row;
 
-		if (at < since || !text ||
-		    (filter->request && !names_request(text, filter->request)))
-			continue;
-		row = g_new0(row_t, 1);
-		*row = (row_t){.at = at, .vm = g_strdup(vm ? vm : "?"), .text = g_strdup(text)};
-		g_ptr_array_add(rows, row);
+		if (at >= since && text)
+			g_ptr_array_add(rows, log_line_new(at, vm ? vm : "?", text));
 	}
 }
 
-static void print_rows(const GPtrArray *rows, bool json)
+static void print_rows(GPtrArray *rows, const timeline_filter_t *filter, bool json)
 {
 	json_t *list = json_array();
 
+	g_ptr_array_sort(rows, log_line_compare);
+
 	for (guint i = 0; i < rows->len; i++) {
-		const row_t *row = g_ptr_array_index(rows, i);
+		const log_line_t *row = g_ptr_array_index(rows, i);
 		g_autoptr(GDateTime) time =
 			g_date_time_new_from_unix_utc((gint64)(row->at >> 16) / 1000);
 		g_autofree char *stamp = g_date_time_format(time, "%H:%M:%S");
 
+		if (filter->request && !log_line_has(row, "request", filter->request))
+			continue;
 		if (json)
 			json_array_append_new(list, json_pack("{s:I, s:s, s:s}", "at",
 							      (json_int_t)row->at, "vm", row->vm,
@@ -92,7 +57,7 @@
 
 uint32_t timeline_view(client_t *client, const timeline_filter_t *filter, bool json)
 {
-	g_autoptr(GPtrArray) rows = g_ptr_array_new_with_free_func(row_free);
+	g_autoptr(GPtrArray) rows = g_ptr_array_new_with_free_func(log_line_free);
 	uint64_t now_ms = (uint64_t)g_get_real_time() / 1000;
 	uint64_t since = filter->since_ms ? (now_ms - filter->since_ms) << 16 : 0;
 	uint32_t unreached = 0;
@@ -102,7 +67,7 @@
 		json_t *reply = client_call(client, i, "/v1/timeline", NULL, &status);
 
 		if (status == 200) {
-			collect(reply, filter, since, rows);
+			collect(reply, since, rows);
 		} else {
 			unreached++;
 			fprintf(stderr, "not reached: %s; its events are missing here\n",
@@ -110,7 +75,11 @@
 		}
 		json_decref(reply);
 	}
-	g_ptr_array_sort(rows, compare_rows);
-	print_rows(rows, json);
+	print_rows(rows, filter, json);
 	return unreached;
 }
+
+void timeline_view_logs(GPtrArray *lines, const timeline_filter_t *filter, bool json)
+{
+	print_rows(lines, filter, json);
+}
--- a/tests/system/front_logs.sh
+++ b/tests/system/front_logs.sh
@@ -24,6 +24,17 @@
 [ "$(sub_lines broken | grep -c 'outcome=unknown')" = 1 ] || bad "by one searcher: $(sub_lines broken)"
 users ok i-single >/dev/null
 
+# The tool goes the same way by itself.
+explain() { "$BUILD/dogwoodsaddle" explain "$1" "$LOGS"; }
+[[ $(explain partial) == *"parts that are missing"*"lost=shard-1:sent"*"searcher i-shard-1-here, sub-requests"*"event=searcher-ready searcher=i-shard-1-here"*"VM front-0 in the"*"event=configuration version=1"* ]] ||
+	bad "explain partial: $(explain partial)"
+[[ $(explain refused) == *"not run: every searcher asked refused it"*"not-run="* ]] || bad "explain refused: $(explain refused)"
+[[ $(explain broken) == *"may have run: the answer was lost"*"unknown=1"* ]] || bad "explain broken: $(explain broken)"
+explain nobody 2>/dev/null && bad "a request that no line names is not explained"
+"$BUILD/dogwoodsaddle" explain x "$RUN/none" 2>&1 | grep -q "can't read" || bad "a log that is not there"
+[ "$("$BUILD/dogwoodsaddle" -r broken timeline "$LOGS" | grep -c request=broken)" = 2 ] || bad "the time line of one request"
+head -c 3000 /dev/urandom | "$BUILD/dogwoodsaddle" timeline - >/dev/null || bad "a log that is no log"
+
 # A daemon whose log goes to a pipe that nobody reads.
 mkfifo "$RUN/pipe"
 front_settings 1
