--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -81,11 +81,17 @@
 	return start_us + (searcher->latency_us - start_us) * exp2(-age_us / MEMORY_HALF_US);
 }
 
+/* How long the oldest is out that was sent after all that it has answered: one that it has passed
+ * by is long by its nature, and says nothing of the next. */
 static uint64_t oldest_us(const searcher_t *searcher, uint64_t now_us)
 {
-	const sending_t *oldest = g_queue_peek_head((GQueue *)&searcher->out);
+	for (const GList *item = searcher->out.head; item; item = item->next) {
+		const sending_t *sending = item->data;
 
-	return oldest ? now_us - oldest->sent_us : 0;
+		if (sending->sent_us >= searcher->served_us)
+			return now_us - sending->sent_us;
+	}
+	return 0;
 }
 
 uint64_t placement_stuck_us(const searcher_t *searcher, const pool_t *pool, uint64_t now_us)
--- a/src/core/searcher.c
+++ b/src/core/searcher.c
@@ -79,6 +79,7 @@
 void searcher_note_answer(searcher_t *searcher, uint64_t latency_us, uint64_t now_us)
 {
 	searcher->answered_us = now_us;
+	searcher->served_us = MAX(searcher->served_us, now_us - latency_us);
 	searcher->stuck_until_us = 0;
 	searcher_note_heard(searcher, latency_us, now_us);
 }
--- a/src/core/searcher.h
+++ b/src/core/searcher.h
@@ -52,6 +52,7 @@
 	uint32_t failures;	 /**< in a row, without an answer in between */
 	uint64_t avoid_until_us; /**< after failures: only if there is nobody else */
 	uint64_t answered_us;	 /**< when it last answered this VM; 0: never */
+	uint64_t served_us;	 /**< the latest sending that it has answered; 0: none */
 	uint64_t stuck_until_us; /**< another VM found it in a pause that lasts until then */
 
 	uint32_t idle;		   /**< open connections that carry nothing */
--- a/src/core/sub.c
+++ b/src/core/sub.c
@@ -81,6 +81,14 @@
 
 	if (fired_late(sub, now_us))
 		return;
+	/*
+	 * It has served what was sent later: this request is long, or every other one hangs. A few
+	 * long requests on another route made all searchers of a shard look hung, one a second.
+	 */
+	if (sub->searcher->served_us > sub->sending.sent_us) {
+		searcher_note_failure(sub->searcher, now_us);
+		return;
+	}
 	sighting_filter_note(&forwarder->sightings, true, now_us);
 	if (now_us >= sub->searcher->avoid_until_us)
 		forwarder_sight(forwarder, sub, SIGHTING_HUNG, now_us);
