--- a/Makefile
+++ b/Makefile
@@ -55,6 +55,7 @@
 # Fresh seeds each time: real processes under faults, and random schedules over the core.
 soak: san
 	@$(SAN_BUILD)/random_test $(or $(SEEDS),20000)
+	@$(SAN_BUILD)/front_random_test $(or $(SEEDS),20000) $$(date +%s)
 	@from=$$(date +%s); BUILD=$(SAN_BUILD) tests/soak/run.sh $$from $$((from + 19)) 8
 
 fuzz: setup-check
--- a/src/core/part.c
+++ b/src/core/part.c
@@ -196,6 +196,20 @@
 	return retry_budget_take(&part->pool->budget, bound, RETRY_FOR_ANSWER, now_us);
 }
 
+/*
+ * A searcher's failure says that it ran. A second try that is refused afterwards must not take its
+ * place, or the caller would be told that the request has not run.
+ */
+static void part_keep(part_t *part, sub_reply_t *reply)
+{
+	if (part->reply && part->reply->end == SUB_FAILED && has_not_run(reply->end)) {
+		sub_reply_free(reply);
+		return;
+	}
+	sub_reply_free(part->reply);
+	part->reply = reply;
+}
+
 static void part_failed(part_t *part, sub_reply_t *reply, uint64_t now_us)
 {
 	sub_end_t end = reply->end;
@@ -205,8 +219,7 @@
 		part->refusals++;
 	}
 	part->unknown = part->unknown || end == SUB_UNKNOWN;
-	sub_reply_free(part->reply);
-	part->reply = reply;
+	part_keep(part, reply);
 	if (part->out->len) /* another one is out: its end decides */
 		return;
 	if (may_retry(part, end, now_us))
--- /dev/null
+++ b/tests/front_random_test.c
@@ -0,0 +1,161 @@
+/**
+ * @file front_random_test.c
+ * Random schedules over forwarding: requests of all routes, callers that leave, and faults of
+ * searchers, store, configuration and VM, by seed. front_world.h checks the promises.
+ *
+ *     front_random_test SEEDS [FIRST]
+ */
+#include "front_world.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#define STEPS 400
+#define STEP_MOST_US 60000
+#define SETTLE_US 20000000
+#define STILL_MOST_US 2000000
+/* At the end, this many requests of each route must be answered whole. */
+#define LAST_REQUESTS 5
+
+static fake_t *any_fake(front_world_t *world)
+{
+	gint index = g_rand_int_range(world->rand, 0, (gint32)world->fakes->len);
+
+	return g_ptr_array_index(world->fakes, index);
+}
+
+static void any_request(front_world_t *world)
+{
+	static const char *const routes[] = {"find", "find", "get", "act"};
+
+	front_world_request(world, routes[g_rand_int_range(world->rand, 0, 4)],
+			    (uint64_t)g_rand_int_range(world->rand, 30000, 900000));
+}
+
+static void any_leaves(front_world_t *world)
+{
+	if (!world->played->len)
+		return;
+	front_world_leave(world, g_ptr_array_index(world->played,
+						   g_rand_int_range(world->rand, 0,
+								    (gint32)world->played->len)));
+}
+
+static void any_behaviour(front_world_t *world)
+{
+	front_world_behave(world, any_fake(world),
+			   (behaviour_t)g_rand_int_range(world->rand, 0, BEHAVIOURS));
+}
+
+static void any_heals(front_world_t *world)
+{
+	front_world_behave(world, any_fake(world), SERVES);
+}
+
+static void any_sighting(front_world_t *world)
+{
+	const sighting_t sighting = {
+		.type = (sighting_type_t)g_rand_int_range(world->rand, 0, SIGHTING_TYPES),
+		.searcher = any_fake(world)->id,
+		.after_us = (uint64_t)g_rand_int_range(world->rand, 1, 500000)};
+
+	forwarder_take_sighting(world->forwarder, &sighting, world->now_us);
+}
+
+static void any_restarts(front_world_t *world)
+{
+	front_world_restart(world, any_fake(world));
+}
+
+static void store_goes(front_world_t *world)
+{
+	registry_store_lost(world->registry);
+}
+
+static void store_comes(front_world_t *world)
+{
+	registry_store_back(world->registry, world->now_us);
+}
+
+static void stands_still(front_world_t *world)
+{
+	front_world_stand_still(world, (uint64_t)g_rand_int_range(world->rand, 0, STILL_MOST_US));
+}
+
+/** What may happen at a step, and how often. */
+typedef struct action_t {
+	void (*run)(front_world_t *world);
+	uint32_t weight;
+} action_t;
+
+static const action_t actions[] = {
+	{any_request, 60},  {any_leaves, 6},
+	{any_behaviour, 8}, {any_heals, 10},
+	{any_sighting, 6},  {any_restarts, 2},
+	{store_goes, 1},    {store_comes, 2},
+	{stands_still, 1},  {front_world_configure, 1},
+};
+
+static void act(front_world_t *world)
+{
+	uint32_t sum = 0, drawn;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(actions); i++)
+		sum += actions[i].weight;
+	drawn = (uint32_t)g_rand_int_range(world->rand, 0, (gint32)sum);
+	for (size_t i = 0; i < G_N_ELEMENTS(actions); i++) {
+		if (drawn < actions[i].weight) {
+			actions[i].run(world);
+			return;
+		}
+		drawn -= actions[i].weight;
+	}
+}
+
+static void expect_whole(front_world_t *world, const char *route)
+{
+	for (int i = 0; i < LAST_REQUESTS; i++) {
+		played_t *played = front_world_request(world, route, 800000);
+
+		front_world_pass(world, 1000000);
+		if (!g_str_equal(played->outcome->str, "whole"))
+			g_string_append_printf(world->wrong, "at the end %s is answered: %s\n",
+					       route, played->outcome->str);
+	}
+}
+
+static bool run_seed(uint32_t seed)
+{
+	front_world_t *world = front_world_new(seed);
+	bool sound;
+
+	for (int i = 0; i < STEPS; i++) {
+		act(world);
+		front_world_pass(world, (uint64_t)g_rand_int_range(world->rand, 0, STEP_MOST_US));
+	}
+	store_comes(world);
+	for (guint i = 0; i < world->fakes->len; i++)
+		front_world_behave(world, g_ptr_array_index(world->fakes, i), SERVES);
+	front_world_pass(world, SETTLE_US);
+	expect_whole(world, "find");
+	expect_whole(world, "get");
+	expect_whole(world, "act");
+	front_world_check_end(world);
+	sound = world->wrong->len == 0;
+	if (!sound)
+		printf("seed %u:\n%s", seed, world->wrong->str);
+	front_world_free(world);
+	return sound;
+}
+
+int main(int argc, char **argv)
+{
+	uint32_t seeds = argc > 1 ? (uint32_t)strtoul(argv[1], NULL, 10) : 250;
+	uint32_t first = argc > 2 ? (uint32_t)strtoul(argv[2], NULL, 10) : 1;
+	uint32_t failed = 0;
+
+	for (uint32_t seed = first; seed < first + seeds; seed++)
+		failed += !run_seed(seed);
+	printf("schedules of forwarding: %u passed, %u failed\n", seeds - failed, failed);
+	return failed ? 1 : 0;
+}
--- /dev/null
+++ b/tests/front_world.c
@@ -0,0 +1,555 @@
+/**
+ * @file front_world.c
+ * See front_world.h.
+ */
+#include "front_world.h"
+
+#include <string.h>
+
+#define NEAR_US 12000
+#define FAR_US 40000
+#define WAY_US 1000
+#define SLOW_TIMES 10
+#define RATIO 0.2
+#define CONSTANT 6.0
+#define WINDOW_US 10000000
+#define NEVER UINT64_MAX
+#define RECORD_BYTES 16
+
+/* A sub-request at a searcher, or on its way back. */
+typedef struct pending_t {
+	sub_t *sub;
+	fake_t *fake;
+	char *request;
+	uint64_t due_us;
+	sub_end_t end;
+} pending_t;
+
+static void pending_free(void *data)
+{
+	pending_t *pending = data;
+
+	g_free(pending->request);
+	g_free(pending);
+}
+
+static void wrong(front_world_t *world, const char *format, ...) G_GNUC_PRINTF(2, 3);
+
+static void wrong(front_world_t *world, const char *format, ...)
+{
+	va_list args;
+
+	va_start(args, format);
+	g_string_append_vprintf(world->wrong, format, args);
+	g_string_append_c(world->wrong, '\n');
+	va_end(args);
+}
+
+static void stepped(front_world_t *world)
+{
+	if (world->stepped)
+		world->stepped(world->ctx);
+}
+
+const char *behaviour_name(behaviour_t behaviour)
+{
+	static const char *const names[BEHAVIOURS] = {
+		[SERVES] = "serves",   [SLOW] = "is slow",
+		[HANGS] = "hangs",     [FAILS] = "fails",
+		[REFUSES] = "refuses", [CUTS] = "cuts",
+		[LOST] = "is lost",    [REPLACED] = "has lost its address"};
+
+	return names[behaviour];
+}
+
+fake_t *front_world_fake(const front_world_t *world, const char *id)
+{
+	for (guint i = 0; i < world->fakes->len; i++) {
+		fake_t *fake = g_ptr_array_index(world->fakes, i);
+
+		if (g_str_equal(fake->id, id))
+			return fake;
+	}
+	return NULL;
+}
+
+/* ---- what searchers see ---- */
+
+static void count_run(front_world_t *world, const char *request, const char *service)
+{
+	char *key = g_strdup_printf("%s %s", request, service);
+	guint runs = GPOINTER_TO_UINT(g_hash_table_lookup(world->runs, key)) + 1;
+
+	g_hash_table_insert(world->runs, key, GUINT_TO_POINTER(runs));
+	for (guint i = 0; i < world->played->len; i++) {
+		const played_t *played = g_ptr_array_index(world->played, i);
+
+		if (!g_str_equal(played->id, request))
+			continue;
+		if (runs > played->route->attempts_most)
+			wrong(world, "%s ran %u times at %s", request, runs, service);
+		if (played->said_not_run)
+			wrong(world, "%s ran after it was said that it had not", request);
+	}
+}
+
+static uint32_t within_window(const GArray *times, uint64_t now_us)
+{
+	uint32_t count = 0;
+
+	for (guint i = times->len; i-- > 0;) {
+		if (g_array_index(times, uint64_t, i) + WINDOW_US < now_us)
+			break;
+		count++;
+	}
+	return count;
+}
+
+/* The bound of one service; all of the world's together are looser, so each request counts for all
+ * three shards. */
+static void check_bound(front_world_t *world, const char *request, const char *service)
+{
+	char *key = g_strdup_printf("%s %s", request, service);
+	uint32_t extras, requests;
+
+	if (g_hash_table_add(world->firsts, key))
+		return;
+	g_array_append_val(world->extras, world->now_us);
+	extras = within_window(world->extras, world->now_us);
+	requests = within_window(world->requests, world->now_us);
+	if (extras > 4 * (RATIO * requests + CONSTANT))
+		wrong(world, "%u extra sub-requests for %u requests", extras, requests);
+}
+
+static bool runs_it(behaviour_t behaviour)
+{
+	return behaviour != REFUSES && behaviour != LOST && behaviour != REPLACED;
+}
+
+static void set_end(const front_world_t *world, pending_t *pending, behaviour_t behaviour)
+{
+	static const sub_end_t ends[BEHAVIOURS] = {
+		[SERVES] = SUB_ANSWERED, [SLOW] = SUB_ANSWERED,	   [HANGS] = SUB_UNKNOWN,
+		[FAILS] = SUB_FAILED,	 [REFUSES] = SUB_NOT_RUN,  [CUTS] = SUB_UNKNOWN,
+		[LOST] = SUB_NOT_SENT,	 [REPLACED] = SUB_REPLACED};
+	uint64_t takes_us = pending->fake->near ? NEAR_US : FAR_US;
+
+	if (behaviour == SLOW)
+		takes_us *= SLOW_TIMES;
+	if (!runs_it(behaviour))
+		takes_us = WAY_US;
+	pending->end = ends[behaviour];
+	pending->due_us = behaviour == HANGS ? NEVER : world->now_us + takes_us;
+}
+
+static void on_send(void *ctx, sub_t *sub)
+{
+	front_world_t *world = ctx;
+	pending_t *pending = g_new0(pending_t, 1);
+
+	pending->sub = sub;
+	pending->fake = front_world_fake(world, sub->searcher->id);
+	pending->request = g_strdup(sub->forward->request.id);
+	set_end(world, pending, pending->fake->behaviour);
+	sub->searcher->connections++;
+	if (sub->searcher->state != SEARCHER_READY)
+		wrong(world, "%s is sent to %s, which leaves", pending->request, pending->fake->id);
+	check_bound(world, pending->request, sub->pool->service);
+	if (runs_it(pending->fake->behaviour))
+		count_run(world, pending->request, sub->pool->service);
+	g_ptr_array_add(world->out, pending);
+	world->sent++;
+}
+
+static void on_cancel(void *ctx, sub_t *sub)
+{
+	front_world_t *world = ctx;
+
+	sub->searcher->connections--;
+	for (guint i = 0; i < world->out->len; i++) {
+		if (((pending_t *)g_ptr_array_index(world->out, i))->sub != sub)
+			continue;
+		g_ptr_array_remove_index(world->out, i);
+		return;
+	}
+	wrong(world, "what is not out is cancelled at %s", sub->searcher->id);
+}
+
+static void reply(front_world_t *world, pending_t *pending)
+{
+	sub_reply_t *sub_reply = sub_reply_new(pending->end);
+	sub_t *sub = pending->sub;
+
+	sub->searcher->connections--;
+	sub->searcher->idle = 1;
+	sub_reply->status = pending->end == SUB_ANSWERED ? 200 : 500;
+	sub_reply->stamp = g_strdup_printf("%s.%s", sub->pool->service, pending->request);
+	sub_reply->body = g_string_new(NULL);
+	g_string_printf(sub_reply->body, "%-*s", RECORD_BYTES, sub->pool->service);
+	g_ptr_array_remove(world->out, pending);
+	world->replied++;
+	forwarder_sub_ended(world->forwarder, sub, sub_reply, world->now_us);
+	stepped(world);
+}
+
+/* ---- what callers see ---- */
+
+static bool was_run(const front_world_t *world, const char *request)
+{
+	static const char *const services[] = {"a", "b", "c", "s"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(services); i++) {
+		g_autofree char *key = g_strdup_printf("%s %s", request, services[i]);
+
+		if (g_hash_table_contains(world->runs, key))
+			return true;
+	}
+	return false;
+}
+
+static bool says_not_run(forward_end_t end)
+{
+	return end == FORWARD_NOT_READY || end == FORWARD_NO_SEARCHER || end == FORWARD_LEAVING ||
+	       end == FORWARD_TOO_LATE || end == FORWARD_FULL || end == FORWARD_REJECTED;
+}
+
+static void check_stamps(front_world_t *world, const played_t *played,
+			 const forward_answer_t *answer)
+{
+	g_auto(GStrv) stamps = g_strsplit(answer->stamps->str, ", ", 0);
+	guint count = g_strv_length(stamps);
+
+	if (count + answer->missing != answer->parts)
+		wrong(world, "%s: %u parts and %u missing of %u", played->id, count,
+		      answer->missing, answer->parts);
+	if (count < played->route->coverage_least * answer->parts - 1e-9)
+		wrong(world, "%s: %u of %u parts pass for a success", played->id, count,
+		      answer->parts);
+	if (answer->records->len != (gsize)count * RECORD_BYTES)
+		wrong(world, "%s: %" G_GSIZE_FORMAT " bytes of %u parts", played->id,
+		      answer->records->len, count);
+	for (guint i = 0; i < count; i++) {
+		if (!strchr(stamps[i], '.') || !g_str_has_suffix(stamps[i], played->id))
+			wrong(world, "%s holds a part of another: %s", played->id, stamps[i]);
+		for (guint j = 0; j < i; j++)
+			if (g_str_equal(stamps[i], stamps[j]))
+				wrong(world, "%s holds %s twice", played->id, stamps[i]);
+	}
+}
+
+static void tell_outcome(played_t *played, const forward_answer_t *answer)
+{
+	if (answer->end != FORWARD_ANSWERED)
+		g_string_assign(played->outcome, forward_end_name(answer->end));
+	else if (answer->reply && answer->reply->status != 200)
+		g_string_assign(played->outcome, "the searcher's failure");
+	else if (answer->missing)
+		g_string_printf(played->outcome, "%u of %u", answer->parts - answer->missing,
+				answer->parts);
+	else
+		g_string_assign(played->outcome, "whole");
+}
+
+static void on_answer(void *ctx, forward_t *forward, const forward_answer_t *answer)
+{
+	front_world_t *world = ctx;
+	played_t *played = forward->owner;
+
+	if (played->answered || played->left)
+		wrong(world, "%s is answered once more", played->id);
+	/* A VM that stands still can't answer; when it goes on it does so at once. */
+	if (world->now_us >
+	    played->sent_us + played->patience_us + world->still_us - played->still_us)
+		wrong(world, "%s is answered past its time", played->id);
+	played->answered = true;
+	played->forward = NULL;
+	tell_outcome(played, answer);
+	if (answer->stamps)
+		check_stamps(world, played, answer);
+	played->said_not_run = says_not_run(answer->end);
+	if (played->said_not_run && was_run(world, played->id))
+		wrong(world, "%s was said not to have run, and had", played->id);
+}
+
+played_t *front_world_request(front_world_t *world, const char *route, uint64_t patience_us)
+{
+	played_t *played = g_new0(played_t, 1);
+	g_autofree char *target = g_strdup_printf("/%s/x", route);
+	forward_request_t request = {.host = "h",
+				     .target = target,
+				     .received_us = world->now_us,
+				     .patience_us = patience_us};
+	forward_t *forward;
+
+	played->id = g_strdup_printf("r%u", world->played->len);
+	played->outcome = g_string_new("none");
+	played->sent_us = world->now_us;
+	played->patience_us = patience_us;
+	played->still_us = world->still_us;
+	played->route = routing_match(forwarder_routing(world->forwarder), "h", target);
+	g_ptr_array_add(world->played, played);
+	g_array_append_val(world->requests, world->now_us);
+	request.id = played->id;
+	forward = forwarder_submit(world->forwarder, &request, played, world->now_us);
+	if (!played->answered)
+		played->forward = forward;
+	stepped(world);
+	return played;
+}
+
+void front_world_leave(front_world_t *world, played_t *played)
+{
+	if (!played->forward)
+		return;
+	played->left = true;
+	g_string_assign(played->outcome, "the caller left");
+	forwarder_abandon(world->forwarder, played->forward, world->now_us);
+	played->forward = NULL;
+}
+
+/* ---- time ---- */
+
+static pending_t *next_pending(const front_world_t *world)
+{
+	pending_t *first = NULL;
+
+	for (guint i = 0; i < world->out->len; i++) {
+		pending_t *pending = g_ptr_array_index(world->out, i);
+
+		if (!first || pending->due_us < first->due_us)
+			first = pending;
+	}
+	return first;
+}
+
+static void run_until(front_world_t *world, uint64_t until_us)
+{
+	for (;;) {
+		pending_t *pending = next_pending(world);
+		uint64_t reply_us = pending ? pending->due_us : NEVER;
+		uint64_t timer_us = MIN(forwarder_next_us(world->forwarder),
+					registry_run(world->registry, world->now_us));
+
+		if (MIN(reply_us, timer_us) > until_us)
+			break;
+		world->now_us = MAX(world->now_us, MIN(reply_us, timer_us));
+		if (reply_us <= timer_us)
+			reply(world, pending);
+		else
+			forwarder_run(world->forwarder, world->now_us);
+		registry_run(world->registry, world->now_us);
+	}
+	world->now_us = MAX(world->now_us, until_us);
+}
+
+void front_world_pass(front_world_t *world, uint64_t us)
+{
+	run_until(world, world->now_us + us);
+}
+
+void front_world_stand_still(front_world_t *world, uint64_t us)
+{
+	world->now_us += us;
+	world->still_us += us;
+}
+
+/* ---- faults ---- */
+
+static void put(front_world_t *world, const fake_t *fake, bool draining)
+{
+	const searcher_entry_t entry = {.id = fake->id,
+					.service = fake->service,
+					.address = "127.0.0.1",
+					.port = 1,
+					.data_centre = fake->near ? "here" : "there",
+					.slots = 2,
+					.draining = draining};
+
+	registry_put(world->registry, &entry, world->now_us);
+	registry_find(world->registry, fake->id)->connections_most = 4;
+}
+
+void front_world_register(front_world_t *world, const fake_t *fake)
+{
+	put(world, fake, false);
+}
+
+void front_world_drain(front_world_t *world, const fake_t *fake)
+{
+	put(world, fake, true);
+}
+
+void front_world_remove(front_world_t *world, const fake_t *fake)
+{
+	registry_remove(world->registry, fake->id, world->now_us);
+	registry_run(world->registry, world->now_us);
+}
+
+void front_world_restart(front_world_t *world, fake_t *fake)
+{
+	front_world_drain(world, fake);
+	front_world_remove(world, fake);
+	g_free(fake->id);
+	fake->id = g_strdup_printf("%s-%s-%u", fake->service, fake->near ? "near" : "far",
+				   ++fake->starts);
+	fake->behaviour = SERVES;
+	front_world_register(world, fake);
+}
+
+void front_world_behave(front_world_t *world, fake_t *fake, behaviour_t behaviour)
+{
+	if (fake->behaviour == REPLACED && behaviour != REPLACED)
+		front_world_restart(world, fake);
+	fake->behaviour = behaviour;
+	for (guint i = 0; i < world->out->len; i++) {
+		pending_t *pending = g_ptr_array_index(world->out, i);
+
+		if (pending->fake != fake)
+			continue;
+		if (behaviour == HANGS)
+			pending->due_us = NEVER;
+		if (behaviour != LOST && behaviour != CUTS)
+			continue;
+		pending->end = SUB_UNKNOWN;
+		pending->due_us = world->now_us + WAY_US;
+	}
+}
+
+static void on_changed(void *ctx, searcher_t *searcher)
+{
+	front_world_t *world = ctx;
+
+	if (world->forwarder)
+		forwarder_room(world->forwarder, searcher->service, world->now_us);
+}
+
+/* ---- set-up ---- */
+
+static route_t *add_route(routing_t *routing, const char *name)
+{
+	route_t *route = routing_add(routing);
+
+	route->name = g_strdup(name);
+	route->host = g_strdup("h");
+	route->prefix = g_strdup_printf("/%s/", name);
+	route->idempotent = true;
+	route->attempts_most = 2;
+	route->timeout_us = 700000;
+	route->target_us = 150000;
+	return route;
+}
+
+void front_world_configure(front_world_t *world)
+{
+	routing_t *routing = routing_new(++world->version);
+	route_t *find = add_route(routing, "find");
+	route_t *act = add_route(routing, "act");
+
+	find->gathers = true;
+	find->top = 8;
+	find->coverage_least = 0.6;
+	route_add_target(find, "a", 1);
+	route_add_target(find, "b", 1);
+	if (world->version == 1)
+		route_add_target(find, "c", 1);
+	route_add_target(add_route(routing, "get"), "s", 1);
+	act->idempotent = false;
+	act->attempts_most = 1;
+	route_add_target(act, "s", 1);
+	routing_seal(routing);
+	forwarder_set_routing(world->forwarder, routing);
+}
+
+static void fake_free(void *data)
+{
+	fake_t *fake = data;
+
+	g_free(fake->id);
+	g_free(fake->service);
+	g_free(fake);
+}
+
+static void add_fake(front_world_t *world, const char *service, bool near)
+{
+	fake_t *fake = g_new0(fake_t, 1);
+
+	fake->id = g_strdup_printf("%s-%s", service, near ? "near" : "far");
+	fake->service = g_strdup(service);
+	fake->near = near;
+	g_ptr_array_add(world->fakes, fake);
+	front_world_register(world, fake);
+}
+
+static void played_free(void *data)
+{
+	played_t *played = data;
+
+	g_free(played->id);
+	g_string_free(played->outcome, TRUE);
+	g_free(played);
+}
+
+front_world_t *front_world_new(uint32_t seed)
+{
+	static const registry_ops_t registry_ops = {.changed = on_changed};
+	static const forwarder_ops_t ops = {
+		.send = on_send, .cancel = on_cancel, .answer = on_answer};
+	static const char *const services[] = {"a", "b", "c", "s"};
+	const retry_bound_t bound = {.ratio = RATIO, .window_us = WINDOW_US, .constant = CONSTANT};
+	front_world_t *world = g_new0(front_world_t, 1);
+	g_autoptr(GHashTable) regions = g_hash_table_new(g_str_hash, g_str_equal);
+	const place_t place = {.data_centre = "here", .regions = regions};
+
+	g_hash_table_insert(regions, "here", "one");
+	g_hash_table_insert(regions, "there", "two");
+	world->now_us = 1000000000;
+	world->rand = g_rand_new_with_seed(seed);
+	world->wrong = g_string_new(NULL);
+	world->fakes = g_ptr_array_new_with_free_func(fake_free);
+	world->played = g_ptr_array_new_with_free_func(played_free);
+	world->out = g_ptr_array_new_with_free_func(pending_free);
+	world->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	world->firsts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	world->extras = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	world->requests = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	world->registry = registry_new(&place, &bound, &registry_ops, world);
+	registry_list_begin(world->registry);
+	for (size_t i = 0; i < G_N_ELEMENTS(services); i++) {
+		add_fake(world, services[i], true);
+		add_fake(world, services[i], false);
+	}
+	registry_list_end(world->registry, world->now_us);
+	world->forwarder = forwarder_new(&ops, world, world->registry, seed);
+	front_world_configure(world);
+	return world;
+}
+
+void front_world_check_end(front_world_t *world)
+{
+	for (guint i = 0; i < world->played->len; i++) {
+		const played_t *played = g_ptr_array_index(world->played, i);
+
+		if (!played->answered && !played->left)
+			wrong(world, "%s has no answer", played->id);
+	}
+	if (forwarder_open(world->forwarder))
+		wrong(world, "%u requests are still open", forwarder_open(world->forwarder));
+	if (world->out->len)
+		wrong(world, "%u sub-requests are still out", world->out->len);
+}
+
+void front_world_free(front_world_t *world)
+{
+	forwarder_free(world->forwarder);
+	registry_free(world->registry);
+	g_ptr_array_unref(world->out);
+	g_ptr_array_unref(world->played);
+	g_ptr_array_unref(world->fakes);
+	g_hash_table_unref(world->runs);
+	g_hash_table_unref(world->firsts);
+	g_array_unref(world->extras);
+	g_array_unref(world->requests);
+	g_rand_free(world->rand);
+	g_string_free(world->wrong, TRUE);
+	g_free(world);
+}
--- /dev/null
+++ b/tests/front_world.h
@@ -0,0 +1,93 @@
+/**
+ * @file front_world.h
+ * One VM that forwards by routes, with fake searchers and a clock of its own: no sockets.
+ *
+ * The decisions are the real ones. As requests are played, every promise to callers and searchers
+ * is checked; what is broken is kept in wrong.
+ */
+#ifndef DS_FRONT_WORLD_H
+#define DS_FRONT_WORLD_H
+
+#include "core/forward.h"
+
+/** What a searcher does with what it is sent. */
+typedef enum behaviour_t {
+	SERVES,
+	SLOW,	  /**< takes ten times as long */
+	HANGS,	  /**< runs it and never answers */
+	FAILS,	  /**< runs it and answers with a failure */
+	REFUSES,  /**< does not run it, and says so */
+	CUTS,	  /**< runs it and closes the connection */
+	LOST,	  /**< cannot be connected to; what is out is cut */
+	REPLACED, /**< another searcher has its address, and says that it is not the one */
+	BEHAVIOURS,
+} behaviour_t;
+
+const char *behaviour_name(behaviour_t behaviour);
+
+typedef struct fake_t {
+	char *id;
+	char *service;
+	bool near;
+	uint32_t starts;
+	behaviour_t behaviour;
+} fake_t;
+
+/** A caller's request. */
+typedef struct played_t {
+	char *id;
+	const route_t *route;
+	forward_t *forward; /**< NULL once it is over */
+	uint64_t sent_us, patience_us;
+	uint64_t still_us; /**< how long the VM had stood still when it came */
+	bool answered, left;
+	bool said_not_run;
+	GString *outcome; /**< "whole", "2 of 3", or why it failed */
+} played_t;
+
+typedef struct front_world_t {
+	uint64_t now_us;
+	uint64_t still_us; /**< how long the VM has stood still so far */
+	registry_t *registry;
+	forwarder_t *forwarder;
+	GPtrArray *fakes;	   /**< fake_t */
+	GPtrArray *played;	   /**< played_t */
+	GPtrArray *out;		   /**< pending_t: what searchers have been sent and not answered */
+	GHashTable *runs;	   /**< "REQUEST SERVICE" to how often it ran */
+	GHashTable *firsts;	   /**< "REQUEST SERVICE" of all that were sent once */
+	GArray *extras, *requests; /**< times of them, for the bound on extra sub-requests */
+	GRand *rand;
+	uint64_t version;
+	uint32_t sent;		    /**< sub-requests so far */
+	uint32_t replied;	    /**< replies so far */
+	GString *wrong;		    /**< each promise that was broken, a line each */
+	void (*stepped)(void *ctx); /**< after each sending, reply and request; may be NULL */
+	void *ctx;
+} front_world_t;
+
+/** Three shards with two searchers each, and a service with two: routes find, get and act. */
+front_world_t *front_world_new(uint32_t seed);
+void front_world_free(front_world_t *world);
+
+/** A request on the route "find" (gather), "get" (idempotent) or "act" (at most once). */
+played_t *front_world_request(front_world_t *world, const char *route, uint64_t patience_us);
+void front_world_leave(front_world_t *world, played_t *played);
+/** Let time pass, with everything that happens in it. */
+void front_world_pass(front_world_t *world, uint64_t us);
+/** The VM stands still: time passes, and nothing is noticed before its end. */
+void front_world_stand_still(front_world_t *world, uint64_t us);
+fake_t *front_world_fake(const front_world_t *world, const char *id);
+/** One whose address went to another is started anew first: its old incarnation has ended. */
+void front_world_behave(front_world_t *world, fake_t *fake, behaviour_t behaviour);
+/** It leaves, and another process with an id of its own takes its part. */
+void front_world_restart(front_world_t *world, fake_t *fake);
+/** The store says that it leaves, or that it is gone. */
+void front_world_drain(front_world_t *world, const fake_t *fake);
+void front_world_remove(front_world_t *world, const fake_t *fake);
+void front_world_register(front_world_t *world, const fake_t *fake);
+/** A new version: "find" asks the shards a and b only. */
+void front_world_configure(front_world_t *world);
+/** Everything is over: check what holds at the end. */
+void front_world_check_end(front_world_t *world);
+
+#endif
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -47,6 +47,9 @@
 	'the word of another VM goes before an own answer|src/core/sighting.c|s/else if \(answered_since\(searcher, after_us, now_us\)\)/else if (0)/'
 	'all VMs connect to far searchers at once|src/core/placement.c|s/define STUCK_TOLD_US 60000/define STUCK_TOLD_US 150000/'
 	'the time to connect is told as slowness|src/core/forwarder.c|s/if \(sub->connects \|\| /if (/'
+	'a refusal hides that the request ran before|src/core/part.c|s/if \(part->reply && part->reply->end == SUB_FAILED &&/if (0 \&\&/'
+	'a long request makes its searcher look hung|src/core/sub.c|s/if \(sub->searcher->served_us > sub->sending.sent_us\)/if (0)/'
+	'a hedge waits for nothing|src/core/part.c|s/if \(now_us < late_us && !may_hedge_early\(part, searcher, now_us\)\)/if (0)/'
 )
 SCRATCH=$(mktemp -d)
 trap 'rm -rf "$SCRATCH"' EXIT
