--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -94,3 +94,5 @@
 changes 100
 echo "processor time a change and VM, idle work included: $((($(daemon_cpu_us) - cpu0) / 100 / 6)) us over $((($(date +%s%N) - start) / 1000000)) ms"
 BUILD=$BUILD scripts/bench_front.sh
+echo "== logging"
+BUILD=$BUILD scripts/bench_logs.sh
--- a/tests/front_lib.sh
+++ b/tests/front_lib.sh
@@ -25,6 +25,8 @@
 		[retries]
 		ratio = 0.2
 		constant = 50
+		[log]
+		level = ${LOG_LEVEL:-info}
 		[stop]
 		drain_ms = ${DRAIN_MS:-1000}
 		grace_s = 5
