--- a/src/core/connection_share.c
+++ b/src/core/connection_share.c
@@ -20,6 +20,7 @@
 #define VMS_ASSUMED 100
 /* VMs that were added a moment ago are not in the list yet. */
 #define VMS_SPARE 1
+
 void vm_counts_take(vm_counts_t *counts, const GPtrArray *vms)
 {
 	counts->all = VMS_ASSUMED;
--- a/src/core/forwarder.c
+++ b/src/core/forwarder.c
@@ -18,6 +18,7 @@
 
 /* Weight of one sub-request: a gather of 10 parts moves the share by two thirds. */
 #define HUNG_WEIGHT 0.1
+/* A lasting change of what a route's requests take is followed within a dozen of them. */
 #define RELATIVE_STEP 0.06
 #define RELATIVE_WHOLE 1000
 /* Where a route begins: two answers in time, and it tells. */
@@ -168,8 +169,8 @@
 
 static void measure_answer(forwarder_t *forwarder, sub_t *sub, uint64_t took_us, uint64_t now_us)
 {
-	bool is_news = sighting_is_news(sub->searcher, sub->pool, took_us, now_us);
 	double expected_us = placement_expected_us(sub->searcher, sub->pool, now_us);
+	bool is_news = sighting_is_news(sub->searcher, expected_us, took_us, now_us);
 
 	sighting_filter_note(&forwarder->sightings, is_news, now_us);
 	route_state_note(sub->route, false);
--- a/src/core/sighting.c
+++ b/src/core/sighting.c
@@ -25,10 +25,9 @@
 /* How long searchers pause. */
 #define PAUSE_US 200000
 
-bool sighting_is_news(const searcher_t *searcher, const pool_t *pool, uint64_t took_us,
+bool sighting_is_news(const searcher_t *searcher, double expected_us, uint64_t took_us,
 		      uint64_t now_us)
 {
-	double expected_us = placement_expected_us(searcher, pool, now_us);
 	double took = (double)MAX(took_us, 1);
 
 	return took > expected_us * NEWS_TIMES || took * NEWS_TIMES < expected_us ||
--- a/src/core/sighting.h
+++ b/src/core/sighting.h
@@ -31,8 +31,8 @@
 	uint64_t first_us; /**< when it sent its first sub-request; 0: not yet */
 } sighting_filter_t;
 
-/** Whether an answer after @p took_us says something that the other VMs would not expect. */
-bool sighting_is_news(const searcher_t *searcher, const pool_t *pool, uint64_t took_us,
+/** Whether an answer after @p took_us, of which @p expected_us was expected, is news to others. */
+bool sighting_is_news(const searcher_t *searcher, double expected_us, uint64_t took_us,
 		      uint64_t now_us);
 /** A sub-request has ended, or hangs; @p odd: as was not expected. */
 void sighting_filter_note(sighting_filter_t *filter, bool odd, uint64_t now_us);
--- a/src/tool/explain.c
+++ b/src/tool/explain.c
@@ -4,8 +4,6 @@
  */
 #include "tool/explain.h"
 
-#include "tool/log_lines.h"
-
 #include <stdio.h>
 #include <string.h>
 
@@ -16,7 +14,6 @@
 #define AFTER_MS 4000
 /* Around the request, to see how the same searcher served others. */
 #define AROUND_MS 1500
-#define COUNTER_BITS 16
 
 /** What an outcome means, and whether the request ran. */
 typedef struct meaning_t {
@@ -48,7 +45,7 @@
 
 static void print_line(const log_line_t *line)
 {
-	uint64_t ms = line->at >> COUNTER_BITS;
+	uint64_t ms = log_line_ms(line);
 	g_autoptr(GDateTime) time = g_date_time_new_from_unix_utc((gint64)(ms / 1000));
 	g_autofree char *stamp = g_date_time_format(time, "%H:%M:%S");
 
@@ -58,7 +55,7 @@
 /* By how much the line lies after the answer. */
 static int64_t after_ms(const view_t *view, const log_line_t *line)
 {
-	return (int64_t)(line->at >> COUNTER_BITS) - (int64_t)(view->answer->at >> COUNTER_BITS);
+	return (int64_t)log_line_ms(line) - (int64_t)log_line_ms(view->answer);
 }
 
 static bool is_event(const log_line_t *line, const char *event)
--- a/src/tool/log_lines.c
+++ b/src/tool/log_lines.c
@@ -10,6 +10,11 @@
 
 #define COUNTER_BITS 16
 
+uint64_t log_line_ms(const log_line_t *line)
+{
+	return line->at >> COUNTER_BITS;
+}
+
 log_line_t *log_line_new(uint64_t at, const char *vm, const char *text)
 {
 	log_line_t *line = g_new0(log_line_t, 1);
--- a/src/tool/log_lines.h
+++ b/src/tool/log_lines.h
@@ -18,6 +18,8 @@
 	char *text; /**< "event=... key=value ..." */
 } log_line_t;
 
+/** Its time in milliseconds since 1970. */
+uint64_t log_line_ms(const log_line_t *line);
 log_line_t *log_line_new(uint64_t at, const char *vm, const char *text);
 void log_line_free(void *line);
 /** Order by time, then by VM: for g_ptr_array_sort(). */
--- a/src/tool/timeline_view.c
+++ b/src/tool/timeline_view.c
@@ -33,7 +33,7 @@
 	for (guint i = 0; i < rows->len; i++) {
 		const log_line_t *row = g_ptr_array_index(rows, i);
 		g_autoptr(GDateTime) time =
-			g_date_time_new_from_unix_utc((gint64)(row->at >> 16) / 1000);
+			g_date_time_new_from_unix_utc((gint64)log_line_ms(row) / 1000);
 		g_autofree char *stamp = g_date_time_format(time, "%H:%M:%S");
 
 		if (filter->request && !log_line_has(row, "request", filter->request))
@@ -43,8 +43,9 @@
 							      (json_int_t)row->at, "vm", row->vm,
 							      "text", row->text));
 		else
-			printf("%s.%03u+%-3u %-12s %s\n", stamp, (unsigned)((row->at >> 16) % 1000),
-			       (unsigned)(row->at & 0xffff), row->vm, row->text);
+			printf("%s.%03u+%-3u %-12s %s\n", stamp,
+			       (unsigned)(log_line_ms(row) % 1000), (unsigned)(row->at & 0xffff),
+			       row->vm, row->text);
 	}
 	if (json) {
 		char *text = json_dumps(list, JSON_INDENT(1));
