Gathers go without parts of a shard that is short, and a load test in virtual time

Cause: where a shard has fewer searchers than its load needs, parts waited on each VM for one of its few connections until just before the target. Requests then took as long as their target, the searchers worked on what nobody waited for any more, and a gather of two such shards failed.

Now a part that would wait too long is left out at once, if the request has enough without it; what a request can't do without goes first; what is sent is told the time to the target where the request can do without it. Each VM goes by its own queue for the searchers' connections, which the searchers limit: no figure of what a shard can do, no talk between VMs.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 CHECK_PACKAGES := spin clang clang-format clang-tidy cppcheck
 SOURCES = $(shell git ls-files -co --exclude-standard '*.c' '*.h')
 
-.PHONY: setup setup-check build san demo check unit lint spec system bench soak fuzz clean
+.PHONY: setup setup-check build san demo check unit lint spec system bench soak fuzz loads clean
 
 setup:
 	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || { apt-get update -qq && apt-get install -y -qq $(PACKAGES); } >/dev/null
@@ -52,6 +52,11 @@
 bench: build
 	@BUILD=$(BUILD) scripts/bench.sh
 
+# What callers get under load and faults, now and at an earlier revision: make loads REV=HEAD~1 SEEDS=8
+loads: setup-check
+	@dpkg -s gnuplot-nox >/dev/null 2>&1 || apt-get install -y -qq gnuplot-nox >/dev/null
+	@scripts/loads.sh $(or $(REV),HEAD) $(or $(SEEDS),8)
+
 # Fresh seeds each time: real processes under faults, and random schedules over the core.
 soak: san
 	@$(SAN_BUILD)/random_test $(or $(SEEDS),20000)
--- a/src/core/forward.h
+++ b/src/core/forward.h
@@ -82,6 +82,8 @@
 	GPtrArray *asked;   /**< searcher_t, referenced; NULL before the first */
 	GPtrArray *out;	    /**< sub_t */
 	sub_reply_t *reply; /**< the answer, or the last failure */
+	bool shed;	    /**< left out: its shard is short, and the request has enough
+			     * without it */
 	bool crowded;	    /**< it would have waited for room past its deadline */
 	bool unknown;	    /**< some sub-request may have run without our knowing its end */
 } part_t;
@@ -157,6 +159,7 @@
 	uint64_t partial;
 	uint64_t left; /**< callers that went away */
 	uint64_t firsts, hedges, retries, waited;
+	uint64_t shed; /**< parts left out because their shard is short */
 	uint64_t sub_ends[SUB_UNKNOWN + 1];
 } forwarder_counters_t;
 
@@ -180,8 +183,10 @@
 void forwarder_take_sighting(forwarder_t *forwarder, const sighting_t *sighting, uint64_t now_us);
 /** A searcher has room again, or is new. */
 void forwarder_room(forwarder_t *forwarder, const char *service, uint64_t now_us);
-/** What is left of the caller's time, for the sub-request's own deadline. */
+/** What is left of the caller's time. */
 uint64_t forward_left_us(const forward_t *forward, uint64_t now_us);
+/** For how long its searcher should work on @p sub: the deadline that it is told. */
+uint64_t sub_left_us(const sub_t *sub, uint64_t now_us);
 
 uint64_t forwarder_next_us(const forwarder_t *forwarder);
 void forwarder_run(forwarder_t *forwarder, uint64_t now_us);
--- a/src/core/forward_private.h
+++ b/src/core/forward_private.h
@@ -56,7 +56,7 @@
 void part_hedge(part_t *part, uint64_t now_us);
 /** A sub-request of the part has ended; takes @p reply. */
 void part_take_reply(part_t *part, sub_t *sub, sub_reply_t *reply, uint64_t now_us);
-/** Room was found at @p searcher for a part that waits. */
+/** Room was found at @p searcher for a part that waits: send it, if it is not too late for that. */
 void part_send_waiting(part_t *part, searcher_t *searcher, uint64_t now_us);
 /** Stop waiting for room. */
 void part_unqueue(part_t *part);
--- a/src/core/forwarder.c
+++ b/src/core/forwarder.c
@@ -259,6 +259,7 @@
 
 	for (GList *item = pool->waiting.head; item; item = next) {
 		part_t *part = item->data;
+		forward_t *forward = part->forward;
 		searcher_t *searcher = placement_choose(pool, part->asked, forwarder->rand, now_us);
 
 		next = item->next;
@@ -267,7 +268,10 @@
 		if (!searcher)
 			continue;
 		part_send_waiting(part, searcher, now_us);
-		forward_arm(part->forward, now_us);
+		if (forward_settle(forward, now_us))
+			next = pool->waiting.head; /* its other parts have left, too */
+		else
+			forward_arm(forward, now_us);
 	}
 	lose_hopeless(pool, now_us);
 }
--- a/src/core/part.c
+++ b/src/core/part.c
@@ -5,6 +5,8 @@
  */
 #include "core/forward_private.h"
 
+#include "core/shedding.h"
+
 /* A sub-request that is out for longer than this many times the usual met a pause, a slow searcher
  * or a queue in most cases: pauses alone hold up 4.4 % of them, and the budget allows 20 %. */
 #define HEDGE_TIMES 1.5
@@ -85,13 +87,26 @@
 	part->is_queued = false;
 }
 
-/* Urgent ranks first, then in order of arrival. */
-static void part_queue(part_t *part)
+/*
+ * Parts first whose request fails without them, then urgent ranks, then in order of arrival. One
+ * that has left out as many parts as it may would otherwise wait behind others that can do without:
+ * where three shards of ten are offered 120 %, 78 % of the requests were served in time in order of
+ * rank and arrival, and 84 % so (make loads, three-short, 16 seeds).
+ */
+static bool goes_before(const part_t *part, const part_t *other)
+{
+	bool spare = shedding_is_allowed(part->forward);
+
+	if (spare != shedding_is_allowed(other->forward))
+		return !spare;
+	return part->forward->route->rank < other->forward->route->rank;
+}
+
+static void part_insert(part_t *part)
 {
-	uint32_t rank = part->forward->route->rank;
 	GList *before = part->pool->waiting.tail;
 
-	while (before && ((part_t *)before->data)->forward->route->rank > rank)
+	while (before && goes_before(part, before->data))
 		before = before->prev;
 	part->waiting = (GList){.data = part};
 	if (before)
@@ -99,15 +114,35 @@
 	else
 		g_queue_push_head_link(&part->pool->waiting, &part->waiting);
 	part->is_queued = true;
+}
+
+static void part_queue(part_t *part)
+{
+	part_insert(part);
 	part->state = PART_WAITING;
 	part->forward->forwarder->counters.waited++;
 }
 
+/* Parts that wait already move up when the request can't do without them any more. */
+static void part_move_up(part_t *part)
+{
+	part_unqueue(part);
+	part_insert(part);
+}
+
 void part_lose(part_t *part)
 {
+	forward_t *forward = part->forward;
+	bool before = shedding_is_allowed(forward);
+
 	part_unqueue(part);
 	part->state = PART_LOST;
-	part->forward->lost++;
+	forward->lost++;
+	if (!before || shedding_is_allowed(forward))
+		return;
+	for (uint32_t i = 0; i < forward->part_count; i++)
+		if (forward->parts[i].is_queued)
+			part_move_up(&forward->parts[i]);
 }
 
 static void part_crowd_out(part_t *part)
@@ -116,18 +151,31 @@
 	part_lose(part);
 }
 
-/*
- * Whether room would come too late: those that wait before it each need a connection for the usual
- * time. Refused now, its caller can come back in time; held, it would be refused at its deadline.
- */
+static void part_shed(part_t *part)
+{
+	part->forward->forwarder->counters.shed++;
+	part->shed = true;
+	part_lose(part);
+}
+
+/* Refused now, its caller can come back in time; held, it would be refused at its deadline. */
 static bool waits_in_vain(const part_t *part, uint64_t now_us)
 {
-	const pool_t *pool = part->pool;
-	double usual_us = placement_typical_us(pool);
-	double ahead = pool->waiting.length + 1.0;
-	double wait_us = usual_us * ahead / MAX(placement_room_most(pool), 1);
+	double usual_us = placement_typical_us(part->pool);
+
+	return now_us + (uint64_t)(placement_wait_us(part->pool) + usual_us) >
+	       part->forward->deadline_us;
+}
 
-	return now_us + (uint64_t)(wait_us + usual_us) > part->forward->deadline_us;
+static void part_wait(part_t *part, uint64_t now_us)
+{
+	shedding_note(part->pool, now_us);
+	if (shedding_is_allowed(part->forward) && shedding_waits_too_long(part, now_us))
+		part_shed(part);
+	else if (waits_in_vain(part, now_us))
+		part_crowd_out(part);
+	else
+		part_queue(part);
 }
 
 void part_start(part_t *part, sub_purpose_t purpose, uint64_t now_us)
@@ -139,16 +187,33 @@
 		part_send(part, searcher, purpose, now_us);
 	else if (!placement_is_possible(part->pool, part->asked))
 		part_lose(part);
-	else if (waits_in_vain(part, now_us))
-		part_crowd_out(part);
 	else
-		part_queue(part);
+		part_wait(part, now_us);
 }
 
 void part_send_waiting(part_t *part, searcher_t *searcher, uint64_t now_us)
 {
 	part_unqueue(part);
-	part_send(part, searcher, part->refusals || part->runs ? SUB_RETRY : SUB_FIRST, now_us);
+	if (shedding_is_allowed(part->forward) && shedding_is_too_late(part, now_us))
+		part_shed(part);
+	else
+		part_send(part, searcher, part->refusals || part->runs ? SUB_RETRY : SUB_FIRST,
+			  now_us);
+}
+
+/*
+ * A searcher works on a part until the time that it is told. Past the target a part of a short
+ * shard is of no use, if the request has enough without it; the next one is.
+ */
+uint64_t sub_left_us(const sub_t *sub, uint64_t now_us)
+{
+	const forward_t *forward = sub->forward;
+	uint64_t left_us = forward_left_us(forward, now_us);
+
+	if (forward->partial_us <= now_us || !shedding_is_on(sub->pool, now_us) ||
+	    !shedding_is_allowed(forward))
+		return left_us;
+	return MIN(left_us, forward->partial_us - now_us);
 }
 
 /* ---- hedges ---- */
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -58,6 +58,14 @@
 	return most;
 }
 
+/* Those that wait each need a connection for the usual time. */
+double placement_wait_us(const pool_t *pool)
+{
+	double ahead = pool->waiting.length + 1.0;
+
+	return placement_typical_us(pool) * ahead / MAX(placement_room_most(pool), 1);
+}
+
 static double way_us(const searcher_t *searcher)
 {
 	static const double ways_us[] = {
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -15,6 +15,8 @@
 
 /** What a sub-request to the pool usually takes. */
 double placement_typical_us(const pool_t *pool);
+/** How long one more part would wait for room, behind those that wait already. */
+double placement_wait_us(const pool_t *pool);
 /** Connections that this VM may have to all usable searchers of the pool. */
 uint32_t placement_room_most(const pool_t *pool);
 /** Expected time until an answer, for comparing searchers. */
--- a/src/core/registry.h
+++ b/src/core/registry.h
@@ -24,6 +24,7 @@
 	quantile_t typical;	   /**< median of sent to answered, over all its searchers */
 	latency_buckets_t latency; /**< the same, for metrics */
 	GQueue waiting;		   /**< parts that found no room, by rank and age */
+	uint64_t short_us;	   /**< when a part last found no room; 0: never */
 } pool_t;
 
 /** Where this VM is, and the region of each data centre. */
--- a/src/queries/front_log.c
+++ b/src/queries/front_log.c
@@ -33,7 +33,9 @@
 				       part_state_name(part->state));
 		append_asked(line, part);
 		g_string_append_printf(line, ":%s",
-				       part->reply ? sub_end_name(part->reply->end) : "no-reply");
+				       part->reply  ? sub_end_name(part->reply->end)
+				       : part->shed ? "shard-short"
+						    : "no-reply");
 	}
 }
 
--- a/src/tasks/front_task.c
+++ b/src/tasks/front_task.c
@@ -146,7 +146,7 @@
 		headers_write_common(relay->common, http_exchange_message(relay->exchange));
 	}
 	g_string_append_len(out, relay->common->str, (gssize)relay->common->len);
-	headers_write_sub(out, sub->searcher, forward_left_us(sub->forward, loop_now_us()));
+	headers_write_sub(out, sub->searcher, sub_left_us(sub, loop_now_us()));
 }
 
 static const GString *body_of(void *ctx, const sub_t *sub)
--- a/tests/forward_test.c
+++ b/tests/forward_test.c
@@ -73,7 +73,7 @@
 	sub->searcher->connections++;
 	say(play, "send %s part=%u %s to=%s left_ms=%" G_GUINT64_FORMAT, sub->forward->request.id,
 	    sub->part, sub_purpose_name(sub->purpose), sub->searcher->id,
-	    forward_left_us(sub->forward, play->now_us) / 1000);
+	    sub_left_us(sub, play->now_us) / 1000);
 }
 
 static void on_cancel(void *ctx, sub_t *sub)
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -6,6 +6,10 @@
 set -u
 cd "$(dirname "$0")/.."
 MUTANTS=(
+	'parts of a short shard wait to the target|src/core/part.c|s/if \(shedding_is_allowed\(part->forward\) && shedding_waits_too_long/if (0 \&\& shedding_waits_too_long/; s/if \(shedding_is_allowed\(part->forward\) && shedding_is_too_late/if (0 \&\& shedding_is_too_late/'
+	'more parts are left out than coverage allows|src/core/shedding.c|s/left - 1 >= forward->route->coverage_least/left + 9 >= forward->route->coverage_least/'
+	'parts that a request needs wait behind others|src/core/part.c|s/if \(spare != shedding_is_allowed\(other->forward\)\)/if (0)/'
+	'searchers work on parts of a short shard past the target|src/core/part.c|s/\|\| !shedding_is_on\(sub->pool, now_us\) \|\|/|| 1 ||/'
 	'any answer is merged|src/core/query.c|s/if \(reply->version != query->snapshot->version \|\|/if (0 \&\&/'
 	'a cut action is asked again|src/core/dispatch.c|s/if \(may_have_run && part->query->request->kind == SERVICE_ONCE\)/if (0)/'
 	'an action that is out counts as not run|src/core/engine.c|s/\} else if \(action_is_out\(query\)\) \{/} else if (0) {/'
@@ -42,7 +46,7 @@
 	'an old list makes a draining searcher ready|src/core/registry.c|s/if \(!entry->draining \|\| searcher->state != SEARCHER_READY\)\n\t\treturn;\n\tsearcher->state = SEARCHER_DRAINING/searcher->state = entry->draining ? SEARCHER_DRAINING : SEARCHER_READY/'
 	'callers that left keep searchers at work|src/core/forwarder.c|s/forward_release\(forward, LEFT_US, now_us\)/forward_release(forward, 600000, now_us)/'
 	'parts wait for searchers that are gone|src/core/forwarder.c|s/\tlose_hopeless\(pool, now_us\);//'
-	'urgent parts wait their turn|src/core/part.c|s/->rank > rank/->rank > 1000/'
+	'urgent parts wait their turn|src/core/part.c|s/return part->forward->route->rank < other->forward->route->rank;/return false;/'
 	'a chunk may end in anything|src/net/http_message.c|s/if \(!scan_chunk_byte\(chunks, data\[i\]\)\)/if (0)/'
 	'a folded header is taken|src/net/http_message.c|s/return !folded;/return true;/'
 	'all are served in order of arrival|src/core/gate.c|s/\+\+gate->turn % FAIR_TURN/0/'
@@ -63,11 +67,13 @@
 LIBS="$(pkg-config --libs glib-2.0 jansson libxxhash msgpack) -lcmocka -lm"
 
 # Test programs in the order they are tried, and what each is linked from besides src/core.
-TESTS="forward_test parts_test message_test gossip_test script_test random_test"
+TESTS="forward_test parts_test message_test gossip_test script_test load_test random_test"
 declare -A SEEN_BY=(
 	[forward_test]='the forwarding scripts' [parts_test]='the small parts' [message_test]="the codec's tests"
+	[load_test]='the loads'
 	[gossip_test]='the members' [script_test]='the scripts' [random_test]='the schedules')
-declare -A WITH=([message_test]='net_http_message' [script_test]='world' [random_test]='world')
+declare -A WITH=([message_test]='net_http_message' [script_test]='world' [random_test]='world'
+	[load_test]='load_world')
 declare -A ARGS=([random_test]=400)
 
 object_of() { echo "$SCRATCH/objects/$(echo "${1#src/}" | sed 's|^core/||; s|^tests/||; s|/|_|g; s|\.c$||').o"; }
@@ -75,7 +81,7 @@
 # Everything sound is compiled once; a mutant needs its one file, and a link.
 compile_all() {
 	mkdir -p "$SCRATCH/objects"
-	for file in src/core/*.c src/net/http_message.c tests/world.c $(printf 'tests/%s.c ' $TESTS); do
+	for file in src/core/*.c src/net/http_message.c tests/world.c tests/load_world.c $(printf 'tests/%s.c ' $TESTS); do
 		echo "$file $(object_of "$file")"
 	done | xargs -P "$(nproc)" -L 1 sh -c "gcc $CFLAGS -c -o \"\$1\" \"\$0\""
 }
--- a/tests/run-unit.sh
+++ b/tests/run-unit.sh
@@ -11,6 +11,7 @@
 "$BUILD/gossip_test"
 "$BUILD/random_test" "${SEEDS:-250}"
 "$BUILD/matrix_test"
+"$BUILD/load_test"
 "$BUILD/front_random_test" "${SEEDS:-250}"
 "$BUILD/front_matrix_test"
 tests/mutants.sh
