Callers are told to come back by what is missing; VMs that start try the store sooner; feeds are left in time

Three things that a VM does about news that it lacks.

While nothing is known, or nobody is registered, callers were told to come back in 300 or 60 ms and spent their last try on the same refusal. Now retry_after weighs what is missing, the caller's patience and whether the store answers. 2. A VM that started while the store was away tried to register once a second; the store's return was noticed 0.7 s late. Now after 100 ms, doubled up to a second. The limit on a feed's age, 6.5 s, was longer than changes may take (3 s there, 5 s on the grown deployments). The times of watches and the limit now follow from the bounds in the settings. What got worse: a watch waits 3 s in place of 3.5 where a VM settles in 4 s (more calls), 4 and 5 s where it does in 5 and 6 (fewer).

--- /dev/null
+++ b/src/core/feed_timing.c
@@ -0,0 +1,35 @@
+/**
+ * @file feed_timing.c
+ * See feed_timing.h.
+ */
+#include "core/feed_timing.h"
+
+#include <glib.h>
+
+/* To read the lists again once a watch was in vain: two calls of some ms, 0.4 s from a slow store.
+ */
+#define READ_MS 300
+/* What a feeder's news may be old while all is well, besides its watch: 0.8 s in which changes are
+ * grouped, 0.5 s to the next news, the store's answer; with what a list takes, and a rest. */
+#define FEED_MS 2500
+/* From leaving a feed to the store's lists. */
+#define LEAVE_MS 500
+/* Shorter watches would be more calls than the feed saves; longer ones save hardly any. */
+#define WATCH_LEAST_MS 500
+#define WATCH_MOST_MS 10000
+
+static uint32_t less(uint32_t from_ms, uint32_t by_ms)
+{
+	return from_ms > by_ms ? from_ms - by_ms : 0;
+}
+
+feed_timing_t feed_timing_for(uint32_t apply_ms, uint32_t settle_ms)
+{
+	uint32_t watch_ms = less(settle_ms, FEED_WATCH_SLACK_MS + READ_MS);
+	uint32_t feeder_ms = less(apply_ms, FEED_MS);
+	feed_timing_t timing = {.watch_ms = CLAMP(watch_ms, WATCH_LEAST_MS, WATCH_MOST_MS)};
+
+	timing.feeder_watch_ms = CLAMP(feeder_ms, WATCH_LEAST_MS, timing.watch_ms);
+	timing.age_most_us = (uint64_t)less(apply_ms, LEAVE_MS) * 1000;
+	return timing;
+}
--- /dev/null
+++ b/src/core/feed_timing.h
@@ -0,0 +1,30 @@
+/**
+ * @file feed_timing.h
+ * How long a watch of the store may wait, and how old a feed may be, by what the deployment asks.
+ *
+ * A change must be in force everywhere a given time after the store has accepted it, on each VM
+ * whose connections were sound for a while. A watch whose connection went silent shows that only
+ * when it has waited in vain, and a VM that is fed can't see that its feeder is cut off from the
+ * store: both times follow from the bounds, and each call costs.
+ */
+#ifndef DS_FEED_TIMING_H
+#define DS_FEED_TIMING_H
+
+#include <stdint.h>
+
+/** Time beyond its own that a watch is given for the store's answer. */
+#define FEED_WATCH_SLACK_MS 700
+
+typedef struct feed_timing_t {
+	uint32_t watch_ms;	  /**< that a watch waits for a change */
+	uint32_t feeder_watch_ms; /**< the same, on VMs that feed others */
+	uint64_t age_most_us;	  /**< a feed whose news is older is left */
+} feed_timing_t;
+
+/**
+ * @param apply_ms within which a change must be in force
+ * @param settle_ms after which a VM whose connections were harmed must keep to that again
+ */
+feed_timing_t feed_timing_for(uint32_t apply_ms, uint32_t settle_ms);
+
+#endif
--- a/src/core/forward.c
+++ b/src/core/forward.c
@@ -4,13 +4,12 @@
  */
 #include "core/forward_private.h"
 
+#include "core/retry_after.h"
 #include "core/top_records.h"
 
 /* An answered request's other sub-requests end by themselves in most cases, which keeps the
  * connection: a pause is over after 200 ms. */
 #define UNNEEDED_US 700000
-/* When to come back after a refusal: a searcher's full queue of 12 empties in about this time. */
-#define RETRY_AFTER_US 60000
 
 /* ---- the end of a request ---- */
 
@@ -69,13 +68,20 @@
 	return false;
 }
 
+static uint64_t come_back_us(const forward_t *forward, lack_t lack, uint64_t now_us)
+{
+	return retry_after_us(lack, forward_left_us(forward, now_us),
+			      registry_is_store_away(forward->forwarder->registry));
+}
+
 void forward_refuse(forward_t *forward, forward_end_t end, uint64_t now_us)
 {
 	forward_answer_t answer = {.end = end};
 
-	if (end == FORWARD_NO_SEARCHER || end == FORWARD_TOO_LATE || end == FORWARD_FULL ||
-	    end == FORWARD_REJECTED)
-		answer.retry_after_us = RETRY_AFTER_US;
+	if (end == FORWARD_NO_SEARCHER)
+		answer.retry_after_us = come_back_us(forward, LACK_SEARCHERS, now_us);
+	else if (end == FORWARD_TOO_LATE || end == FORWARD_FULL || end == FORWARD_REJECTED)
+		answer.retry_after_us = come_back_us(forward, LACK_ROOM, now_us);
 	forward_finish(forward, &answer, now_us);
 }
 
--- a/src/core/forwarder.c
+++ b/src/core/forwarder.c
@@ -4,6 +4,8 @@
  */
 #include "core/forward_private.h"
 
+#include "core/retry_after.h"
+
 /* The caller's clock started a trip earlier, and the answer needs another: 1 to 3 ms each way in
  * the deployments, and a turn of this loop. */
 #define WAY_US 9000
@@ -11,10 +13,6 @@
 #define PATIENCE_UNKNOWN_US 5000000
 /* A caller that left must not keep searchers at work for half a second: close well before that. */
 #define LEFT_US 250000
-/* A caller that comes again is sent to another VM: this one has not been ready for seconds. */
-#define RETRY_AFTER_LEAVING_US 10000
-/* While nothing is known yet, news come within a second of the start. */
-#define RETRY_AFTER_START_US 300000
 
 /* Weight of one sub-request: a gather of 10 parts moves the share by two thirds. */
 #define HUNG_WEIGHT 0.1
@@ -360,11 +358,12 @@
 {
 	forward_t forward = {.forwarder = forwarder, .request = *request, .owner = owner};
 	forward_answer_t answer = {.end = end};
+	bool away = registry_is_store_away(forwarder->registry);
 
 	if (end == FORWARD_NOT_READY)
-		answer.retry_after_us = RETRY_AFTER_START_US;
+		answer.retry_after_us = retry_after_us(LACK_NEWS, request->patience_us, away);
 	if (end == FORWARD_LEAVING)
-		answer.retry_after_us = RETRY_AFTER_LEAVING_US;
+		answer.retry_after_us = retry_after_us(LACK_VM, request->patience_us, away);
 	forwarder->counters.ends[end]++;
 	forwarder->ops->answer(forwarder->ctx, &forward, &answer);
 }
--- a/src/core/registry.c
+++ b/src/core/registry.c
@@ -284,6 +284,11 @@
 	registry->lapse_end_us = now_us + LAPSE_US;
 }
 
+bool registry_is_store_away(const registry_t *registry)
+{
+	return registry->store_away;
+}
+
 uint64_t registry_run(registry_t *registry, uint64_t now_us)
 {
 	g_autoptr(GPtrArray) due = NULL;
--- a/src/settings.h
+++ b/src/settings.h
@@ -37,6 +37,8 @@
 	double retry_ratio;	 /**< sub-requests beyond the first of each request, all VMs */
 	uint32_t retry_constant; /**< and so many more in a window */
 	uint32_t retry_window_s; /**< the window in which they are counted */
+	uint32_t apply_ms;	 /**< within which a change of the store is in force */
+	uint32_t settle_ms;	 /**< after which VMs whose connections were harmed keep to that */
 	GHashTable *regions;	 /**< data centre to region */
 	char *log_level;
 	uint32_t hedge, choose_by_cost, adapt_limit; /**< policy switches, for baselines */
--- a/src/tasks/follower.c
+++ b/src/tasks/follower.c
@@ -4,11 +4,8 @@
  */
 #include "tasks/follower.h"
 
-/* A watch is a priced call for each VM; it must also end soon enough for one on a connection that
- * went silent to be given up in time. Changes must be in force 3 s after their acknowledgement, on
- * VMs whose connections were sound for 5 s: so both together stay below 5 s. */
-#define WATCH_MS 3500
-#define WATCH_SLACK_US 1200000
+#include "core/feed_timing.h"
+
 /* Changes come in groups: searchers that start, leave or lapse together. Each wake-up of a watch is
  * a priced call, so after one with changes the next waits; what happens meanwhile comes with it. A
  * change is then known within a second, of the 3 s that the deployments allow. */
@@ -37,6 +34,7 @@
 	uint32_t failures; /* in a row */
 	bool changed;	   /* the last watch brought changes */
 	uint32_t serial;   /* of the call whose reply is awaited */
+	uint32_t wait_ms;  /* for which a watch waits for a change */
 };
 
 typedef struct fetch_t {
@@ -168,13 +166,15 @@
 {
 	follower_t *follower = ctx;
 	g_autofree char *target =
-		follower->listing ? store_list_target(follower->kind, follower->after)
-				  : store_watch_target(follower->kind, follower->since, WATCH_MS);
+		follower->listing
+			? store_list_target(follower->kind, follower->after)
+			: store_watch_target(follower->kind, follower->since, follower->wait_ms);
 	fetch_t *fetch = g_new(fetch_t, 1);
 
 	*fetch = (fetch_t){.follower = follower, .serial = ++follower->serial};
 	platform_task_fetch(follower->platform, target,
-			    follower->listing ? LIST_TIMEOUT_US : WATCH_MS * 1000 + WATCH_SLACK_US,
+			    follower->listing ? LIST_TIMEOUT_US
+					      : (follower->wait_ms + FEED_WATCH_SLACK_MS) * 1000ull,
 			    on_fetched, fetch);
 }
 
@@ -194,6 +194,11 @@
 	return follower;
 }
 
+void follower_set_wait(follower_t *follower, uint32_t wait_ms)
+{
+	follower->wait_ms = wait_ms;
+}
+
 void follower_refresh(follower_t *follower)
 {
 	follower->once = false;
--- a/src/tasks/follower.h
+++ b/src/tasks/follower.h
@@ -25,6 +25,8 @@
 
 follower_t *follower_new(loop_t *loop, platform_task_t *platform, store_kind_t kind,
 			 const follower_ops_t *ops, void *ctx);
+/** How long watches to come wait for a change; to be set before the first. */
+void follower_set_wait(follower_t *follower, uint32_t wait_ms);
 /** Start, or start anew because what is known may be old: read the whole list now. */
 void follower_refresh(follower_t *follower);
 /** Read the whole list once, soon, and ask nothing more after it. */
--- a/src/tasks/member_task.c
+++ b/src/tasks/member_task.c
@@ -15,18 +15,23 @@
 /* VMs of a new deployment start within 0.3 s of each other, and a call takes up to 0.1 s. */
 #define OTHERS_REGISTER_US 600000
 #define LIST_LATER_US 12000000
-#define RETRY_US 1000000
+/* Between tries to register, doubled each time. A VM that starts knows nothing until the store
+ * answers, and refuses everything: after a loss of all VMs during an outage of the store, tries
+ * each second lost 0.7 s of its return, 150 requests. */
+#define RETRY_FIRST_US 100000
+#define RETRY_MOST_US 1000000
 #define STATUS_EXISTS 409
 
 struct member_task_t {
 	loop_t *loop;
 	platform_task_t *platform;
 	vm_t *own;
-	member_changed_f changed;
+	const member_ops_t *ops;
 	void *ctx;
 	GPtrArray *vms; /* vm_t */
 	uint32_t lists; /* read so far */
 	bool registered;
+	uint32_t failures; /* to register, in a row */
 	loop_timer_t list_timer;
 	loop_timer_t register_timer;
 };
@@ -40,12 +45,22 @@
 		loop_timer_set(task->loop, &task->list_timer, delay_us);
 }
 
+static uint64_t retry_delay_us(member_task_t *task)
+{
+	uint64_t most_us = RETRY_FIRST_US << MIN(task->failures, 8);
+
+	task->failures++;
+	return MIN(most_us, RETRY_MOST_US);
+}
+
 static void on_registered(void *ctx, const platform_result_t *result)
 {
 	member_task_t *task = ctx;
 	bool exists = result->status == STATUS_EXISTS;
+	bool done = result->status / 100 == 2;
 
-	if (result->status / 100 == 2) {
+	task->ops->answered(task->ctx, exists || done);
+	if (done) {
 		g_message("event=registered vm=%s", task->own->name);
 		if (!task->registered)
 			first_list_after(task, OTHERS_REGISTER_US);
@@ -55,7 +70,7 @@
 		first_list_after(task, 0);
 	task->registered = exists;
 	g_info("event=register-failed status=%d outcome=again", result->status);
-	loop_timer_set(task->loop, &task->register_timer, exists ? 0 : RETRY_US);
+	loop_timer_set(task->loop, &task->register_timer, exists ? 0 : retry_delay_us(task));
 }
 
 static void put_own(void *ctx)
@@ -95,7 +110,7 @@
 	else
 		g_info("event=vms-not-listed status=%d outcome=again", result->status);
 	store_page_clear(&page);
-	task->changed(task->ctx);
+	task->ops->changed(task->ctx);
 	loop_timer_set(task->loop, &task->list_timer,
 		       task->lists < LIST_FIRST_TIMES ? LIST_FIRST_US : LIST_LATER_US);
 }
@@ -109,14 +124,14 @@
 }
 
 member_task_t *member_task_new(loop_t *loop, platform_task_t *platform, vm_t *own,
-			       member_changed_f changed, void *ctx)
+			       const member_ops_t *ops, void *ctx)
 {
 	member_task_t *task = g_new0(member_task_t, 1);
 
 	task->loop = loop;
 	task->platform = platform;
 	task->own = own;
-	task->changed = changed;
+	task->ops = ops;
 	task->ctx = ctx;
 	task->vms = g_ptr_array_new_with_free_func(vm_free);
 	task->list_timer = (loop_timer_t){.fire = list, .ctx = task};
--- a/src/tasks/member_task.h
+++ b/src/tasks/member_task.h
@@ -10,12 +10,16 @@
 
 typedef struct member_task_t member_task_t;
 
-/** Told when the list of VMs was read anew, or could not be read. */
-typedef void (*member_changed_f)(void *ctx);
+typedef struct member_ops_t {
+	/** The list of VMs was read anew, or could not be read. */
+	void (*changed)(void *ctx);
+	/** The store has answered this VM's registration, or has not. */
+	void (*answered)(void *ctx, bool answered);
+} member_ops_t;
 
 /** @p own is taken over. */
 member_task_t *member_task_new(loop_t *loop, platform_task_t *platform, vm_t *own,
-			       member_changed_f changed, void *ctx);
+			       const member_ops_t *ops, void *ctx);
 /** The VMs registered, vm_t; perhaps some seconds old, and those that ended stay in it. */
 const GPtrArray *member_task_vms(const member_task_t *task);
 const vm_t *member_task_own(const member_task_t *task);
--- a/src/tasks/supply_task.c
+++ b/src/tasks/supply_task.c
@@ -4,6 +4,7 @@
  */
 #include "tasks/supply_task.h"
 
+#include "core/feed_timing.h"
 #include "tasks/feed_client.h"
 #include "tasks/feed_server.h"
 #include "tasks/follower.h"
@@ -12,8 +13,6 @@
 
 /* Three of these may be lost before a subscriber gives its feed up. */
 #define NEWS_PERIOD_US 500000
-/* A sound watch is heard every 3.5 s; beyond this, whoever feeds us does not hear the store. */
-#define AGE_MOST_US 6500000
 /* After a feed failed, the store is watched for a while; random, so that VMs do not all move. */
 #define AGAIN_LEAST_US 3000000
 #define AGAIN_MOST_US 6000000
@@ -54,6 +53,8 @@
 	bool feeds;	       /* keeps what it knows for VMs that ask */
 	bool away;	       /* the store can't be heard */
 	uint64_t fed_heard_us; /* when the feeder last heard the store */
+	feed_timing_t timing;
+	loop_timer_t stale_timer; /* when the feed's news will be too old */
 	loop_timer_t news_timer;
 	loop_timer_t again_timer;
 	loop_timer_t start_timer;
@@ -152,6 +153,7 @@
 	if (task->client)
 		feed_client_free(task->client);
 	task->client = NULL;
+	loop_timer_cancel(&task->stale_timer);
 	g_free(task->feeder);
 	task->feeder = NULL;
 	task->fed = false;
@@ -193,13 +195,24 @@
 	return true;
 }
 
+/*
+ * A feeder that is cut off from the store goes on telling that nothing has changed. Its news grow
+ * old meanwhile; past what they are on a sound feeder this VM reads the store itself, and a change
+ * is in force in time. Seen without: a configuration 4 s late on a VM whose feeder was cut off.
+ */
+static void on_stale(void *ctx)
+{
+	leave_feed(ctx, "news-old");
+}
+
 static void take_news(supply_task_t *task, const feed_message_t *message)
 {
-	if (message->away || message->age_us > AGE_MOST_US) {
+	if (message->away || message->age_us > task->timing.age_most_us) {
 		leave_feed(task, "store-away");
 		return;
 	}
 	task->fed_heard_us = loop_now_us() - message->age_us;
+	loop_timer_set(task->loop, &task->stale_timer, task->timing.age_most_us - message->age_us);
 	if (task->fed || !is_fed_whole(task))
 		return;
 	task->fed = true;
@@ -348,6 +361,23 @@
 		take_feed(task, g_ptr_array_index(feeders, task->tries % feeders->len));
 }
 
+/* Before anything is followed or fed, this is all that is known of the store. */
+static void on_store_answered(void *ctx, bool answered)
+{
+	supply_task_t *task = ctx;
+
+	if (answered || (!task->following && !task->fed))
+		note_away(task, !answered);
+}
+
+static void set_waits(supply_task_t *task, bool feeds_others)
+{
+	for (uint32_t i = 0; i < FED_KINDS; i++)
+		follower_set_wait(task->kinds[i].follower, feeds_others
+								   ? task->timing.feeder_watch_ms
+								   : task->timing.watch_ms);
+}
+
 static void on_members(void *ctx)
 {
 	supply_task_t *task = ctx;
@@ -355,6 +385,7 @@
 	g_autoptr(GPtrArray) feeders = feeders_of(task);
 
 	task->feeds = feed_is_used(member_task_vms(task->members), own->data_centre);
+	set_waits(task, task->feeds && !feeders->len);
 	if (!task->feeds)
 		feed_server_clear(task->server);
 	if (task->client && !feeders->len)
@@ -399,6 +430,8 @@
 supply_task_t *supply_task_new(loop_t *loop, const settings_t *settings, platform_task_t *platform,
 			       const supply_ops_t *ops, void *ctx)
 {
+	static const member_ops_t member_ops = {.changed = on_members,
+						.answered = on_store_answered};
 	supply_task_t *task = g_new0(supply_task_t, 1);
 	const endpoint_setting_t *feed = &settings->front_feed;
 
@@ -415,11 +448,14 @@
 	task->sightings = g_byte_array_new();
 	task->sightings_timer = (loop_timer_t){.fire = send_sightings, .ctx = task};
 	task->start_timer = (loop_timer_t){.fire = follow_store, .ctx = task};
+	task->stale_timer = (loop_timer_t){.fire = on_stale, .ctx = task};
+	task->timing = feed_timing_for(settings->apply_ms, settings->settle_ms);
 	start_followers(task, platform);
+	set_waits(task, false);
 	task->members = member_task_new(loop, platform,
 					vm_new(settings->vm_name, settings->data_centre,
 					       feed->address, feed->port, settings->link_mbps),
-					on_members, task);
+					&member_ops, task);
 	loop_timer_set(loop, &task->news_timer, NEWS_PERIOD_US);
 	return task;
 }
--- a/tests/parts_test.c
+++ b/tests/parts_test.c
@@ -10,7 +10,9 @@
 #include "core/connection_share.h"
 #include "core/feed_book.h"
 #include "core/feed_choice.h"
+#include "core/feed_timing.h"
 #include "core/placement.h"
+#include "core/retry_after.h"
 #include "core/top_records.h"
 
 #include <stdio.h>
@@ -341,6 +343,46 @@
 	g_string_free(read, TRUE);
 }
 
+/* Whatever a deployment asks, a VM that is fed by one that is cut off from the store reads the
+ * store itself before a change is due, and one whose watch went silent does so before it is held to
+ * that. While all is well neither happens. */
+static void test_feed_timing(void **state)
+{
+	const uint32_t grouped_ms = 800, news_ms = 500, answer_ms = 100;
+
+	(void)state;
+	for (uint32_t apply_ms = 2500; apply_ms <= 20000; apply_ms += 500) {
+		for (uint32_t settle_ms = 2000; settle_ms <= 20000; settle_ms += 500) {
+			feed_timing_t timing = feed_timing_for(apply_ms, settle_ms);
+			uint32_t sound_ms =
+				timing.feeder_watch_ms + grouped_ms + news_ms + answer_ms;
+
+			assert_true(timing.age_most_us < apply_ms * 1000ull);
+			assert_true(timing.watch_ms + FEED_WATCH_SLACK_MS < settle_ms);
+			assert_true(timing.feeder_watch_ms <= timing.watch_ms);
+			assert_true(sound_ms * 1000ull <= timing.age_most_us);
+		}
+	}
+}
+
+/* A caller heeds a third of what it has left, and comes back once: sooner than what it lacks can be
+ * there, it is refused again; later than that third, it comes at its own time. */
+static void test_retry_after(void **state)
+{
+	const uint64_t patient_us = 4 * SECOND_US, hasty_us = SECOND_US / 2;
+
+	(void)state;
+	assert_int_equal(retry_after_us(LACK_ROOM, patient_us, false), 60000);
+	assert_int_equal(retry_after_us(LACK_ROOM, hasty_us, true), 60000);
+	assert_int_equal(retry_after_us(LACK_VM, patient_us, true), 10000);
+	assert_int_equal(retry_after_us(LACK_NEWS, patient_us, false), 300000);
+	assert_int_equal(retry_after_us(LACK_NEWS, patient_us, true), 1280000);
+	assert_int_equal(retry_after_us(LACK_NEWS, hasty_us, false), 160000);
+	assert_int_equal(retry_after_us(LACK_NEWS, 0, true), 300000);
+	assert_int_equal(retry_after_us(LACK_SEARCHERS, patient_us, false), 600000);
+	assert_int_equal(retry_after_us(LACK_SEARCHERS, patient_us, true), 1280000);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -348,6 +390,7 @@
 		cmocka_unit_test(test_budget_for_speed), cmocka_unit_test(test_shares_of_many),
 		cmocka_unit_test(test_shares_of_few),	 cmocka_unit_test(test_placement),
 		cmocka_unit_test(test_feed_choice),	 cmocka_unit_test(test_feed),
+		cmocka_unit_test(test_feed_timing),	 cmocka_unit_test(test_retry_after),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
