A gather that can't be covered in time is refused before anything is sent

Cause: whether parts would wait past the deadline was found out part by part, after others were sent; the request then ended as a failure that promises nothing, with searchers at work for nobody.

Now it is weighed before the first sending, and the caller is told that nothing ran and when to come back. It stands for what callers are told.

--- a/src/core/forward.c
+++ b/src/core/forward.c
@@ -87,7 +87,7 @@
 
 /* ---- gathers ---- */
 
-static bool has_enough(const forward_t *forward, uint32_t parts)
+bool forward_has_enough(const forward_t *forward, uint32_t parts)
 {
 	return parts > 0 && parts >= forward->route->coverage_least * forward->part_count - 1e-9;
 }
@@ -122,13 +122,14 @@
 {
 	bool all = forward->answered + forward->lost == forward->part_count;
 
-	if (!has_enough(forward, forward->part_count - forward->lost)) {
+	if (!forward_has_enough(forward, forward->part_count - forward->lost)) {
 		forward_refuse(forward,
 			       has_run_somewhere(forward) ? FORWARD_TOO_FEW : FORWARD_NO_SEARCHER,
 			       now_us);
 		return true;
 	}
-	if (!all && (now_us < forward->partial_us || !has_enough(forward, forward->answered)))
+	if (!all &&
+	    (now_us < forward->partial_us || !forward_has_enough(forward, forward->answered)))
 		return false;
 	gather_answer(forward, now_us);
 	return true;
@@ -196,7 +197,7 @@
 
 static void forward_timeout(forward_t *forward, uint64_t now_us)
 {
-	if (forward->route->gathers && has_enough(forward, forward->answered)) {
+	if (forward->route->gathers && forward_has_enough(forward, forward->answered)) {
 		gather_answer(forward, now_us);
 		return;
 	}
--- a/src/core/forward_private.h
+++ b/src/core/forward_private.h
@@ -52,6 +52,8 @@
 
 /** Send the part's next sub-request, or lose it; false when nobody has room for it now. */
 bool part_start(part_t *part, sub_purpose_t purpose, uint64_t now_us);
+/** Whether room for the part would come too late for its caller's deadline. */
+bool part_waits_in_vain(const part_t *part, uint64_t now_us);
 /** Queue a part for which nobody has room, or go without it. */
 void part_wait(part_t *part, uint64_t now_us);
 /** Send once more, if that is due and allowed; else set when to look again. */
@@ -67,6 +69,8 @@
 
 /** Answer if it is time to; true when the request is over, and freed. */
 bool forward_settle(forward_t *forward, uint64_t now_us);
+/** Whether @p parts answered are enough for a success. */
+bool forward_has_enough(const forward_t *forward, uint32_t parts);
 /** Set the timer for what is next. */
 void forward_arm(forward_t *forward, uint64_t now_us);
 /** End the request without an answer of a searcher. */
--- a/src/core/forwarder.c
+++ b/src/core/forwarder.c
@@ -368,6 +368,24 @@
 	forwarder->ops->answer(forwarder->ctx, &forward, &answer);
 }
 
+/*
+ * Whether so many parts would wait past the deadline that the rest is not enough. Found out only
+ * after the others were sent, the request could not be refused as not run: searchers worked for
+ * nothing, and the caller was told of a failure in place of when to come back.
+ */
+static bool is_hopeless(const forward_t *forward, uint64_t now_us)
+{
+	uint32_t hopeless = forward->lost;
+
+	for (uint32_t i = 0; i < forward->part_count; i++) {
+		const part_t *part = &forward->parts[i];
+
+		if (part->state == PART_WAITING && !placement_has_room(part->pool))
+			hopeless += part_waits_in_vain(part, now_us);
+	}
+	return !forward_has_enough(forward, forward->part_count - hopeless);
+}
+
 /* The part without room that would wait longest, or NULL. */
 static part_t *longest_wait(const forward_t *forward)
 {
@@ -440,6 +458,10 @@
 	lose_impossible(forward);
 	if (forward_settle(forward, now_us))
 		return NULL;
+	if (is_hopeless(forward, now_us)) {
+		forward_refuse(forward, FORWARD_FULL, now_us);
+		return NULL;
+	}
 	start_parts(forward, now_us);
 	if (forward_settle(forward, now_us))
 		return NULL;
--- a/src/core/part.c
+++ b/src/core/part.c
@@ -164,7 +164,7 @@
 }
 
 /* Refused now, its caller can come back in time; held, it would be refused at its deadline. */
-static bool waits_in_vain(const part_t *part, uint64_t now_us)
+bool part_waits_in_vain(const part_t *part, uint64_t now_us)
 {
 	double usual_us = placement_typical_us(part->pool);
 
@@ -177,7 +177,7 @@
 	shedding_note_wait(part->pool, now_us);
 	if (shedding_is_allowed(part->forward) && shedding_waits_too_long(part, now_us))
 		part_shed(part);
-	else if (waits_in_vain(part, now_us))
+	else if (part_waits_in_vain(part, now_us))
 		part_crowd_out(part);
 	else
 		part_queue(part);
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -172,6 +172,17 @@
 	return best;
 }
 
+bool placement_has_room(const pool_t *pool)
+{
+	for (guint i = 0; i < pool->searchers->len; i++) {
+		const searcher_t *searcher = g_ptr_array_index(pool->searchers, i);
+
+		if (searcher_is_usable(searcher) && searcher_has_room(searcher))
+			return true;
+	}
+	return false;
+}
+
 bool placement_is_possible(const pool_t *pool, const GPtrArray *excluded)
 {
 	for (guint i = 0; i < pool->searchers->len; i++) {
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -35,6 +35,8 @@
  */
 searcher_t *placement_choose(const pool_t *pool, const GPtrArray *excluded, GRand *rand,
 			     uint64_t now_us);
+/** Whether any searcher of the pool may be sent work now. */
+bool placement_has_room(const pool_t *pool);
 /** Whether any searcher outside @p excluded may be sent work, with room or without. */
 bool placement_is_possible(const pool_t *pool, const GPtrArray *excluded);
 
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -16,6 +16,7 @@
 	'a shard that is short all the time is waited for as long|src/core/shedding.c|s/define SHARE_TIMES 4/define SHARE_TIMES 0/'
 	'callers come back before the store|src/core/retry_after.c|s/if \(store_away && share_us > time_us\)/if (0)/'
 	'a feed is left too late|src/core/feed_timing.c|s/define LEAVE_MS 500/define LEAVE_MS 0/'
+	'a hopeless gather is sent to those that have room|src/core/forwarder.c|s/if \(is_hopeless\(forward, now_us\)\)/if (0)/'
 	'any answer is merged|src/core/query.c|s/if \(reply->version != query->snapshot->version \|\|/if (0 \&\&/'
 	'a cut action is asked again|src/core/dispatch.c|s/if \(may_have_run && part->query->request->kind == SERVICE_ONCE\)/if (0)/'
 	'an action that is out counts as not run|src/core/engine.c|s/\} else if \(action_is_out\(query\)\) \{/} else if (0) {/'
@@ -67,6 +68,25 @@
 	'hedges come as early when the budget is nearly gone|src/core/part.c|s/spent \* HEDGE_TIMES_SPENT/0/'
 	'a route of long requests makes searchers look hung|src/core/forwarder.c|s/return state->hung < HUNG_MOST;/return true;/'
 )
+# Mechanisms that gain something and keep no promise: no test fails without them, so they are not tried
+# here; scripts/ablate.sh takes them out, too, and plays days with and without.
+ABLATIONS=(
+	'no part is asked a second time for speed|src/core/part.c|s/part->hedge_us = may_run_again\(part\) \? hedge_due_us\(part, now_us\) : 0;/part->hedge_us = 0;/'
+	'hedges come at the last moment only|src/core/part.c|s/due_us = searcher->idle \? MIN\(hedge_due_us\(part, now_us\), late_us\) : late_us;/due_us = late_us;/'
+	'failures are not tried again|src/core/part.c|s/: !may_run_again\(part\)\)\n\t\treturn false;/: 1)\n\t\treturn false;/'
+	'refusals are not tried again|src/core/part.c|s/part->refusals > REFUSALS_MOST : !may_run/1 : !may_run/'
+	'failing searchers are not avoided|src/core/searcher.c|s/now_us \+ MIN\(avoid_us, AVOID_MOST_US\)/now_us/'
+	'hung searchers are not avoided|src/core/searcher.c|s/now_us \+ MIN\(avoid_us, AVOID_HUNG_MOST_US\)/now_us/'
+	'stuck searchers cost nothing|src/core/placement.c|s/cost_us \+= STUCK_US;/cost_us += 0;/'
+	'nothing is told to other VMs|src/core/forwarder.c|s/if \(sub->connects \|\| !forwarder->ops->sighted\)/if (1)/'
+	'cold searchers cost nothing|src/core/placement.c|s/cost_us \*= COLD_TIMES;/;/'
+	'all VMs choose alike|src/core/placement.c|s/define SPREAD 0.1/define SPREAD 1e-9/'
+	'own sub-requests out cost nothing|src/core/placement.c|s/cost_us \*= 1 \+ \(double\)searcher->out.length \/ searcher->slots;//'
+	'what was measured never fades|src/core/placement.c|s/exp2\(-age_us \/ MEMORY_HALF_US\)/1/'
+	'waits in vain are not refused|src/core/part.c|s/else if \(part_waits_in_vain\(part, now_us\)\)/else if (0)/'
+	'far connections are shared by all VMs alike|src/core/connection_share.c|s/bool spread = each < ENOUGH_EACH \&\&/bool spread = 0 \&\&/'
+	'connections are not made ahead|src/tasks/link_task.c|s/if \(searcher_is_usable\(searcher\) \&\& !searcher->connections \&\&/if (0 \&\&/'
+)
 SCRATCH=$(mktemp -d)
 trap 'rm -rf "$SCRATCH"' EXIT
 CFLAGS="-w -O1 -Isrc -Itests $(pkg-config --cflags glib-2.0 jansson libxxhash msgpack)"
