Failures and lost answers weigh in the share that a searcher loses

Cause: a searcher that failed was avoided for 100 ms, and its next answer made it as good as any: one that fails 40 % was asked like the sound ones, at the cost of the budget for second tries.

--- a/src/core/searcher.c
+++ b/src/core/searcher.c
@@ -104,6 +104,7 @@
 {
 	uint64_t avoid_us = AVOID_FIRST_US << MIN(searcher->failures, 8);
 
+	yield_note(&searcher->yield, true, now_us);
 	searcher->failures++;
 	searcher->avoid_until_us = now_us + MIN(avoid_us, AVOID_MOST_US);
 }
--- a/src/core/yield.h
+++ b/src/core/yield.h
@@ -2,8 +2,11 @@
  * @file yield.h
  * What share of the sub-requests that a searcher is sent comes to nothing there.
  *
- * A searcher may look healthy and still refuse a share of what it is sent. One refusal says little,
- * so the latest ones are counted, and the count fades when no more is sent: the way back.
+ * A searcher may look healthy and still refuse a share of what it is sent, fail it, or lose its
+ * answer. One of these says little, so the latest ones are counted, and the count fades when no
+ * more is sent: the way back. Where two searchers of three fail 40 %, 91 % of the requests were
+ * served in time while a failure only had its searcher avoided for a moment, and 99 % so (make
+ * loads, errors).
  */
 #ifndef DS_YIELD_H
 #define DS_YIELD_H
--- a/tests/load_test.c
+++ b/tests/load_test.c
@@ -31,9 +31,9 @@
 	{{"two-short", "two shards offered 115 %", 2, 1.15}, 0.95},
 	{{"three-short", "three shards of ten offered 120 %", 3, 1.2}, 0.85},
 	{{"busy", "two searchers of three refuse 60 %", 0, 1.0, LOAD_BUSY, 1, 0.6}, 0.90},
-	{{"errors", "two of three fail 40 %", 0, 0.7, LOAD_ERRORS, 1, 0.4}, 0.90},
-	{{"mute", "two of three never answer 40 %", 0, 0.7, LOAD_MUTE, 1, 0.4}, 0.90},
-	{{"reset", "two of three cut 40 %", 0, 0.7, LOAD_RESET, 1, 0.4}, 0.90},
+	{{"errors", "two of three fail 40 %", 0, 0.7, LOAD_ERRORS, 1, 0.4}, 0.98},
+	{{"mute", "two of three never answer 40 %", 0, 0.7, LOAD_MUTE, 1, 0.4}, 0.95},
+	{{"reset", "two of three cut 40 %", 0, 0.7, LOAD_RESET, 1, 0.4}, 0.98},
 	{{"slow", "half of the searchers take four times as long", 0, 0.7, LOAD_SLOW, 0.75, 1},
 	 0.95},
 };
