--- a/src/core/part.c
+++ b/src/core/part.c
@@ -21,8 +21,8 @@
 #define HEDGE_AGAIN_US 20000
 /* Refusals end a part only after so many: each is an arrival that the budget counts. */
 #define REFUSALS_MOST 3
-/* Two refusals in a row. */
-#define REFUSES_A_SHARE 0.25
+/* Three refusals in a row; two may be a moment at which it is full. */
+#define REFUSES_A_SHARE 0.3
 
 static bool may_run_again(const part_t *part)
 {
