--- a/src/core/forward_private.h
+++ b/src/core/forward_private.h
@@ -1,22 +1,15 @@
 /**
  * @file forward_private.h
  * Shared by the parts of the forwarder: forwarder.c takes requests in, forward.c leads one to its
- * answer, part.c gets the answer of one service, sub.c is one sub-request. Each calls only what
+ * answer, part.c gets the answer of one service, sub.c is one sub-request, route_state.c what is
+ * measured of a route. Each calls only what
  * stands after it in this list, but for part_* telling its request to settle.
  */
 #ifndef DS_FORWARD_PRIVATE_H
 #define DS_FORWARD_PRIVATE_H
 
 #include "core/forward.h"
-#include "core/latency_buckets.h"
-
-/** What is measured of one route, over all versions of the configuration. */
-typedef struct route_state_t {
-	quantile_t relative; /* median of its sub-requests, in 1/1000 of what was expected */
-	double hung;	     /* share of its latest sub-requests that were not answered in time */
-	GArray *credits;     /* double: for the shares of a split, by target */
-	latency_buckets_t latency; /* of its answers, from the caller's request on */
-} route_state_t;
+#include "core/route_state.h"
 
 struct forwarder_t {
 	const forwarder_ops_t *ops;
@@ -33,13 +26,6 @@
 	forwarder_counters_t counters;
 };
 
-/** What one of its sub-requests to @p searcher should take. */
-double route_state_expected_us(const route_state_t *state, const searcher_t *searcher,
-			       const pool_t *pool, uint64_t now_us);
-/** One of the route's sub-requests was answered, or hangs. */
-void route_state_note(route_state_t *state, bool hangs);
-/** Whether a late sub-request of the route says something of the searcher, and not of the route. */
-bool route_state_tells(const route_state_t *state);
 /** Tell the other VMs what was seen of the searcher of @p sub. */
 void forwarder_sight(forwarder_t *forwarder, const sub_t *sub, sighting_type_t type,
 		     uint64_t now_us);
--- a/src/core/forwarder.c
+++ b/src/core/forwarder.c
@@ -14,49 +14,6 @@
 /* A caller that left must not keep searchers at work for half a second: close well before that. */
 #define LEFT_US 250000
 
-/* Weight of one sub-request: a gather of 10 parts moves the share by two thirds. */
-#define HUNG_WEIGHT 0.1
-/* A lasting change of what a route's requests take is followed within a dozen of them. */
-#define RELATIVE_STEP 0.06
-#define RELATIVE_WHOLE 1000
-/* Where a route begins: two answers in time, and it tells. */
-#define HUNG_FIRST 0.5
-/* At the worst of the deployments' days 28 in 100 searchers are dark or slow at once. */
-#define HUNG_MOST 0.45
-
-/*
- * Routes with requests that last for longer than any pause, by their nature, exist beside others
- * that use the same searchers. Each such request would have its searcher avoided by eight VMs for
- * a second and more: 2.5 sound ones a second in a deployment of 90 VMs.
- */
-bool route_state_tells(const route_state_t *state)
-{
-	return state->hung < HUNG_MOST;
-}
-
-void route_state_note(route_state_t *state, bool hangs)
-{
-	state->hung += HUNG_WEIGHT * ((hangs ? 1 : 0) - state->hung);
-}
-
-double route_state_expected_us(const route_state_t *state, const searcher_t *searcher,
-			       const pool_t *pool, uint64_t now_us)
-{
-	double expected_us = placement_expected_us(searcher, pool, now_us);
-
-	return state->relative.value_us > 0
-		       ? expected_us * state->relative.value_us / RELATIVE_WHOLE
-		       : expected_us;
-}
-
-static void state_free(void *data)
-{
-	route_state_t *state = data;
-
-	g_array_unref(state->credits);
-	g_free(state);
-}
-
 forwarder_t *forwarder_new(const forwarder_ops_t *ops, void *ctx, registry_t *registry,
 			   uint32_t seed)
 {
@@ -65,7 +22,8 @@
 	forwarder->ops = ops;
 	forwarder->ctx = ctx;
 	forwarder->registry = registry;
-	forwarder->states = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, state_free);
+	forwarder->states =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, route_state_free);
 	forwarder->rand = g_rand_new_with_seed(seed);
 	timers_init(&forwarder->timers);
 	timers_init(&forwarder->watches);
@@ -135,10 +93,7 @@
 
 	if (state)
 		return state;
-	state = g_new0(route_state_t, 1);
-	state->relative = (quantile_t){.fraction = 0.5, .step = RELATIVE_STEP};
-	state->hung = HUNG_FIRST;
-	state->credits = g_array_new(FALSE, TRUE, sizeof(double));
+	state = route_state_new();
 	g_hash_table_insert(forwarder->states, g_strdup(route->name), state);
 	return state;
 }
@@ -173,8 +128,7 @@
 
 	sighting_filter_note(&forwarder->sightings, is_news, now_us);
 	route_state_note(sub->route, false);
-	quantile_add(&sub->route->relative,
-		     (uint64_t)((double)took_us * RELATIVE_WHOLE / expected_us));
+	route_state_note_time(sub->route, took_us, expected_us);
 	if (is_news)
 		forwarder_sight(forwarder, sub, SIGHTING_ANSWERED, now_us);
 	searcher_note_answer(sub->searcher, took_us, now_us);
@@ -276,33 +230,6 @@
 
 /* ---- requests ---- */
 
-/* The target furthest behind its share: exact over any stretch of requests. */
-static uint32_t split_choose(forwarder_t *forwarder, forward_t *forward)
-{
-	const GArray *targets = forward->route->targets;
-	GArray *credits = forward->state->credits;
-	uint32_t best = 0;
-	double total = 0;
-
-	if (credits->len != targets->len) {
-		g_array_set_size(credits, 0);
-		g_array_set_size(credits, targets->len);
-		/* VMs that start together must not all begin with the same target. */
-		for (guint i = 0; i < targets->len; i++)
-			g_array_index(credits, double, i) = g_rand_double(forwarder->rand);
-	}
-	for (guint i = 0; i < targets->len; i++) {
-		double weight = g_array_index(targets, route_target_t, i).weight;
-
-		total += weight;
-		g_array_index(credits, double, i) += weight;
-		if (g_array_index(credits, double, i) > g_array_index(credits, double, best))
-			best = i;
-	}
-	g_array_index(credits, double, best) -= total;
-	return best;
-}
-
 static void part_init(forward_t *forward, uint32_t index, const char *service, uint64_t now_us)
 {
 	part_t *part = &forward->parts[index];
@@ -320,7 +247,10 @@
 	forward->part_count = forward->route->gathers ? targets->len : 1;
 	forward->parts = g_new0(part_t, forward->part_count);
 	if (!forward->route->gathers) {
-		uint32_t chosen = targets->len > 1 ? split_choose(forward->forwarder, forward) : 0;
+		uint32_t chosen = targets->len > 1
+					  ? route_state_choose_target(forward->state, targets,
+								      forward->forwarder->rand)
+					  : 0;
 
 		part_init(forward, 0, g_array_index(targets, route_target_t, chosen).service,
 			  now_us);
--- /dev/null
+++ b/src/core/route_state.c
@@ -0,0 +1,89 @@
+/**
+ * @file route_state.c
+ * See route_state.h.
+ */
+#include "core/route_state.h"
+
+/* Weight of one sub-request: a gather of 10 parts moves the share by two thirds. */
+#define HUNG_WEIGHT 0.1
+/* A lasting change of what a route's requests take is followed within a dozen of them. */
+#define RELATIVE_STEP 0.06
+#define RELATIVE_WHOLE 1000
+/* Where a route begins: two answers in time, and it tells. */
+#define HUNG_FIRST 0.5
+/* At the worst of the deployments' days 28 in 100 searchers are dark or slow at once. */
+#define HUNG_MOST 0.45
+
+/*
+ * Routes with requests that last for longer than any pause, by their nature, exist beside others
+ * that use the same searchers. Each such request would have its searcher avoided by eight VMs for
+ * a second and more: 2.5 sound ones a second in a deployment of 90 VMs.
+ */
+bool route_state_tells(const route_state_t *state)
+{
+	return state->hung < HUNG_MOST;
+}
+
+void route_state_note(route_state_t *state, bool hangs)
+{
+	state->hung += HUNG_WEIGHT * ((hangs ? 1 : 0) - state->hung);
+}
+
+double route_state_expected_us(const route_state_t *state, const searcher_t *searcher,
+			       const pool_t *pool, uint64_t now_us)
+{
+	double expected_us = placement_expected_us(searcher, pool, now_us);
+
+	return state->relative.value_us > 0
+		       ? expected_us * state->relative.value_us / RELATIVE_WHOLE
+		       : expected_us;
+}
+
+void route_state_note_time(route_state_t *state, uint64_t took_us, double expected_us)
+{
+	quantile_add(&state->relative, (uint64_t)((double)took_us * RELATIVE_WHOLE / expected_us));
+}
+
+route_state_t *route_state_new(void)
+{
+	route_state_t *state = g_new0(route_state_t, 1);
+
+	state->relative = (quantile_t){.fraction = 0.5, .step = RELATIVE_STEP};
+	state->hung = HUNG_FIRST;
+	state->credits = g_array_new(FALSE, TRUE, sizeof(double));
+	return state;
+}
+
+void route_state_free(void *data)
+{
+	route_state_t *state = data;
+
+	g_array_unref(state->credits);
+	g_free(state);
+}
+
+/* The target furthest behind its share: exact over any stretch of requests. */
+uint32_t route_state_choose_target(route_state_t *state, const GArray *targets, GRand *rand)
+{
+	GArray *credits = state->credits;
+	uint32_t best = 0;
+	double total = 0;
+
+	if (credits->len != targets->len) {
+		g_array_set_size(credits, 0);
+		g_array_set_size(credits, targets->len);
+		/* VMs that start together must not all begin with the same target. */
+		for (guint i = 0; i < targets->len; i++)
+			g_array_index(credits, double, i) = g_rand_double(rand);
+	}
+	for (guint i = 0; i < targets->len; i++) {
+		double weight = g_array_index(targets, route_target_t, i).weight;
+
+		total += weight;
+		g_array_index(credits, double, i) += weight;
+		if (g_array_index(credits, double, i) > g_array_index(credits, double, best))
+			best = i;
+	}
+	g_array_index(credits, double, best) -= total;
+	return best;
+}
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -67,7 +67,7 @@
 	'a long request makes its searcher look hung|src/core/sub.c|s/return sub->searcher->served_us <= sub->sending.sent_us &&/return/'
 	'a hedge waits for nothing|src/core/part.c|s/if \(now_us < due_us\)/if (0)/'
 	'hedges come as early when the budget is nearly gone|src/core/part.c|s/spent \* HEDGE_TIMES_SPENT/0/'
-	'a route of long requests makes searchers look hung|src/core/forwarder.c|s/return state->hung < HUNG_MOST;/return true;/'
+	'a route of long requests makes searchers look hung|src/core/route_state.c|s/return state->hung < HUNG_MOST;/return true;/'
 )
 # Mechanisms that gain something and keep no promise: no test fails without them, so they are not tried
 # here; scripts/ablate.sh takes them out, too, and plays days with and without.
