--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -80,7 +80,7 @@
 	'hung searchers are not avoided|src/core/searcher.c|s/MIN\(avoid_us, AVOID_HUNG_MOST_US\)/0 * avoid_us/'
 	'stuck searchers cost nothing|src/core/placement.c|s/cost_us \+= STUCK_US;/cost_us += 0;/'
 	'nothing is told to other VMs|src/core/forwarder.c|s/if \(sub->connects \|\| !forwarder->ops->sighted\)/if (1)/'
-	'cold searchers cost nothing|src/core/placement.c|s/cost_us \*= COLD_TIMES;/;/'
+	'cold searchers cost nothing|src/core/placement.c|s/cost_us \*= COLD_TIMES;/cost_us *= 1;/'
 	'all VMs choose alike|src/core/placement.c|s/define SPREAD 0.1/define SPREAD 1e-9/'
 	'own sub-requests out cost nothing|src/core/placement.c|s/cost_us \*= 1 \+ \(double\)searcher->out.length \/ searcher->slots;//'
 	'what was measured never fades|src/core/placement.c|s/exp2\(-age_us \/ MEMORY_HALF_US\)/exp2(0 * age_us)/'
