Length-prefixed messages are put together in one place, for feeds and for what comes next

The reader of feed messages knew both the framing and the feed. A second protocol between VMs needs the same framing: it becomes a module of its own, and the feed's messages only say what is in a payload. Behaviour as before.

--- a/src/core/feed_message.c
+++ b/src/core/feed_message.c
@@ -23,7 +23,6 @@
 {
 	msgpack_sbuffer buffer;
 	msgpack_packer packer;
-	guint32 length;
 
 	msgpack_sbuffer_init(&buffer);
 	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
@@ -34,9 +33,7 @@
 	pack_text(&packer, message->text);
 	msgpack_pack_uint64(&packer, message->age_us);
 	msgpack_pack_uint8(&packer, message->away);
-	length = GUINT32_TO_BE((guint32)buffer.size);
-	g_byte_array_append(out, (const guint8 *)&length, sizeof(length));
-	g_byte_array_append(out, (const guint8 *)buffer.data, (guint)buffer.size);
+	framing_append(out, buffer.data, buffer.size);
 	msgpack_sbuffer_destroy(&buffer);
 }
 
@@ -92,21 +89,14 @@
 	return taken;
 }
 
-feed_read_t feed_message_read(const uint8_t *data, size_t bytes, size_t *used, feed_message_f take,
-			      void *ctx)
+framing_t feed_message_read(const uint8_t *data, size_t bytes, size_t *used, feed_message_f take,
+			    void *ctx)
 {
-	guint32 length;
-
-	if (bytes < FEED_LENGTH_BYTES)
-		return FEED_READ_MORE;
-	memcpy(&length, data, sizeof(length));
-	length = GUINT32_FROM_BE(length);
-	if (length > FEED_FRAME_MOST_BYTES)
-		return FEED_READ_BAD;
-	if (bytes - FEED_LENGTH_BYTES < length)
-		return FEED_READ_MORE;
-	*used = FEED_LENGTH_BYTES + length;
-	return take_payload((const char *)data + FEED_LENGTH_BYTES, length, take, ctx)
-		       ? FEED_READ_ONE
-		       : FEED_READ_BAD;
+	framing_payload_t payload;
+	framing_t found = framing_split(data, bytes, FEED_FRAME_MOST_BYTES, &payload);
+
+	if (found != FRAMING_ONE)
+		return found;
+	*used = FRAMING_LENGTH_BYTES + payload.bytes;
+	return take_payload(payload.data, payload.bytes, take, ctx) ? FRAMING_ONE : FRAMING_BAD;
 }
--- a/src/core/feed_message.h
+++ b/src/core/feed_message.h
@@ -10,11 +10,8 @@
 #ifndef DS_FEED_MESSAGE_H
 #define DS_FEED_MESSAGE_H
 
-#include <glib.h>
-#include <stdbool.h>
-#include <stdint.h>
+#include "core/framing.h"
 
-#define FEED_LENGTH_BYTES 4
 /* The largest object of the store is 1 MB; its name and the framing are small. */
 #define FEED_FRAME_MOST_BYTES ((1u << 20) + 4096)
 
@@ -51,12 +48,6 @@
 /** Append the frame of @p message to @p out. */
 void feed_message_write(GByteArray *out, const feed_message_t *message);
 
-typedef enum feed_read_t {
-	FEED_READ_MORE, /**< the frame is not whole yet */
-	FEED_READ_ONE,
-	FEED_READ_BAD, /**< not a frame of ours: give the connection up */
-} feed_read_t;
-
 /** Called with a whole message. */
 typedef void (*feed_message_f)(void *ctx, const feed_message_t *message);
 
@@ -64,7 +55,7 @@
  * Read the frame at the start of @p data and hand its message over.
  * @param used bytes of the frame, when there was one
  */
-feed_read_t feed_message_read(const uint8_t *data, size_t bytes, size_t *used, feed_message_f take,
-			      void *ctx);
+framing_t feed_message_read(const uint8_t *data, size_t bytes, size_t *used, feed_message_f take,
+			    void *ctx);
 
 #endif
--- a/src/tasks/feed_client.c
+++ b/src/tasks/feed_client.c
@@ -4,7 +4,7 @@
  */
 #include "tasks/feed_client.h"
 
-#include "core/feed_reader.h"
+#include "core/framing.h"
 #include "net/sock.h"
 
 /* News come twice a second. Three that are missing mean a VM that is gone, frozen or cut off, or a
@@ -16,7 +16,7 @@
 	const feed_client_ops_t *ops;
 	void *ctx;
 	sock_t *sock; /* NULL once it has ended */
-	feed_reader_t *reader;
+	framing_reader_t *reader;
 	loop_timer_t silence;
 	bool in_callback;
 	bool freed; /* from inside a callback */
@@ -33,7 +33,7 @@
 
 static void dispose(feed_client_t *client)
 {
-	feed_reader_free(client->reader);
+	framing_reader_free(client->reader);
 	g_free(client);
 }
 
@@ -74,12 +74,17 @@
 	client->ops->message(client->ctx, message);
 }
 
+static framing_t read_message(void *ctx, const uint8_t *data, size_t bytes, size_t *used)
+{
+	return feed_message_read(data, bytes, used, on_message, ctx);
+}
+
 static void on_received(void *ctx, const char *data, size_t bytes)
 {
 	feed_client_t *client = ctx;
 
 	client->in_callback = true;
-	if (!feed_reader_take(client->reader, data, bytes, on_message, client) && !client->freed)
+	if (!framing_reader_take(client->reader, data, bytes) && !client->freed)
 		client_end(client, "garbage");
 	client->in_callback = false;
 	if (client->freed)
@@ -104,7 +109,7 @@
 	client->loop = loop;
 	client->ops = ops;
 	client->ctx = ctx;
-	client->reader = feed_reader_new();
+	client->reader = framing_reader_new(read_message, client);
 	client->sock = sock_connect(loop, address, port, &sock_ops, client);
 	if (!client->sock) {
 		dispose(client);
--- a/src/tasks/feed_server.c
+++ b/src/tasks/feed_server.c
@@ -5,7 +5,7 @@
 #include "tasks/feed_server.h"
 
 #include "core/feed_book.h"
-#include "core/feed_reader.h"
+#include "core/framing.h"
 #include "net/sock.h"
 
 struct feed_server_t {
@@ -20,13 +20,13 @@
 typedef struct subscriber_t {
 	feed_server_t *server;
 	sock_t *sock;
-	feed_reader_t *reader;
+	framing_reader_t *reader;
 } subscriber_t;
 
 static void subscriber_free(subscriber_t *subscriber)
 {
 	g_ptr_array_remove_fast(subscriber->server->subscribers, subscriber);
-	feed_reader_free(subscriber->reader);
+	framing_reader_free(subscriber->reader);
 	g_free(subscriber);
 }
 
@@ -63,11 +63,16 @@
 	hand_on(server, subscriber, message);
 }
 
+static framing_t read_message(void *ctx, const uint8_t *data, size_t bytes, size_t *used)
+{
+	return feed_message_read(data, bytes, used, on_message, ctx);
+}
+
 static void on_received(void *ctx, const char *data, size_t bytes)
 {
 	subscriber_t *subscriber = ctx;
 
-	if (feed_reader_take(subscriber->reader, data, bytes, on_message, subscriber))
+	if (framing_reader_take(subscriber->reader, data, bytes))
 		return;
 	g_message("event=subscriber-lost reason=garbage");
 	sock_close(subscriber->sock);
@@ -88,7 +93,7 @@
 
 	subscriber->server = server;
 	subscriber->sock = sock;
-	subscriber->reader = feed_reader_new();
+	subscriber->reader = framing_reader_new(read_message, subscriber);
 	g_ptr_array_add(server->subscribers, subscriber);
 	sock_set_ops(sock, &ops, subscriber);
 	g_byte_array_set_size(server->frame, 0);
--- a/tests/parts_test.c
+++ b/tests/parts_test.c
@@ -322,20 +322,20 @@
 	feed_book_take(book, &(feed_message_t){.type = FEED_REMOVED, .kind = 1, .name = "a"});
 	feed_book_write(book, bytes);
 	for (guint have = 0; have <= bytes->len; have++) {
-		feed_read_t got =
+		framing_t got =
 			feed_message_read(bytes->data + at, have - at, &used, write_down, read);
 
-		assert_int_not_equal(got, FEED_READ_BAD);
-		if (got == FEED_READ_ONE)
+		assert_int_not_equal(got, FRAMING_BAD);
+		if (got == FRAMING_ONE)
 			at += used;
 	}
 	assert_string_equal(read->str, "0 1  ;1 1 b y;4 1  ;");
 	assert_int_equal(
 		feed_message_read((const uint8_t *)"\xff\xff\xff\xff", 4, &used, write_down, read),
-		FEED_READ_BAD);
+		FRAMING_BAD);
 	assert_int_equal(
 		feed_message_read((const uint8_t *)"\0\0\0\2\x92\x01", 6, &used, write_down, read),
-		FEED_READ_BAD);
+		FRAMING_BAD);
 	feed_book_clear(book);
 	assert_false(feed_book_is_known(book));
 	feed_book_free(book);
