A change that was announced is read, also when the feed is taken a moment later

At 15.5175 s the feeder's first news came, the feed was taken, and the VM stopped following the store: that cancelled the read. Read beside it: an announcement that comes while a VM still watches by itself ended its watch after that one read, and if the feed was lost before it was taken nobody told it of changes any more.

--- a/src/tasks/follower.c
+++ b/src/tasks/follower.c
@@ -5,6 +5,7 @@
 #include "tasks/follower.h"
 
 #include "core/feed_timing.h"
+#include "core/follow.h"
 
 /* Changes come in groups: searchers that start, leave or lapse together. Each wake-up of a watch is
  * a priced call, so after one with changes the next waits; what happens meanwhile comes with it. A
@@ -25,9 +26,8 @@
 	void *ctx;
 	GRand *rand;
 	loop_timer_t retry;
-	char *after;	/* the list's last name so far; NULL at its start */
-	bool once;	/* nothing more is asked once the list is read */
-	bool listing;	/* a list is being read; else a watch waits */
+	char *after; /* the list's last name so far; NULL at its start */
+	follow_t follow;
 	bool away;	/* the last call was not answered */
 	uint64_t since; /* revision up to which everything is known */
 	uint64_t heard_us;
@@ -69,7 +69,6 @@
 	follower->serial++;
 	g_free(follower->after);
 	follower->after = NULL;
-	follower->listing = true;
 }
 
 static void give_objects(follower_t *follower, const store_page_t *page)
@@ -95,13 +94,13 @@
 		follower->after = g_strdup(last->name);
 		return;
 	}
-	follower->listing = false;
+	follow_listed(&follower->follow);
 	follower->ops->list_end(follower->ctx);
 }
 
 static void take_page(follower_t *follower, const store_page_t *page)
 {
-	if (follower->listing) {
+	if (follower->follow.lists) {
 		take_list_page(follower, page);
 		return;
 	}
@@ -118,6 +117,7 @@
 	if (result->status == 410) {
 		g_message("event=store-history-gone kind=%d since=%" G_GUINT64_FORMAT,
 			  follower->kind, follower->since);
+		follow_again(&follower->follow);
 		start_list(follower);
 		return true;
 	}
@@ -157,7 +157,7 @@
 	follower->changed = false;
 	answered = take_result(follower, result);
 	note_answer(follower, answered);
-	if (follower->once && !follower->listing)
+	if (follow_next(&follower->follow) == FOLLOW_NOTHING)
 		return;
 	loop_timer_set(follower->loop, &follower->retry, next_delay_us(follower, answered));
 }
@@ -165,16 +165,16 @@
 static void ask(void *ctx)
 {
 	follower_t *follower = ctx;
+	bool lists = follower->follow.lists;
 	g_autofree char *target =
-		follower->listing
-			? store_list_target(follower->kind, follower->after)
-			: store_watch_target(follower->kind, follower->since, follower->wait_ms);
+		lists ? store_list_target(follower->kind, follower->after)
+		      : store_watch_target(follower->kind, follower->since, follower->wait_ms);
 	fetch_t *fetch = g_new(fetch_t, 1);
 
 	*fetch = (fetch_t){.follower = follower, .serial = ++follower->serial};
 	platform_task_fetch(follower->platform, target,
-			    follower->listing ? LIST_TIMEOUT_US
-					      : (follower->wait_ms + FEED_WATCH_SLACK_MS) * 1000ull,
+			    lists ? LIST_TIMEOUT_US
+				  : (follower->wait_ms + FEED_WATCH_SLACK_MS) * 1000ull,
 			    on_fetched, fetch);
 }
 
@@ -190,7 +190,6 @@
 	follower->ctx = ctx;
 	follower->rand = g_rand_new();
 	follower->retry = (loop_timer_t){.fire = ask, .ctx = follower};
-	start_list(follower);
 	return follower;
 }
 
@@ -201,7 +200,7 @@
 
 void follower_refresh(follower_t *follower)
 {
-	follower->once = false;
+	follow_start(&follower->follow);
 	start_list(follower);
 	loop_timer_set(follower->loop, &follower->retry, 0);
 }
@@ -209,7 +208,7 @@
 /* Not at once: many VMs are told in the same moment. */
 void follower_read_once(follower_t *follower)
 {
-	follower->once = true;
+	follow_announced(&follower->follow);
 	start_list(follower);
 	loop_timer_set(follower->loop, &follower->retry,
 		       (uint64_t)g_rand_int_range(follower->rand, 0, RETRY_FIRST_US));
@@ -217,6 +216,9 @@
 
 void follower_pause(follower_t *follower)
 {
+	follow_stop(&follower->follow);
+	if (follow_next(&follower->follow) != FOLLOW_NOTHING)
+		return;
 	follower->serial++;
 	loop_timer_cancel(&follower->retry);
 }
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -15,6 +15,8 @@
 	'parts are left out in the order of the shards|src/core/forwarder.c|s/placement_wait_us\(part->pool\) > placement_wait_us\(longest->pool\)/0/'
 	'a shard that is short all the time is waited for as long|src/core/shedding.c|s/define SHARE_TIMES 4/define SHARE_TIMES 0/'
 	'callers come back before the store|src/core/retry_after.c|s/if \(store_away && share_us > time_us\)/if (0)/'
+	'an announced change is not read|src/core/follow.c|s/follow->lists = follow->owed;/follow->lists = false;/'
+	'a VM stops watching for a feed that it did not take|src/core/follow.c|s/follow->owed = true;/follow->owed = true;\n\tfollow->watches = false;/'
 	'a feed is left too late|src/core/feed_timing.c|s/define LEAVE_MS 500/define LEAVE_MS 0/'
 	'a hopeless gather is sent to those that have room|src/core/forwarder.c|s/if \(is_hopeless\(forward, now_us\)\)/if (0)/'
 	'failures do not weigh in placing|src/core/searcher.c|s/(uint64_t avoid_us = AVOID_FIRST_US[^;]*;\n)\n\tyield_note\(&searcher->yield, true, now_us\);/$1/'
--- a/tests/parts_test.c
+++ b/tests/parts_test.c
@@ -11,6 +11,7 @@
 #include "core/feed_book.h"
 #include "core/feed_choice.h"
 #include "core/feed_timing.h"
+#include "core/follow.h"
 #include "core/placement.h"
 #include "core/retry_after.h"
 #include "core/top_records.h"
@@ -295,6 +296,63 @@
 	g_ptr_array_unref(many);
 }
 
+/* ---- following the store ---- */
+
+/*
+ * Callers are served by an old configuration until the next change. A VM that watched the store
+ * takes a feed; the feeder announces a configuration too large to be told, and then says that the
+ * VM knows all. The VM stops watching; the read that the announcement asked for must still come.
+ */
+static void test_announced_before_the_feed_is_taken(void **state)
+{
+	follow_t follow = {0};
+
+	(void)state;
+	follow_start(&follow);
+	follow_listed(&follow);
+	assert_int_equal(follow_next(&follow), FOLLOW_WATCH);
+	follow_announced(&follow);
+	follow_stop(&follow);
+	assert_int_equal(follow_next(&follow), FOLLOW_LIST);
+	follow_listed(&follow);
+	assert_int_equal(follow_next(&follow), FOLLOW_NOTHING);
+}
+
+/*
+ * Callers are served by an old configuration. A VM that watches the store reads it once more for an
+ * announcement, and the feeder is gone before its feed is taken: nobody tells of changes unless the
+ * VM goes on watching.
+ */
+static void test_announced_by_a_feed_that_ends(void **state)
+{
+	follow_t follow = {0};
+
+	(void)state;
+	follow_start(&follow);
+	follow_listed(&follow);
+	follow_announced(&follow);
+	assert_int_equal(follow_next(&follow), FOLLOW_LIST);
+	follow_listed(&follow);
+	assert_int_equal(follow_next(&follow), FOLLOW_WATCH);
+}
+
+static void test_follow_ends(void **state)
+{
+	follow_t follow = {0};
+
+	(void)state;
+	assert_int_equal(follow_next(&follow), FOLLOW_NOTHING);
+	follow_start(&follow);
+	follow_stop(&follow);
+	assert_int_equal(follow_next(&follow), FOLLOW_NOTHING);
+	follow_announced(&follow);
+	follow_listed(&follow);
+	follow_start(&follow);
+	follow_listed(&follow);
+	follow_again(&follow);
+	assert_int_equal(follow_next(&follow), FOLLOW_LIST);
+}
+
 static void write_down(void *ctx, const feed_message_t *message)
 {
 	g_string_append_printf(ctx, "%d %u %s %s;", message->type, message->kind, message->name,
@@ -386,11 +444,19 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_top_records),	 cmocka_unit_test(test_retry_budget),
-		cmocka_unit_test(test_budget_for_speed), cmocka_unit_test(test_shares_of_many),
-		cmocka_unit_test(test_shares_of_few),	 cmocka_unit_test(test_placement),
-		cmocka_unit_test(test_feed_choice),	 cmocka_unit_test(test_feed),
-		cmocka_unit_test(test_feed_timing),	 cmocka_unit_test(test_retry_after),
+		cmocka_unit_test(test_top_records),
+		cmocka_unit_test(test_retry_budget),
+		cmocka_unit_test(test_budget_for_speed),
+		cmocka_unit_test(test_shares_of_many),
+		cmocka_unit_test(test_shares_of_few),
+		cmocka_unit_test(test_placement),
+		cmocka_unit_test(test_feed_choice),
+		cmocka_unit_test(test_announced_before_the_feed_is_taken),
+		cmocka_unit_test(test_announced_by_a_feed_that_ends),
+		cmocka_unit_test(test_follow_ends),
+		cmocka_unit_test(test_feed),
+		cmocka_unit_test(test_feed_timing),
+		cmocka_unit_test(test_retry_after),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
