--- a/tests/forward_test.c
+++ b/tests/forward_test.c
@@ -22,12 +22,8 @@
  *     answer SEARCHER ID [BODY]   also: fail, refuse, replaced, unsent, cut
  *     many N SECONDS ID HOST TARGET   N requests, each answered at once by whom it is sent to
  */
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <cmocka.h>
-
 #include "core/forward.h"
+#include "playbook.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -121,7 +117,7 @@
 		forwarder_room(play->forwarder, searcher->service, play->now_us);
 }
 
-static play_t *play_new(void)
+static void *play_new(GString *out)
 {
 	static const registry_ops_t registry_ops = {.changed = on_changed};
 	static const forwarder_ops_t ops = {
@@ -130,7 +126,7 @@
 	const retry_bound_t bound = {.ratio = 0.2, .window_us = BOUND_WINDOW_US, .constant = 2};
 	place_t place = {.data_centre = "here"};
 
-	play->out = g_string_new(NULL);
+	play->out = out;
 	play->now_us = 1000000000;
 	play->regions = g_hash_table_new(g_str_hash, g_str_equal);
 	g_hash_table_insert(play->regions, "here", "one");
@@ -156,8 +152,9 @@
 	play->now_us = until_us;
 }
 
-static void play_free(play_t *play)
+static void play_free(void *ctx)
 {
+	play_t *play = ctx;
 	g_autoptr(GList) open = g_hash_table_get_values(play->forwards);
 
 	/* What the script left open ends without a word. */
@@ -172,7 +169,6 @@
 	registry_free(play->registry);
 	routing_unref(play->routing);
 	g_hash_table_unref(play->regions);
-	g_string_free(play->out, TRUE);
 	g_free(play);
 }
 
@@ -195,8 +191,9 @@
 		route->coverage_least = value;
 }
 
-static void do_route(play_t *play, char **words)
+static void do_route(void *ctx, char **words)
 {
+	play_t *play = ctx;
 	route_t *route;
 
 	if (!play->routing)
@@ -221,8 +218,9 @@
 	}
 }
 
-static void do_routing(play_t *play, char **words)
+static void do_routing(void *ctx, char **words)
 {
+	play_t *play = ctx;
 	play->routing->version = strtoull(words[1], NULL, 10);
 	routing_seal(play->routing);
 	forwarder_set_routing(play->forwarder, play->routing);
@@ -248,8 +246,9 @@
 		searcher->connections_most = MAX(searcher->connections_most, 8);
 }
 
-static void do_searcher(play_t *play, char **words)
+static void do_searcher(void *ctx, char **words)
 {
+	play_t *play = ctx;
 	if (!registry_is_known(play->registry)) {
 		registry_list_begin(play->registry);
 		registry_list_end(play->registry, play->now_us);
@@ -258,27 +257,31 @@
 	    words[4] && words[5] ? strtoull(words[5], NULL, 10) : 0);
 }
 
-static void do_drain(play_t *play, char **words)
+static void do_drain(void *ctx, char **words)
 {
+	play_t *play = ctx;
 	searcher_t *searcher = registry_find(play->registry, words[1]);
 
 	put(play, words[1], searcher->service, true, NULL, true, searcher->born_ms);
 }
 
-static void do_gone(play_t *play, char **words)
+static void do_gone(void *ctx, char **words)
 {
+	play_t *play = ctx;
 	registry_remove(play->registry, words[1], words[2] ? strtoull(words[2], NULL, 10) : 0,
 			play->now_us);
 	registry_run(play->registry, play->now_us);
 }
 
-static void do_unreadable(play_t *play, char **words)
+static void do_unreadable(void *ctx, char **words)
 {
+	play_t *play = ctx;
 	registry_put_unreadable(play->registry, words[1]);
 }
 
-static void do_list(play_t *play, char **words)
+static void do_list(void *ctx, char **words)
 {
+	play_t *play = ctx;
 	registry_list_begin(play->registry);
 	for (char **id = words + 1; *id; id++) {
 		searcher_t *searcher = registry_find(play->registry, *id);
@@ -289,38 +292,44 @@
 	registry_list_end(play->registry, play->now_us);
 }
 
-static void do_lost(play_t *play, char **words)
+static void do_lost(void *ctx, char **words)
 {
+	play_t *play = ctx;
 	(void)words;
 	registry_store_lost(play->registry);
 }
 
-static void do_back(play_t *play, char **words)
+static void do_back(void *ctx, char **words)
 {
+	play_t *play = ctx;
 	(void)words;
 	registry_store_back(play->registry, play->now_us);
 }
 
-static void do_room(play_t *play, char **words)
+static void do_room(void *ctx, char **words)
 {
+	play_t *play = ctx;
 	searcher_t *searcher = registry_find(play->registry, words[1]);
 
 	searcher->connections_most = (uint32_t)atoi(words[2]);
 	forwarder_room(play->forwarder, searcher->service, play->now_us);
 }
 
-static void do_constant(play_t *play, char **words)
+static void do_constant(void *ctx, char **words)
 {
+	play_t *play = ctx;
 	registry_set_bound(play->registry, 0.2, g_ascii_strtod(words[1], NULL));
 }
 
-static void do_idle(play_t *play, char **words)
+static void do_idle(void *ctx, char **words)
 {
+	play_t *play = ctx;
 	registry_find(play->registry, words[1])->idle = (uint32_t)atoi(words[2]);
 }
 
-static void do_told(play_t *play, char **words)
+static void do_told(void *ctx, char **words)
 {
+	play_t *play = ctx;
 	sighting_t sighting = {.searcher = words[2],
 			       .after_us = strtoull(words[3], NULL, 10) * 1000,
 			       .born_ms = words[4] ? strtoull(words[4], NULL, 10) : 0};
@@ -330,8 +339,9 @@
 	forwarder_take_sighting(play->forwarder, &sighting, play->now_us);
 }
 
-static void do_tell(play_t *play, char **words)
+static void do_tell(void *ctx, char **words)
 {
+	play_t *play = ctx;
 	(void)words;
 	play->tells = true;
 }
@@ -355,20 +365,23 @@
 		g_hash_table_insert(play->forwards, g_strdup(id), forward);
 }
 
-static void do_request(play_t *play, char **words)
+static void do_request(void *ctx, char **words)
 {
+	play_t *play = ctx;
 	submit(play, words[1], words[2], words[3], words[4]);
 }
 
-static void do_leave(play_t *play, char **words)
+static void do_leave(void *ctx, char **words)
 {
+	play_t *play = ctx;
 	forwarder_abandon(play->forwarder, g_hash_table_lookup(play->forwards, words[1]),
 			  play->now_us);
 	g_hash_table_remove(play->forwards, words[1]);
 }
 
-static void do_at(play_t *play, char **words)
+static void do_at(void *ctx, char **words)
 {
+	play_t *play = ctx;
 	pass_to(play, 1000000000 + strtoull(words[1], NULL, 10) * 1000);
 }
 
@@ -397,8 +410,9 @@
 	forwarder_sub_ended(play->forwarder, sub, reply, play->now_us);
 }
 
-static void do_end(play_t *play, char **words)
+static void do_end(void *ctx, char **words)
 {
+	play_t *play = ctx;
 	static const char *const names[] = {"answer",	"fail",	  "refuse",
 					    "replaced", "unsent", "cut"};
 	static const sub_end_t ends[] = {SUB_ANSWERED, SUB_FAILED,   SUB_NOT_RUN,
@@ -414,8 +428,9 @@
 			end_sub(play, sub, ends[i], words[3] ? words[3] : "");
 }
 
-static void do_many(play_t *play, char **words)
+static void do_many(void *ctx, char **words)
 {
+	play_t *play = ctx;
 	guint count = (guint)atoi(words[1]);
 	uint64_t step_us = (uint64_t)(g_ascii_strtod(words[2], NULL) * 1e6 / count);
 
@@ -429,12 +444,7 @@
 	play->quiet = false;
 }
 
-typedef struct command_t {
-	const char *name;
-	void (*run)(play_t *play, char **words);
-} command_t;
-
-static const command_t commands[] = {
+static const playbook_command_t commands[] = {
 	{"route", do_route},
 	{"routing", do_routing},
 	{"searcher", do_searcher},
@@ -461,71 +471,13 @@
 	{"many", do_many},
 };
 
-static void run_line(play_t *play, const char *line)
-{
-	g_auto(GStrv) words = g_strsplit(line, " ", 0);
-
-	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
-		if (!g_str_equal(commands[i].name, words[0]))
-			continue;
-		commands[i].run(play, words);
-		return;
-	}
-	fail_msg("unknown command: %s", line);
-}
-
-/* What the script would be with the lines that were really printed. */
-static char *play_script(char **lines)
-{
-	play_t *play = play_new();
-	char *whole;
-
-	for (char **line = lines; *line; line++) {
-		if (g_str_has_prefix(*line, "> "))
-			continue;
-		g_string_append(play->out, *line);
-		if (line[1])
-			g_string_append_c(play->out, '\n');
-		if (**line && **line != '#')
-			run_line(play, *line);
-	}
-	whole = g_strdup(play->out->str);
-	play_free(play);
-	return whole;
-}
-
-static void test_script(void **state)
-{
-	const char *path = *state;
-	g_autofree char *text = NULL;
-	g_autofree char *got = NULL;
-	g_auto(GStrv) lines = NULL;
-
-	assert_true(g_file_get_contents(path, &text, NULL, NULL));
-	lines = g_strsplit(text, "\n", 0);
-	got = play_script(lines);
-	if (g_getenv("WRITE_SCRIPTS"))
-		g_file_set_contents(path, got, -1, NULL);
-	else
-		assert_string_equal(got, text);
-}
-
 int main(void)
 {
-	GArray *tests = g_array_new(FALSE, TRUE, sizeof(struct CMUnitTest));
-	GDir *dir = g_dir_open(SCRIPTS, 0, NULL);
-	const char *name;
-	int failed;
+	const playbook_ops_t ops = {.folder = SCRIPTS,
+				    .start = play_new,
+				    .end = play_free,
+				    .commands = commands,
+				    .command_count = G_N_ELEMENTS(commands)};
 
-	while (dir && (name = g_dir_read_name(dir))) {
-		struct CMUnitTest test = {.name = g_strdup(name),
-					  .test_func = test_script,
-					  .initial_state = g_build_filename(SCRIPTS, name, NULL)};
-
-		g_array_append_val(tests, test);
-	}
-	failed = _cmocka_run_group_tests("forward", (struct CMUnitTest *)(void *)tests->data,
-					 tests->len, NULL, NULL);
-	g_dir_close(dir);
-	return failed;
+	return playbook_run("forward", &ops);
 }
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -101,7 +101,7 @@
 	[forward_test]='the forwarding scripts' [parts_test]='the small parts' [message_test]="the codec's tests"
 	[load_test]='the loads'
 	[gossip_test]='the members' [script_test]='the scripts' [random_test]='the schedules')
-declare -A WITH=([message_test]='net_http_message' [script_test]='world' [random_test]='world'
+declare -A WITH=([forward_test]='playbook' [message_test]='net_http_message' [script_test]='world' [random_test]='world'
 	[load_test]='load_world')
 declare -A ARGS=([random_test]=400)
 
@@ -110,7 +110,7 @@
 # Everything sound is compiled once; a mutant needs its one file, and a link.
 compile_all() {
 	mkdir -p "$SCRATCH/objects"
-	for file in src/core/*.c src/net/http_message.c tests/world.c tests/load_world.c $(printf 'tests/%s.c ' $TESTS); do
+	for file in src/core/*.c src/net/http_message.c tests/world.c tests/load_world.c tests/playbook.c $(printf 'tests/%s.c ' $TESTS); do
 		echo "$file $(object_of "$file")"
 	done | xargs -P "$(nproc)" -L 1 sh -c "gcc $CFLAGS -c -o \"\$1\" \"\$0\""
 }
--- /dev/null
+++ b/tests/playbook.c
@@ -0,0 +1,84 @@
+/**
+ * @file playbook.c
+ * See playbook.h.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include "playbook.h"
+
+static const playbook_ops_t *playing;
+
+static void run_line(void *play, const char *line)
+{
+	g_auto(GStrv) words = g_strsplit(line, " ", 0);
+
+	for (size_t i = 0; i < playing->command_count; i++) {
+		if (!g_str_equal(playing->commands[i].name, words[0]))
+			continue;
+		playing->commands[i].run(play, words);
+		return;
+	}
+	fail_msg("unknown command: %s", line);
+}
+
+/* What the script would be with the lines that were really printed. */
+static char *play_script(char **lines)
+{
+	GString *out = g_string_new(NULL);
+	void *play = playing->start(out);
+
+	for (char **line = lines; *line; line++) {
+		if (g_str_has_prefix(*line, "> "))
+			continue;
+		g_string_append(out, *line);
+		if (line[1])
+			g_string_append_c(out, '\n');
+		if (**line && **line != '#')
+			run_line(play, *line);
+	}
+	playing->end(play);
+	return g_string_free(out, FALSE);
+}
+
+static void test_script(void **state)
+{
+	const char *path = *state;
+	g_autofree char *text = NULL;
+	g_autofree char *got = NULL;
+	g_auto(GStrv) lines = NULL;
+
+	assert_true(g_file_get_contents(path, &text, NULL, NULL));
+	lines = g_strsplit(text, "\n", 0);
+	got = play_script(lines);
+	if (g_getenv("WRITE_SCRIPTS"))
+		g_file_set_contents(path, got, -1, NULL);
+	else
+		assert_string_equal(got, text);
+}
+
+int playbook_run(const char *group, const playbook_ops_t *ops)
+{
+	GArray *tests = g_array_new(FALSE, TRUE, sizeof(struct CMUnitTest));
+	GDir *dir = g_dir_open(ops->folder, 0, NULL);
+	const char *name;
+	int failed;
+
+	playing = ops;
+	while (dir && (name = g_dir_read_name(dir))) {
+		struct CMUnitTest test = {.name = g_strdup(name),
+					  .test_func = test_script,
+					  .initial_state =
+						  g_build_filename(ops->folder, name, NULL)};
+
+		g_array_append_val(tests, test);
+	}
+	if (!tests->len)
+		g_error("no scripts in %s", ops->folder);
+	failed = _cmocka_run_group_tests(group, (struct CMUnitTest *)(void *)tests->data,
+					 tests->len, NULL, NULL);
+	g_dir_close(dir);
+	return failed;
+}
