VMs register the processor time that they have, and a port for gathers

What a VM can gather for others follows from its processor and its link. Both stand in its object in the store, and what earlier versions do not write may be missing. The type of a registered VM gets a file of its own; the port is the one after the metrics' unless the settings say otherwise.

--- a/src/core/feed_choice.c
+++ b/src/core/feed_choice.c
@@ -15,29 +15,6 @@
 #define WATCHERS_LEAST 2
 #define VMS_A_WATCHER 40
 
-vm_t *vm_new(const char *name, const char *data_centre, const char *address, uint16_t port,
-	     uint32_t link_mbps)
-{
-	vm_t *vm = g_new0(vm_t, 1);
-
-	vm->name = g_strdup(name);
-	vm->data_centre = g_strdup(data_centre);
-	vm->address = g_strdup(address);
-	vm->port = port;
-	vm->link_mbps = link_mbps;
-	return vm;
-}
-
-void vm_free(void *data)
-{
-	vm_t *vm = data;
-
-	g_free(vm->name);
-	g_free(vm->data_centre);
-	g_free(vm->address);
-	g_free(vm);
-}
-
 static uint64_t hash_of(const char *name, const char *salt)
 {
 	return XXH64(name, strlen(name), XXH64(salt, strlen(salt), 0));
--- a/src/core/feed_choice.h
+++ b/src/core/feed_choice.h
@@ -9,22 +9,9 @@
 #ifndef DS_FEED_CHOICE_H
 #define DS_FEED_CHOICE_H
 
-#include <glib.h>
-#include <stdbool.h>
-#include <stdint.h>
-
-/** One VM as it has registered itself. */
-typedef struct vm_t {
-	char *name;
-	char *data_centre;
-	char *address;	    /**< an IP number */
-	uint16_t port;	    /**< where it feeds others */
-	uint32_t link_mbps; /**< of its network link; 0: not known */
-} vm_t;
+#include "core/vm.h"
 
-vm_t *vm_new(const char *name, const char *data_centre, const char *address, uint16_t port,
-	     uint32_t link_mbps);
-void vm_free(void *vm);
+#include <stdbool.h>
 
 /** Whether @p data_centre has so many VMs that a few watch the store and feed the rest. */
 bool feed_is_used(const GPtrArray *vms, const char *data_centre);
--- a/src/settings.c
+++ b/src/settings.c
@@ -53,6 +53,18 @@
 	 .fallback = "0",
 	 .least = 0,
 	 .most = 1000000},
+	{.group = "vm",
+	 .key = "cores",
+	 .type = SETTING_NUMBER,
+	 .offset = AT(cores),
+	 .fallback = "0",
+	 .least = 0,
+	 .most = 1024},
+	{.group = "vm",
+	 .key = "core_share",
+	 .type = SETTING_RATIO,
+	 .offset = AT(core_share),
+	 .fallback = "1"},
 	{.group = "listen",
 	 .use = USE_OWN,
 	 .key = "address",
@@ -154,6 +166,12 @@
 	 .type = SETTING_ENDPOINT,
 	 .offset = AT(front_feed),
 	 .use = USE_FRONT},
+	{.group = "front",
+	 .key = "gather",
+	 .type = SETTING_ENDPOINT,
+	 .offset = AT(front_gather),
+	 .fallback = "",
+	 .use = USE_FRONT},
 	{.group = "front",
 	 .key = "store",
 	 .type = SETTING_ENDPOINT,
@@ -365,6 +383,8 @@
 	struct in_addr ignored;
 	guint64 port = 0;
 
+	if (!*text && setting->fallback) /* set from others, once all are read */
+		return;
 	if (colon && (size_t)(colon - text) < sizeof(out->address)) {
 		g_strlcpy(out->address, text, (gsize)(colon - text) + 1);
 		g_ascii_string_to_unsigned(colon + 1, 10, 1, G_MAXUINT16, &port, NULL);
@@ -424,6 +444,15 @@
 		*(char **)field = g_steal_pointer(&text);
 }
 
+/* The platform says which ports are free by the first and the last: the one after the first. */
+static void complete(settings_t *settings)
+{
+	if (settings->front_gather.port || !settings->forwards)
+		return;
+	settings->front_gather = settings->front_metrics;
+	settings->front_gather.port++;
+}
+
 settings_t *settings_read(const char *path, GPtrArray *faults)
 {
 	reader_t reader = {.path = path, .faults = faults};
@@ -448,12 +477,18 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(known); i++)
 		if (is_used(&known[i], settings))
 			take(&reader, &known[i], settings);
+	complete(settings);
 	if (faults->len == 0)
 		return settings;
 	settings_free(settings);
 	return NULL;
 }
 
+uint32_t settings_processor_milli(const settings_t *settings)
+{
+	return (uint32_t)(settings->cores * settings->core_share * 1000);
+}
+
 void settings_free(settings_t *settings)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(known); i++)
--- a/src/settings.h
+++ b/src/settings.h
@@ -19,6 +19,8 @@
 	char *vm_name;
 	char *data_centre;
 	uint32_t link_mbps; /**< of this VM's network link; 0: not known */
+	uint32_t cores;	    /**< of this VM; 0: not known */
+	double core_share;  /**< of each core that is this VM's */
 	char *listen_address;
 	uint32_t callers_port;
 	uint32_t admin_port;
@@ -34,6 +36,9 @@
 	uint32_t grace_s;	  /**< and at most so long; the process is killed then */
 	bool forwards; /**< it forwards by routes, instead of serving its own interface */
 	endpoint_setting_t front_callers, front_ready, front_metrics, front_feed, front_store;
+	endpoint_setting_t front_gather; /**< where other VMs hand gathers
+					  * over; if not given, the port after that
+					  * of the metrics */
 	double retry_ratio;	 /**< sub-requests beyond the first of each request, all VMs */
 	uint32_t retry_constant; /**< and so many more in a window */
 	uint32_t retry_window_s; /**< the window in which they are counted */
@@ -50,6 +55,8 @@
  * @return NULL when there is any fault
  */
 settings_t *settings_read(const char *path, GPtrArray *faults);
+/** Processor time that this VM has in a second, in thousandths of a core; 0: not known. */
+uint32_t settings_processor_milli(const settings_t *settings);
 void settings_free(settings_t *settings);
 
 #endif
--- a/src/tasks/supply_task.c
+++ b/src/tasks/supply_task.c
@@ -337,7 +337,7 @@
 {
 	static const feed_client_ops_t ops = {.message = on_feed_message, .ended = on_feed_ended};
 
-	task->client = feed_client_new(task->loop, feeder->address, feeder->port, &ops, task);
+	task->client = feed_client_new(task->loop, feeder->address, feeder->feed_port, &ops, task);
 	if (task->client)
 		task->feeder = g_strdup(feeder->name);
 }
@@ -429,6 +429,19 @@
 	loop_timer_set(task->loop, &task->start_timer, START_MOST_US);
 }
 
+static vm_t *own_vm_of(const settings_t *settings)
+{
+	const vm_t own = {.name = settings->vm_name,
+			  .data_centre = settings->data_centre,
+			  .address = (char *)settings->front_feed.address,
+			  .feed_port = settings->front_feed.port,
+			  .gather_port = settings->front_gather.port,
+			  .link_mbps = settings->link_mbps,
+			  .processor_milli = settings_processor_milli(settings)};
+
+	return vm_new(&own);
+}
+
 supply_task_t *supply_task_new(loop_t *loop, const settings_t *settings, platform_task_t *platform,
 			       const supply_ops_t *ops, void *ctx)
 {
@@ -454,10 +467,7 @@
 	task->timing = feed_timing_for(settings->apply_ms, settings->settle_ms);
 	start_followers(task, platform);
 	set_waits(task, false);
-	task->members = member_task_new(loop, platform,
-					vm_new(settings->vm_name, settings->data_centre,
-					       feed->address, feed->port, settings->link_mbps),
-					&member_ops, task);
+	task->members = member_task_new(loop, platform, own_vm_of(settings), &member_ops, task);
 	loop_timer_set(loop, &task->news_timer, NEWS_PERIOD_US);
 	return task;
 }
--- a/tests/front_lib.sh
+++ b/tests/front_lib.sh
@@ -7,17 +7,22 @@
 # Does an action at the stand-in; prints its counts.
 users() { curl -s -m 5 "http://127.0.0.1:$CONTROL/do?action=$1&id=${2:-}&n=${3:-}"; }
 
+# What a test says of a VM's size; nothing, or lines of its settings.
+front_size() { :; }
+
 front_settings() { # index
 	local at=$((FRONT_FROM + 10 * $1))
 	cat >"$RUN/front-$1.ini" <<-INI
 		[vm]
 		name = front-$1
 		data_centre = here
+		$(front_size "$1")
 		[front]
 		callers = 127.0.0.1:$at
 		ready = 127.0.0.1:$((at + 1))
 		metrics = 127.0.0.1:$((at + 2))
 		feed = 127.0.0.1:$((at + 3))
+		gather = 127.0.0.1:$((at + 4))
 		store = 127.0.0.1:$STORE
 		[regions]
 		here = one
--- a/tests/parts_test.c
+++ b/tests/parts_test.c
@@ -10,6 +10,7 @@
 #include "core/connection_share.h"
 #include "core/feed_book.h"
 #include "core/feed_choice.h"
+#include "core/feed_message.h"
 #include "core/feed_timing.h"
 #include "core/follow.h"
 #include "core/placement.h"
@@ -253,8 +254,13 @@
 
 	for (int i = 0; i < count; i++) {
 		g_autofree char *name = g_strdup_printf("vm-%d", i);
+		const vm_t vm = {.name = name,
+				 .data_centre = "here",
+				 .address = "127.0.0.1",
+				 .feed_port = 1,
+				 .link_mbps = i % 7 ? 14 : 140};
 
-		g_ptr_array_add(vms, vm_new(name, "here", "127.0.0.1", 1, i % 7 ? 14 : 140));
+		g_ptr_array_add(vms, vm_new(&vm));
 	}
 	return vms;
 }
--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -359,8 +359,14 @@
 /* A VM's own object is read back as it was written. */
 static void test_vm(void **state)
 {
-	vm_t *vm = vm_new("vm-1", "z", "10.0.0.1", 7741, 14);
-	g_autofree char *text = store_write_vm(vm);
+	const vm_t vm = {.name = "vm-1",
+			 .data_centre = "z",
+			 .address = "10.0.0.1",
+			 .feed_port = 7741,
+			 .gather_port = 7742,
+			 .link_mbps = 14,
+			 .processor_milli = 120};
+	g_autofree char *text = store_write_vm(&vm);
 	json_t *json = json_loads(text, 0, NULL);
 	const store_object_t object = {.name = "vm-1", .content = json_object_get(json, "spec")};
 	err_t err = {0};
@@ -370,9 +376,27 @@
 	assert_string_equal(read->name, "vm-1");
 	assert_string_equal(read->data_centre, "z");
 	assert_string_equal(read->address, "10.0.0.1");
-	assert_int_equal(read->port, 7741);
+	assert_int_equal(read->feed_port, 7741);
+	assert_int_equal(read->gather_port, 7742);
 	assert_int_equal(read->link_mbps, 14);
-	vm_free(vm);
+	assert_int_equal(read->processor_milli, 120);
+	vm_free(read);
+	json_decref(json);
+}
+
+/* A daemon of an earlier version says nothing of its processor, and gathers for nobody. */
+static void test_earlier_vm(void **state)
+{
+	json_t *json = json_pack("{s:s,s:s,s:i,s:i}", "data_centre", "z", "ip", "10.0.0.1",
+				 "feed_port", 7741, "link_mbps", 14);
+	const store_object_t object = {.name = "vm-1", .content = json};
+	err_t err = {0};
+	vm_t *read = store_read_vm(&object, &err);
+
+	(void)state;
+	assert_non_null(read);
+	assert_int_equal(read->gather_port, 0);
+	assert_int_equal(read->processor_milli, 0);
 	vm_free(read);
 	json_decref(json);
 }
@@ -399,6 +423,7 @@
 		cmocka_unit_test(test_searcher),
 		cmocka_unit_test(test_pages),
 		cmocka_unit_test(test_vm),
+		cmocka_unit_test(test_earlier_vm),
 		cmocka_unit_test(test_targets),
 		cmocka_unit_test(test_foreign_entries),
 		cmocka_unit_test(test_damaged_pages),
