Whether an object is told or only announced follows from the feeder's link

Cause: objects beyond 24 KB were announced, and each VM then read them from the store by itself. The limit was set by links of 14 Mbit/s; feeders are chosen by their links and have 140 or 200 there. Now what counts is how long the feeder's link is busy (50 ms), and how long a subscriber reads (64 KB).

--- a/src/core/feed_choice.c
+++ b/src/core/feed_choice.c
@@ -15,6 +15,15 @@
 #define WATCHERS_LEAST 2
 #define VMS_A_WATCHER 40
 
+/* A subscriber's own requests wait while it reads: 37 ms on a link of 14 Mbit/s. One of 550 KB held
+ * such a link up for 4 s when 14 others were told it there, and with it every sub-request. */
+#define TELL_MOST_BYTES (64u << 10)
+/* The feeder's requests wait while it writes to all. Announced instead, each subscriber has to read
+ * the object from the store: 287 calls for each change that 295 VMs make. */
+#define TELL_MOST_US 50000
+/* A link that is not known is taken to be as slow as those of small VMs. */
+#define LINK_UNKNOWN_MBPS 14
+
 static uint64_t hash_of(const char *name, const char *salt)
 {
 	return XXH64(name, strlen(name), XXH64(salt, strlen(salt), 0));
@@ -91,3 +100,11 @@
 	sort(chosen, own_name, false);
 	return chosen;
 }
+
+bool feed_may_tell(size_t bytes, uint32_t subscribers, uint32_t link_mbps)
+{
+	uint64_t bits = (uint64_t)bytes * 8 * MAX(subscribers, 1);
+
+	return bytes <= TELL_MOST_BYTES &&
+	       bits / (link_mbps ? link_mbps : LINK_UNKNOWN_MBPS) <= TELL_MOST_US;
+}
--- a/src/core/feed_choice.h
+++ b/src/core/feed_choice.h
@@ -21,4 +21,11 @@
  */
 GPtrArray *feed_choose(const GPtrArray *vms, const char *own_name, const char *data_centre);
 
+/**
+ * Whether an object of @p bytes is told, or only announced, to be read from the store.
+ * @param subscribers that are told it
+ * @param link_mbps of this VM's link; 0: not known
+ */
+bool feed_may_tell(size_t bytes, uint32_t subscribers, uint32_t link_mbps);
+
 #endif
--- a/src/core/feed_message.h
+++ b/src/core/feed_message.h
@@ -15,13 +15,6 @@
 /* The largest object of the store is 1 MB; its name and the framing are small. */
 #define FEED_FRAME_MOST_BYTES ((1u << 20) + 4096)
 
-/*
- * Objects beyond this size are only announced. Fed to the 14 other VMs of a data centre, one of 550
- * KB (1,556 routes) held up a link of 14 Mbit/s for 4 s, and with it every sub-request; one of 24
- * KB takes 0.2 s there, and 20 ms on the larger links that feeders are chosen by.
- */
-#define FEED_TEXT_MOST_BYTES (24u << 10)
-
 typedef enum feed_type_t {
 	FEED_LIST_BEGIN,
 	FEED_OBJECT,  /**< of the list, or changed */
--- a/src/tasks/feed_server.c
+++ b/src/tasks/feed_server.c
@@ -135,6 +135,11 @@
 	write_to_others(server, NULL, frames);
 }
 
+uint32_t feed_server_subscribers(const feed_server_t *server)
+{
+	return server->subscribers->len;
+}
+
 void feed_server_clear(feed_server_t *server)
 {
 	for (uint32_t kind = 0; kind < server->kinds; kind++)
--- a/src/tasks/feed_server.h
+++ b/src/tasks/feed_server.h
@@ -21,6 +21,8 @@
 void feed_server_tell(feed_server_t *server, const feed_message_t *message);
 /** Send whole frames to all subscribers. */
 void feed_server_write(feed_server_t *server, const GByteArray *frames);
+/** VMs that are told what this one knows. */
+uint32_t feed_server_subscribers(const feed_server_t *server);
 /** Forget what was told: this VM no longer knows it at first hand. */
 void feed_server_clear(feed_server_t *server);
 /** Whether a whole list of each kind was told. */
--- a/src/tasks/supply_task.c
+++ b/src/tasks/supply_task.c
@@ -77,21 +77,23 @@
 
 static void tell(supply_kind_t *kind, feed_type_t type, const store_object_t *object)
 {
+	const supply_task_t *task = kind->task;
 	feed_message_t message;
 	char *text;
 	bool fits;
 
-	if (!kind->task->feeds || !kind->task->following)
+	if (!task->feeds || !task->following)
 		return;
 	text = object ? json_dumps(object->content, JSON_COMPACT | JSON_ENCODE_ANY) : NULL;
-	fits = text && strlen(text) <= FEED_TEXT_MOST_BYTES;
+	fits = text && feed_may_tell(strlen(text), feed_server_subscribers(task->server),
+				     member_task_own(task->members)->link_mbps);
 	if (type == FEED_OBJECT && text && !fits)
 		type = FEED_CHANGED;
 	message = (feed_message_t){.type = type,
 				   .kind = kind->kind,
 				   .name = object ? object->name : "",
 				   .text = fits ? text : ""};
-	feed_server_tell(kind->task->server, &message);
+	feed_server_tell(task->server, &message);
 	free(text);
 }
 
--- a/tests/parts_test.c
+++ b/tests/parts_test.c
@@ -302,6 +302,21 @@
 	g_ptr_array_unref(many);
 }
 
+/*
+ * A configuration of 30 KB is told to 16 VMs over a large link. Over a small one it would hold up
+ * the feeder's requests for 0.3 s, and one of 550 KB those of its subscribers: both are announced.
+ */
+static void test_feed_sizes(void **state)
+{
+	(void)state;
+	assert_true(feed_may_tell(30000, 16, 200));
+	assert_false(feed_may_tell(30000, 16, 14));
+	assert_true(feed_may_tell(300, 16, 14));
+	assert_true(feed_may_tell(24000, 2, 0));
+	assert_false(feed_may_tell(24000, 16, 0));
+	assert_false(feed_may_tell(550000, 0, 1000));
+}
+
 /* ---- following the store ---- */
 
 /*
@@ -457,6 +472,7 @@
 		cmocka_unit_test(test_shares_of_few),
 		cmocka_unit_test(test_placement),
 		cmocka_unit_test(test_feed_choice),
+		cmocka_unit_test(test_feed_sizes),
 		cmocka_unit_test(test_announced_before_the_feed_is_taken),
 		cmocka_unit_test(test_announced_by_a_feed_that_ends),
 		cmocka_unit_test(test_follow_ends),
