--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -10,7 +10,7 @@
 clang -g -O1 -w -fsanitize=fuzzer,address,undefined -fno-sanitize-recover=undefined -Isrc -Iplatform -o "$WORK/fuzz" \
 	tests/fuzz.c src/core/*.c src/queries/search.c src/commands/action.c src/commands/propose.c platform/store.c \
 	$(pkg-config --cflags --libs glib-2.0 jansson libxxhash msgpack) -lm
-for target in reply health search config frame page feed; do
+for target in reply health search config frame page feed hop; do
 	echo "== $target"
 	mkdir -p "$WORK/$target"
 	[ -d "tests/corpus/$target" ] && cp "tests/corpus/$target"/* "$WORK/$target"
--- a/src/core/connection_share.c
+++ b/src/core/connection_share.c
@@ -15,15 +15,12 @@
 /* One to work on and one for a second request; with less for each VM, not every VM may hold any. */
 #define ENOUGH_EACH 2
 
-/* VMs that share connections and budgets, before the store has listed them: as many as the largest
- * deployment has. Too few assumed by many at once would break the bound on retries. */
-#define VMS_ASSUMED 100
 /* VMs that were added a moment ago are not in the list yet. */
 #define VMS_SPARE 1
 
 void vm_counts_take(vm_counts_t *counts, const GPtrArray *vms)
 {
-	counts->all = VMS_ASSUMED;
+	counts->all = 0;
 	if (!vms->len)
 		return;
 	counts->all = vms->len + VMS_SPARE;
@@ -107,9 +104,13 @@
 	return false;
 }
 
+/*
+ * Before the store has listed the VMs each takes one connection, whatever their number: assumed too
+ * few, many that start together would take several times what a searcher has.
+ */
 void connection_share_set(pool_t *pool, uint32_t connections, const vm_counts_t *vms)
 {
-	double used = connections * USED;
+	double used = vms->all ? connections * USED : 0;
 	uint32_t each = (uint32_t)(used / MAX(vms->all, 1));
 	const searcher_t *backup = backup_of(pool, vms);
 	bool spread = each < ENOUGH_EACH && vms->by_region && has_near(pool);
--- a/src/core/connection_share.h
+++ b/src/core/connection_share.h
@@ -11,18 +11,18 @@
 #define DS_CONNECTION_SHARE_H
 
 #include "core/registry.h"
+#include "core/vm.h"
 
 /** The VMs that share the searchers. */
 typedef struct vm_counts_t {
 	const char *own_name;
-	uint32_t all;		   /**< at least 1 */
+	uint32_t all;		   /**< 0: not known yet */
 	GHashTable *by_region;	   /**< region to count; NULL when only the sum is known */
 	const GHashTable *regions; /**< data centre to region */
 } vm_counts_t;
 
 /**
- * Count the VMs registered, vm_t; many are assumed before any is known. @p counts has its name and
- * regions.
+ * Count @p vms, vm_t. @p counts has its name and regions.
  */
 void vm_counts_take(vm_counts_t *counts, const GPtrArray *vms);
 void vm_counts_clear(vm_counts_t *counts);
--- a/src/core/forward.h
+++ b/src/core/forward.h
@@ -120,15 +120,26 @@
 	const char *host;
 	const char *target;
 	uint64_t received_us;
-	uint64_t patience_us; /**< how long the caller waits; 0: it did not say */
+	uint64_t patience_us;	/**< how long the caller waits; 0: it did not say */
+	uint32_t attempts_most; /**< searchers of a shard that may run it for now; 0: as many as
+				 * its route says */
+	bool again; /**< another VM may have sent sub-requests of it: the first ones count as
+		     * retries */
 } forward_request_t;
 
+/** What a request's time is spent on, by its route. */
+typedef struct forward_times_t {
+	uint64_t deadline_us; /**< then its caller must have an answer */
+	uint64_t partial_us;  /**< from then on, what is there is given if it is enough */
+} forward_times_t;
+
 struct forward_t {
 	forwarder_t *forwarder;
 	forward_request_t request;
 	routing_t *routing; /**< the version that it is handled by, to its end */
 	const route_t *route;
 	struct route_state_t *state;
+	uint32_t attempts_most; /**< searchers of a shard that may run it */
 	uint64_t deadline_us;
 	uint64_t partial_us; /**< from then on, what is there is given if it is enough */
 	timer_entry_t timer;
@@ -175,6 +186,10 @@
 /** Take in a request. The answer may come before the return; then NULL is returned. */
 forward_t *forwarder_submit(forwarder_t *forwarder, const forward_request_t *request, void *owner,
 			    uint64_t now_us);
+/** What @p request may take on @p route. */
+forward_times_t forward_times(const forward_request_t *request, const route_t *route);
+/** Let @p more searchers of each shard run it. */
+void forward_allow_more(forward_t *forward, uint32_t more, uint64_t now_us);
 /** The caller has gone: no answer, and what is out is soon cancelled. */
 void forwarder_abandon(forwarder_t *forwarder, forward_t *forward, uint64_t now_us);
 /** A sub-request has ended; takes @p reply. @p sub is freed. */
--- a/src/core/forward_private.h
+++ b/src/core/forward_private.h
@@ -44,6 +44,8 @@
 void part_wait(part_t *part, uint64_t now_us);
 /** Send once more, if that is due and allowed; else set when to look again. */
 void part_hedge(part_t *part, uint64_t now_us);
+/** Its request may be sent more often than before: set when to look whether it should. */
+void part_allow_more(part_t *part, uint64_t now_us);
 /** A sub-request of the part has ended; takes @p reply. */
 void part_take_reply(part_t *part, sub_t *sub, sub_reply_t *reply, uint64_t now_us);
 /** Room was found at @p searcher for a part that waits: send it, if it is not too late for that. */
--- a/src/core/forwarder.c
+++ b/src/core/forwarder.c
@@ -237,7 +237,11 @@
 	part->forward = forward;
 	part->pool = registry_pool(forward->forwarder->registry, service);
 	part->state = PART_WAITING;
-	retry_budget_note_request(&part->pool->budget, now_us);
+	if (!forward->request.again)
+		retry_budget_note_request(&part->pool->budget, now_us);
+	else if (!retry_budget_take(&part->pool->budget, &part->pool->bound, RETRY_FOR_ANSWER,
+				    now_us))
+		part_lose(part);
 }
 
 static void lay_out_parts(forward_t *forward, uint64_t now_us)
@@ -263,24 +267,34 @@
 /* Before anything is sent: what is hopeless from the start must not put any searcher to work. */
 static void lose_impossible(forward_t *forward)
 {
-	for (uint32_t i = 0; i < forward->part_count; i++)
-		if (!placement_is_possible(forward->parts[i].pool, NULL))
-			part_lose(&forward->parts[i]);
+	for (uint32_t i = 0; i < forward->part_count; i++) {
+		part_t *part = &forward->parts[i];
+
+		if (part->state == PART_WAITING && !placement_is_possible(part->pool, NULL))
+			part_lose(part);
+	}
 }
 
-static void set_times(forward_t *forward)
+forward_times_t forward_times(const forward_request_t *request, const route_t *route)
 {
-	const forward_request_t *request = &forward->request;
-	const route_t *route = forward->route;
 	uint64_t wait_us = request->patience_us ? request->patience_us : PATIENCE_UNKNOWN_US;
+	uint64_t target_us = route->target_us;
 
 	if (route->timeout_us)
 		wait_us = MIN(wait_us, route->timeout_us);
-	forward->deadline_us =
-		request->received_us + (wait_us > 2 * WAY_US ? wait_us - WAY_US : wait_us / 2);
-	forward->partial_us =
-		request->received_us +
-		(route->target_us > 2 * WAY_US ? route->target_us - WAY_US : route->target_us / 2);
+	return (forward_times_t){
+		.deadline_us = request->received_us +
+			       (wait_us > 2 * WAY_US ? wait_us - WAY_US : wait_us / 2),
+		.partial_us = request->received_us +
+			      (target_us > 2 * WAY_US ? target_us - WAY_US : target_us / 2)};
+}
+
+static void set_times(forward_t *forward)
+{
+	forward_times_t times = forward_times(&forward->request, forward->route);
+
+	forward->deadline_us = times.deadline_us;
+	forward->partial_us = times.partial_us;
 }
 
 static void answer_unrouted(forwarder_t *forwarder, const forward_request_t *request, void *owner,
@@ -377,6 +391,9 @@
 	forward->route = route;
 	forward->state = state_of(forwarder, route);
 	forward->timer = (timer_entry_t){.fire = forward_tick, .ctx = forward};
+	forward->attempts_most = request->attempts_most
+					 ? MIN(request->attempts_most, route->attempts_most)
+					 : route->attempts_most;
 	forwarder->open++;
 	set_times(forward);
 	lay_out_parts(forward, now_us);
@@ -399,6 +416,16 @@
 	return forward;
 }
 
+void forward_allow_more(forward_t *forward, uint32_t more, uint64_t now_us)
+{
+	uint32_t left = forward->route->attempts_most - forward->attempts_most;
+
+	forward->attempts_most += MIN(more, left);
+	for (uint32_t i = 0; i < forward->part_count; i++)
+		part_allow_more(&forward->parts[i], now_us);
+	forward_arm(forward, now_us);
+}
+
 void forwarder_abandon(forwarder_t *forwarder, forward_t *forward, uint64_t now_us)
 {
 	forwarder->counters.left++;
--- a/src/core/part.c
+++ b/src/core/part.c
@@ -26,7 +26,7 @@
 
 static bool may_run_again(const part_t *part)
 {
-	return part->forward->route->idempotent && part->runs < part->forward->route->attempts_most;
+	return part->forward->route->idempotent && part->runs < part->forward->attempts_most;
 }
 
 /*
@@ -41,7 +41,7 @@
 static uint64_t hedge_due_us(part_t *part, uint64_t now_us)
 {
 	const searcher_t *asked = g_ptr_array_index(part->asked, part->asked->len - 1);
-	const retry_bound_t *bound = registry_bound(part->forward->forwarder->registry);
+	const retry_bound_t *bound = &part->pool->bound;
 	double spent = 1 - retry_budget_share_left(&part->pool->budget, bound, now_us);
 	double expected_us =
 		route_state_expected_us(part->forward->state, asked, part->pool, now_us);
@@ -227,7 +227,7 @@
 void part_hedge(part_t *part, uint64_t now_us)
 {
 	forwarder_t *forwarder = part->forward->forwarder;
-	const retry_bound_t *bound = registry_bound(forwarder->registry);
+	const retry_bound_t *bound = &part->pool->bound;
 	searcher_t *searcher;
 	uint64_t due_us, late_us;
 
@@ -259,8 +259,7 @@
 
 static bool may_retry(part_t *part, sub_end_t end, uint64_t now_us)
 {
-	forwarder_t *forwarder = part->forward->forwarder;
-	const retry_bound_t *bound = registry_bound(forwarder->registry);
+	const retry_bound_t *bound = &part->pool->bound;
 
 	if (end == SUB_NOT_SENT)
 		return part->refusals <= REFUSALS_MOST;
@@ -333,3 +332,10 @@
 	else
 		part_failed(part, reply, now_us);
 }
+
+void part_allow_more(part_t *part, uint64_t now_us)
+{
+	if (part->state != PART_SENT || part->hedge_us || !may_run_again(part))
+		return;
+	part->hedge_us = MAX(hedge_due_us(part, now_us), now_us);
+}
--- a/src/core/registry.c
+++ b/src/core/registry.c
@@ -98,6 +98,7 @@
 	pool->service = g_strdup(service);
 	pool->searchers = g_ptr_array_new_with_free_func((GDestroyNotify)searcher_unref);
 	pool->typical = (quantile_t){.fraction = 0.5, .step = TYPICAL_STEP};
+	pool->bound = registry->bound;
 	retry_budget_init(&pool->budget, &registry->bound);
 	g_queue_init(&pool->waiting);
 	g_hash_table_insert(registry->pools, pool->service, pool);
@@ -331,11 +332,12 @@
 
 void registry_set_bound(registry_t *registry, double ratio, double constant)
 {
+	GHashTableIter iter;
+	gpointer pool;
+
 	registry->bound.ratio = ratio;
 	registry->bound.constant = constant;
-}
-
-const retry_bound_t *registry_bound(const registry_t *registry)
-{
-	return &registry->bound;
+	g_hash_table_iter_init(&iter, registry->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &pool))
+		((pool_t *)pool)->bound = registry->bound;
 }
--- a/src/core/registry.h
+++ b/src/core/registry.h
@@ -21,7 +21,8 @@
 	char *service;
 	GPtrArray *searchers; /**< searcher_t, references held */
 	retry_budget_t budget;
-	quantile_t typical;	   /**< median of sent to answered, over all its searchers */
+	retry_bound_t bound; /**< on its retries: the ratio, and this VM's part of the constant */
+	quantile_t typical;  /**< median of sent to answered, over all its searchers */
 	latency_buckets_t latency; /**< the same, for metrics */
 	GQueue waiting;		   /**< parts that found no room, by rank and age */
 	double shed_share;	   /**< of its parts of late that were left out */
@@ -80,8 +81,7 @@
 GHashTable *registry_pools(const registry_t *registry);
 /** All searchers registered, by id; searcher_t. */
 GHashTable *registry_searchers(const registry_t *registry);
-/** The bound on retries: its ratio, and this VM's part of its constant. */
+/** Set the bound on retries of all services: its ratio, and this VM's part of its constant. */
 void registry_set_bound(registry_t *registry, double ratio, double constant);
-const retry_bound_t *registry_bound(const registry_t *registry);
 
 #endif
--- a/src/core/routing.c
+++ b/src/core/routing.c
@@ -32,6 +32,7 @@
 	routing->connections = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	routing->by_host = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						 (GDestroyNotify)g_ptr_array_unref);
+	routing->singles = g_hash_table_new(g_str_hash, g_str_equal);
 	return routing;
 }
 
@@ -46,6 +47,7 @@
 	if (!routing || --routing->refs)
 		return;
 	g_hash_table_unref(routing->by_host);
+	g_hash_table_unref(routing->singles);
 	g_hash_table_unref(routing->connections);
 	g_ptr_array_unref(routing->routes);
 	g_free(routing);
@@ -81,6 +83,15 @@
 	return left_bytes == right_bytes ? 0 : left_bytes > right_bytes ? -1 : 1;
 }
 
+static void note_singles(routing_t *routing, const route_t *route)
+{
+	if (route->gathers)
+		return;
+	for (guint i = 0; i < route->targets->len; i++)
+		g_hash_table_add(routing->singles,
+				 g_array_index(route->targets, route_target_t, i).service);
+}
+
 void routing_seal(routing_t *routing)
 {
 	GHashTableIter iter;
@@ -95,6 +106,7 @@
 			g_hash_table_insert(routing->by_host, route->host, same);
 		}
 		g_ptr_array_add(same, route);
+		note_singles(routing, route);
 	}
 	g_hash_table_iter_init(&iter, routing->by_host);
 	while (g_hash_table_iter_next(&iter, NULL, &routes))
@@ -121,3 +133,33 @@
 {
 	return GPOINTER_TO_UINT(g_hash_table_lookup(routing->connections, service));
 }
+
+bool routing_is_single(const routing_t *routing, const char *service)
+{
+	return g_hash_table_contains(routing->singles, service);
+}
+
+static uint32_t least_connections(const routing_t *routing, const route_t *route, uint32_t least)
+{
+	for (guint i = 0; i < route->targets->len; i++) {
+		const char *service = g_array_index(route->targets, route_target_t, i).service;
+		uint32_t connections = routing_connections(routing, service);
+
+		if (connections && (!least || connections < least))
+			least = connections;
+	}
+	return least;
+}
+
+uint32_t routing_gather_connections(const routing_t *routing)
+{
+	uint32_t least = 0;
+
+	for (guint i = 0; i < routing->routes->len; i++) {
+		const route_t *route = g_ptr_array_index(routing->routes, i);
+
+		if (route->gathers)
+			least = least_connections(routing, route, least);
+	}
+	return least;
+}
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -46,6 +46,7 @@
 	GHashTable *connections; /**< service name to the connections that a searcher of it takes */
 	caller_limits_t limits;
 	GHashTable *by_host; /**< host to GPtrArray of route_t, longest prefix first */
+	GHashTable *singles; /**< services that some route asks alone; borrows its names */
 } routing_t;
 
 routing_t *routing_new(uint64_t version);
@@ -61,6 +62,10 @@
 
 /** The route with the longest prefix of @p target's path for @p host, or NULL. */
 const route_t *routing_match(const routing_t *routing, const char *host, const char *target);
+/** Whether some route asks @p service alone, and not as one of many shards. */
+bool routing_is_single(const routing_t *routing, const char *service);
+/** The least that a searcher of any service that is gathered takes; 0 if unknown. */
+uint32_t routing_gather_connections(const routing_t *routing);
 /** Connections that one searcher of @p service takes from all VMs together; 0 if unknown. */
 uint32_t routing_connections(const routing_t *routing, const char *service);
 
--- a/src/queries/front_log.c
+++ b/src/queries/front_log.c
@@ -60,6 +60,23 @@
 	g_log(NULL, whole ? G_LOG_LEVEL_INFO : G_LOG_LEVEL_MESSAGE, "%s", line->str);
 }
 
+void front_log_gathered(const forward_request_t *request, const handover_t *handover,
+			const forward_answer_t *answer, uint64_t store_age_us)
+{
+	bool whole = answer->end == FORWARD_ANSWERED && !answer->missing;
+	uint64_t now_us = loop_now_us();
+
+	g_log(NULL, whole ? G_LOG_LEVEL_INFO : G_LOG_LEVEL_MESSAGE,
+	      "event=answer request=%s outcome=%s status=%d took_us=%" G_GUINT64_FORMAT
+	      " patience_us=%" G_GUINT64_FORMAT " parts=%u missing=%u gathered_by=%s asked=%u "
+	      "taken=%d gather_us=%" G_GUINT64_FORMAT " store_age_us=%" G_GUINT64_FORMAT,
+	      request->id ? request->id : "", forward_end_name(answer->end),
+	      forward_end_status(answer->end), now_us - request->received_us, request->patience_us,
+	      answer->parts, answer->missing,
+	      handover->gatherer ? handover->gatherer->vm->name : "nobody", handover->asked->len,
+	      handover->taken, now_us - handover->begun_us, store_age_us);
+}
+
 void front_log_sub(const sub_t *sub, const sub_reply_t *reply)
 {
 	bool failed = reply->end != SUB_ANSWERED;
--- a/src/queries/front_log.h
+++ b/src/queries/front_log.h
@@ -5,7 +5,7 @@
 #ifndef DS_FRONT_LOG_H
 #define DS_FRONT_LOG_H
 
-#include "core/forward.h"
+#include "core/handover.h"
 
 /** The one line of an answer: its outcome, what decided it, and how old that was. */
 void front_log_answer(const char *id, const forward_t *forward, const forward_answer_t *answer,
@@ -13,4 +13,8 @@
 /** The end of a second try, or of any sub-request that was no answer. */
 void front_log_sub(const sub_t *sub, const sub_reply_t *reply);
 
+/** The answer to a request that another VM gathered. */
+void front_log_gathered(const forward_request_t *request, const handover_t *handover,
+			const forward_answer_t *answer, uint64_t store_age_us);
+
 #endif
--- a/src/queries/front_metrics.c
+++ b/src/queries/front_metrics.c
@@ -100,6 +100,23 @@
 	put(out, "store_values_damaged_total", NULL, NULL, store->damaged);
 }
 
+static void put_handovers(GString *out, const handovers_t *handovers, uint32_t hops_open)
+{
+	const handover_counters_t *counters = handovers_counters(handovers);
+
+	put(out, "gatherers", NULL, NULL, handovers_gatherers(handovers)->len);
+	put(out, "handovers_total", NULL, NULL, counters->begun);
+	put(out, "handover_ends_total", "outcome", "answered", counters->answered);
+	put(out, "handover_ends_total", "outcome", "gathered-here", counters->here);
+	put(out, "handover_ends_unknown_total", NULL, NULL, counters->lost);
+	put(out, "handovers_again_total", NULL, NULL, counters->again);
+	put(out, "gatherers_silent_total", NULL, NULL, counters->silent);
+	for (int reason = 0; reason < HOP_REASONS; reason++)
+		put(out, "handovers_not_taken_total", "reason",
+		    hop_reason_name((hop_reason_t)reason), counters->not_taken[reason]);
+	put(out, "gathers_for_others", NULL, NULL, hops_open);
+}
+
 GString *front_metrics_write(const front_sources_t *sources)
 {
 	GString *out = g_string_sized_new(4096);
@@ -112,6 +129,7 @@
 	put(out, "vms", NULL, NULL, supply_task_vms(sources->supply)->len);
 	put_store(out, sources->supply, sources->store);
 	put_requests(out, sources->forwarder);
+	put_handovers(out, sources->handovers, sources->hops_open);
 	put_links(out, sources->links);
 	forwarder_visit_latency(sources->forwarder, put_route_latency, out);
 	put_services(out, sources->registry);
--- a/src/queries/front_metrics.h
+++ b/src/queries/front_metrics.h
@@ -6,6 +6,7 @@
 #define DS_FRONT_METRICS_H
 
 #include "core/forward.h"
+#include "core/handover.h"
 #include "tasks/link_task.h"
 #include "tasks/platform_task.h"
 #include "tasks/supply_task.h"
@@ -17,6 +18,8 @@
 	const link_counters_t *links;
 	const supply_task_t *supply;
 	const platform_counters_t *store;
+	const handovers_t *handovers;
+	uint32_t hops_open;	  /**< requests that other VMs have handed over */
 	uint64_t entries_ignored; /**< reads of entries that name no searcher */
 } front_sources_t;
 
--- a/src/tasks/front_task.c
+++ b/src/tasks/front_task.c
@@ -8,7 +8,10 @@
 #include "headers.h"
 #include "queries/front_log.h"
 #include "queries/front_metrics.h"
+#include "tasks/gather_task.h"
+#include "tasks/hop_server.h"
 #include "tasks/link_task.h"
+#include "tasks/relay.h"
 #include "tasks/supply_task.h"
 
 #include <string.h>
@@ -16,10 +19,16 @@
 /* Of the constant part of the bound on retries: requests for one service that reach a searcher of
  * another one count there, too. */
 #define CONSTANT_USED 0.8
+/* Of the connections and of the constant part of the bound: for the VMs that gather. The rest is
+ * for those that gather for themselves because they reach no gatherer. */
+#define GATHERERS_PART 0.75
 /* Shares that were cut after a refusal are given back this often. */
 #define SHARES_PERIOD_US 5000000
 /* Names of unreadable entries that are remembered, so that each is logged once. */
 #define UNREADABLE_MOST 256
+/* A request that has waited for a turn of this VM for so long is better off elsewhere: its target
+ * may be a tenth of a second. */
+#define BUSY_US 60000
 /* Before a configuration says otherwise. */
 #define FIRST_LIMITS                                                                               \
 	((http_server_limits_t){.message = {.head_bytes = 16384, .body_bytes = 1u << 20},          \
@@ -32,6 +41,8 @@
 	forwarder_t *forwarder;
 	registry_t *registry;
 	link_task_t *links;
+	gather_task_t *gathers; /* handed over to other VMs */
+	hop_server_t *hops;	/* handed over by other VMs */
 	supply_task_t *supply;
 	platform_task_t *platform;
 	loop_timer_t forwarder_timer;
@@ -48,15 +59,6 @@
 	bool refusing;
 };
 
-/* One caller's request on its way. */
-typedef struct relay_t {
-	front_task_t *task;
-	http_exchange_t *exchange;
-	forward_t *forward;
-	GString *common; /* what all its sub-requests share; made when the first is sent */
-	caller_headers_t headers;
-} relay_t;
-
 /* ---- time ---- */
 
 static void arm_forwarder(front_task_t *task)
@@ -90,33 +92,81 @@
 
 /* ---- connections to searchers ---- */
 
-static void set_pool_shares(front_task_t *task, pool_t *pool, const vm_counts_t *counts)
+/* Who shares a service, and how much of it is theirs. */
+typedef struct sharing_t {
+	vm_counts_t counts;
+	double part;
+	bool own; /* this VM is one of them */
+} sharing_t;
+
+static void set_pool_shares(front_task_t *task, pool_t *pool, const sharing_t *sharing)
 {
 	const routing_t *routing = forwarder_routing(task->forwarder);
-
-	connection_share_set(pool, routing ? routing_connections(routing, pool->service) : 0,
-			     counts);
-	if (!routing)
+	uint32_t connections = routing ? routing_connections(routing, pool->service) : 0;
+
+	connection_share_set(pool, sharing->own ? (uint32_t)(connections * sharing->part) : 0,
+			     &sharing->counts);
+	pool->bound.constant =
+		sharing->counts.all
+			? CONSTANT_USED * sharing->part * task->retry_constant / sharing->counts.all
+			: 0;
+	if (!routing || !sharing->own || !sharing->counts.all)
 		return;
 	for (guint i = 0; i < pool->searchers->len; i++)
 		link_task_warm(task->links, g_ptr_array_index(pool->searchers, i));
 }
 
+static sharing_t sharing_of(front_task_t *task, const GPtrArray *vms, double part)
+{
+	sharing_t sharing = {.counts = {.own_name = task->vm_name, .regions = task->regions},
+			     .part = part};
+
+	vm_counts_take(&sharing.counts, vms);
+	for (guint i = 0; i < vms->len && !sharing.own; i++)
+		sharing.own = g_str_equal(((vm_t *)g_ptr_array_index(vms, i))->name, task->vm_name);
+	return sharing;
+}
+
+/*
+ * What searchers of shards take is shared by the VMs that gather, and what others take by all VMs.
+ * Services that no route names yet are shards of a version to come.
+ */
+static void share(front_task_t *task, const GPtrArray *vms, const GPtrArray *gatherers)
+{
+	const routing_t *routing = forwarder_routing(task->forwarder);
+	bool few = gatherers->len < vms->len;
+	sharing_t all = sharing_of(task, vms, 1);
+	sharing_t few_share = sharing_of(task, gatherers, few ? GATHERERS_PART : 1);
+	GHashTableIter iter;
+	gpointer service, pool;
+
+	if (few && !few_share.own) {
+		few_share.counts.all = all.counts.all;
+		few_share.part = 1 - GATHERERS_PART;
+	}
+	all.own = true; /* before it is listed, too */
+	few_share.own = few_share.own || !few;
+	registry_set_bound(task->registry, task->retry_ratio, 0);
+	g_hash_table_iter_init(&iter, registry_pools(task->registry));
+	while (g_hash_table_iter_next(&iter, &service, &pool))
+		set_pool_shares(task, pool,
+				routing && routing_is_single(routing, service) ? &all : &few_share);
+	vm_counts_clear(&all.counts);
+	vm_counts_clear(&few_share.counts);
+}
+
 static void set_shares(void *ctx)
 {
 	front_task_t *task = ctx;
-	vm_counts_t counts = {.own_name = task->vm_name, .regions = task->regions};
-	GHashTableIter iter;
-	gpointer pool;
+	const routing_t *routing = forwarder_routing(task->forwarder);
+	const fleet_t fleet = {.vms = supply_task_vms(task->supply),
+			       .regions = task->regions,
+			       .connections = routing ? routing_gather_connections(routing) : 0};
+	g_autoptr(GPtrArray) gatherers = gatherers_of_all(&fleet);
 
 	loop_timer_set(task->loop, &task->shares_timer, SHARES_PERIOD_US);
-	vm_counts_take(&counts, supply_task_vms(task->supply));
-	g_hash_table_iter_init(&iter, registry_pools(task->registry));
-	while (g_hash_table_iter_next(&iter, NULL, &pool))
-		set_pool_shares(task, pool, &counts);
-	registry_set_bound(task->registry, task->retry_ratio,
-			   CONSTANT_USED * task->retry_constant / counts.all);
-	vm_counts_clear(&counts);
+	gather_task_set_fleet(task->gathers, &fleet);
+	share(task, fleet.vms, gatherers);
 }
 
 /* Searchers change in groups; the shares are set once for all of them, in the same turn. */
@@ -138,31 +188,25 @@
 
 static void write_head(void *ctx, const sub_t *sub, GString *out)
 {
-	relay_t *relay = sub->forward->owner;
+	const GString *head = relay_head(sub->forward->owner);
 
 	(void)ctx;
-	if (!relay->common) {
-		relay->common = g_string_sized_new(512);
-		headers_write_common(relay->common, http_exchange_message(relay->exchange));
-	}
-	g_string_append_len(out, relay->common->str, (gssize)relay->common->len);
+	g_string_append_len(out, head->str, (gssize)head->len);
 	headers_write_sub(out, sub->searcher, sub_left_us(sub, loop_now_us()));
 }
 
 static const GString *body_of(void *ctx, const sub_t *sub)
 {
-	relay_t *relay = sub->forward->owner;
-
 	(void)ctx;
-	return http_exchange_body(relay->exchange);
+	return relay_body(sub->forward->owner);
 }
 
 static const char *id_of(void *ctx, const sub_t *sub)
 {
-	relay_t *relay = sub->forward->owner;
+	const relay_t *relay = sub->forward->owner;
 
 	(void)ctx;
-	return relay->headers.id;
+	return relay->request.id;
 }
 
 static void on_send(void *ctx, sub_t *sub)
@@ -218,42 +262,39 @@
 
 /* ---- answers ---- */
 
-static void relay_free(relay_t *relay)
+static hop_bytes_t bytes_of(const GString *text)
 {
-	if (relay->common)
-		g_string_free(relay->common, TRUE);
-	http_exchange_unref(relay->exchange);
-	g_free(relay);
+	return text ? (hop_bytes_t){.data = text->str, .bytes = text->len} : (hop_bytes_t){0};
+}
+
+static void answer_vm(front_task_t *task, hop_job_t *job, const forward_answer_t *answer)
+{
+	const hop_answer_t told = {.end = answer->end,
+				   .parts = answer->parts,
+				   .missing = answer->missing,
+				   .retry_after_us = answer->retry_after_us,
+				   .stamps = bytes_of(answer->stamps),
+				   .records = bytes_of(answer->records)};
+
+	hop_server_answer(task->hops, job, &told);
 }
 
 static void on_answer(void *ctx, forward_t *forward, const forward_answer_t *answer)
 {
+	front_task_t *task = ctx;
 	relay_t *relay = forward->owner;
-	http_exchange_t *exchange = relay->exchange;
-	const char *text = forward_end_name(answer->end);
-	const GString *body = answer->records;
-	int status = forward_end_status(answer->end);
+	int status = answer->reply ? answer->reply->status : forward_end_status(answer->end);
 
-	(void)ctx;
-	if (answer->reply)
-		status = answer->reply->status;
-	front_log_answer(relay->headers.id, forward, answer, status,
-			 supply_task_age_us(relay->task->supply));
-	http_exchange_set_data(exchange, NULL);
-	if (answer->retry_after_us)
-		headers_add_retry_after(exchange, answer->retry_after_us);
-	if (answer->stamps)
-		headers_add_gathered(exchange, answer);
-	if (answer->reply) {
-		headers_add_reply(exchange, answer->reply);
-		body = answer->reply->body;
-	}
-	http_exchange_reply(exchange, status, body ? NULL : "text/plain", body ? body->str : text,
-			    body ? body->len : strlen(text));
+	front_log_answer(relay->request.id, forward, answer, status,
+			 supply_task_age_us(task->supply));
+	if (relay->job)
+		answer_vm(task, relay->job, answer);
+	else
+		relay_answer_caller(relay, answer);
 	relay_free(relay);
 }
 
-/* ---- requests ---- */
+/* ---- requests of callers ---- */
 
 static void refuse(http_exchange_t *exchange, const char *reason)
 {
@@ -261,35 +302,49 @@
 	http_exchange_reply(exchange, 400, "text/plain", reason, strlen(reason));
 }
 
+static void submit(front_task_t *task, relay_t *relay)
+{
+	forward_t *forward =
+		forwarder_submit(task->forwarder, &relay->request, relay, loop_now_us());
+
+	if (forward) /* else it was answered at once, and the relay is gone */
+		relay->forward = forward;
+	arm_forwarder(task);
+}
+
+/* The route of a request that may be handed over, or NULL. */
+static const route_t *gather_route(const front_task_t *task, const relay_t *relay)
+{
+	const routing_t *routing = forwarder_routing(task->forwarder);
+	const route_t *route;
+
+	if (task->refusing || !routing)
+		return NULL;
+	route = routing_match(routing, relay->request.host, relay->request.target);
+	return route && route->gathers ? route : NULL;
+}
+
 static void on_request(void *ctx, http_exchange_t *exchange)
 {
 	front_task_t *task = ctx;
 	const http_message_t *message = http_exchange_message(exchange);
-	const char *target = http_message_target(message);
-	forward_request_t request;
-	forward_t *forward;
+	const route_t *route;
 	relay_t *relay;
 
 	if (!task->refusing)
 		task->last_request_us = loop_now_us();
-	if (*target != '/' || http_message_header_times(message, "Host") != 1) {
+	if (*http_message_target(message) != '/' ||
+	    http_message_header_times(message, "Host") != 1) {
 		refuse(exchange, "a path and one Host are required");
 		return;
 	}
-	relay = g_new0(relay_t, 1);
-	relay->task = task;
-	relay->exchange = http_exchange_ref(exchange);
-	headers_read_caller(message, &relay->headers);
+	relay = relay_of_caller(exchange);
 	http_exchange_set_data(exchange, relay);
-	request = (forward_request_t){.id = relay->headers.id,
-				      .host = relay->headers.host,
-				      .target = target,
-				      .received_us = http_exchange_begun_us(exchange),
-				      .patience_us = relay->headers.patience_us};
-	forward = forwarder_submit(task->forwarder, &request, relay, loop_now_us());
-	if (forward) /* else it was answered at once, and the relay is gone */
-		relay->forward = forward;
-	arm_forwarder(task);
+	route = gather_route(task, relay);
+	if (route && gather_task_hand_over(task->gathers, relay, route,
+					   forwarder_routing(task->forwarder)->version))
+		return;
+	submit(task, relay);
 }
 
 static void on_gone(void *ctx, http_exchange_t *exchange)
@@ -299,7 +354,99 @@
 
 	if (!relay)
 		return;
-	g_info("event=caller-left request=%s", relay->headers.id ? relay->headers.id : "");
+	g_info("event=caller-left request=%s", relay->request.id ? relay->request.id : "");
+	if (relay->handover)
+		gather_task_abandon(task->gathers, relay);
+	else
+		forwarder_abandon(task->forwarder, relay->forward, loop_now_us());
+	relay_free(relay);
+	arm_forwarder(task);
+}
+
+/* ---- gathers handed over to other VMs ---- */
+
+static void on_gathered(void *ctx, relay_t *relay, const hop_answer_t *answer)
+{
+	front_task_t *task = ctx;
+	g_autoptr(GString) stamps =
+		g_string_new_len(answer->stamps.data, (gssize)answer->stamps.bytes);
+	g_autoptr(GString) records =
+		g_string_new_len(answer->records.data, (gssize)answer->records.bytes);
+	bool answered = answer->end == FORWARD_ANSWERED;
+	const forward_answer_t told = {.end = answer->end,
+				       .stamps = answered ? stamps : NULL,
+				       .records = answered ? records : NULL,
+				       .parts = answer->parts,
+				       .missing = answer->missing,
+				       .retry_after_us = answer->retry_after_us};
+
+	front_log_gathered(&relay->request, relay->handover, &told,
+			   supply_task_age_us(task->supply));
+	relay_answer_caller(relay, &told);
+	relay_free(relay);
+}
+
+static void on_gather_here(void *ctx, relay_t *relay)
+{
+	submit(ctx, relay);
+}
+
+/* ---- gathers handed over by other VMs ---- */
+
+/* By an older version than it was routed by, a request would be served as if a change that is in
+ * force had never been made. */
+static bool hop_takes(void *ctx, const hop_job_t *job, hop_reason_t *reason)
+{
+	front_task_t *task = ctx;
+	const routing_t *routing = forwarder_routing(task->forwarder);
+	const route_t *route;
+
+	if (!routing || !registry_is_known(task->registry)) {
+		*reason = HOP_NOT_READY;
+		return false;
+	}
+	if (task->refusing) {
+		*reason = HOP_STOPS;
+		return false;
+	}
+	if (routing->version < job->version) {
+		*reason = HOP_OLDER;
+		return false;
+	}
+	route = routing_match(routing, job->host, job->target);
+	if (!route || !route->gathers) {
+		*reason = HOP_NO_GATHER;
+		return false;
+	}
+	*reason = HOP_BUSY;
+	return loop_now_us() < job->arrived_us + BUSY_US;
+}
+
+static void hop_gather(void *ctx, hop_job_t *job)
+{
+	relay_t *relay = relay_of_vm(job);
+
+	job->data = relay;
+	submit(ctx, relay);
+}
+
+static void hop_more(void *ctx, hop_job_t *job, uint32_t more)
+{
+	front_task_t *task = ctx;
+	const relay_t *relay = job->data;
+
+	if (!relay->forward)
+		return;
+	forward_allow_more(relay->forward, more, loop_now_us());
+	arm_forwarder(task);
+}
+
+static void hop_gone(void *ctx, hop_job_t *job)
+{
+	front_task_t *task = ctx;
+	relay_t *relay = job->data;
+
+	g_info("event=taker-left request=%s", job->id ? job->id : "");
 	forwarder_abandon(task->forwarder, relay->forward, loop_now_us());
 	relay_free(relay);
 	arm_forwarder(task);
@@ -440,6 +587,8 @@
 					 .links = link_task_counters(task->links),
 					 .supply = task->supply,
 					 .store = platform_task_counters(task->platform),
+					 .handovers = gather_task_handovers(task->gathers),
+					 .hops_open = hop_server_open(task->hops),
 					 .entries_ignored = task->entries_ignored};
 	g_autoptr(GString) text = front_metrics_write(&sources);
 
@@ -453,13 +602,17 @@
 	static const http_server_ops_t caller_ops = {.request = on_request, .gone = on_gone};
 	static const http_server_ops_t ready_ops = {.request = on_ready_request};
 	static const http_server_ops_t metrics_ops = {.request = on_metrics_request};
+	static const hop_server_ops_t hop_ops = {
+		.takes = hop_takes, .gather = hop_gather, .more = hop_more, .gone = hop_gone};
+	const endpoint_setting_t *gather = &settings->front_gather;
 	const endpoint_setting_t *front = &settings->front_callers;
 	const endpoint_setting_t *ready = &settings->front_ready;
 	const endpoint_setting_t *metrics = &settings->front_metrics;
 
 	task->callers = http_server_new(task->loop, front->address, front->port, &FIRST_LIMITS,
 					&caller_ops, task);
-	return task->callers &&
+	task->hops = hop_server_new(task->loop, gather->address, gather->port, &hop_ops, task);
+	return task->callers && task->hops &&
 	       http_server_new(task->loop, ready->address, ready->port, &HTTP_SERVER_OWN_LIMITS(0),
 			       &ready_ops, task) &&
 	       http_server_new(task->loop, metrics->address, metrics->port,
@@ -492,6 +645,8 @@
 						.back = on_store_back,
 						.sighting = on_sighting,
 						.members = on_members};
+	static const gather_ops_t gather_ops = {.answer = on_gathered,
+						.gather_here = on_gather_here};
 	front_task_t *task = g_new0(front_task_t, 1);
 
 	task->loop = loop;
@@ -504,6 +659,8 @@
 	start_registry(task, settings);
 	task->links = link_task_new(loop, &link_ops, task);
 	task->forwarder = forwarder_new(&forwarder_ops, task, task->registry, g_random_int());
+	task->gathers =
+		gather_task_new(loop, settings->vm_name, settings->data_centre, &gather_ops, task);
 	task->forwarder_timer = (loop_timer_t){.fire = run_forwarder, .ctx = task};
 	task->registry_timer = (loop_timer_t){.fire = run_registry, .ctx = task};
 	task->shares_timer = (loop_timer_t){.fire = set_shares, .ctx = task};
@@ -522,6 +679,7 @@
 
 void front_task_refresh(front_task_t *task)
 {
+	hop_server_stood_still(task->hops);
 	supply_task_refresh(task->supply);
 	run_forwarder(task);
 }
@@ -530,6 +688,7 @@
 {
 	task->leaving = true;
 	http_server_leave(task->callers);
+	hop_server_leave(task->hops);
 }
 
 void front_task_refuse(front_task_t *task)
@@ -545,10 +704,10 @@
 
 uint32_t front_task_open(const front_task_t *task)
 {
-	return http_server_open_exchanges(task->callers);
+	return http_server_open_exchanges(task->callers) + hop_server_open(task->hops);
 }
 
 uint64_t front_task_last_request_us(const front_task_t *task)
 {
-	return task->last_request_us;
+	return MAX(task->last_request_us, hop_server_last_us(task->hops));
 }
--- /dev/null
+++ b/src/tasks/gather_task.c
@@ -0,0 +1,157 @@
+/**
+ * @file gather_task.c
+ * See gather_task.h.
+ */
+#include "tasks/gather_task.h"
+
+#include "tasks/hop_client.h"
+
+/* Of the usual time from handing a request over to hearing that it is taken, at most: what is taken
+ * off the request's time for the way there and back. */
+#define WAY_MOST_US 20000
+
+struct gather_task_t {
+	loop_t *loop;
+	char *vm_name;
+	char *data_centre;
+	const gather_ops_t *ops;
+	void *ctx;
+	handovers_t *handovers;
+	hop_client_t *client;
+	loop_timer_t timer;
+};
+
+static void arm(gather_task_t *task)
+{
+	uint64_t next_us = handovers_next_us(task->handovers), now_us = loop_now_us();
+
+	if (next_us == TIMERS_NEVER)
+		loop_timer_cancel(&task->timer);
+	else
+		loop_timer_set(task->loop, &task->timer, next_us > now_us ? next_us - now_us : 0);
+}
+
+static void on_timer(void *ctx)
+{
+	gather_task_t *task = ctx;
+
+	handovers_run(task->handovers, loop_now_us());
+	arm(task);
+}
+
+static void on_heard(void *ctx)
+{
+	arm(ctx);
+}
+
+/* ---- what is said to gatherers ---- */
+
+static void on_send(void *ctx, handover_t *handover)
+{
+	gather_task_t *task = ctx;
+	relay_t *relay = handover->owner;
+	uint64_t way_us = MIN((uint64_t)handover->gatherer->taken.value_us, WAY_MOST_US);
+	hop_message_t message = {.type = HOP_REQUEST,
+				 .serial = handover->serial,
+				 .request = relay_hop_request(relay)};
+
+	message.request.version = relay->version;
+	message.request.elapsed_us = loop_now_us() - relay->request.received_us + way_us;
+	message.request.again = handover->unknown;
+	hop_client_write(task->client, handover->gatherer, &message);
+}
+
+static void on_go(void *ctx, handover_t *handover, uint32_t more)
+{
+	gather_task_t *task = ctx;
+	const hop_message_t message = {.type = HOP_GO, .serial = handover->serial, .more = more};
+
+	hop_client_write(task->client, handover->gatherer, &message);
+}
+
+static void on_cancel(void *ctx, handover_t *handover)
+{
+	gather_task_t *task = ctx;
+	const hop_message_t message = {.type = HOP_CANCEL, .serial = handover->serial};
+
+	if (handover->gatherer)
+		hop_client_write(task->client, handover->gatherer, &message);
+}
+
+static void on_answer(void *ctx, handover_t *handover, const hop_answer_t *answer)
+{
+	gather_task_t *task = ctx;
+
+	task->ops->answer(task->ctx, handover->owner, answer);
+}
+
+static void on_gather_here(void *ctx, handover_t *handover)
+{
+	gather_task_t *task = ctx;
+	relay_t *relay = handover->owner;
+
+	relay->handover = NULL;
+	task->ops->gather_here(task->ctx, relay);
+}
+
+/* ---- interface ---- */
+
+gather_task_t *gather_task_new(loop_t *loop, const char *vm_name, const char *data_centre,
+			       const gather_ops_t *ops, void *ctx)
+{
+	static const handover_ops_t handover_ops = {.send = on_send,
+						    .go = on_go,
+						    .cancel = on_cancel,
+						    .answer = on_answer,
+						    .gather_here = on_gather_here};
+	gather_task_t *task = g_new0(gather_task_t, 1);
+
+	task->loop = loop;
+	task->vm_name = g_strdup(vm_name);
+	task->data_centre = g_strdup(data_centre);
+	task->ops = ops;
+	task->ctx = ctx;
+	task->handovers = handovers_new(&handover_ops, task);
+	task->client = hop_client_new(loop, task->handovers);
+	hop_client_set_heard(task->client, on_heard, task);
+	task->timer = (loop_timer_t){.fire = on_timer, .ctx = task};
+	return task;
+}
+
+void gather_task_set_fleet(gather_task_t *task, const fleet_t *fleet)
+{
+	g_autoptr(GPtrArray) gatherers = gatherers_for(fleet, task->vm_name, task->data_centre);
+
+	handovers_set_gatherers(task->handovers, gatherers, task->data_centre);
+	hop_client_look(task->client);
+}
+
+bool gather_task_hand_over(gather_task_t *task, relay_t *relay, const route_t *route,
+			   uint64_t version)
+{
+	uint64_t now_us = loop_now_us();
+	const handover_terms_t terms = {.deadline_us =
+						forward_times(&relay->request, route).deadline_us,
+					.target_us = route->target_us,
+					.attempts_most = route->attempts_most};
+
+	if (terms.deadline_us <= now_us)
+		return false;
+	relay->version = version;
+	relay->handover = handover_begin(task->handovers, &terms, relay, now_us);
+	if (relay->handover)
+		arm(task);
+	return relay->handover != NULL;
+}
+
+void gather_task_abandon(gather_task_t *task, relay_t *relay)
+{
+	handover_abandon(relay->handover);
+	relay->handover = NULL;
+	arm(task);
+}
+
+const handovers_t *gather_task_handovers(const gather_task_t *task)
+{
+	return task->handovers;
+}
--- a/tests/fuzz.c
+++ b/tests/fuzz.c
@@ -7,6 +7,7 @@
 #include "commands/action.h"
 #include "commands/propose.h"
 #include "core/feed_message.h"
+#include "core/hop_message.h"
 #include "core/frame.h"
 #include "core/json_salvage.h"
 #include "core/reply.h"
@@ -18,6 +19,23 @@
 
 #define KEY "a-key-of-at-least-16"
 
+static void take_hop(void *ctx, const hop_message_t *message)
+{
+	(void)ctx;
+	hop_reason_name(message->reason);
+	forward_end_status(message->answer.end);
+}
+
+static void fuzz_hop(const uint8_t *data, size_t bytes)
+{
+	g_autoptr(GByteArray) frame = g_byte_array_new();
+	size_t used = 0;
+
+	hop_message_read(data, bytes, &used, take_hop, NULL);
+	framing_append(frame, (const char *)data, bytes);
+	hop_message_read(frame->data, frame->len, &used, take_hop, NULL);
+}
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t bytes);
 
 static void fuzz_reply(const uint8_t *data, size_t bytes)
@@ -127,6 +145,23 @@
 	feed_message_read(frame->data, frame->len, &used, take_feed, NULL);
 }
 
+static void take_hop(void *ctx, const hop_message_t *message)
+{
+	(void)ctx;
+	hop_reason_name(message->reason);
+	forward_end_status(message->answer.end);
+}
+
+static void fuzz_hop(const uint8_t *data, size_t bytes)
+{
+	g_autoptr(GByteArray) frame = g_byte_array_new();
+	size_t used = 0;
+
+	hop_message_read(data, bytes, &used, take_hop, NULL);
+	framing_append(frame, (const char *)data, bytes);
+	hop_message_read(frame->data, frame->len, &used, take_hop, NULL);
+}
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t bytes)
 {
 	static const struct {
@@ -134,7 +169,7 @@
 		void (*run)(const uint8_t *data, size_t bytes);
 	} targets[] = {{"reply", fuzz_reply},	{"health", fuzz_health}, {"search", fuzz_search},
 		       {"config", fuzz_config}, {"frame", fuzz_frame},	 {"page", fuzz_page},
-		       {"feed", fuzz_feed}};
+		       {"feed", fuzz_feed},	{"hop", fuzz_hop}};
 	const char *wanted = getenv("FUZZ_TARGET");
 
 	for (size_t i = 0; i < G_N_ELEMENTS(targets); i++)
--- /dev/null
+++ b/tests/handover_test.c
@@ -0,0 +1,265 @@
+/**
+ * @file handover_test.c
+ * Plays the scripts of tests/handover over the course of requests that other VMs gather: no
+ * sockets, and time as the script says.
+ *
+ * A script holds commands and, after "> ", the lines that they must print. Commands:
+ *
+ *     gatherers NAME[@DATA_CENTRE]...   who gathers for this VM, best first
+ *     there NAME                        it says that it is there
+ *     request ID DEADLINE_MS TARGET_MS ATTEMPTS
+ *     taken NAME ID, refuses NAME ID REASON, answer NAME ID END
+ *     leaving NAME, lost NAME           it stops, or its connection ends
+ *     leave ID                          the caller goes away
+ *     at MS                             time passes up to then, each timer at its moment
+ *     stand MS                          this VM stands still up to then
+ */
+#include "core/handover.h"
+#include "playbook.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SCRIPTS "tests/handover"
+#define START_US 1000000000ull
+
+typedef struct play_t {
+	GString *out;
+	uint64_t now_us;
+	handovers_t *all;
+	GHashTable *known; /* name to gatherer_t */
+	GHashTable *open;  /* id to handover_t */
+} play_t;
+
+static const char *const reasons[] = {"not-ready", "older", "no-gather", "stops", "busy", "still"};
+
+static const char *name_of(const handover_t *handover)
+{
+	return handover->gatherer ? handover->gatherer->vm->name : "nobody";
+}
+
+static void on_send(void *ctx, handover_t *handover)
+{
+	g_string_append_printf(((play_t *)ctx)->out, "> send %s to=%s again=%d\n",
+			       (char *)handover->owner, name_of(handover), handover->unknown);
+}
+
+static void on_go(void *ctx, handover_t *handover, uint32_t more)
+{
+	g_string_append_printf(((play_t *)ctx)->out, "> go %s to=%s more=%u\n",
+			       (char *)handover->owner, name_of(handover), more);
+}
+
+static void on_cancel(void *ctx, handover_t *handover)
+{
+	g_string_append_printf(((play_t *)ctx)->out, "> cancel %s to=%s\n", (char *)handover->owner,
+			       name_of(handover));
+}
+
+static void on_answer(void *ctx, handover_t *handover, const hop_answer_t *answer)
+{
+	play_t *play = ctx;
+
+	g_string_append_printf(play->out, "> answer %s %s retry_after_ms=%d\n",
+			       (char *)handover->owner, forward_end_name(answer->end),
+			       (int)(answer->retry_after_us / 1000));
+	g_hash_table_remove(play->open, handover->owner);
+}
+
+static void on_gather_here(void *ctx, handover_t *handover)
+{
+	play_t *play = ctx;
+
+	g_string_append_printf(play->out, "> here %s\n", (char *)handover->owner);
+	g_hash_table_remove(play->open, handover->owner);
+}
+
+static void *play_new(GString *out)
+{
+	static const handover_ops_t ops = {.send = on_send,
+					   .go = on_go,
+					   .cancel = on_cancel,
+					   .answer = on_answer,
+					   .gather_here = on_gather_here};
+	play_t *play = g_new0(play_t, 1);
+
+	play->out = out;
+	play->now_us = START_US;
+	play->all = handovers_new(&ops, play);
+	play->known = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					    (GDestroyNotify)gatherer_unref);
+	play->open = g_hash_table_new(g_str_hash, g_str_equal);
+	return play;
+}
+
+static void play_free(void *ctx)
+{
+	play_t *play = ctx;
+	gsize printed = play->out->len;
+	g_autoptr(GList) open = g_hash_table_get_values(play->open);
+
+	for (GList *item = open; item; item = item->next)
+		handover_abandon(item->data);
+	g_string_truncate(play->out, printed);
+	handovers_free(play->all);
+	g_hash_table_unref(play->known);
+	g_hash_table_unref(play->open);
+	g_free(play);
+}
+
+static void do_gatherers(void *ctx, char **words)
+{
+	play_t *play = ctx;
+	g_autoptr(GPtrArray) vms = g_ptr_array_new_with_free_func(vm_free);
+	const GPtrArray *gatherers;
+
+	for (char **word = words + 1; *word; word++) {
+		g_auto(GStrv) halves = g_strsplit(*word, "@", 2);
+		const vm_t vm = {.name = halves[0],
+				 .data_centre = halves[1] ? halves[1] : "here",
+				 .address = "127.0.0.1",
+				 .gather_port = 1};
+
+		g_ptr_array_add(vms, vm_new(&vm));
+	}
+	handovers_set_gatherers(play->all, vms, "here");
+	gatherers = handovers_gatherers(play->all);
+	for (guint i = 0; i < gatherers->len; i++) {
+		gatherer_t *gatherer = g_ptr_array_index(gatherers, i);
+
+		g_hash_table_insert(play->known, g_strdup(gatherer->vm->name),
+				    gatherer_ref(gatherer));
+	}
+}
+
+static gatherer_t *find(play_t *play, const char *name)
+{
+	gatherer_t *gatherer = g_hash_table_lookup(play->known, name);
+
+	if (!gatherer)
+		g_error("no gatherer %s", name);
+	return gatherer;
+}
+
+static void hear(play_t *play, const char *name, const char *id, hop_message_t message)
+{
+	static uint64_t serial_of_none;
+	const handover_t *handover = id ? g_hash_table_lookup(play->open, id) : NULL;
+
+	message.serial = handover ? handover->serial : serial_of_none;
+	handovers_heard(play->all, find(play, name), &message, play->now_us);
+}
+
+static void do_there(void *ctx, char **words)
+{
+	play_t *play = ctx;
+	gatherer_t *gatherer = find(play, words[1]);
+
+	if (gatherer->state == GATHERER_CLOSED)
+		gatherer->state = GATHERER_OPENS;
+	hear(play, words[1], NULL, (hop_message_t){.type = HOP_PONG});
+}
+
+static void do_request(void *ctx, char **words)
+{
+	play_t *play = ctx;
+	const handover_terms_t terms = {.deadline_us =
+						play->now_us + strtoull(words[2], NULL, 10) * 1000,
+					.target_us = strtoull(words[3], NULL, 10) * 1000,
+					.attempts_most = (uint32_t)atoi(words[4])};
+	char *id = (char *)g_intern_string(words[1]);
+	handover_t *handover = handover_begin(play->all, &terms, id, play->now_us);
+
+	if (handover)
+		g_hash_table_insert(play->open, id, handover);
+	else
+		g_string_append_printf(play->out, "> nobody takes %s\n", id);
+}
+
+static void do_taken(void *ctx, char **words)
+{
+	hear(ctx, words[1], words[2], (hop_message_t){.type = HOP_TAKEN});
+}
+
+static void do_refuses(void *ctx, char **words)
+{
+	hop_message_t message = {.type = HOP_NOT_TAKEN};
+
+	for (int i = 0; i < HOP_REASONS; i++)
+		if (g_str_equal(reasons[i], words[3]))
+			message.reason = (hop_reason_t)i;
+	hear(ctx, words[1], words[2], message);
+}
+
+static void do_answer(void *ctx, char **words)
+{
+	hop_message_t message = {.type = HOP_ANSWER};
+
+	for (int end = 0; end < FORWARD_ENDS; end++)
+		if (g_str_equal(forward_end_name((forward_end_t)end), words[3]))
+			message.answer.end = (forward_end_t)end;
+	message.answer.retry_after_us = forward_end_status(message.answer.end) == 503 ? 100000 : 0;
+	hear(ctx, words[1], words[2], message);
+}
+
+static void do_leaving(void *ctx, char **words)
+{
+	hear(ctx, words[1], NULL, (hop_message_t){.type = HOP_LEAVING});
+}
+
+static void do_lost(void *ctx, char **words)
+{
+	play_t *play = ctx;
+
+	handovers_lost(play->all, find(play, words[1]), play->now_us);
+}
+
+static void do_leave(void *ctx, char **words)
+{
+	play_t *play = ctx;
+	handover_t *handover = g_hash_table_lookup(play->open, words[1]);
+
+	g_hash_table_remove(play->open, words[1]);
+	handover_abandon(handover);
+}
+
+static void do_at(void *ctx, char **words)
+{
+	play_t *play = ctx;
+	uint64_t until_us = START_US + strtoull(words[1], NULL, 10) * 1000;
+
+	while (handovers_next_us(play->all) <= until_us) {
+		play->now_us = MAX(play->now_us, handovers_next_us(play->all));
+		handovers_run(play->all, play->now_us);
+	}
+	play->now_us = until_us;
+}
+
+static void do_stand(void *ctx, char **words)
+{
+	play_t *play = ctx;
+
+	play->now_us = START_US + strtoull(words[1], NULL, 10) * 1000;
+	handovers_run(play->all, play->now_us);
+}
+
+static const playbook_command_t commands[] = {
+	{"gatherers", do_gatherers}, {"there", do_there},
+	{"request", do_request},     {"taken", do_taken},
+	{"refuses", do_refuses},     {"answer", do_answer},
+	{"leaving", do_leaving},     {"lost", do_lost},
+	{"leave", do_leave},	     {"at", do_at},
+	{"stand", do_stand},
+};
+
+int main(void)
+{
+	const playbook_ops_t ops = {.folder = SCRIPTS,
+				    .start = play_new,
+				    .end = play_free,
+				    .commands = commands,
+				    .command_count = G_N_ELEMENTS(commands)};
+
+	return playbook_run("handover", &ops);
+}
--- /dev/null
+++ b/tests/hop_message_test.c
@@ -0,0 +1,173 @@
+/**
+ * @file hop_message_test.c
+ * What VMs that hand gathers over and those that gather say to each other.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include "core/hop_message.h"
+
+#include <msgpack.h>
+#include <string.h>
+
+static hop_bytes_t bytes_of(const char *text)
+{
+	return (hop_bytes_t){.data = text, .bytes = strlen(text)};
+}
+
+static void append_bytes(GString *out, hop_bytes_t bytes)
+{
+	g_string_append_c(out, ' ');
+	g_string_append_len(out, bytes.data, (gssize)bytes.bytes);
+}
+
+/* All fields as text, so that two messages can be compared. */
+static void write_down(void *ctx, const hop_message_t *message)
+{
+	const hop_request_t *request = &message->request;
+	const hop_answer_t *answer = &message->answer;
+	GString *out = ctx;
+
+	g_string_append_printf(
+		out, "%d #%" G_GUINT64_FORMAT " reason=%d more=%u %" G_GUINT64_FORMAT " %d",
+		message->type, message->serial, message->reason, message->more, request->version,
+		request->again);
+	g_string_append_printf(out, " %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT,
+			       request->elapsed_us, request->patience_us);
+	append_bytes(out, request->id);
+	append_bytes(out, request->host);
+	append_bytes(out, request->target);
+	append_bytes(out, request->head);
+	append_bytes(out, request->body);
+	g_string_append_printf(out, " end=%d %u/%u %" G_GUINT64_FORMAT, answer->end,
+			       answer->missing, answer->parts, answer->retry_after_us);
+	append_bytes(out, answer->stamps);
+	append_bytes(out, answer->records);
+	g_string_append_c(out, ';');
+}
+
+static hop_message_t message_of(hop_type_t type)
+{
+	hop_message_t message = {.type = type, .serial = 1ull << 40};
+
+	if (type == HOP_REQUEST)
+		message.request = (hop_request_t){.version = 17,
+						  .elapsed_us = 2300,
+						  .patience_us = 600000,
+						  .again = true,
+						  .id = bytes_of("id"),
+						  .host = bytes_of("h"),
+						  .target = bytes_of("/x/"),
+						  .head = bytes_of("GET /x/ HTTP/1.1\r\n"),
+						  .body = {.data = "a\0b", .bytes = 3}};
+	if (type == HOP_ANSWER)
+		message.answer = (hop_answer_t){.end = FORWARD_FULL,
+						.parts = 90,
+						.missing = 2,
+						.retry_after_us = 200000,
+						.stamps = bytes_of("a, b"),
+						.records = bytes_of("0123456789abcdef")};
+	if (type == HOP_NOT_TAKEN)
+		message.reason = HOP_BUSY;
+	if (type == HOP_GO)
+		message.more = 2;
+	return message;
+}
+
+/* Each message is read as it was written, however its bytes arrive. */
+static void test_round_trip(void **state)
+{
+	(void)state;
+	for (int type = 0; type < HOP_TYPES; type++) {
+		g_autoptr(GByteArray) bytes = g_byte_array_new();
+		g_autoptr(GString) wanted = g_string_new(NULL);
+		g_autoptr(GString) got = g_string_new(NULL);
+		hop_message_t message = message_of((hop_type_t)type);
+		size_t used = 0;
+
+		write_down(wanted, &message);
+		hop_message_write(bytes, &message);
+		for (guint have = 0; have < bytes->len; have++)
+			assert_int_equal(
+				hop_message_read(bytes->data, have, &used, write_down, got),
+				FRAMING_MORE);
+		assert_int_equal(hop_message_read(bytes->data, bytes->len, &used, write_down, got),
+				 FRAMING_ONE);
+		assert_int_equal(used, bytes->len);
+		assert_string_equal(got->str, wanted->str);
+	}
+}
+
+/* A message in an array of our own, to be read back. */
+static framing_t read_array(const msgpack_sbuffer *buffer, GString *got)
+{
+	g_autoptr(GByteArray) bytes = g_byte_array_new();
+	size_t used = 0;
+
+	framing_append(bytes, buffer->data, buffer->size);
+	return hop_message_read(bytes->data, bytes->len, &used, write_down, got);
+}
+
+/* While VMs are updated one after the other, a later version says more than this one knows: its new
+ * messages and fields are passed over, and the connection stays. */
+static void test_later_version(void **state)
+{
+	g_autoptr(GString) got = g_string_new(NULL);
+	msgpack_sbuffer buffer;
+	msgpack_packer packer;
+
+	(void)state;
+	msgpack_sbuffer_init(&buffer);
+	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+	msgpack_pack_array(&packer, 3);
+	msgpack_pack_uint8(&packer, HOP_TYPES + 3);
+	msgpack_pack_uint64(&packer, 1);
+	msgpack_pack_map(&packer, 0);
+	assert_int_equal(read_array(&buffer, got), FRAMING_ONE);
+	assert_string_equal(got->str, "");
+	msgpack_sbuffer_clear(&buffer);
+	msgpack_pack_array(&packer, 4);
+	msgpack_pack_uint8(&packer, HOP_GO);
+	msgpack_pack_uint64(&packer, 1);
+	msgpack_pack_uint32(&packer, 1);
+	msgpack_pack_nil(&packer);
+	assert_int_equal(read_array(&buffer, got), FRAMING_ONE);
+	assert_true(g_str_has_prefix(got->str, "5 #1 reason=0 more=1"));
+	msgpack_sbuffer_destroy(&buffer);
+}
+
+/* Bytes that are no message of ours end the connection, and nothing of them is taken. */
+static void test_garbage(void **state)
+{
+	static const char *const payloads[] = {"",
+					       "\x01",
+					       "\x92\xa1x\x01",
+					       "\x92\x02\x01",
+					       "\x93\x05\x01\xff",
+					       "\xdd\xff\xff\xff\xff"};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(payloads); i++) {
+		g_autoptr(GByteArray) bytes = g_byte_array_new();
+		g_autoptr(GString) got = g_string_new(NULL);
+		size_t used = 0;
+
+		framing_append(bytes, payloads[i], strlen(payloads[i]));
+		assert_int_equal(hop_message_read(bytes->data, bytes->len, &used, write_down, got),
+				 FRAMING_BAD);
+		assert_string_equal(got->str, "");
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_round_trip),
+		cmocka_unit_test(test_later_version),
+		cmocka_unit_test(test_garbage),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -17,6 +17,16 @@
 	'callers come back before the store|src/core/retry_after.c|s/if \(store_away && share_us > time_us\)/if (0)/'
 	'an announced change is not read|src/core/follow.c|s/follow->lists = follow->owed;/follow->lists = false;/'
 	'a VM stops watching for a feed that it did not take|src/core/follow.c|s/follow->owed = true;/follow->owed = true;\n\tfollow->watches = false;/'
+	'a silent gatherer is waited for|src/core/handover.c|s/if \(!handover->taken\)\n\t\tnext_us/if (0)\n\t\tnext_us/'
+	'a silent gatherer is asked again|src/core/handover.c|s/handover->gatherer->state = GATHERER_SILENT;/;/'
+	'two gatherers may each use all tries|src/core/handover.c|s/handover->attempts_left -= more;/;/; s/handover->attempts_left < FIRST_ATTEMPTS\) \{/0) {/'
+	'what may have run is said not to have|src/core/handover.c|s/if \(handover->unknown && promises\(told.end\)\)/if (0)/'
+	'what may have run is gathered here, too|src/core/handover.c|s/\} else if \(handover->unknown\) \{/} else if (0) {/'
+	'a late word counts for another gatherer|src/core/handover.c|s/if \(!handover \|\| handover->gatherer != gatherer\)/if (!handover)/'
+	'a VM that stood still blames gatherers|src/core/handover.c|s/now_us > handover->timer.at_us \+ LATE_US/0/'
+	'small VMs gather like large ones|src/core/gatherer_choice.c|s/\tkeep_strong\(gatherers\);//'
+	'any number of VMs gathers|src/core/gatherer_choice.c|s/if \(gatherers->len > most\)/if (0)/'
+	'VMs that start together each take a share|src/core/connection_share.c|s/vms->all \? connections \* USED : 0/connections * USED/'
 	'a feed is left too late|src/core/feed_timing.c|s/define LEAVE_MS 500/define LEAVE_MS 0/'
 	'a hopeless gather is sent to those that have room|src/core/forwarder.c|s/if \(is_hopeless\(forward, now_us\)\)/if (0)/'
 	'failures do not weigh in placing|src/core/searcher.c|s/(uint64_t avoid_us = AVOID_FIRST_US[^;]*;\n)\n\tyield_note\(&searcher->yield, true, now_us\);/$1/'
@@ -96,12 +106,13 @@
 LIBS="$(pkg-config --libs glib-2.0 jansson libxxhash msgpack) -lcmocka -lm"
 
 # Test programs in the order they are tried, and what each is linked from besides src/core.
-TESTS="forward_test parts_test message_test gossip_test script_test load_test random_test"
+TESTS="forward_test handover_test fleet_test parts_test message_test gossip_test script_test load_test random_test"
 declare -A SEEN_BY=(
-	[forward_test]='the forwarding scripts' [parts_test]='the small parts' [message_test]="the codec's tests"
+	[forward_test]='the forwarding scripts' [handover_test]='the scripts of handing over'
+	[fleet_test]='the fleets' [parts_test]='the small parts' [message_test]="the codec's tests"
 	[load_test]='the loads'
 	[gossip_test]='the members' [script_test]='the scripts' [random_test]='the schedules')
-declare -A WITH=([forward_test]='playbook' [message_test]='net_http_message' [script_test]='world' [random_test]='world'
+declare -A WITH=([forward_test]='playbook' [handover_test]='playbook' [message_test]='net_http_message' [script_test]='world' [random_test]='world'
 	[load_test]='load_world')
 declare -A ARGS=([random_test]=400)
 
