Descriptors are polled by one epoll descriptor

Cause: libwebsockets polls each descriptor at each wake-up, and a VM that gathers for others has some 600 connections. Our descriptors stand behind one epoll descriptor now, which libwebsockets polls; a limit of 8,192 descriptors, taken from the largest VM, goes. Ruled out: a loop of our own, as peers' connections use libwebsockets' sockets.

--- a/src/net/loop.c
+++ b/src/net/loop.c
@@ -6,6 +6,7 @@
 
 #include <signal.h>
 #include <string.h>
+#include <sys/epoll.h>
 #include <sys/timerfd.h>
 #include <time.h>
 #include <unistd.h>
@@ -18,8 +19,11 @@
 /* A wait that ends so soon found its events there already. */
 #define AT_ONCE_US 1000
 
-/* Beyond the most descriptors that any VM of the deployments has, 8192. */
-#define FD_LIMIT 8192
+/* Descriptors that libwebsockets polls by itself: those of peers, and the one that stands for all
+ * others. */
+#define LWS_FD_LIMIT 1024
+/* Descriptors told of in one turn; the rest comes in the next, after timers and messages. */
+#define READY_MOST 256
 
 typedef struct posted_t {
 	loop_receive_f receive;
@@ -34,7 +38,9 @@
 	fd_watch_t wake;   /* a timerfd */
 	uint64_t armed_us; /* when it is set to fire; TIMERS_NEVER when it is not */
 	struct lws_protocols protocols[2];
-	struct lws_vhost *vhost; /* of all watched descriptors */
+	int epoll_fd; /* of all watched descriptors */
+	struct epoll_event ready[READY_MOST];
+	int ready_count; /* of those being told */
 	void (*turn_done)(void *ctx);
 	void *turn_ctx;
 	void (*woke)(void *ctx, uint64_t still_us);
@@ -63,53 +69,96 @@
 	      "event=lws text=\"%.*s\"", (int)strcspn(line, "\n"), line);
 }
 
-static int on_fd(struct lws *wsi, enum lws_callback_reasons reason, void *user, void *in,
-		 size_t len)
+/* ---- descriptors ---- */
+
+/*
+ * They are polled by one epoll descriptor that libwebsockets polls. Its own poll looks at each
+ * descriptor at each wake-up, and a VM that gathers for others has a connection or more to each of
+ * several hundred searchers.
+ */
+
+static bool set_events(const fd_watch_t *watch, int operation)
 {
-	fd_watch_t *watch = lws_get_opaque_user_data(wsi);
-	loop_t *loop = lws_context_user(lws_get_context(wsi));
+	struct epoll_event event = {.events = EPOLLIN | (watch->wants_write ? EPOLLOUT : 0),
+				    .data.ptr = (void *)watch};
 
-	(void)user;
-	(void)in;
-	(void)len;
-	if (!watch)
-		return 0;
-	if (!loop->woke_us)
-		loop->woke_us = loop_now_us();
-	switch (reason) {
-	case LWS_CALLBACK_RAW_RX_FILE:
-		return watch->event(watch, FD_READABLE) ? 0 : -1;
-	case LWS_CALLBACK_RAW_WRITEABLE_FILE:
-		return watch->event(watch, FD_WRITABLE) ? 0 : -1;
-	case LWS_CALLBACK_RAW_CLOSE_FILE:
-		lws_set_opaque_user_data(wsi, NULL);
-		watch->event(watch, FD_CLOSED);
-		return 0;
-	default:
-		return 0;
-	}
+	return epoll_ctl(watch->loop->epoll_fd, operation, watch->fd, &event) == 0;
 }
 
 bool loop_watch(loop_t *loop, fd_watch_t *watch)
 {
-	lws_sock_file_fd_type fd = {.filefd = watch->fd};
-
-	watch->wsi =
-		lws_adopt_descriptor_vhost(loop->vhost, LWS_ADOPT_RAW_FILE_DESC, fd, "fd", NULL);
-	if (!watch->wsi)
-		return false;
-	lws_set_opaque_user_data(watch->wsi, watch);
-	return true;
+	watch->loop = loop;
+	if (set_events(watch, EPOLL_CTL_ADD))
+		return true;
+	close(watch->fd);
+	return false;
 }
 
 void loop_want_write(fd_watch_t *watch)
 {
-	lws_callback_on_writable(watch->wsi);
+	if (watch->wants_write)
+		return;
+	watch->wants_write = true;
+	set_events(watch, EPOLL_CTL_MOD);
 }
 
+/* Its events that were read together with the one being told must not reach it any more. */
 void loop_unwatch(fd_watch_t *watch)
 {
-	lws_set_timeout(watch->wsi, PENDING_TIMEOUT_CLOSE_SEND, LWS_TO_KILL_SYNC);
+	loop_t *loop = watch->loop;
+	int fd = watch->fd;
+
+	for (int i = 0; i < loop->ready_count; i++)
+		if (loop->ready[i].data.ptr == watch)
+			loop->ready[i].data.ptr = NULL;
+	watch->event(watch, FD_CLOSED);
+	close(fd);
+}
+
+static bool tell_writable(fd_watch_t *watch)
+{
+	watch->wants_write = false;
+	set_events(watch, EPOLL_CTL_MOD);
+	return watch->event(watch, FD_WRITABLE);
+}
+
+/* A connection that broke while it was made is told as writable, any other as readable: the next
+ * call on it gives the error. */
+static void tell_ready(fd_watch_t *watch, uint32_t events)
+{
+	bool broke = events & (EPOLLERR | EPOLLHUP);
+	bool writable = watch->wants_write && (broke || (events & EPOLLOUT));
+	bool readable = (events & EPOLLIN) || (broke && !writable);
+	bool stays = true;
+
+	if (readable)
+		stays = watch->event(watch, FD_READABLE);
+	if (stays && writable)
+		stays = tell_writable(watch);
+	if (!stays)
+		loop_unwatch(watch);
+}
+
+static void tell_all_ready(loop_t *loop)
+{
+	if (!loop->woke_us)
+		loop->woke_us = loop_now_us();
+	loop->ready_count = epoll_wait(loop->epoll_fd, loop->ready, READY_MOST, 0);
+	for (int i = 0; i < loop->ready_count; i++)
+		if (loop->ready[i].data.ptr)
+			tell_ready(loop->ready[i].data.ptr, loop->ready[i].events);
+	loop->ready_count = 0;
+}
+
+static int on_epoll(struct lws *wsi, enum lws_callback_reasons reason, void *user, void *in,
+		    size_t len)
+{
+	(void)user;
+	(void)in;
+	(void)len;
+	if (reason == LWS_CALLBACK_RAW_RX_FILE)
+		tell_all_ready(lws_context_user(lws_get_context(wsi)));
+	return 0;
 }
 
 static bool on_wake(fd_watch_t *watch, fd_event_t event)
@@ -121,20 +170,31 @@
 	return true;
 }
 
-static void start_watches(loop_t *loop)
+static void start_epoll(loop_t *loop)
 {
 	struct lws_context_creation_info info = {
 		.port = CONTEXT_PORT_NO_LISTEN,
 		.protocols = loop->protocols,
 		.vhost_name = "descriptors",
 	};
+	lws_sock_file_fd_type fd;
+	struct lws_vhost *vhost;
+
+	loop->protocols[0] = (struct lws_protocols){.name = "epoll", .callback = on_epoll};
+	vhost = lws_create_vhost(loop->context, &info);
+	loop->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+	fd.filefd = loop->epoll_fd;
+	if (!vhost || loop->epoll_fd < 0 ||
+	    !lws_adopt_descriptor_vhost(vhost, LWS_ADOPT_RAW_FILE_DESC, fd, "epoll", NULL))
+		g_error("event=loop-failed reason=epoll");
+}
 
-	loop->protocols[0] = (struct lws_protocols){.name = "fd", .callback = on_fd};
-	loop->vhost = lws_create_vhost(loop->context, &info);
+static void start_timers(loop_t *loop)
+{
 	loop->armed_us = TIMERS_NEVER;
 	loop->wake = (fd_watch_t){.fd = timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC),
 				  .event = on_wake};
-	if (!loop->vhost || loop->wake.fd < 0 || !loop_watch(loop, &loop->wake))
+	if (loop->wake.fd < 0 || !loop_watch(loop, &loop->wake))
 		g_error("event=loop-failed reason=timerfd");
 	timers_init(&loop->timers);
 }
@@ -145,7 +205,7 @@
 		.port = CONTEXT_PORT_NO_LISTEN,
 		/* Where IPv6 is not to be had, a context that may use it opens no socket. */
 		.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DISABLE_IPV6,
-		.fd_limit_per_thread = FD_LIMIT,
+		.fd_limit_per_thread = LWS_FD_LIMIT,
 		.timeout_secs = 10,
 	};
 	loop_t *loop = g_new0(loop_t, 1);
@@ -156,7 +216,8 @@
 	if (!loop->context)
 		g_error("event=loop-failed reason=context");
 	g_queue_init(&loop->mailbox);
-	start_watches(loop);
+	start_epoll(loop);
+	start_timers(loop);
 	return loop;
 }
 
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -37,13 +37,15 @@
 
 /** A descriptor polled by the loop; embedded as the first member of its owner. */
 typedef struct fd_watch_t {
-	struct lws *wsi; /**< private to the loop */
+	loop_t *loop; /**< private to the loop, as the next */
+	bool wants_write;
 	int fd;
 	/** False asks the loop to close it; FD_CLOSED then follows. */
 	bool (*event)(struct fd_watch_t *watch, fd_event_t event);
 } fd_watch_t;
 
-/** Watch @p watch->fd, which the loop owns from here on, also when this fails. */
+/** Watch @p watch->fd, which the loop owns from here on, also when this fails. With wants_write
+ * set, it is told when it can be written. */
 bool loop_watch(loop_t *loop, fd_watch_t *watch);
 void loop_want_write(fd_watch_t *watch);
 /** Close at once; FD_CLOSED is told before the return. Not from inside its own event. */
--- a/src/net/sock.c
+++ b/src/net/sock.c
@@ -27,7 +27,7 @@
 	bool connecting;
 	bool shutting_down; /* our direction ends once `out` is written */
 	bool in_callback;
-	bool closed; /* no more callbacks; freed when libwebsockets lets go of it */
+	bool closed; /* no more callbacks; freed when the loop lets go of it */
 };
 
 struct listener_t {
@@ -114,7 +114,7 @@
 	return sock->closed ? -1 : 0;
 }
 
-/* libwebsockets closes the descriptor after this; bytes that came with the end are still read. */
+/* The loop closes the descriptor after this; bytes that came with the end are still read. */
 static void let_go(sock_t *sock)
 {
 	if (!sock->closed && read_some(sock) == 0)
@@ -200,7 +200,7 @@
 		return NULL;
 	}
 	sock = g_new0(sock_t, 1);
-	sock->watch = (fd_watch_t){.fd = fd, .event = sock_event};
+	sock->watch = (fd_watch_t){.fd = fd, .event = sock_event, .wants_write = true};
 	sock->ops = ops;
 	sock->ctx = ctx;
 	sock->connecting = true;
@@ -208,7 +208,6 @@
 		g_free(sock);
 		return NULL;
 	}
-	loop_want_write(&sock->watch);
 	return sock;
 }
 
@@ -255,7 +254,7 @@
 	if (sock->closed)
 		return;
 	sock->closed = true;
-	/* From inside its own callback the return value closes it; libwebsockets still uses it. */
+	/* From inside its own callback the return value closes it; the loop still uses it. */
 	if (!sock->in_callback)
 		loop_unwatch(&sock->watch);
 }
