--- a/src/queries/front_metrics.c
+++ b/src/queries/front_metrics.c
@@ -100,11 +100,27 @@
 	put(out, "store_values_damaged_total", NULL, NULL, store->damaged);
 }
 
+static void put_gatherers(GString *out, const handovers_t *handovers)
+{
+	const GPtrArray *gatherers = handovers_gatherers(handovers);
+
+	put(out, "gatherers", NULL, NULL, gatherers->len);
+	for (guint i = 0; i < gatherers->len; i++) {
+		const gatherer_t *gatherer = g_ptr_array_index(gatherers, i);
+
+		g_string_append_printf(
+			out,
+			"dogwoodsaddle_gatherer{vm=\"%s\",data_centre=\"%s\",state=\"%s\"} %u\n",
+			gatherer->vm->name, gatherer->vm->data_centre,
+			gatherer_state_name(gatherer->state), gatherer->out);
+	}
+}
+
 static void put_handovers(GString *out, const handovers_t *handovers, uint32_t hops_open)
 {
 	const handover_counters_t *counters = handovers_counters(handovers);
 
-	put(out, "gatherers", NULL, NULL, handovers_gatherers(handovers)->len);
+	put_gatherers(out, handovers);
 	put(out, "handovers_total", NULL, NULL, counters->begun);
 	put(out, "handover_ends_total", "outcome", "answered", counters->answered);
 	put(out, "handover_ends_total", "outcome", "gathered-here", counters->here);
--- a/src/tool/explain.c
+++ b/src/tool/explain.c
@@ -41,6 +41,7 @@
 	const char *request;
 	const log_line_t *answer;
 	GHashTable *searchers; /* ids that the request was sent to */
+	char *gatherer;	       /* the VM that gathered it for the answer's; NULL when none did */
 } view_t;
 
 static void print_line(const log_line_t *line)
@@ -177,11 +178,11 @@
 /* What changed what the VM believes, or could do. */
 static bool is_of_vm(const log_line_t *line)
 {
-	static const char *const events[] = {"start",	   "stopped",	 "leaving",
-					     "woke",	   "paused",	 "reloaded",
-					     "store-lost", "store-back", "store-history-gone",
-					     "feed-lost",  "feed-taken", "configuration",
-					     "log-lost"};
+	static const char *const events[] = {"start",	   "stopped",	    "leaving",
+					     "woke",	   "paused",	    "reloaded",
+					     "store-lost", "store-back",    "store-history-gone",
+					     "feed-lost",  "feed-taken",    "configuration",
+					     "log-lost",   "gatherer-lost", "gatherer-silent"};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(events); i++)
 		if (is_event(line, events[i]))
@@ -189,14 +190,14 @@
 	return false;
 }
 
-static void print_vm(const view_t *view)
+static void print_vm(const view_t *view, const char *vm)
 {
-	printf("VM %s in the %u s before:\n", view->answer->vm, BEFORE_MS / 1000);
+	printf("VM %s in the %u s before:\n", vm, BEFORE_MS / 1000);
 	for (guint i = 0; i < view->lines->len; i++) {
 		const log_line_t *line = g_ptr_array_index(view->lines, i);
 		int64_t after = after_ms(view, line);
 
-		if (after >= -BEFORE_MS && after <= 0 && g_str_equal(line->vm, view->answer->vm) &&
+		if (after >= -BEFORE_MS && after <= 0 && g_str_equal(line->vm, vm) &&
 		    is_of_vm(line))
 			print_line(line);
 	}
@@ -212,10 +213,14 @@
 
 	if (!find_answer(&view))
 		return false;
+	view.gatherer = log_line_value(view.answer, "gathered_by");
 	print_request(&view);
 	g_hash_table_iter_init(&iter, searchers);
 	while (g_hash_table_iter_next(&iter, &searcher, NULL))
 		print_searcher(&view, searcher);
-	print_vm(&view);
+	print_vm(&view, view.answer->vm);
+	if (view.gatherer && !g_str_equal(view.gatherer, "nobody"))
+		print_vm(&view, view.gatherer);
+	g_free(view.gatherer);
 	return true;
 }
--- a/tests/system/front_gather.sh
+++ b/tests/system/front_gather.sh
@@ -24,6 +24,10 @@
 [ -n "$gatherer" ] || bad "a gather at a small VM is not handed over"
 [ "$(metric handovers_total 0)" = 1 ] || bad "handovers: $(metric handovers_total 0)"
 grep -q "event=answer request=sound-1 route=" "$RUN/$gatherer.log" || bad "$gatherer does not log the gather"
+"$BUILD/dogwoodsaddle" explain sound-1 "$RUN"/front-*.log >"$RUN/explained" || bad "explain fails"
+grep -q "VM $gatherer in the" "$RUN/explained" || bad "explain does not show the gatherer"
+curl -s -m 2 "http://127.0.0.1:$((FRONT_FROM + 2))/metrics" | grep -q "dogwoodsaddle_gatherer{vm=\"$gatherer\",data_centre=\"here\",state=\"there\"}" ||
+	bad "metrics do not show who gathers"
 
 # A gatherer that is frozen: another one is asked.
 frozen=${gatherer#front-}
