A caller that was answered by a new version is not answered by the one before

Cause, by reading: gatherers learn of a change within a second of each other, and a taker hands its requests to three of them. A caller could be answered by the new version and then by the old one. Change: a gatherer says by which version it gathers; from then on the taker asks for no older one, and reads the change itself at once. VMs that watch the store hear of configurations within 0.1 s of each other, 0.8 s before.

--- a/src/core/handover.c
+++ b/src/core/handover.c
@@ -22,6 +22,7 @@
 	GPtrArray *gatherers; /* gatherer_t */
 	GHashTable *open;     /* serial to handover_t */
 	uint64_t last_serial;
+	uint64_t version; /* the latest that a gatherer has gathered by */
 	timers_t timers;
 	handover_counters_t counters;
 };
@@ -248,8 +249,7 @@
 	handovers_t *all = handover->all;
 
 	all->counters.silent++;
-	g_message("event=gatherer-silent vm=%s after_us=%" G_GUINT64_FORMAT " outcome=avoided",
-		  handover->gatherer->vm->name, now_us - handover->sent_us);
+	all->ops->silent(all->ctx, handover, now_us - handover->sent_us);
 	if (handover->gatherer->state == GATHERER_THERE)
 		handover->gatherer->state = GATHERER_SILENT;
 	all->ops->cancel(all->ctx, handover);
@@ -274,6 +274,19 @@
 
 /* ---- what gatherers say ---- */
 
+/*
+ * Gatherers learn of a change one after the other. A caller that was answered by the new version
+ * must not be answered by the old one afterwards: from here on no gatherer that is behind takes a
+ * request.
+ */
+static void note_version(handovers_t *all, uint64_t version)
+{
+	if (version <= all->version)
+		return;
+	all->version = version;
+	all->ops->newer(all->ctx, version);
+}
+
 static void on_taken(handover_t *handover, uint64_t now_us)
 {
 	handovers_t *all = handover->all;
@@ -293,9 +306,10 @@
 
 static void on_not_taken(handover_t *handover, hop_reason_t reason, uint64_t now_us)
 {
-	handover->all->counters.not_taken[reason]++;
-	g_info("event=not-taken vm=%s reason=%s", handover->gatherer->vm->name,
-	       hop_reason_name(reason));
+	handovers_t *all = handover->all;
+
+	all->counters.not_taken[reason]++;
+	all->ops->not_taken(all->ctx, handover, reason);
 	handover->attempts_left += FIRST_ATTEMPTS;
 	if (reason == HOP_STOPS)
 		handover->gatherer->state = GATHERER_LEAVING;
@@ -319,6 +333,8 @@
 	handover_t *handover = g_hash_table_lookup(all->open, &message->serial);
 
 	note_heard(gatherer, message->type);
+	if (message->type == HOP_TAKEN)
+		note_version(all, message->version);
 	/* Of a request that has ended, or that another gatherer has by now. */
 	if (!handover || handover->gatherer != gatherer)
 		return;
@@ -346,6 +362,11 @@
 	}
 }
 
+uint64_t handovers_version(const handovers_t *all)
+{
+	return all->version;
+}
+
 uint64_t handovers_next_us(const handovers_t *all)
 {
 	return timers_next_us(&all->timers);
--- a/src/core/handover.h
+++ b/src/core/handover.h
@@ -46,10 +46,15 @@
 	void (*go)(void *ctx, handover_t *handover, uint32_t more);
 	/** Tell its gatherer that nobody waits any more. */
 	void (*cancel)(void *ctx, handover_t *handover);
+	/** Its gatherer has said nothing for so long, or does not take it; for the log. */
+	void (*silent)(void *ctx, const handover_t *handover, uint64_t after_us);
+	void (*not_taken)(void *ctx, const handover_t *handover, hop_reason_t reason);
 	/** The end; @p handover is freed after the return. */
 	void (*answer)(void *ctx, handover_t *handover, const hop_answer_t *answer);
 	/** Nobody took it, and nothing of it ran: gather here. It is freed after the return. */
 	void (*gather_here)(void *ctx, handover_t *handover);
+	/** A gatherer gathers by @p version, later than any that was heard of so. */
+	void (*newer)(void *ctx, uint64_t version);
 } handover_ops_t;
 
 /** Counters, for metrics. */
@@ -82,6 +87,9 @@
 /** The connection to a gatherer has ended. */
 void handovers_lost(handovers_t *all, gatherer_t *gatherer, uint64_t now_us);
 
+/** The latest configuration that a gatherer has gathered by for this VM; 0: none. */
+uint64_t handovers_version(const handovers_t *all);
+
 uint64_t handovers_next_us(const handovers_t *all);
 void handovers_run(handovers_t *all, uint64_t now_us);
 const handover_counters_t *handovers_counters(const handovers_t *all);
--- a/src/core/hop_message.c
+++ b/src/core/hop_message.c
@@ -46,6 +46,7 @@
 {
 	static const uint8_t more[HOP_TYPES] = {[HOP_REQUEST] = REQUEST_FIELDS,
 						[HOP_ANSWER] = ANSWER_FIELDS,
+						[HOP_TAKEN] = 1,
 						[HOP_NOT_TAKEN] = 1,
 						[HOP_GO] = 1};
 
@@ -70,6 +71,8 @@
 		msgpack_pack_uint8(&packer, (uint8_t)message->reason);
 	else if (message->type == HOP_GO)
 		msgpack_pack_uint32(&packer, message->more);
+	else if (message->type == HOP_TAKEN)
+		msgpack_pack_uint64(&packer, message->version);
 	framing_append(out, buffer.data, buffer.size);
 	msgpack_sbuffer_destroy(&buffer);
 }
@@ -159,6 +162,8 @@
 		message.reason = take_reason(&fields);
 	else if (type == HOP_GO)
 		message.more = (uint32_t)take_number(&fields, UINT32_MAX);
+	else if (type == HOP_TAKEN)
+		message.version = take_number(&fields, UINT64_MAX);
 	if (fields.right)
 		take(ctx, &message);
 	return fields.right;
--- a/src/core/hop_message.h
+++ b/src/core/hop_message.h
@@ -4,7 +4,7 @@
  * msgpack array, many requests on one connection, in any order.
  *
  *     taker     HOP_REQUEST  gather this; at first one sub-request a shard
- *     gatherer  HOP_TAKEN    it is under way
+ *     gatherer  HOP_TAKEN    it is under way, by this version of the configuration
  *     taker     HOP_GO       as many more sub-requests a shard, if they are of use
  *     gatherer  HOP_ANSWER   the end of it
  *
@@ -82,7 +82,8 @@
 	hop_request_t request;
 	hop_answer_t answer;
 	hop_reason_t reason;
-	uint32_t more; /**< HOP_GO: sub-requests a shard beyond the first */
+	uint32_t more;	  /**< HOP_GO: sub-requests a shard beyond the first */
+	uint64_t version; /**< HOP_TAKEN: of the configuration that it is gathered by */
 } hop_message_t;
 
 /** Append @p message, with its length before it. */
--- a/src/tasks/follower.c
+++ b/src/tasks/follower.c
@@ -9,8 +9,11 @@
 
 /* Changes come in groups: searchers that start, leave or lapse together. Each wake-up of a watch is
  * a priced call, so after one with changes the next waits; what happens meanwhile comes with it. A
- * change is then known within a second, of the 3 s that the deployments allow. */
+ * change is then known within a second. */
 #define GROUP_US 800000
+/* Of the configuration, which changes seldom: VMs that watch it should know it at the same time, or
+ * callers are answered by the new and the old version by turns. */
+#define CONFIGURATION_GROUP_US 100000
 /* A slow store was seen to take 0.4 s for an answer (a hundred times its usual 4 ms). */
 #define LIST_TIMEOUT_US 1500000
 /* Between tries; random, so that VMs do not all come back in one moment. At the most, the news that
@@ -128,6 +131,11 @@
 	return true;
 }
 
+static uint64_t group_us(const follower_t *follower)
+{
+	return follower->kind == STORE_CONFIGURATION ? CONFIGURATION_GROUP_US : GROUP_US;
+}
+
 /* After a failure, a random time that doubles up to a bound; else at once, or when the group is
  * over.
  */
@@ -137,7 +145,7 @@
 
 	if (answered) {
 		follower->failures = 0;
-		return follower->changed ? GROUP_US : 0;
+		return follower->changed ? group_us(follower) : 0;
 	}
 	follower->failures++;
 	most_us = MIN(most_us, RETRY_MOST_US);
@@ -214,6 +222,16 @@
 		       (uint64_t)g_rand_int_range(follower->rand, 0, RETRY_FIRST_US));
 }
 
+/* What is under way may end before the change; then this is called again. */
+void follower_catch_up(follower_t *follower)
+{
+	if (follower->follow.owed)
+		return;
+	follow_announced(&follower->follow);
+	start_list(follower);
+	loop_timer_set(follower->loop, &follower->retry, 0);
+}
+
 void follower_pause(follower_t *follower)
 {
 	follow_stop(&follower->follow);
--- a/src/tasks/follower.h
+++ b/src/tasks/follower.h
@@ -29,8 +29,10 @@
 void follower_set_wait(follower_t *follower, uint32_t wait_ms);
 /** Start, or start anew because what is known may be old: read the whole list now. */
 void follower_refresh(follower_t *follower);
-/** Read the whole list once, soon, and ask nothing more after it. */
+/** Something has changed: read the whole list once more, soon. */
 void follower_read_once(follower_t *follower);
+/** Another VM is ahead: read the whole list at once, unless that is under way. */
+void follower_catch_up(follower_t *follower);
 /** Ask nothing more until the next follower_refresh(). */
 void follower_pause(follower_t *follower);
 /** When the store last answered; 0: never. */
--- a/src/tasks/front_task.c
+++ b/src/tasks/front_task.c
@@ -5,6 +5,7 @@
 #include "tasks/front_task.h"
 
 #include "core/connection_share.h"
+#include "core/retry_after.h"
 #include "headers.h"
 #include "queries/front_log.h"
 #include "queries/front_metrics.h"
@@ -313,6 +314,37 @@
 	arm_forwarder(task);
 }
 
+/*
+ * By the version of before, its caller could be answered as if a change had been taken back that he
+ * has seen in force. The new version is being read: it comes within some tenths of a second.
+ */
+static void refuse_behind(front_task_t *task, relay_t *relay)
+{
+	const forward_answer_t answer = {
+		.end = FORWARD_NOT_READY,
+		.retry_after_us = retry_after_us(LACK_NEWS, relay->request.patience_us,
+						 registry_is_store_away(task->registry))};
+
+	g_message("event=answer request=%s outcome=not-ready reason=configuration-behind",
+		  relay->request.id ? relay->request.id : "");
+	relay_answer_caller(relay, &answer);
+	relay_free(relay);
+}
+
+static bool is_behind(const front_task_t *task)
+{
+	return forwarder_routing(task->forwarder)->version <
+	       handovers_version(gather_task_handovers(task->gathers));
+}
+
+static void on_gather_here(void *ctx, relay_t *relay)
+{
+	if (is_behind(ctx))
+		refuse_behind(ctx, relay);
+	else
+		submit(ctx, relay);
+}
+
 /* The route of a request that may be handed over, or NULL. */
 static const route_t *gather_route(const front_task_t *task, const relay_t *relay)
 {
@@ -345,7 +377,10 @@
 	if (route && gather_task_hand_over(task->gathers, relay, route,
 					   forwarder_routing(task->forwarder)->version))
 		return;
-	submit(task, relay);
+	if (route)
+		on_gather_here(task, relay);
+	else
+		submit(task, relay);
 }
 
 static void on_gone(void *ctx, http_exchange_t *exchange)
@@ -387,9 +422,13 @@
 	relay_free(relay);
 }
 
-static void on_gather_here(void *ctx, relay_t *relay)
+static void on_newer(void *ctx, uint64_t version)
 {
-	submit(ctx, relay);
+	front_task_t *task = ctx;
+	const routing_t *routing = forwarder_routing(task->forwarder);
+
+	if (routing && routing->version < version)
+		supply_task_read_configuration(task->supply);
 }
 
 /* ---- gathers handed over by other VMs ---- */
@@ -411,6 +450,7 @@
 		return false;
 	}
 	if (routing->version < job->version) {
+		supply_task_read_configuration(task->supply);
 		*reason = HOP_OLDER;
 		return false;
 	}
@@ -423,6 +463,11 @@
 	return loop_now_us() < job->arrived_us + BUSY_US;
 }
 
+static uint64_t hop_version(void *ctx)
+{
+	return forwarder_routing(((front_task_t *)ctx)->forwarder)->version;
+}
+
 static void hop_gather(void *ctx, hop_job_t *job)
 {
 	relay_t *relay = relay_of_vm(job);
@@ -603,8 +648,11 @@
 	static const http_server_ops_t caller_ops = {.request = on_request, .gone = on_gone};
 	static const http_server_ops_t ready_ops = {.request = on_ready_request};
 	static const http_server_ops_t metrics_ops = {.request = on_metrics_request};
-	static const hop_server_ops_t hop_ops = {
-		.takes = hop_takes, .gather = hop_gather, .more = hop_more, .gone = hop_gone};
+	static const hop_server_ops_t hop_ops = {.takes = hop_takes,
+						 .version = hop_version,
+						 .gather = hop_gather,
+						 .more = hop_more,
+						 .gone = hop_gone};
 	const endpoint_setting_t *gather = &settings->front_gather;
 	const endpoint_setting_t *front = &settings->front_callers;
 	const endpoint_setting_t *ready = &settings->front_ready;
@@ -646,8 +694,8 @@
 						.back = on_store_back,
 						.sighting = on_sighting,
 						.members = on_members};
-	static const gather_ops_t gather_ops = {.answer = on_gathered,
-						.gather_here = on_gather_here};
+	static const gather_ops_t gather_ops = {
+		.answer = on_gathered, .gather_here = on_gather_here, .newer = on_newer};
 	front_task_t *task = g_new0(front_task_t, 1);
 
 	task->loop = loop;
--- a/src/tasks/gather_task.c
+++ b/src/tasks/gather_task.c
@@ -66,7 +66,7 @@
 				 .serial = handover->serial,
 				 .request = relay_hop_request(relay)};
 
-	message.request.version = relay->version;
+	message.request.version = MAX(relay->version, handovers_version(task->handovers));
 	message.request.elapsed_us =
 		loop_now_us() - relay->request.received_us + way_us(task, handover->gatherer);
 	message.request.again = handover->unknown;
@@ -90,6 +90,28 @@
 		hop_client_write(task->client, handover->gatherer, &message);
 }
 
+static const char *id_of(const handover_t *handover)
+{
+	const relay_t *relay = handover->owner;
+
+	return relay->request.id ? relay->request.id : "";
+}
+
+static void on_silent(void *ctx, const handover_t *handover, uint64_t after_us)
+{
+	(void)ctx;
+	g_message("event=gatherer-silent request=%s vm=%s after_us=%" G_GUINT64_FORMAT
+		  " outcome=avoided",
+		  id_of(handover), handover->gatherer->vm->name, after_us);
+}
+
+static void on_not_taken(void *ctx, const handover_t *handover, hop_reason_t reason)
+{
+	(void)ctx;
+	g_info("event=not-taken request=%s vm=%s reason=%s", id_of(handover),
+	       handover->gatherer->vm->name, hop_reason_name(reason));
+}
+
 static void on_answer(void *ctx, handover_t *handover, const hop_answer_t *answer)
 {
 	gather_task_t *task = ctx;
@@ -106,6 +128,13 @@
 	task->ops->gather_here(task->ctx, relay);
 }
 
+static void on_newer(void *ctx, uint64_t version)
+{
+	gather_task_t *task = ctx;
+
+	task->ops->newer(task->ctx, version);
+}
+
 /* ---- interface ---- */
 
 gather_task_t *gather_task_new(loop_t *loop, vm_t *own, const gather_ops_t *ops, void *ctx)
@@ -113,8 +142,11 @@
 	static const handover_ops_t handover_ops = {.send = on_send,
 						    .go = on_go,
 						    .cancel = on_cancel,
+						    .silent = on_silent,
+						    .not_taken = on_not_taken,
 						    .answer = on_answer,
-						    .gather_here = on_gather_here};
+						    .gather_here = on_gather_here,
+						    .newer = on_newer};
 	gather_task_t *task = g_new0(gather_task_t, 1);
 
 	task->loop = loop;
--- a/src/tasks/gather_task.h
+++ b/src/tasks/gather_task.h
@@ -17,6 +17,8 @@
 	void (*answer)(void *ctx, relay_t *relay, const hop_answer_t *answer);
 	/** Nobody took it: gather here. */
 	void (*gather_here)(void *ctx, relay_t *relay);
+	/** A gatherer knows a later configuration than any before. */
+	void (*newer)(void *ctx, uint64_t version);
 } gather_ops_t;
 
 /** Takes @p own, this VM. */
--- a/src/tasks/hop_server.c
+++ b/src/tasks/hop_server.c
@@ -103,7 +103,9 @@
 		refuse(job, reason);
 		return;
 	}
-	write_to(job->conn, &(hop_message_t){.type = HOP_TAKEN, .serial = job->serial});
+	write_to(job->conn, &(hop_message_t){.type = HOP_TAKEN,
+					     .serial = job->serial,
+					     .version = server->ops->version(server->ctx)});
 	server->open++;
 	server->ops->gather(server->ctx, job);
 }
--- a/src/tasks/hop_server.h
+++ b/src/tasks/hop_server.h
@@ -30,6 +30,8 @@
 typedef struct hop_server_ops_t {
 	/** Whether @p job is taken; if not, @p reason says why. Nothing is sent yet. */
 	bool (*takes)(void *ctx, const hop_job_t *job, hop_reason_t *reason);
+	/** The configuration that it is gathered by. */
+	uint64_t (*version)(void *ctx);
 	/** It is taken: gather it, and say the end with hop_server_answer(). */
 	void (*gather)(void *ctx, hop_job_t *job);
 	/** So many more searchers of each shard may run it. */
--- a/src/tasks/supply_task.c
+++ b/src/tasks/supply_task.c
@@ -472,6 +472,11 @@
 	leave_feed(task, "refresh");
 }
 
+void supply_task_read_configuration(supply_task_t *task)
+{
+	follower_catch_up(task->kinds[STORE_CONFIGURATION].follower);
+}
+
 const GPtrArray *supply_task_vms(const supply_task_t *task)
 {
 	return member_task_vms(task->members);
--- a/src/tasks/supply_task.h
+++ b/src/tasks/supply_task.h
@@ -35,6 +35,8 @@
 			       const supply_ops_t *ops, void *ctx);
 /** What is known may be old, as after a freeze: read it anew. */
 void supply_task_refresh(supply_task_t *task);
+/** Another VM knows a later configuration: read it now. */
+void supply_task_read_configuration(supply_task_t *task);
 /** Tell the VMs of this data centre, soon, if they are so many that it is of use. */
 void supply_task_tell(supply_task_t *task, const sighting_t *sighting);
 /** VMs registered, vm_t; empty until the first list. */
--- a/tests/handover_test.c
+++ b/tests/handover_test.c
@@ -8,7 +8,7 @@
  *     gatherers NAME[@DATA_CENTRE]...   who gathers for this VM, best first
  *     there NAME                        it says that it is there
  *     request ID DEADLINE_MS TARGET_MS ATTEMPTS
- *     taken NAME ID, refuses NAME ID REASON, answer NAME ID END
+ *     taken NAME ID [VERSION], refuses NAME ID REASON, answer NAME ID END
  *     leaving NAME, lost NAME           it stops, or its connection ends
  *     leave ID                          the caller goes away
  *     at MS                             time passes up to then, each timer at its moment
@@ -41,8 +41,9 @@
 
 static void on_send(void *ctx, handover_t *handover)
 {
-	g_string_append_printf(((play_t *)ctx)->out, "> send %s to=%s again=%d\n",
-			       (char *)handover->owner, name_of(handover), handover->unknown);
+	g_string_append_printf(((play_t *)ctx)->out, "> send %s to=%s again=%d%s\n",
+			       (char *)handover->owner, name_of(handover), handover->unknown,
+			       handovers_version(handover->all) ? " not-by-older" : "");
 }
 
 static void on_go(void *ctx, handover_t *handover, uint32_t more)
@@ -57,6 +58,19 @@
 			       name_of(handover));
 }
 
+static void on_silent(void *ctx, const handover_t *handover, uint64_t after_us)
+{
+	g_string_append_printf(((play_t *)ctx)->out, "> silent %s after_ms=%d\n", name_of(handover),
+			       (int)(after_us / 1000));
+}
+
+static void on_not_taken(void *ctx, const handover_t *handover, hop_reason_t reason)
+{
+	(void)ctx;
+	(void)handover;
+	(void)reason;
+}
+
 static void on_answer(void *ctx, handover_t *handover, const hop_answer_t *answer)
 {
 	play_t *play = ctx;
@@ -75,13 +89,21 @@
 	g_hash_table_remove(play->open, handover->owner);
 }
 
+static void on_newer(void *ctx, uint64_t version)
+{
+	g_string_append_printf(((play_t *)ctx)->out, "> newer %d\n", (int)version);
+}
+
 static void *play_new(GString *out)
 {
 	static const handover_ops_t ops = {.send = on_send,
 					   .go = on_go,
 					   .cancel = on_cancel,
+					   .silent = on_silent,
+					   .not_taken = on_not_taken,
 					   .answer = on_answer,
-					   .gather_here = on_gather_here};
+					   .gather_here = on_gather_here,
+					   .newer = on_newer};
 	play_t *play = g_new0(play_t, 1);
 
 	play->out = out;
@@ -179,7 +201,10 @@
 
 static void do_taken(void *ctx, char **words)
 {
-	hear(ctx, words[1], words[2], (hop_message_t){.type = HOP_TAKEN});
+	hop_message_t message = {.type = HOP_TAKEN};
+
+	message.version = words[3] ? strtoull(words[3], NULL, 10) : 0;
+	hear(ctx, words[1], words[2], message);
 }
 
 static void do_refuses(void *ctx, char **words)
--- a/tests/hop_message_test.c
+++ b/tests/hop_message_test.c
@@ -30,10 +30,11 @@
 	const hop_answer_t *answer = &message->answer;
 	GString *out = ctx;
 
-	g_string_append_printf(
-		out, "%d #%" G_GUINT64_FORMAT " reason=%d more=%u %" G_GUINT64_FORMAT " %d",
-		message->type, message->serial, message->reason, message->more, request->version,
-		request->again);
+	g_string_append_printf(out,
+			       "%d #%" G_GUINT64_FORMAT " reason=%d more=%u by=%" G_GUINT64_FORMAT
+			       " %" G_GUINT64_FORMAT " %d",
+			       message->type, message->serial, message->reason, message->more,
+			       message->version, request->version, request->again);
 	g_string_append_printf(out, " %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT,
 			       request->elapsed_us, request->patience_us);
 	append_bytes(out, request->id);
@@ -73,6 +74,8 @@
 		message.reason = HOP_BUSY;
 	if (type == HOP_GO)
 		message.more = 2;
+	if (type == HOP_TAKEN)
+		message.version = 21;
 	return message;
 }
 
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -17,6 +17,7 @@
 	'callers come back before the store|src/core/retry_after.c|s/if \(store_away && share_us > time_us\)/if (0)/'
 	'an announced change is not read|src/core/follow.c|s/follow->lists = follow->owed;/follow->lists = false;/'
 	'a VM stops watching for a feed that it did not take|src/core/follow.c|s/follow->owed = true;/follow->owed = true;\n\tfollow->watches = false;/'
+	'a gatherer that is behind answers after one that is ahead|src/core/handover.c|s/all->version = version;/;/'
 	'a silent gatherer is waited for|src/core/handover.c|s/if \(!handover->taken\)\n\t\tnext_us/if (0)\n\t\tnext_us/'
 	'a silent gatherer is asked again|src/core/handover.c|s/handover->gatherer->state = GATHERER_SILENT;/;/'
 	'two gatherers may each use all tries|src/core/handover.c|s/handover->attempts_left -= more;/;/; s/handover->attempts_left < FIRST_ATTEMPTS\) \{/0) {/'
