A VM whose look reaches the store uses what it read, and asks the other feeders first

What the look has read is put in force, and the VM hears the rest from another feeder. The first look comes a second earlier for that.

--- a/src/tasks/supply_task.c
+++ b/src/tasks/supply_task.c
@@ -21,6 +21,8 @@
  * connection within the data centre, a few ms each, or 0.7 s among the first of many VMs. Past this
  * it reads the store itself all the same. */
 #define START_MOST_US 1200000
+/* To ask the other feeders whether they hear the store: each says so within NEWS_PERIOD_US. */
+#define SEEK_US 1000000
 /* A look at the store: a slow one was seen to take 0.4 s for an answer. */
 #define LOOK_TIMEOUT_US 1500000
 /* Until then, VMs that start together with this one may not listen yet: asked again so soon. */
@@ -254,6 +256,18 @@
 	leave_feed(ctx, "news-old");
 }
 
+/* What the look has read is in force at once; another feeder, or the store, tells the rest. */
+static void take_look(supply_task_t *task, const platform_result_t *result)
+{
+	store_page_t page = {0};
+
+	if (store_read_page(result->body, &page))
+		for (guint i = 0; i < page.objects->len; i++)
+			task->ops->object(task->ctx, STORE_CONFIGURATION,
+					  &g_array_index(page.objects, store_object_t, i));
+	store_page_clear(&page);
+}
+
 static void on_looked(void *ctx, const platform_result_t *result)
 {
 	supply_task_t *task = ctx;
@@ -264,9 +278,9 @@
 	if (!task->client || !task->away)
 		return;
 	if (result->status == 200) {
+		take_look(task, result);
 		note_away(task, false);
-		close_feed(task, "store-reached");
-		follow_for_a_while(task);
+		leave_feed(task, "store-reached");
 	} else {
 		loop_timer_set(
 			task->loop, &task->look_timer,
@@ -290,7 +304,8 @@
 static uint64_t first_look_us(supply_task_t *task, uint64_t age_us)
 {
 	uint64_t most_us = task->timing.age_most_us;
-	uint64_t left_us = most_us > age_us ? most_us - age_us : 0;
+	uint64_t used_us = age_us + SEEK_US;
+	uint64_t left_us = most_us > used_us ? most_us - used_us : 0;
 
 	return random_us(task, 0, MIN(left_us, task->timing.look_most_us) + 1);
 }
