An answer that is ready is delivered, also from a gatherer that was taken for silent

Read beside the mutants: an answer of a gatherer whose first word was late was dropped, though it was whole.

--- a/src/core/handover.c
+++ b/src/core/handover.c
@@ -319,6 +319,21 @@
 	go_on(handover, now_us);
 }
 
+/* One that was taken for silent had the answer ready when it heard that nobody waits: it is as good
+ * as the other's, and there. */
+static void on_late_answer(handover_t *handover, gatherer_t *gatherer, const hop_answer_t *answer)
+{
+	handovers_t *all = handover->all;
+
+	if (answer->end != FORWARD_ANSWERED || !g_ptr_array_find(handover->asked, gatherer, NULL))
+		return;
+	all->ops->cancel(all->ctx, handover);
+	take_back(handover);
+	handover->gatherer = gatherer;
+	gatherer->out++;
+	finish(handover, answer);
+}
+
 static void note_heard(gatherer_t *gatherer, hop_type_t type)
 {
 	if (type == HOP_LEAVING)
@@ -335,9 +350,13 @@
 	note_heard(gatherer, message->type);
 	if (message->type == HOP_TAKEN)
 		note_version(all, message->version);
-	/* Of a request that has ended, or that another gatherer has by now. */
-	if (!handover || handover->gatherer != gatherer)
+	if (!handover) /* it has ended */
+		return;
+	if (handover->gatherer != gatherer) {
+		if (message->type == HOP_ANSWER)
+			on_late_answer(handover, gatherer, &message->answer);
 		return;
+	}
 	if (message->type == HOP_TAKEN)
 		on_taken(handover, now_us);
 	else if (message->type == HOP_NOT_TAKEN && !handover->taken)
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -23,7 +23,7 @@
 	'two gatherers may each use all tries|src/core/handover.c|s/handover->attempts_left -= more;/;/; s/handover->attempts_left < FIRST_ATTEMPTS\) \{/0) {/'
 	'what may have run is said not to have|src/core/handover.c|s/if \(handover->unknown && promises\(told.end\)\)/if (0)/'
 	'what may have run is gathered here, too|src/core/handover.c|s/\} else if \(handover->unknown\) \{/} else if (0) {/'
-	'a late word counts for another gatherer|src/core/handover.c|s/if \(!handover \|\| handover->gatherer != gatherer\)/if (!handover)/'
+	'a late word counts for another gatherer|src/core/handover.c|s/if \(handover->gatherer != gatherer\) \{/if (0) {/'
 	'a VM that stood still blames gatherers|src/core/handover.c|s/now_us > handover->timer.at_us \+ LATE_US/0/'
 	'small VMs gather like large ones|src/core/gatherer_choice.c|s/\tkeep_strong\(gatherers\);//'
 	'any number of VMs gathers|src/core/gatherer_choice.c|s/if \(gatherers->len > most\)/if (0)/'
