What VMs share of searchers and retries is worked out in one module

Moved out of front_task, behaviour as before: connections ahead only on VMs that gather, a quarter for those that reach no gatherer. A property test over 1 to 3,000 VMs of uneven data centres checks that the sums hold; two safeguards are seen missing.

--- a/src/tasks/front_task.c
+++ b/src/tasks/front_task.c
@@ -4,8 +4,8 @@
  */
 #include "tasks/front_task.h"
 
-#include "core/connection_share.h"
 #include "core/retry_after.h"
+#include "core/sharing.h"
 #include "headers.h"
 #include "queries/front_log.h"
 #include "queries/front_metrics.h"
@@ -18,12 +18,6 @@
 
 #include <string.h>
 
-/* Of the constant part of the bound on retries: requests for one service that reach a searcher of
- * another one count there, too. */
-#define CONSTANT_USED 0.8
-/* Of the connections and of the constant part of the bound: for the VMs that gather. The rest is
- * for those that gather for themselves because they reach no gatherer. */
-#define GATHERERS_PART 0.75
 /* Shares that were cut after a refusal are given back this often. */
 #define SHARES_PERIOD_US 5000000
 /* Names of unreadable entries that are remembered, so that each is logged once. */
@@ -94,68 +88,16 @@
 
 /* ---- connections to searchers ---- */
 
-/* Who shares a service, and how much of it is theirs. */
-typedef struct sharing_t {
-	vm_counts_t counts;
-	double part;
-	bool own; /* this VM is one of them */
-} sharing_t;
-
 static void set_pool_shares(front_task_t *task, pool_t *pool, const sharing_t *sharing)
 {
 	const routing_t *routing = forwarder_routing(task->forwarder);
-	uint32_t connections = routing ? routing_connections(routing, pool->service) : 0;
-
-	connection_share_set(pool, sharing->own ? (uint32_t)(connections * sharing->part) : 0,
-			     &sharing->counts);
-	pool->bound.constant =
-		sharing->counts.all
-			? CONSTANT_USED * sharing->part * task->retry_constant / sharing->counts.all
-			: 0;
-	if (!routing || !sharing->own || !sharing->counts.all)
+
+	if (!sharing_apply(sharing, pool, routing))
 		return;
 	for (guint i = 0; i < pool->searchers->len; i++)
 		link_task_warm(task->links, g_ptr_array_index(pool->searchers, i));
 }
 
-static sharing_t sharing_of(front_task_t *task, const GPtrArray *vms, double part)
-{
-	sharing_t sharing = {.counts = {.own_name = task->vm_name, .regions = task->regions},
-			     .part = part};
-
-	vm_counts_take(&sharing.counts, vms);
-	sharing.own = vm_find(vms, task->vm_name) != NULL;
-	return sharing;
-}
-
-/*
- * What searchers of shards take is shared by the VMs that gather, and what others take by all VMs.
- * Services that no route names yet are shards of a version to come.
- */
-static void share(front_task_t *task, const GPtrArray *vms, const GPtrArray *gatherers)
-{
-	const routing_t *routing = forwarder_routing(task->forwarder);
-	bool few = gatherers->len < vms->len;
-	sharing_t all = sharing_of(task, vms, 1);
-	sharing_t few_share = sharing_of(task, gatherers, few ? GATHERERS_PART : 1);
-	GHashTableIter iter;
-	gpointer service, pool;
-
-	if (few && !few_share.own) {
-		few_share.counts.all = all.counts.all;
-		few_share.part = 1 - GATHERERS_PART;
-	}
-	all.own = true; /* before it is listed, too */
-	few_share.own = few_share.own || !few;
-	registry_set_bound(task->registry, task->retry_ratio, 0);
-	g_hash_table_iter_init(&iter, registry_pools(task->registry));
-	while (g_hash_table_iter_next(&iter, &service, &pool))
-		set_pool_shares(task, pool,
-				routing && routing_is_single(routing, service) ? &all : &few_share);
-	vm_counts_clear(&all.counts);
-	vm_counts_clear(&few_share.counts);
-}
-
 static void set_shares(void *ctx)
 {
 	front_task_t *task = ctx;
@@ -163,11 +105,18 @@
 	const fleet_t fleet = {.vms = supply_task_vms(task->supply),
 			       .regions = task->regions,
 			       .connections = routing ? routing_gather_connections(routing) : 0};
-	g_autoptr(GPtrArray) gatherers = gatherers_of_all(&fleet);
+	sharing_t sharing;
+	GHashTableIter iter;
+	gpointer pool;
 
 	loop_timer_set(task->loop, &task->shares_timer, SHARES_PERIOD_US);
 	gather_task_set_fleet(task->gathers, &fleet);
-	share(task, fleet.vms, gatherers);
+	registry_set_bound(task->registry, task->retry_ratio, 0);
+	sharing_take(&sharing, &fleet, task->vm_name, task->retry_constant);
+	g_hash_table_iter_init(&iter, registry_pools(task->registry));
+	while (g_hash_table_iter_next(&iter, NULL, &pool))
+		set_pool_shares(task, pool, &sharing);
+	sharing_clear(&sharing);
 }
 
 /* Searchers change in groups; the shares are set once for all of them, in the same turn. */
--- a/tests/fleet_test.c
+++ b/tests/fleet_test.c
@@ -7,13 +7,13 @@
 #include <stddef.h>
 #include <cmocka.h>
 
-#include "core/connection_share.h"
-#include "core/gatherer_choice.h"
+#include "core/sharing.h"
 
 #include <stdio.h>
 #include <string.h>
 
 #define SEARCHER_CONNECTIONS 195
+#define CONSTANT 630
 
 static const char *const centres[] = {"a1", "a2", "b1", "b2", "c1"};
 static const char *const regions_of_centres[] = {"a", "a", "b", "b", "c"};
@@ -168,76 +168,171 @@
 	site_end(&site);
 }
 
-/* What one VM takes of a searcher, as it works it out by itself. */
-static uint32_t share_of(const site_t *site, const GPtrArray *gatherers, const vm_t *vm,
-			 const char *centre)
+/** What one VM takes, as it works it out by itself. */
+typedef struct taken_t {
+	uint32_t connections; /* of one searcher */
+	double constant;      /* of the bound on retries */
+	bool warms;
+} taken_t;
+
+static taken_t taken_by(const site_t *site, const vm_t *vm, const routing_t *routing,
+			const char *service)
 {
 	searcher_entry_t entry = {.id = "s",
-				  .service = "x",
+				  .service = (char *)service,
 				  .address = "127.0.0.1",
 				  .port = 1,
-				  .data_centre = (char *)centre,
+				  .data_centre = "a1",
 				  .slots = 2};
-	vm_counts_t counts = {.own_name = vm->name, .regions = site->regions};
 	const retry_bound_t bound = {.ratio = 0.2, .window_us = 1000000};
 	const place_t place = {.data_centre = vm->data_centre, .regions = site->regions};
 	static const registry_ops_t ops = {0};
 	registry_t *registry = registry_new(&place, &bound, &ops, NULL);
-	pool_t *pool = registry_pool(registry, "x");
+	pool_t *pool = registry_pool(registry, service);
 	searcher_t *searcher = searcher_new(&entry, DISTANCE_FAR, 0);
-	uint32_t most;
+	sharing_t sharing;
+	taken_t taken;
 
 	g_ptr_array_add(pool->searchers, searcher);
-	vm_counts_take(&counts, gatherers);
-	connection_share_set(pool, SEARCHER_CONNECTIONS, &counts);
-	most = searcher->connections_most;
-	vm_counts_clear(&counts);
+	sharing_take(&sharing, &site->fleet, vm->name, CONSTANT);
+	taken.warms = sharing_apply(&sharing, pool, routing);
+	taken.connections = searcher->connections_most;
+	taken.constant = pool->bound.constant;
+	sharing_clear(&sharing);
 	registry_free(registry);
-	return most;
+	return taken;
+}
+
+static route_t *add_route(routing_t *routing, const char *name, bool gathers)
+{
+	route_t *route = routing_add(routing);
+
+	route->name = g_strdup(name);
+	route->host = g_strdup(name);
+	route->prefix = g_strdup("/");
+	route->gathers = gathers;
+	return route;
+}
+
+/* A gather over one shard, and a service that is asked alone. */
+static routing_t *routing_of_two(void)
+{
+	routing_t *routing = routing_new(1);
+
+	route_add_target(add_route(routing, "gather", true), "shard", 1);
+	route_add_target(add_route(routing, "single", false), "alone", 1);
+	routing_set_connections(routing, "shard", SEARCHER_CONNECTIONS);
+	routing_set_connections(routing, "alone", SEARCHER_CONNECTIONS);
+	routing_seal(routing);
+	return routing;
 }
 
 /*
  * VMs that gather would otherwise connect to a searcher more often than it takes, and it would
- * reset what is beyond: at any size of the fleet, and of any mix of large and small VMs.
+ * reset what is beyond; and all VMs together would break the bound on retries. At any size of the
+ * fleet, and of any mix of large and small VMs. Where there are more VMs than connections, each
+ * holds one.
  */
-static void test_connections_are_enough(void **state)
+static void check_sums(const site_t *site, const routing_t *routing, const char *service)
+{
+	uint64_t connections = 0;
+	double constant = 0;
+
+	for (guint i = 0; i < site->vms->len; i++) {
+		taken_t taken = taken_by(site, g_ptr_array_index(site->vms, i), routing, service);
+
+		connections += taken.warms ? taken.connections : 0;
+		constant += taken.constant;
+	}
+	assert_true(connections <= MAX(SEARCHER_CONNECTIONS, site->vms->len));
+	assert_true(constant <= CONSTANT);
+}
+
+static void test_sums(void **state)
 {
-	static const uint32_t sizes[] = {1, 2, 5, 7, 30, 60, 100, 295, 600, 1200, 3000};
+	static const uint32_t sizes[] = {1, 2, 5, 7, 30, 60, 100, 295, 600};
+	routing_t *routing = routing_of_two();
 
 	(void)state;
 	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
 		for (uint32_t large = 0; large <= 4; large += 2) {
 			site_t site;
-			g_autoptr(GPtrArray) gatherers = NULL;
-			uint64_t sum = 0;
 
 			site_start(&site);
 			fill(&site, sizes[i], large);
-			gatherers = gatherers_of_all(&site.fleet);
-			assert_true(gatherers->len >= 1);
-			for (guint j = 0; j < gatherers->len; j++)
-				sum += share_of(&site, gatherers, g_ptr_array_index(gatherers, j),
-						"a1");
-			assert_true(sum <= SEARCHER_CONNECTIONS);
+			check_sums(&site, routing, "shard");
+			check_sums(&site, routing, "alone");
 			site_end(&site);
 		}
 	}
+	routing_unref(routing);
+}
+
+/* The same for 3,000 VMs, by those that gather: each VM works it out for all, which takes its time.
+ */
+static void test_sums_of_thousands(void **state)
+{
+	routing_t *routing = routing_of_two();
+	g_autoptr(GPtrArray) gatherers = NULL;
+	uint64_t connections = 0;
+	site_t site;
+
+	(void)state;
+	site_start(&site);
+	fill(&site, 3000, 4);
+	gatherers = gatherers_of_all(&site.fleet);
+	for (guint i = 0; i < gatherers->len; i++)
+		connections += taken_by(&site, g_ptr_array_index(gatherers, i), routing, "shard")
+				       .connections;
+	assert_true(gatherers->len >= 6);
+	assert_true(connections <= SEARCHER_CONNECTIONS);
+	site_end(&site);
+	routing_unref(routing);
+}
+
+/* Of a shard, VMs that gather hold connections ahead and the others none; of a service that is
+ * asked alone, all do. */
+static void test_who_warms(void **state)
+{
+	routing_t *routing = routing_of_two();
+	site_t site;
+
+	(void)state;
+	site_start(&site);
+	fill(&site, 60, 2);
+	for (guint i = 0; i < site.vms->len; i++) {
+		const vm_t *vm = g_ptr_array_index(site.vms, i);
+		taken_t shard = taken_by(&site, vm, routing, "shard");
+
+		assert_int_equal(shard.warms, vm->processor_milli == 500);
+		if (!shard.warms)
+			assert_int_equal(shard.connections, 1);
+		assert_true(taken_by(&site, vm, routing, "alone").warms);
+	}
+	site_end(&site);
+	routing_unref(routing);
 }
 
 /*
- * Three hundred VMs start together, and no list of them is known yet: each may hold one connection,
- * however many they are, and not a share of what a number that was assumed gives.
+ * Three hundred VMs start together, and no list of them is known yet: each may hold one connection
+ * and has no part of the constant, however many they are, and not a share of what a number that was
+ * assumed gives.
  */
 static void test_before_the_list(void **state)
 {
-	site_t site;
-	g_autoptr(GPtrArray) none = g_ptr_array_new();
+	routing_t *routing = routing_of_two();
 	const vm_t vm = {.name = "vm", .data_centre = "a1"};
+	site_t site;
+	taken_t taken;
 
 	(void)state;
 	site_start(&site);
-	assert_int_equal(share_of(&site, none, &vm, "a1"), 1);
+	taken = taken_by(&site, &vm, routing, "shard");
+	assert_int_equal(taken.connections, 1);
+	assert_false(taken.warms);
+	assert_true(taken.constant <= 0);
 	site_end(&site);
+	routing_unref(routing);
 }
 
 int main(void)
@@ -248,7 +343,9 @@
 		cmocka_unit_test(test_one_is_not_enough),
 		cmocka_unit_test(test_earlier_versions),
 		cmocka_unit_test(test_stable),
-		cmocka_unit_test(test_connections_are_enough),
+		cmocka_unit_test(test_sums),
+		cmocka_unit_test(test_sums_of_thousands),
+		cmocka_unit_test(test_who_warms),
 		cmocka_unit_test(test_before_the_list),
 	};
 
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -27,6 +27,8 @@
 	'a VM that stood still blames gatherers|src/core/handover.c|s/now_us > handover->timer.at_us \+ LATE_US/0/'
 	'small VMs gather like large ones|src/core/gatherer_choice.c|s/\tkeep_strong\(gatherers\);//'
 	'any number of VMs gathers|src/core/gatherer_choice.c|s/if \(gatherers->len > most\)/if (0)/'
+	'VMs that gather and others share the constant as one|src/core/sharing.c|s/sharing->gatherers.part = 1 - GATHERERS_PART;/sharing->gatherers.part = 1;/; s/sharing->gatherers.part = GATHERERS_PART;/;/; s/define CONSTANT_USED 0.8/define CONSTANT_USED 1.0/'
+	'VMs that do not gather connect to all shards|src/core/sharing.c|s/return routing && sharers->own && vms;/return routing \&\& vms;/'
 	'VMs that start together each take a share|src/core/connection_share.c|s/vms->all \? connections \* USED : 0/connections * USED/'
 	'a feed is left too late|src/core/feed_timing.c|s/define LEAVE_MS 500/define LEAVE_MS 0/'
 	'a hopeless gather is sent to those that have room|src/core/forwarder.c|s/if \(is_hopeless\(forward, now_us\)\)/if (0)/'
