--- a/src/core/feed_choice.c
+++ b/src/core/feed_choice.c
@@ -19,7 +19,7 @@
  * such a link up for 4 s when 14 others were told it there, and with it every sub-request. */
 #define TELL_MOST_BYTES (64u << 10)
 /* The feeder's requests wait while it writes to all. Announced instead, each subscriber has to read
- * the object from the store: 287 calls for each change that 295 VMs make. */
+ * the object from the store: in a fleet of 295 VMs 287 calls for each change. */
 #define TELL_MOST_US 50000
 /* A link that is not known is taken to be as slow as those of small VMs. */
 #define LINK_UNKNOWN_MBPS 14
