Messages between VMs are unpacked in one place

The hand-over's messages had written again what the feed's did: the check of sizes, the library's call, the test for an array. Behaviour as before.

--- a/src/core/feed_message.c
+++ b/src/core/feed_message.c
@@ -4,9 +4,8 @@
  */
 #include "core/feed_message.h"
 
-#include "core/msgpack_sizes.h"
+#include "core/msgpack_array.h"
 
-#include <msgpack.h>
 #include <string.h>
 
 #define FIELDS 6
@@ -72,19 +71,12 @@
 	return true;
 }
 
-static bool take_payload(const char *payload, size_t bytes, feed_message_f take, void *ctx)
+static bool take_payload(framing_payload_t payload, feed_message_f take, void *ctx)
 {
 	msgpack_unpacked unpacked;
-	size_t offset = 0;
-	bool taken = false;
+	const msgpack_object_array *array = msgpack_array_read(&unpacked, payload);
+	bool taken = array && array->size == FIELDS && take_fields(array->ptr, take, ctx);
 
-	/* A length inside that promises more than there is would make the library allocate it. */
-	if (!msgpack_sizes_fit((const uint8_t *)payload, bytes))
-		return false;
-	msgpack_unpacked_init(&unpacked);
-	if (msgpack_unpack_next(&unpacked, payload, bytes, &offset) == MSGPACK_UNPACK_SUCCESS &&
-	    unpacked.data.type == MSGPACK_OBJECT_ARRAY && unpacked.data.via.array.size == FIELDS)
-		taken = take_fields(unpacked.data.via.array.ptr, take, ctx);
 	msgpack_unpacked_destroy(&unpacked);
 	return taken;
 }
@@ -98,5 +90,5 @@
 	if (found != FRAMING_ONE)
 		return found;
 	*used = FRAMING_LENGTH_BYTES + payload.bytes;
-	return take_payload(payload.data, payload.bytes, take, ctx) ? FRAMING_ONE : FRAMING_BAD;
+	return take_payload(payload, take, ctx) ? FRAMING_ONE : FRAMING_BAD;
 }
--- a/src/core/hop_message.c
+++ b/src/core/hop_message.c
@@ -4,9 +4,7 @@
  */
 #include "core/hop_message.h"
 
-#include "core/msgpack_sizes.h"
-
-#include <msgpack.h>
+#include "core/msgpack_array.h"
 
 /* Of every message: its type and the request's serial number. */
 #define HEAD_FIELDS 2
@@ -172,17 +170,9 @@
 static bool take_payload(framing_payload_t payload, hop_message_f take, void *ctx)
 {
 	msgpack_unpacked unpacked;
-	size_t offset = 0;
-	bool taken = false;
+	const msgpack_object_array *array = msgpack_array_read(&unpacked, payload);
+	bool taken = array && take_array(array, take, ctx);
 
-	/* A length inside that promises more than there is would make the library allocate it. */
-	if (!msgpack_sizes_fit((const uint8_t *)payload.data, payload.bytes))
-		return false;
-	msgpack_unpacked_init(&unpacked);
-	if (msgpack_unpack_next(&unpacked, payload.data, payload.bytes, &offset) ==
-		    MSGPACK_UNPACK_SUCCESS &&
-	    unpacked.data.type == MSGPACK_OBJECT_ARRAY)
-		taken = take_array(&unpacked.data.via.array, take, ctx);
 	msgpack_unpacked_destroy(&unpacked);
 	return taken;
 }
