Who gathers is worked out when the VMs or the configuration change, not with each searcher

set_shares runs in each turn in which a searcher changed, and every five seconds; it ranked all VMs of the fleet each time, twice for the own region, on VMs with a tenth of a core too. What follows from the VMs and the configuration is kept; the shares themselves are set as often as before.

--- a/src/tasks/front_task.c
+++ b/src/tasks/front_task.c
@@ -44,6 +44,8 @@
 	loop_timer_t forwarder_timer;
 	loop_timer_t registry_timer;
 	loop_timer_t shares_timer;
+	sharing_t sharing;  /* with whom, as the VMs and the configuration last were */
+	bool fleet_changed; /* it has to be worked out anew */
 	uint64_t last_request_us;
 	double retry_ratio;
 	uint32_t retry_constant;
@@ -98,25 +100,33 @@
 		link_task_warm(task->links, g_ptr_array_index(pool->searchers, i));
 }
 
-static void set_shares(void *ctx)
+/* Who gathers takes a rank of every VM: not for each change of a searcher. */
+static void take_fleet(front_task_t *task)
 {
-	front_task_t *task = ctx;
 	const routing_t *routing = forwarder_routing(task->forwarder);
 	const fleet_t fleet = {.vms = supply_task_vms(task->supply),
 			       .regions = task->regions,
 			       .connections = routing ? routing_gather_connections(routing) : 0};
-	sharing_t sharing;
+
+	task->fleet_changed = false;
+	gather_task_set_fleet(task->gathers, &fleet);
+	sharing_clear(&task->sharing);
+	sharing_take(&task->sharing, &fleet, task->vm_name, task->retry_constant);
+}
+
+static void set_shares(void *ctx)
+{
+	front_task_t *task = ctx;
 	GHashTableIter iter;
 	gpointer pool;
 
 	loop_timer_set(task->loop, &task->shares_timer, SHARES_PERIOD_US);
-	gather_task_set_fleet(task->gathers, &fleet);
+	if (task->fleet_changed)
+		take_fleet(task);
 	registry_set_bound(task->registry, task->retry_ratio, 0);
-	sharing_take(&sharing, &fleet, task->vm_name, task->retry_constant);
 	g_hash_table_iter_init(&iter, registry_pools(task->registry));
 	while (g_hash_table_iter_next(&iter, NULL, &pool))
-		set_pool_shares(task, pool, &sharing);
-	sharing_clear(&sharing);
+		set_pool_shares(task, pool, &task->sharing);
 }
 
 /* Searchers change in groups; the shares are set once for all of them, in the same turn. */
@@ -125,6 +135,12 @@
 	loop_timer_set(task->loop, &task->shares_timer, 0);
 }
 
+static void fleet_changed(front_task_t *task)
+{
+	task->fleet_changed = true;
+	shares_due(task);
+}
+
 static void on_searcher_changed(void *ctx, searcher_t *searcher)
 {
 	front_task_t *task = ctx;
@@ -505,7 +521,7 @@
 		  routing->version, routing->routes->len);
 	forwarder_set_routing(task->forwarder, routing);
 	http_server_set_limits(task->callers, &limits);
-	shares_due(task);
+	fleet_changed(task);
 }
 
 /* A version once in force is never followed by an older one. */
@@ -558,7 +574,7 @@
 
 static void on_members(void *ctx)
 {
-	shares_due(ctx);
+	fleet_changed(ctx);
 }
 
 /* ---- readiness ---- */
@@ -660,6 +676,7 @@
 	task->forwarder_timer = (loop_timer_t){.fire = run_forwarder, .ctx = task};
 	task->registry_timer = (loop_timer_t){.fire = run_registry, .ctx = task};
 	task->shares_timer = (loop_timer_t){.fire = set_shares, .ctx = task};
+	task->fleet_changed = true;
 	if (!listen_all(task, settings))
 		return NULL;
 	task->supply = supply_task_new(loop, settings, platform, &supply_ops, task);
@@ -670,7 +687,7 @@
 {
 	task->retry_ratio = settings->retry_ratio;
 	task->retry_constant = settings->retry_constant;
-	shares_due(task);
+	fleet_changed(task);
 }
 
 void front_task_refresh(front_task_t *task)
