--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -18,6 +18,9 @@
 /* Bytes kept of requests that follow one being answered; one that sends more is cut off. */
 #define PIPELINED_MOST_BYTES (1u << 20)
 
+/* From connecting to the first request: a round trip, and a caller that is busy. */
+#define FRESH_US 300000
+
 /* One accepted connection. */
 struct connection_t {
 	http_server_t *server;
@@ -415,15 +418,22 @@
 	server->leaving = true;
 }
 
+/* A connection that was made a moment ago has its first request on the way: closed, its caller
+ * would get no answer at all. */
+static bool is_idle(const connection_t *connection, uint64_t now_us)
+{
+	return !connection->exchange && !connection->lingering &&
+	       !http_message_started(connection->message) &&
+	       now_us >= connection->since_us + FRESH_US;
+}
+
 void http_server_close_idle(http_server_t *server)
 {
-	for (GList *item = server->connections.head; item; item = item->next) {
-		connection_t *connection = item->data;
+	uint64_t now_us = loop_now_us();
 
-		if (!connection->exchange && !connection->lingering &&
-		    !http_message_started(connection->message))
-			linger(connection);
-	}
+	for (GList *item = server->connections.head; item; item = item->next)
+		if (is_idle(item->data, now_us))
+			linger(item->data);
 }
 
 uint32_t http_server_open_exchanges(const http_server_t *server)
