Logs name what attempts at the same request have in common

Each attempt of a caller has an id of its own, so the lines of two attempts showed nothing in common: whether one request came again and again, or many different ones failed, could not be told. Lines of answers and sub-requests now bear a fingerprint of method, path, caller and body, the same on all VMs, and explain prints the other attempts. No logic is changed. Seen with it: tests/system/front_logs.sh finds both other attempts by one's id.

--- a/src/core/forward.h
+++ b/src/core/forward.h
@@ -9,6 +9,7 @@
 #ifndef DS_FORWARD_H
 #define DS_FORWARD_H
 
+#include "core/fingerprint.h"
 #include "core/placement.h"
 #include "core/routing.h"
 #include "core/sighting.h"
@@ -49,6 +50,7 @@
 typedef struct sub_t {
 	sending_t sending;	     /* first: a searcher's queue holds pointers to it */
 	forward_t *forward;	     /**< NULL once the request was answered without it */
+	fingerprint_t fingerprint;   /**< of its request */
 	struct route_state_t *route; /**< what is measured of its route; outlives the request */
 	uint32_t part;
 	sub_purpose_t purpose;
@@ -119,6 +121,7 @@
 	const char *id;
 	const char *host;
 	const char *target;
+	fingerprint_t fingerprint;
 	uint64_t received_us;
 	uint64_t patience_us;	/**< how long the caller waits; 0: it did not say */
 	uint32_t attempts_most; /**< searchers of a shard that may run it for now; 0: as many as
--- a/src/core/sub.c
+++ b/src/core/sub.c
@@ -106,6 +106,7 @@
 
 	sub->forwarder = part->forward->forwarder;
 	sub->forward = part->forward;
+	sub->fingerprint = part->forward->request.fingerprint;
 	sub->route = part->forward->state;
 	sub->part = (uint32_t)(part - part->forward->parts);
 	sub->purpose = purpose;
--- a/src/queries/front_log.c
+++ b/src/queries/front_log.c
@@ -9,6 +9,14 @@
 /* Parts of an answer whose loss its line tells. */
 #define MISSING_TOLD 4
 
+static void append_fingerprint(GString *line, fingerprint_t fingerprint)
+{
+	char text[FINGERPRINT_TEXT_BYTES];
+
+	fingerprint_write(fingerprint, text);
+	g_string_append_printf(line, " fingerprint=%s", text);
+}
+
 static void append_asked(GString *line, const part_t *part)
 {
 	if (!part->asked || !part->asked->len)
@@ -55,6 +63,7 @@
 		forward_end_name(answer->end), status, took_us, forward->request.patience_us,
 		answer->parts, answer->missing, forward->routing ? forward->routing->version : 0,
 		store_age_us);
+	append_fingerprint(line, forward->request.fingerprint);
 	if (!whole)
 		append_missing(line, forward);
 	g_log(NULL, whole ? G_LOG_LEVEL_INFO : G_LOG_LEVEL_MESSAGE, "%s", line->str);
@@ -64,29 +73,38 @@
 			const forward_answer_t *answer, uint64_t store_age_us)
 {
 	bool whole = answer->end == FORWARD_ANSWERED && !answer->missing;
+	g_autoptr(GString) line = g_string_sized_new(256);
 	uint64_t now_us = loop_now_us();
 
-	g_log(NULL, whole ? G_LOG_LEVEL_INFO : G_LOG_LEVEL_MESSAGE,
-	      "event=answer request=%s outcome=%s status=%d took_us=%" G_GUINT64_FORMAT
-	      " patience_us=%" G_GUINT64_FORMAT " parts=%u missing=%u gathered_by=%s asked=%u "
-	      "taken=%d gather_us=%" G_GUINT64_FORMAT " store_age_us=%" G_GUINT64_FORMAT,
-	      request->id ? request->id : "", forward_end_name(answer->end),
-	      forward_end_status(answer->end), now_us - request->received_us, request->patience_us,
-	      answer->parts, answer->missing,
-	      handover->gatherer ? handover->gatherer->vm->name : "nobody", handover->asked->len,
-	      handover->taken, now_us - handover->begun_us, store_age_us);
+	g_string_append_printf(
+		line,
+		"event=answer request=%s outcome=%s status=%d took_us=%" G_GUINT64_FORMAT
+		" patience_us=%" G_GUINT64_FORMAT " parts=%u missing=%u gathered_by=%s asked=%u "
+		"taken=%d gather_us=%" G_GUINT64_FORMAT " store_age_us=%" G_GUINT64_FORMAT,
+		request->id ? request->id : "", forward_end_name(answer->end),
+		forward_end_status(answer->end), now_us - request->received_us,
+		request->patience_us, answer->parts, answer->missing,
+		handover->gatherer ? handover->gatherer->vm->name : "nobody", handover->asked->len,
+		handover->taken, now_us - handover->begun_us, store_age_us);
+	append_fingerprint(line, request->fingerprint);
+	g_log(NULL, whole ? G_LOG_LEVEL_INFO : G_LOG_LEVEL_MESSAGE, "%s", line->str);
 }
 
 void front_log_sub(const sub_t *sub, const sub_reply_t *reply)
 {
 	bool failed = reply->end != SUB_ANSWERED;
+	g_autoptr(GString) line = NULL;
 
 	if (!failed && sub->purpose == SUB_FIRST)
 		return;
-	g_log(NULL, failed ? G_LOG_LEVEL_MESSAGE : G_LOG_LEVEL_INFO,
-	      "event=sub-request request=%s service=%s searcher=%s purpose=%s outcome=%s status=%d "
-	      "took_us=%" G_GUINT64_FORMAT " out=%u",
-	      sub->forward ? sub->forward->request.id : "-", sub->pool->service, sub->searcher->id,
-	      sub_purpose_name(sub->purpose), sub_end_name(reply->end), reply->status,
-	      loop_now_us() - sub->sending.sent_us, sub->searcher->out.length);
+	line = g_string_sized_new(256);
+	g_string_append_printf(line,
+			       "event=sub-request request=%s service=%s searcher=%s purpose=%s "
+			       "outcome=%s status=%d took_us=%" G_GUINT64_FORMAT " out=%u",
+			       sub->forward ? sub->forward->request.id : "-", sub->pool->service,
+			       sub->searcher->id, sub_purpose_name(sub->purpose),
+			       sub_end_name(reply->end), reply->status,
+			       loop_now_us() - sub->sending.sent_us, sub->searcher->out.length);
+	append_fingerprint(line, sub->fingerprint);
+	g_log(NULL, failed ? G_LOG_LEVEL_MESSAGE : G_LOG_LEVEL_INFO, "%s", line->str);
 }
--- a/src/tasks/relay.c
+++ b/src/tasks/relay.c
@@ -19,6 +19,7 @@
 					     .target = http_message_target(message),
 					     .received_us = http_exchange_begun_us(exchange),
 					     .patience_us = headers.patience_us};
+	relay->request.fingerprint = fingerprint_of(relay_head(relay), relay_body(relay));
 	return relay;
 }
 
@@ -31,6 +32,7 @@
 	relay->request = (forward_request_t){.id = job->id,
 					     .host = job->host,
 					     .target = job->target,
+					     .fingerprint = fingerprint_of(job->head, job->body),
 					     .received_us = job->received_us,
 					     .patience_us = job->patience_us,
 					     .attempts_most = 1,
--- a/src/tool/explain.c
+++ b/src/tool/explain.c
@@ -129,6 +129,25 @@
 	}
 }
 
+/* Each attempt of a caller has an id of its own; the fingerprint shows that it is one request. */
+static void print_attempts(const view_t *view)
+{
+	g_autofree char *fingerprint = log_line_value(view->answer, "fingerprint");
+	uint32_t attempts = 0;
+
+	for (guint i = 0; fingerprint && i < view->lines->len; i++) {
+		const log_line_t *line = g_ptr_array_index(view->lines, i);
+
+		if (!is_event(line, "answer") || log_line_has(line, "request", view->request) ||
+		    !log_line_has(line, "fingerprint", fingerprint))
+			continue;
+		if (!attempts++)
+			printf("other attempts at the same request (fingerprint %s):\n",
+			       fingerprint);
+		print_line(line);
+	}
+}
+
 /* Sub-requests of all VMs to it around that time, by outcome. */
 static void print_service(const view_t *view, const char *searcher)
 {
@@ -215,6 +234,7 @@
 		return false;
 	view.gatherer = log_line_value(view.answer, "gathered_by");
 	print_request(&view);
+	print_attempts(&view);
 	g_hash_table_iter_init(&iter, searchers);
 	while (g_hash_table_iter_next(&iter, &searcher, NULL))
 		print_searcher(&view, searcher);
--- a/tests/parts_test.c
+++ b/tests/parts_test.c
@@ -12,6 +12,7 @@
 #include "core/feed_choice.h"
 #include "core/feed_message.h"
 #include "core/feed_timing.h"
+#include "core/fingerprint.h"
 #include "core/follow.h"
 #include "core/placement.h"
 #include "core/retry_after.h"
@@ -487,6 +488,50 @@
 	assert_int_equal(retry_after_us(LACK_SEARCHERS, patient_us, true), 1280000);
 }
 
+/* ---- fingerprints ---- */
+
+static fingerprint_t fingerprint_with(const char *head, const char *body)
+{
+	g_autoptr(GString) head_text = g_string_new(head);
+	g_autoptr(GString) body_text = g_string_new(body);
+
+	return fingerprint_of(head_text, body_text);
+}
+
+/* Attempts at one request differ in their ids, in what their callers' libraries add, and in the
+ * order of their headers. */
+static void test_fingerprint_of_attempts(void **state)
+{
+	fingerprint_t first = fingerprint_with("GET /a/1 HTTP/1.1\r\nHost: h\r\nId: 1\r\n", "");
+
+	(void)state;
+	assert_true(first != 0);
+	assert_true(first ==
+		    fingerprint_with("GET /a/1 HTTP/1.1\r\nId: 2\r\nX: y\r\nhost: h\r\n", ""));
+	assert_true(first != fingerprint_with("GET /a/2 HTTP/1.1\r\nHost: h\r\n", ""));
+	assert_true(first != fingerprint_with("PUT /a/1 HTTP/1.1\r\nHost: h\r\n", ""));
+	assert_true(first != fingerprint_with("GET /a/1 HTTP/1.1\r\nHost: g\r\n", ""));
+	assert_true(first != fingerprint_with("GET /a/1 HTTP/1.1\r\nHost: h\r\n", "b"));
+	assert_true(first != fingerprint_with("GET /a/1 HTTP/1.1\r\nHost: h\r\n"
+					      "Authorization: x\r\n",
+					      ""));
+	fingerprint_with("", "");
+}
+
+static void test_fingerprint_as_text(void **state)
+{
+	char text[FINGERPRINT_TEXT_BYTES];
+
+	(void)state;
+	fingerprint_write(0x0123456789abcdefull, text);
+	assert_string_equal(text, "0123456789abcdef");
+	assert_true(fingerprint_read(text) == 0x0123456789abcdefull);
+	assert_true(fingerprint_read("") == 0);
+	assert_true(fingerprint_read("0123456789abcde") == 0);
+	assert_true(fingerprint_read("0123456789abcdeg") == 0);
+	assert_true(fingerprint_read("0123456789abcdef0") == 0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -505,6 +550,8 @@
 		cmocka_unit_test(test_feed),
 		cmocka_unit_test(test_feed_timing),
 		cmocka_unit_test(test_retry_after),
+		cmocka_unit_test(test_fingerprint_of_attempts),
+		cmocka_unit_test(test_fingerprint_as_text),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/system/front_logs.sh
+++ b/tests/system/front_logs.sh
@@ -26,6 +26,12 @@
 
 # The tool goes the same way by itself.
 explain() { "$BUILD/dogwoodsaddle" explain "$1" "$LOGS"; }
+get_one again /get/act/x -X POST -d body >/dev/null
+get_one other /get/act/x -X POST -d other >/dev/null
+[[ $(answer_line again) == *"fingerprint="* ]] || bad "no fingerprint: $(answer_line again)"
+[ "$(explain again | grep -A 2 'other attempts at the same request' | grep -c 'request=refused\|request=broken')" = 2 ] ||
+	bad "explain does not show the attempts at the same request: $(explain again)"
+[[ $(explain other) != *"other attempts"* ]] || bad "another request passes for an attempt: $(explain other)"
 [[ $(explain partial) == *"parts that are missing"*"lost=shard-1:sent"*"searcher i-shard-1-here, sub-requests"*"event=searcher-ready searcher=i-shard-1-here"*"VM front-0 in the"*"event=configuration version=1"* ]] ||
 	bad "explain partial: $(explain partial)"
 [[ $(explain refused) == *"not run: every searcher asked refused it"*"not-run="* ]] || bad "explain refused: $(explain refused)"
