Failing tests: a request that ends the searchers that run it goes on being sent

The stand-in learns such requests: a path with "crash" ends each searcher that runs it, which is back a second later; it counts how many ended, and the attempts that reached one 5 s after the third had.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -39,6 +39,7 @@
 	const http_server_ops_t *ops;
 	void *ctx;
 	loop_t *loop;
+	listener_t *listener;
 	http_server_limits_t limits;
 	GQueue connections;
 	uint32_t connections_peak;
@@ -390,7 +391,8 @@
 	server->limits = *limits;
 	g_queue_init(&server->connections);
 	server->sweep = (loop_timer_t){.fire = sweep, .ctx = server};
-	if (!listener_new(loop, address, port, on_accepted, server)) {
+	server->listener = listener_new(loop, address, port, on_accepted, server);
+	if (!server->listener) {
 		g_free(server);
 		return NULL;
 	}
@@ -398,6 +400,15 @@
 	return server;
 }
 
+void http_server_end(http_server_t *server)
+{
+	listener_close(server->listener);
+	loop_timer_cancel(&server->sweep);
+	while (server->connections.head)
+		drop(server->connections.head->data);
+	g_free(server);
+}
+
 void http_server_set_limits(http_server_t *server, const http_server_limits_t *limits)
 {
 	server->limits = *limits;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -42,6 +42,8 @@
 http_server_t *http_server_new(loop_t *loop, const char *address, uint16_t port,
 			       const http_server_limits_t *limits, const http_server_ops_t *ops,
 			       void *ctx);
+/** Stop listening, drop all connections at once and free the server. */
+void http_server_end(http_server_t *server);
 /** Put other limits in force for requests to come. */
 void http_server_set_limits(http_server_t *server, const http_server_limits_t *limits);
 /** Connections open now, and the most there ever were. */
--- a/src/net/sock.c
+++ b/src/net/sock.c
@@ -160,6 +160,10 @@
 	sock_t *sock;
 	int fd;
 
+	if (event == FD_CLOSED) {
+		g_free(listener);
+		return false;
+	}
 	if (event != FD_READABLE)
 		return true;
 	while ((fd = accept4(watch->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
@@ -287,3 +291,8 @@
 	}
 	return listener;
 }
+
+void listener_close(listener_t *listener)
+{
+	loop_unwatch(&listener->watch);
+}
--- a/src/net/sock.h
+++ b/src/net/sock.h
@@ -51,5 +51,7 @@
 /** Listen on an IPv4 number; NULL when the address can't be had. */
 listener_t *listener_new(loop_t *loop, const char *address, uint16_t port,
 			 listener_accepted_f accepted, void *ctx);
+/** Stop listening, and free: who connects from now on is refused. */
+void listener_close(listener_t *listener);
 
 #endif
--- a/standins/users_platform.c
+++ b/standins/users_platform.c
@@ -5,6 +5,9 @@
  *
  * Services: shard-0, shard-1, ... and single, each with a searcher in every data centre. The
  * control address takes GET /do?action=...; docs/QUESTIONS.md names the pages that it follows.
+ *
+ * A request whose path holds "crash" ends each searcher that runs it: its connections break, its
+ * port is closed, and it starts again a while later. "crash=shard-N" ends those of one shard only.
  */
 #include "net/http_server.h"
 
@@ -19,24 +22,36 @@
 #define HISTORY_MOST 512
 #define DATA_CENTRES 2
 #define BODY_MOST_BYTES (1u << 20)
+/* Such a request must not reach searchers often once three have ended under it and this long has
+ * passed: the settle time of the users' pages. */
+#define SETTLE_US 5000000
+#define CRASHES_MOST 3
 
 typedef enum manner_t { MANNER_OK, MANNER_HANG, MANNER_SHED, MANNER_FAIL, MANNER_FOREIGN } manner_t;
 
 typedef struct users_t {
 	loop_t *loop;
-	int store_port, control_port, searchers_from, shards, work_ms, advertise;
+	int store_port, control_port, searchers_from, shards, work_ms, advertise, back_ms;
 	GHashTable *posted;  /* id of a POST to how often it ran */
+	GHashTable *crashes; /* path to crashes_t */
 	GHashTable *objects; /* "kind/name" to json_t */
 	GPtrArray *history;  /* json_t events, each with "rev" and "kind" */
 	GPtrArray *watches;  /* watch_t */
 	GPtrArray *searchers;
 	uint64_t revision;
-	uint64_t born_ms;   /* of the searchers: when this program started */
+	uint64_t born_ms;   /* when this program started */
 	uint64_t forgotten; /* revision up to which history is gone */
 	uint64_t calls;
 	bool down;
 } users_t;
 
+/** What became of a request that ends searchers. */
+typedef struct crashes_t {
+	uint32_t ended;	    /**< searchers */
+	uint64_t enough_us; /**< when the third one ended; 0: not yet */
+	GHashTable *late;   /**< ids of attempts that reached a searcher SETTLE_US after that */
+} crashes_t;
+
 typedef struct watch_t {
 	users_t *users;
 	http_exchange_t *exchange;
@@ -52,6 +67,9 @@
 	int number;
 	int port;
 	const char *data_centre;
+	http_server_t *server;
+	uint64_t born_ms;
+	loop_timer_t back; /* when it starts again */
 	manner_t manner;
 	uint64_t runs;
 	uint64_t left; /* callers that closed while it worked */
@@ -201,6 +219,17 @@
 	json_decref(body);
 }
 
+static void delete_object(users_t *users, http_exchange_t *exchange, const char *kind,
+			  const char *name)
+{
+	g_autofree char *key = g_strdup_printf("%s/%s", kind, name);
+	bool exists = g_hash_table_contains(users->objects, key);
+
+	if (exists)
+		put(users, kind, name, NULL);
+	reply_json(exchange, exists ? 200 : 404, json_object());
+}
+
 static void on_store(void *ctx, http_exchange_t *exchange)
 {
 	users_t *users = ctx;
@@ -212,7 +241,9 @@
 		http_exchange_reply(exchange, 503, NULL, "", 0);
 		return;
 	}
-	if (!g_str_equal(http_exchange_method(exchange), "GET"))
+	if (g_str_equal(http_exchange_method(exchange), "DELETE") && parts > 3)
+		delete_object(users, exchange, path[2], path[3]);
+	else if (!g_str_equal(http_exchange_method(exchange), "GET"))
 		write_object(users, exchange, path[2], parts > 3 ? path[3] : NULL);
 	else if (http_exchange_param(exchange, "watch"))
 		watch(users, exchange, path[2]);
@@ -244,6 +275,51 @@
 				       (RECORDS - i) * 100 + searcher->number, searcher->number, i);
 }
 
+static crashes_t *crashes_of(users_t *users, const char *path)
+{
+	crashes_t *crashes = g_hash_table_lookup(users->crashes, path);
+
+	if (crashes)
+		return crashes;
+	crashes = g_new0(crashes_t, 1);
+	crashes->late = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	g_hash_table_insert(users->crashes, g_strdup(path), crashes);
+	return crashes;
+}
+
+static bool is_crashed_by(const searcher_t *searcher, http_exchange_t *exchange)
+{
+	const char *found = strstr(http_exchange_path(exchange), "crash");
+	const char *only = found && found[5] == '=' ? found + 6 : NULL;
+
+	return found && (!only || g_str_equal(only, searcher->service));
+}
+
+static void note_arrival(searcher_t *searcher, http_exchange_t *exchange)
+{
+	const char *id = http_exchange_header(exchange, "Dogwoodsaddle-Request-Id");
+	crashes_t *crashes;
+
+	if (!is_crashed_by(searcher, exchange))
+		return;
+	crashes = crashes_of(searcher->users, http_exchange_path(exchange));
+	if (crashes->enough_us && loop_now_us() > crashes->enough_us + SETTLE_US)
+		g_hash_table_add(crashes->late, g_strdup(id ? id : ""));
+}
+
+/* Whatever else it works on is lost with it. */
+static void crash(searcher_t *searcher, crashes_t *crashes)
+{
+	http_server_t *server = searcher->server;
+
+	if (++crashes->ended == CRASHES_MOST)
+		crashes->enough_us = loop_now_us();
+	searcher->server = NULL;
+	loop_timer_set(searcher->users->loop, &searcher->back,
+		       (uint64_t)searcher->users->back_ms * 1000);
+	http_server_end(server);
+}
+
 static void answer(void *ctx)
 {
 	job_t *job = ctx;
@@ -253,6 +329,10 @@
 	g_autofree char *stamp = NULL;
 	const char *id;
 
+	if (exchange && is_crashed_by(searcher, exchange)) {
+		crash(searcher, crashes_of(searcher->users, http_exchange_path(exchange)));
+		return;
+	}
 	if (exchange) {
 		id = http_exchange_header(exchange, "Dogwoodsaddle-Request-Id");
 		stamp = g_strdup_printf("%s.%s", searcher->id, id ? id : "");
@@ -296,6 +376,7 @@
 	job_t *job = g_new0(job_t, 1);
 
 	searcher->runs++;
+	note_arrival(searcher, exchange);
 	note_posted(searcher->users, exchange);
 	job->searcher = searcher;
 	job->exchange = http_exchange_ref(exchange);
@@ -343,12 +424,31 @@
 	    json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:i,s:I}", "service", searcher->service,
 		      "address", address, "zone", searcher->data_centre, "version", "v1", "slots",
 		      2, "state", state, "cold-remaining-ms", 0, "seq", 1, "born",
-		      (json_int_t)searcher->users->born_ms));
+		      (json_int_t)searcher->born_ms));
 }
 
-static bool start_searcher(users_t *users, const char *service, int number, int data_centre)
+static bool listen_at_port(searcher_t *searcher)
 {
 	static const http_server_ops_t ops = {.request = on_searcher, .gone = on_searcher_gone};
+
+	searcher->server =
+		http_server_new(searcher->users->loop, "127.0.0.1", (uint16_t)searcher->port,
+				&HTTP_SERVER_OWN_LIMITS(BODY_MOST_BYTES), &ops, searcher);
+	return searcher->server != NULL;
+}
+
+static void start_again(void *ctx)
+{
+	searcher_t *searcher = ctx;
+
+	searcher->born_ms++;
+	if (!listen_at_port(searcher))
+		g_error("event=searcher-failed port=%d", searcher->port);
+	register_searcher(searcher, "ready");
+}
+
+static bool start_searcher(users_t *users, const char *service, int number, int data_centre)
+{
 	static const char *const names[DATA_CENTRES] = {"here", "there"};
 	searcher_t *searcher = g_new0(searcher_t, 1);
 
@@ -358,9 +458,10 @@
 	searcher->data_centre = names[data_centre];
 	g_strlcpy(searcher->service, service, sizeof(searcher->service));
 	g_snprintf(searcher->id, sizeof(searcher->id), "i-%s-%s", service, names[data_centre]);
+	searcher->born_ms = users->born_ms;
+	searcher->back = (loop_timer_t){.fire = start_again, .ctx = searcher};
 	g_ptr_array_add(users->searchers, searcher);
-	if (!http_server_new(users->loop, "127.0.0.1", (uint16_t)searcher->port,
-			     &HTTP_SERVER_OWN_LIMITS(BODY_MOST_BYTES), &ops, searcher))
+	if (!listen_at_port(searcher))
 		return false;
 	register_searcher(searcher, "ready");
 	return true;
@@ -413,6 +514,13 @@
 	}
 }
 
+/* Each entry that is written from now on is of a new start. */
+static void set_born(users_t *users)
+{
+	for (guint i = 0; i < users->searchers->len; i++)
+		((searcher_t *)g_ptr_array_index(users->searchers, i))->born_ms++;
+}
+
 static void set_state(users_t *users, const char *id, const char *state)
 {
 	for (guint i = 0; i < users->searchers->len; i++) {
@@ -425,6 +533,23 @@
 	}
 }
 
+static json_t *crashes_told(const users_t *users)
+{
+	json_t *all = json_object();
+	GHashTableIter iter;
+	gpointer path, value;
+
+	g_hash_table_iter_init(&iter, users->crashes);
+	while (g_hash_table_iter_next(&iter, &path, &value)) {
+		const crashes_t *crashes = value;
+
+		json_object_set_new(all, path,
+				    json_pack("{s:i,s:i}", "ended", (int)crashes->ended, "late",
+					      (int)g_hash_table_size(crashes->late)));
+	}
+	return all;
+}
+
 static json_t *counts(const users_t *users)
 {
 	json_t *runs = json_object(), *left = json_object();
@@ -435,8 +560,9 @@
 		json_object_set_new(runs, searcher->id, json_integer((json_int_t)searcher->runs));
 		json_object_set_new(left, searcher->id, json_integer((json_int_t)searcher->left));
 	}
-	return json_pack("{s:o,s:o,s:o,s:I}", "runs", runs, "left", left, "posted", posted(users),
-			 "store_calls", (json_int_t)users->calls);
+	return json_pack("{s:o,s:o,s:o,s:o,s:I}", "runs", runs, "left", left, "posted",
+			 posted(users), "crashes", crashes_told(users), "store_calls",
+			 (json_int_t)users->calls);
 }
 
 static void on_control(void *ctx, http_exchange_t *exchange)
@@ -459,7 +585,7 @@
 	else if (!g_strcmp0(action, "spoil"))
 		set_state(users, id, "no such state");
 	else if (!g_strcmp0(action, "born"))
-		users->born_ms++;
+		set_born(users);
 	else if (!g_strcmp0(action, "down"))
 		users->down = atoi(number) != 0;
 	else if (!g_strcmp0(action, "forget"))
@@ -478,6 +604,7 @@
 	{"shards", 'n', "COUNT", 0, "shards of the route that gathers", 0},
 	{"advertise", 'a', "OFFSET", 0, "searchers register ports higher by this", 0},
 	{"work-ms", 'w', "MS", 0, "how long a searcher works", 0},
+	{"back-ms", 'b', "MS", 0, "from a searcher's end to its next start", 0},
 	{0},
 };
 
@@ -486,7 +613,8 @@
 	users_t *users = state->input;
 	int *const fields[] = {['s'] = &users->store_port,     ['c'] = &users->control_port,
 			       ['f'] = &users->searchers_from, ['n'] = &users->shards,
-			       ['w'] = &users->work_ms,	       ['a'] = &users->advertise};
+			       ['w'] = &users->work_ms,	       ['a'] = &users->advertise,
+			       ['b'] = &users->back_ms};
 
 	if (key <= 0 || (size_t)key >= G_N_ELEMENTS(fields) || !fields[key])
 		return ARGP_ERR_UNKNOWN;
@@ -521,7 +649,10 @@
 		options, parse_option, NULL, "A stand-in for the users' platform.", 0, 0, 0};
 	static const http_server_ops_t store = {.request = on_store, .gone = on_store_gone};
 	static const http_server_ops_t control = {.request = on_control};
-	users_t users = {.shards = 3, .work_ms = 5, .born_ms = (uint64_t)g_get_real_time() / 1000};
+	users_t users = {.shards = 3,
+			 .work_ms = 5,
+			 .back_ms = 1000,
+			 .born_ms = (uint64_t)g_get_real_time() / 1000};
 
 	argp_parse(&argp, argc, argv, 0, NULL, &users);
 	users.loop = loop_new();
@@ -530,6 +661,7 @@
 	users.history = g_ptr_array_new_with_free_func((GDestroyNotify)json_decref);
 	users.watches = g_ptr_array_new();
 	users.posted = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	users.crashes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	users.searchers = g_ptr_array_new();
 	if (users.shards > SHARDS_MOST ||
 	    !http_server_new(users.loop, "127.0.0.1", (uint16_t)users.store_port,
