--- a/src/core/forward.c
+++ b/src/core/forward.c
@@ -80,6 +80,9 @@
 
 	if (end == FORWARD_NO_SEARCHER)
 		answer.retry_after_us = come_back_us(forward, LACK_SEARCHERS, now_us);
+	else if (end == FORWARD_BLOCKED)
+		answer.retry_after_us = poison_note_refused(forward->forwarder->poison,
+							    forward->request.fingerprint, now_us);
 	else if (end == FORWARD_TOO_LATE || end == FORWARD_FULL || end == FORWARD_REJECTED)
 		answer.retry_after_us = come_back_us(forward, LACK_ROOM, now_us);
 	forward_finish(forward, &answer, now_us);
@@ -178,6 +181,99 @@
 				       : single_settle(forward, now_us);
 }
 
+/* ---- suspect requests ---- */
+
+/* Whether searchers still listen that broke connections is known within a round trip; then parts
+ * that were held back for it may go. */
+#define HELD_US 5000
+
+static poison_verdict_t verdict_of(const forward_t *forward, uint64_t now_us)
+{
+	return poison_judge(forward->forwarder->poison, forward->request.fingerprint, now_us);
+}
+
+/* A part that is in shows that searchers survive it, those of its shard at least: from there on the
+ * request is like any other, and the record of its other shards stands. */
+bool forward_is_careful(const forward_t *forward, uint64_t now_us)
+{
+	return !forward->answered && verdict_of(forward, now_us) != POISON_CLEAR;
+}
+
+/* That of the shard whose searcher ended last, if it is one of them: an answer of another one would
+ * say nothing. */
+static part_t *held_part(const forward_t *forward)
+{
+	const char *service =
+		poison_service(forward->forwarder->poison, forward->request.fingerprint);
+	part_t *held = NULL;
+
+	for (uint32_t i = 0; i < forward->part_count; i++) {
+		part_t *part = &forward->parts[i];
+
+		if (!part_is_held(part))
+			continue;
+		if (service && g_str_equal(part->pool->service, service))
+			return part;
+		if (!held)
+			held = part;
+	}
+	return held;
+}
+
+static void release_held(forward_t *forward, uint64_t now_us)
+{
+	for (uint32_t i = 0; i < forward->part_count; i++)
+		if (part_is_held(&forward->parts[i]))
+			part_go_on(&forward->parts[i], now_us);
+}
+
+void forward_lose_held(forward_t *forward)
+{
+	for (uint32_t i = 0; i < forward->part_count; i++)
+		if (part_is_held(&forward->parts[i]))
+			part_lose(&forward->parts[i]);
+}
+
+static void probe(forward_t *forward, uint64_t now_us)
+{
+	poison_t *poison = forward->forwarder->poison;
+	part_t *part;
+
+	if (!forward->may_probe)
+		forward->may_probe = poison_may_probe(poison, forward->request.fingerprint, now_us);
+	while (forward->may_probe && !forward->probe && (part = held_part(forward))) {
+		forward->probe = part;
+		part_go_on(part, now_us);
+	}
+}
+
+static void go_on_with_held(forward_t *forward, uint64_t now_us)
+{
+	if (!held_part(forward))
+		return;
+	if (!forward_is_careful(forward, now_us))
+		release_held(forward, now_us);
+	else if (verdict_of(forward, now_us) == POISON_BLOCKED)
+		forward_lose_held(forward);
+	else
+		probe(forward, now_us);
+}
+
+bool forward_go_on(forward_t *forward, uint64_t now_us)
+{
+	if (forward_settle(forward, now_us))
+		return true;
+	if (verdict_of(forward, now_us) == POISON_BLOCKED && !has_run_somewhere(forward)) {
+		forward_refuse(forward, FORWARD_BLOCKED, now_us);
+		return true;
+	}
+	go_on_with_held(forward, now_us);
+	if (forward_settle(forward, now_us))
+		return true;
+	forward_arm(forward, now_us);
+	return false;
+}
+
 /* ---- time ---- */
 
 void forward_arm(forward_t *forward, uint64_t now_us)
@@ -191,6 +287,8 @@
 
 		if (part->state == PART_SENT && part->hedge_us)
 			next_us = MIN(next_us, part->hedge_us);
+		if (part_is_held(part))
+			next_us = MIN(next_us, now_us + HELD_US);
 	}
 	timers_set(&forward->forwarder->timers, &forward->timer, next_us);
 }
@@ -221,7 +319,7 @@
 		if (part->state == PART_SENT && part->hedge_us && part->hedge_us <= now_us)
 			part_hedge(part, now_us);
 	}
-	forward_arm(forward, now_us);
+	forward_go_on(forward, now_us);
 }
 
 uint64_t forward_left_us(const forward_t *forward, uint64_t now_us)
--- a/src/core/forward.h
+++ b/src/core/forward.h
@@ -11,6 +11,7 @@
 
 #include "core/fingerprint.h"
 #include "core/placement.h"
+#include "core/poison.h"
 #include "core/routing.h"
 #include "core/sighting.h"
 #include "core/timers.h"
@@ -31,6 +32,7 @@
 /** The reply to a sub-request. Owned by whoever holds it. */
 typedef struct sub_reply_t {
 	sub_end_t end;
+	bool broken; /**< unknown: the connection ended before any answer */
 	int status;
 	char *stamp;   /**< what the searcher signed the reply with; NULL when it did not */
 	char *headers; /**< lines to hand on, each ended by CRLF; NULL when none */
@@ -54,6 +56,7 @@
 	struct route_state_t *route; /**< what is measured of its route; outlives the request */
 	uint32_t part;
 	sub_purpose_t purpose;
+	bool served; /**< another searcher has answered the same part meanwhile */
 	searcher_t *searcher;
 	pool_t *pool;
 	void *carrier;	     /**< the connection; set by the task that owns it */
@@ -64,7 +67,7 @@
 } sub_t;
 
 typedef enum part_state_t {
-	PART_WAITING, /**< for room at a searcher */
+	PART_WAITING, /**< for room at a searcher, or held back: its request is suspect */
 	PART_SENT,
 	PART_ANSWERED,
 	PART_LOST, /**< no more to be hoped for */
@@ -77,6 +80,7 @@
 	forward_t *forward;
 	GList waiting; /**< in pool_t.waiting; data is the part */
 	bool is_queued;
+	sub_end_t last_end; /**< of its latest sub-request that got no answer */
 	uint32_t runs;	    /**< sub-requests that ran or may have run, those that are out too */
 	uint32_t refusals;  /**< sub-requests that did not run */
 	uint64_t sent_us;   /**< when it was last sent */
@@ -103,6 +107,7 @@
 	FORWARD_TOO_FEW,     /**< too few parts can still be had */
 	FORWARD_FAILED,	     /**< it may have run; the answer is lost */
 	FORWARD_TIMEOUT,     /**< sent, and no answer in time */
+	FORWARD_BLOCKED,     /**< not sent: searchers have ended under it */
 	FORWARD_ENDS,
 } forward_end_t;
 
@@ -150,6 +155,8 @@
 	uint32_t part_count;
 	uint32_t answered;
 	uint32_t lost;
+	part_t *probe;	/**< the one that was sent alone because searchers ended under it */
+	bool may_probe; /**< its turn among the attempts at the same request has come */
 	bool finished;
 	void *owner;
 };
@@ -164,6 +171,9 @@
 	void (*answer)(void *ctx, forward_t *forward, const forward_answer_t *answer);
 	/** Something that other VMs should know. May be NULL. */
 	void (*sighted)(void *ctx, const sighting_t *sighting);
+	/** Requests that crash searchers; NULL: no other VM is told of them. Its callbacks get @p
+	 * ctx, too. */
+	const poison_ops_t *poison;
 } forwarder_ops_t;
 
 /** Counters, for metrics. */
@@ -197,6 +207,15 @@
 void forwarder_abandon(forwarder_t *forwarder, forward_t *forward, uint64_t now_us);
 /** A sub-request has ended; takes @p reply. @p sub is freed. */
 void forwarder_sub_ended(forwarder_t *forwarder, sub_t *sub, sub_reply_t *reply, uint64_t now_us);
+/** Nobody listens at the port of @p searcher any more, or a newer start of it is known. */
+void forwarder_searcher_ended(forwarder_t *forwarder, const searcher_t *searcher, uint64_t now_us);
+/** It has accepted a connection that was begun at @p since_us. */
+void forwarder_searcher_listens(forwarder_t *forwarder, const searcher_t *searcher,
+				uint64_t since_us);
+/** Requests under which searchers have ended. */
+poison_t *forwarder_poison(const forwarder_t *forwarder);
+/** Whether a request would be refused because searchers end under it. */
+bool forwarder_blocks(const forwarder_t *forwarder, fingerprint_t fingerprint, uint64_t now_us);
 /** Another VM of this data centre has seen this of a searcher. */
 void forwarder_take_sighting(forwarder_t *forwarder, const sighting_t *sighting, uint64_t now_us);
 /** A searcher has room again, or is new. */
--- a/src/core/forward_private.h
+++ b/src/core/forward_private.h
@@ -23,6 +23,7 @@
 	uint32_t open;
 	bool leaving;
 	sighting_filter_t sightings;
+	poison_t *poison;
 	forwarder_counters_t counters;
 };
 
@@ -36,6 +37,10 @@
 /** Its request is over; it may still end by itself @p within_us, which saves the connection. */
 void sub_release(sub_t *sub, uint64_t within_us, uint64_t now_us);
 
+/** Whether the part is held back until it is known what its request does to a searcher. */
+bool part_is_held(const part_t *part);
+/** Send what was held back, its first sub-request or the next one; or queue it, or lose it. */
+void part_go_on(part_t *part, uint64_t now_us);
 /** Send the part's next sub-request, or lose it; false when nobody has room for it now. */
 bool part_start(part_t *part, sub_purpose_t purpose, uint64_t now_us);
 /** Whether room for the part would come too late for its caller's deadline. */
@@ -55,6 +60,13 @@
 /** Give the part up. */
 void part_lose(part_t *part);
 
+/** Whether searchers ended under the request, and none has answered this attempt at it. */
+bool forward_is_careful(const forward_t *forward, uint64_t now_us);
+/** Give up the parts that are held back. */
+void forward_lose_held(forward_t *forward);
+/** Send one part that is held back, or all of them; then answer, or set the timer. True when the
+ * request is over, and freed. */
+bool forward_go_on(forward_t *forward, uint64_t now_us);
 /** Answer if it is time to; true when the request is over, and freed. */
 bool forward_settle(forward_t *forward, uint64_t now_us);
 /** Whether @p parts answered are enough for a success. */
--- a/src/core/forwarder.c
+++ b/src/core/forwarder.c
@@ -25,6 +25,7 @@
 	forwarder->states =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, route_state_free);
 	forwarder->rand = g_rand_new_with_seed(seed);
+	forwarder->poison = poison_new(ops->poison, ctx, seed);
 	timers_init(&forwarder->timers);
 	timers_init(&forwarder->watches);
 	return forwarder;
@@ -34,6 +35,7 @@
 {
 	routing_unref(forwarder->routing);
 	g_hash_table_unref(forwarder->states);
+	poison_free(forwarder->poison);
 	timers_clear(&forwarder->timers);
 	timers_clear(&forwarder->watches);
 	g_rand_free(forwarder->rand);
@@ -53,7 +55,10 @@
 
 uint64_t forwarder_next_us(const forwarder_t *forwarder)
 {
-	return MIN(timers_next_us(&forwarder->timers), timers_next_us(&forwarder->watches));
+	uint64_t own_us =
+		MIN(timers_next_us(&forwarder->timers), timers_next_us(&forwarder->watches));
+
+	return MIN(own_us, poison_next_us(forwarder->poison));
 }
 
 void forwarder_leave(forwarder_t *forwarder)
@@ -64,6 +69,7 @@
 void forwarder_run(forwarder_t *forwarder, uint64_t now_us)
 {
 	timers_run(&forwarder->watches, now_us);
+	poison_run(forwarder->poison, now_us);
 	timers_run(&forwarder->timers, now_us);
 }
 
@@ -136,11 +142,58 @@
 	latency_buckets_add(&sub->pool->latency, took_us);
 }
 
+/* What an end says of the searcher's process, and of what its request does to searchers. */
+static void note_survival(forwarder_t *forwarder, const sub_t *sub, const sub_reply_t *reply,
+			  uint64_t now_us)
+{
+	poison_t *poison = forwarder->poison;
+
+	switch (reply->end) {
+	case SUB_ANSWERED:
+		poison_note_answered(poison, sub->fingerprint, sub->pool->service);
+		poison_note_alive(poison, sub->searcher, sub->sending.sent_us);
+		break;
+	case SUB_FAILED:
+	case SUB_NOT_RUN:
+		poison_note_alive(poison, sub->searcher, sub->sending.sent_us);
+		break;
+	case SUB_REPLACED:
+		poison_note_ended(poison, sub->searcher, now_us);
+		break;
+	default:
+		if (reply->broken && !sub->served)
+			poison_note_lost(poison, sub->fingerprint, sub->searcher,
+					 sub->sending.sent_us, now_us);
+	}
+}
+
+void forwarder_searcher_ended(forwarder_t *forwarder, const searcher_t *searcher, uint64_t now_us)
+{
+	poison_note_ended(forwarder->poison, searcher, now_us);
+}
+
+void forwarder_searcher_listens(forwarder_t *forwarder, const searcher_t *searcher,
+				uint64_t since_us)
+{
+	poison_note_alive(forwarder->poison, searcher, since_us);
+}
+
+poison_t *forwarder_poison(const forwarder_t *forwarder)
+{
+	return forwarder->poison;
+}
+
+bool forwarder_blocks(const forwarder_t *forwarder, fingerprint_t fingerprint, uint64_t now_us)
+{
+	return poison_judge(forwarder->poison, fingerprint, now_us) == POISON_BLOCKED;
+}
+
 static void measure(forwarder_t *forwarder, sub_t *sub, const sub_reply_t *reply, uint64_t now_us)
 {
 	uint64_t took_us = now_us - sub->sending.sent_us;
 
 	forwarder->counters.sub_ends[reply->end]++;
+	note_survival(forwarder, sub, reply, now_us);
 	switch (reply->end) {
 	case SUB_ANSWERED:
 		measure_answer(forwarder, sub, took_us, now_us);
@@ -161,8 +214,7 @@
 	forward_t *forward = sub->forward;
 
 	part_take_reply(&forward->parts[sub->part], sub, reply, now_us);
-	if (!forward_settle(forward, now_us))
-		forward_arm(forward, now_us);
+	forward_go_on(forward, now_us);
 }
 
 void forwarder_sub_ended(forwarder_t *forwarder, sub_t *sub, sub_reply_t *reply, uint64_t now_us)
@@ -409,11 +461,9 @@
 		forward_refuse(forward, FORWARD_FULL, now_us);
 		return NULL;
 	}
-	start_parts(forward, now_us);
-	if (forward_settle(forward, now_us))
-		return NULL;
-	forward_arm(forward, now_us);
-	return forward;
+	if (!forward_is_careful(forward, now_us))
+		start_parts(forward, now_us);
+	return forward_go_on(forward, now_us) ? NULL : forward;
 }
 
 void forward_allow_more(forward_t *forward, uint32_t more, uint64_t now_us)
--- a/src/core/part.c
+++ b/src/core/part.c
@@ -142,6 +142,8 @@
 	part_unqueue(part);
 	part->state = PART_LOST;
 	forward->lost++;
+	if (forward->probe == part)
+		forward->probe = NULL;
 	if (!before || shedding_is_allowed(forward))
 		return;
 	for (uint32_t i = 0; i < forward->part_count; i++)
@@ -234,6 +236,10 @@
 	part->hedge_us = 0;
 	if (!may_run_again(part))
 		return;
+	if (forward_is_careful(part->forward, now_us)) {
+		part->hedge_us = now_us + HEDGE_AGAIN_US;
+		return;
+	}
 	searcher = placement_choose(part->pool, part->asked, forwarder->rand, now_us);
 	if (!searcher) {
 		part->hedge_us = now_us + HEDGE_AGAIN_US;
@@ -282,19 +288,56 @@
 	part->reply = reply;
 }
 
+/* ---- suspect requests ---- */
+
+bool part_is_held(const part_t *part)
+{
+	return part->state == PART_WAITING && !part->is_queued;
+}
+
+void part_go_on(part_t *part, uint64_t now_us)
+{
+	bool again = part->runs || part->refusals;
+
+	if (again && !may_retry(part, part->last_end, now_us))
+		part_lose(part);
+	else if (!part_start(part, again ? SUB_RETRY : SUB_FIRST, now_us))
+		part_wait(part, now_us);
+}
+
+/*
+ * Sent once more at once, each part would end another searcher: a gather over ten shards of three
+ * ended all thirty within 0.1 s, and callers of all others got 502 until they were back. So the
+ * next sub-request of the request waits until the one before has shown that a searcher survives it.
+ * One that was sent alone and is lost, too, is not followed by others.
+ */
+static void hold(part_t *part, bool gives_up)
+{
+	part->state = PART_WAITING;
+	if (gives_up)
+		forward_lose_held(part->forward);
+}
+
 static void part_failed(part_t *part, sub_reply_t *reply, uint64_t now_us)
 {
 	sub_end_t end = reply->end;
+	forward_t *forward = part->forward;
+	bool gives_up = reply->broken && forward->probe == part;
 
 	if (has_not_run(end)) {
 		part->runs--;
 		part->refusals++;
 	}
 	part->unknown = part->unknown || end == SUB_UNKNOWN;
+	part->last_end = end;
 	part_keep(part, reply);
+	if (forward->probe == part)
+		forward->probe = NULL;
 	if (part->out->len) /* another one is out: its end decides */
 		return;
-	if (!may_retry(part, end, now_us))
+	if (forward_is_careful(forward, now_us))
+		hold(part, gives_up);
+	else if (!may_retry(part, end, now_us))
 		part_lose(part);
 	else if (!part_start(part, SUB_RETRY, now_us))
 		part_wait(part, now_us);
@@ -306,6 +349,8 @@
 	part->reply = reply;
 	part->state = PART_ANSWERED;
 	part->forward->answered++;
+	for (guint i = 0; i < part->out->len; i++)
+		((sub_t *)g_ptr_array_index(part->out, i))->served = true;
 }
 
 /*
--- /dev/null
+++ b/src/core/poison.c
@@ -0,0 +1,528 @@
+/**
+ * @file poison.c
+ * See poison.h.
+ */
+#include "core/poison.h"
+
+/* Broken connections that wait to be explained, for each request: a gather loses many at once, and
+ * one is enough for a strike. */
+#define LOSSES_MOST 8
+/* Whether a searcher that broke a connection still listens is known after a connect, 0.4 s at most;
+ * one that starts again is registered a few seconds later. */
+#define LOSS_KEEP_US 10000000
+/*
+ * Searchers that end under one request end within some tenths of a second of each other, through
+ * its hedges and its caller's retry. A request beside it that is sent again at once may meet the
+ * next of them: without this gap it would be refused like the one that did it.
+ */
+#define STRIKE_GAP_US 1000000
+/* A suspect that comes again within this is recognised. */
+#define SUSPECT_KEEP_US (10 * 60 * 1000000ull)
+/* A request that has not come for so long may crash one searcher more, or be cleared because what
+ * it met is mended. While it keeps coming, the block is renewed at half of it. */
+#define BLOCK_US (30 * 60 * 1000000ull)
+/* All VMs forget at about the same time; the first one tells the store, and the others hear it. */
+#define FORGET_SPREAD_US 60000000
+/* Copies of one suspect on this VM: an answer takes some 10 ms, and clears all of them. */
+#define PROBE_GAP_US 50000
+/* Most first strikes are of requests that ran beside another, and their retries clear them within
+ * some tens of ms: nothing is told of those. Well below the time within which VMs must agree. */
+#define TELL_DELAY_US 300000
+/* First strikes told at once, and how soon the next may follow: when many searchers end together,
+ * their strikes must not flood the store. Later ones are rare, and told at once. */
+#define TELL_BURST 8
+#define TELL_PERIOD_US 500000
+/* After the store did not answer. */
+#define TELL_AGAIN_US 1000000
+
+/** A connection that broke under a request; nobody knows yet whether its searcher ended. */
+typedef struct loss_t {
+	searcher_t *searcher; /* referenced */
+	uint64_t sent_us, lost_us;
+} loss_t;
+
+typedef struct record_t {
+	poison_t *poison;
+	fingerprint_t fingerprint;
+	uint32_t strikes; /* without an answer in between */
+	uint32_t stored;  /* strikes that the store knows of; 0: none */
+	uint32_t renewals;
+	char *service;	    /* of the searcher that ended last; NULL before the first strike */
+	uint64_t struck_us; /* the last strike, or when another VM's was heard of */
+	uint64_t held_us;   /* the last strike or renewal: keeping and blocking run from here */
+	uint64_t probe_us;  /* when it was last sent as a suspect; 0: never */
+	uint64_t tell_us;   /* when to tell; 0: nothing to tell, or the store is being told */
+	uint64_t forget_us;
+	bool listed; /* in the list that is being read */
+	loss_t losses[LOSSES_MOST];
+	uint32_t loss_count;
+	timer_entry_t timer;
+} record_t;
+
+struct poison_t {
+	const poison_ops_t *ops;
+	void *ctx;
+	GRand *rand;
+	GHashTable *records; /* fingerprint to record_t */
+	uint32_t losses;     /* of all records */
+	timers_t timers;
+	uint64_t tell_slot_us; /* up to when first strikes have used up their share of the store */
+	poison_counters_t counters;
+};
+
+static void remove_loss(record_t *record, uint32_t index)
+{
+	searcher_unref(record->losses[index].searcher);
+	record->losses[index] = record->losses[--record->loss_count];
+	record->poison->losses--;
+}
+
+static void record_free(void *data)
+{
+	record_t *record = data;
+
+	timers_cancel(&record->poison->timers, &record->timer);
+	while (record->loss_count)
+		remove_loss(record, 0);
+	g_free(record->service);
+	g_free(record);
+}
+
+poison_t *poison_new(const poison_ops_t *ops, void *ctx, uint32_t seed)
+{
+	poison_t *poison = g_new0(poison_t, 1);
+
+	poison->ops = ops;
+	poison->ctx = ctx;
+	poison->rand = g_rand_new_with_seed(seed);
+	poison->records = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, record_free);
+	timers_init(&poison->timers);
+	return poison;
+}
+
+void poison_free(poison_t *poison)
+{
+	g_hash_table_unref(poison->records);
+	timers_clear(&poison->timers);
+	g_rand_free(poison->rand);
+	g_free(poison);
+}
+
+/* ---- records ---- */
+
+static record_t *find(const poison_t *poison, fingerprint_t fingerprint)
+{
+	if (!g_hash_table_size(poison->records))
+		return NULL;
+	return g_hash_table_lookup(poison->records, &fingerprint);
+}
+
+static poison_news_t news_of(const record_t *record)
+{
+	return (poison_news_t){.fingerprint = record->fingerprint,
+			       .strikes = record->strikes,
+			       .renewals = record->renewals,
+			       .service = record->service ? record->service : ""};
+}
+
+static void say(const record_t *record, const char *what)
+{
+	const poison_t *poison = record->poison;
+	const poison_news_t news = news_of(record);
+
+	if (poison->ops)
+		poison->ops->changed(poison->ctx, &news, what);
+}
+
+static void drop(record_t *record)
+{
+	g_hash_table_remove(record->poison->records, &record->fingerprint);
+}
+
+static void forget(record_t *record, const char *why)
+{
+	const poison_t *poison = record->poison;
+
+	say(record, why);
+	if (record->stored && poison->ops)
+		poison->ops->forget(poison->ctx, record->fingerprint);
+	drop(record);
+}
+
+static bool is_empty(const record_t *record)
+{
+	return !record->strikes && !record->loss_count;
+}
+
+static bool is_blocked(const record_t *record, uint64_t now_us)
+{
+	return record->strikes >= POISON_STRIKES && now_us < record->held_us + BLOCK_US;
+}
+
+static uint64_t first_loss_us(const record_t *record)
+{
+	uint64_t first_us = record->losses[0].lost_us;
+
+	for (uint32_t i = 1; i < record->loss_count; i++)
+		first_us = MIN(first_us, record->losses[i].lost_us);
+	return first_us;
+}
+
+static void arm(record_t *record)
+{
+	uint64_t next_us = record->strikes ? record->forget_us : TIMERS_NEVER;
+
+	if (record->loss_count)
+		next_us = MIN(next_us, first_loss_us(record) + LOSS_KEEP_US);
+	if (record->tell_us)
+		next_us = MIN(next_us, record->tell_us);
+	timers_set(&record->poison->timers, &record->timer, next_us);
+}
+
+/* Whoever sends many such requests must not make a VM forget those that it refuses, as long as it
+ * knows others. What all VMs have forgotten must not stay in the store for good. */
+static void forget_least(poison_t *poison)
+{
+	record_t *least = NULL;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, poison->records);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		record_t *record = value;
+
+		if (!least || record->strikes < least->strikes ||
+		    (record->strikes == least->strikes && record->held_us < least->held_us))
+			least = record;
+	}
+	poison->counters.dropped++;
+	forget(least, "dropped");
+}
+
+static void on_timer(void *ctx, uint64_t now_us);
+
+static record_t *find_or_add(poison_t *poison, fingerprint_t fingerprint)
+{
+	record_t *record = find(poison, fingerprint);
+
+	if (record)
+		return record;
+	if (g_hash_table_size(poison->records) >= POISON_RECORDS_MOST)
+		forget_least(poison);
+	record = g_new0(record_t, 1);
+	record->poison = poison;
+	record->fingerprint = fingerprint;
+	record->timer = (timer_entry_t){.fire = on_timer, .ctx = record};
+	g_hash_table_insert(poison->records, &record->fingerprint, record);
+	return record;
+}
+
+static void hold(record_t *record, uint64_t from_us)
+{
+	uint64_t keep_us = SUSPECT_KEEP_US;
+
+	if (record->strikes >= POISON_STRIKES)
+		keep_us += BLOCK_US;
+	record->held_us = from_us;
+	record->forget_us = from_us + keep_us +
+			    (uint64_t)g_rand_int_range(record->poison->rand, 0, FORGET_SPREAD_US);
+}
+
+/* ---- strikes ---- */
+
+static void set_strikes(record_t *record, uint32_t strikes, const char *service, uint64_t at_us)
+{
+	record->strikes = strikes;
+	record->struck_us = at_us;
+	g_free(record->service);
+	record->service = g_strdup(service);
+	hold(record, at_us);
+}
+
+static uint64_t next_tell_us(poison_t *poison, const record_t *record, uint64_t now_us)
+{
+	uint64_t burst_us = TELL_BURST * TELL_PERIOD_US;
+
+	if (record->strikes > 1)
+		return now_us;
+	poison->tell_slot_us = MAX(poison->tell_slot_us, now_us) + TELL_PERIOD_US;
+	return MAX(now_us + TELL_DELAY_US,
+		   poison->tell_slot_us > burst_us ? poison->tell_slot_us - burst_us : 0);
+}
+
+static void strike(record_t *record, const loss_t *loss, uint64_t now_us)
+{
+	if (record->strikes && loss->sent_us < record->struck_us + STRIKE_GAP_US)
+		return;
+	record->poison->counters.strikes++;
+	set_strikes(record, record->strikes + 1, loss->searcher->service, loss->lost_us);
+	record->tell_us = next_tell_us(record->poison, record, now_us);
+	say(record, record->strikes >= POISON_STRIKES ? "blocked" : "suspected");
+}
+
+static void explain_losses(record_t *record, const searcher_t *searcher, uint64_t now_us)
+{
+	for (uint32_t i = record->loss_count; i-- > 0;) {
+		if (record->losses[i].searcher != searcher)
+			continue;
+		strike(record, &record->losses[i], now_us);
+		remove_loss(record, i);
+	}
+	arm(record);
+}
+
+void poison_note_ended(poison_t *poison, const searcher_t *searcher, uint64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer record;
+
+	if (!poison->losses)
+		return;
+	g_hash_table_iter_init(&iter, poison->records);
+	while (g_hash_table_iter_next(&iter, NULL, &record))
+		explain_losses(record, searcher, now_us);
+}
+
+void poison_note_lost(poison_t *poison, fingerprint_t fingerprint, searcher_t *searcher,
+		      uint64_t sent_us, uint64_t now_us)
+{
+	record_t *record;
+
+	if (!fingerprint)
+		return;
+	record = find_or_add(poison, fingerprint);
+	if (record->loss_count < LOSSES_MOST) {
+		record->losses[record->loss_count++] = (loss_t){
+			.searcher = searcher_ref(searcher), .sent_us = sent_us, .lost_us = now_us};
+		poison->losses++;
+	}
+	arm(record);
+	if (searcher->state == SEARCHER_ENDED)
+		poison_note_ended(poison, searcher, now_us);
+}
+
+void poison_note_alive(poison_t *poison, const searcher_t *searcher, uint64_t since_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!poison->losses)
+		return;
+	g_hash_table_iter_init(&iter, poison->records);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		record_t *record = value;
+
+		for (uint32_t i = record->loss_count; i-- > 0;)
+			if (record->losses[i].searcher == searcher &&
+			    record->losses[i].lost_us <= since_us)
+				remove_loss(record, i);
+		if (is_empty(record))
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
+/* Answers of other services say nothing: a request may crash the searchers of one shard only. */
+void poison_note_answered(poison_t *poison, fingerprint_t fingerprint, const char *service)
+{
+	record_t *record = find(poison, fingerprint);
+
+	if (!record)
+		return;
+	for (uint32_t i = record->loss_count; i-- > 0;)
+		if (g_str_equal(record->losses[i].searcher->service, service))
+			remove_loss(record, i);
+	if (record->strikes && g_str_equal(record->service, service)) {
+		poison->counters.cleared++;
+		forget(record, "cleared");
+	} else if (is_empty(record)) {
+		drop(record);
+	}
+}
+
+/* ---- other VMs ---- */
+
+void poison_take(poison_t *poison, const poison_news_t *news, uint64_t now_us)
+{
+	record_t *record = find_or_add(poison, news->fingerprint);
+
+	record->stored = news->strikes;
+	record->listed = true;
+	if (news->strikes > record->strikes) {
+		record->renewals = news->renewals;
+		record->tell_us = 0;
+		set_strikes(record, news->strikes, news->service, now_us);
+		say(record, "told-by-other-vm");
+	} else if (news->strikes < record->strikes && !record->tell_us) {
+		record->tell_us = now_us;
+	} else if (news->renewals > record->renewals) {
+		record->renewals = news->renewals;
+		hold(record, now_us);
+	}
+	arm(record);
+}
+
+/* Strikes of this VM that the store was not told yet are as true as before. */
+void poison_release(poison_t *poison, fingerprint_t fingerprint)
+{
+	record_t *record = find(poison, fingerprint);
+
+	if (!record || !record->stored)
+		return;
+	record->stored = 0;
+	if (record->tell_us)
+		return;
+	say(record, "released");
+	drop(record);
+}
+
+void poison_list_begin(poison_t *poison)
+{
+	GHashTableIter iter;
+	gpointer record;
+
+	g_hash_table_iter_init(&iter, poison->records);
+	while (g_hash_table_iter_next(&iter, NULL, &record))
+		((record_t *)record)->listed = false;
+}
+
+void poison_list_end(poison_t *poison)
+{
+	g_autoptr(GList) all = g_hash_table_get_values(poison->records);
+
+	for (GList *item = all; item; item = item->next) {
+		const record_t *record = item->data;
+
+		if (!record->listed)
+			poison_release(poison, record->fingerprint);
+	}
+}
+
+void poison_told(poison_t *poison, const poison_news_t *news, bool taken, uint64_t now_us)
+{
+	record_t *record = find(poison, news->fingerprint);
+
+	poison->counters.told += taken;
+	if (!record && taken && poison->ops) /* cleared meanwhile */
+		poison->ops->forget(poison->ctx, news->fingerprint);
+	if (!record)
+		return;
+	if (taken)
+		record->stored = MAX(record->stored, news->strikes);
+	else if (!record->tell_us)
+		record->tell_us = now_us + TELL_AGAIN_US;
+	arm(record);
+}
+
+/* ---- time ---- */
+
+static void expire_losses(record_t *record, uint64_t now_us)
+{
+	for (uint32_t i = record->loss_count; i-- > 0;)
+		if (now_us >= record->losses[i].lost_us + LOSS_KEEP_US)
+			remove_loss(record, i);
+}
+
+static void tell(record_t *record)
+{
+	const poison_t *poison = record->poison;
+	const poison_news_t news = news_of(record);
+
+	record->tell_us = 0;
+	if (poison->ops)
+		poison->ops->tell(poison->ctx, &news);
+}
+
+static void on_timer(void *ctx, uint64_t now_us)
+{
+	record_t *record = ctx;
+
+	expire_losses(record, now_us);
+	if (is_empty(record)) {
+		drop(record);
+		return;
+	}
+	if (record->strikes && now_us >= record->forget_us) {
+		forget(record, "forgotten");
+		return;
+	}
+	if (record->tell_us && now_us >= record->tell_us)
+		tell(record);
+	arm(record);
+}
+
+uint64_t poison_next_us(const poison_t *poison)
+{
+	return timers_next_us(&poison->timers);
+}
+
+void poison_run(poison_t *poison, uint64_t now_us)
+{
+	timers_run(&poison->timers, now_us);
+}
+
+/* ---- what follows ---- */
+
+poison_verdict_t poison_judge(const poison_t *poison, fingerprint_t fingerprint, uint64_t now_us)
+{
+	const record_t *record = find(poison, fingerprint);
+
+	if (!record)
+		return POISON_CLEAR;
+	return is_blocked(record, now_us) ? POISON_BLOCKED : POISON_SUSPECT;
+}
+
+const char *poison_service(const poison_t *poison, fingerprint_t fingerprint)
+{
+	const record_t *record = find(poison, fingerprint);
+
+	return record ? record->service : NULL;
+}
+
+bool poison_may_probe(poison_t *poison, fingerprint_t fingerprint, uint64_t now_us)
+{
+	record_t *record = find(poison, fingerprint);
+
+	if (!record)
+		return true;
+	if (record->probe_us && now_us < record->probe_us + PROBE_GAP_US)
+		return false;
+	record->probe_us = now_us;
+	return true;
+}
+
+uint64_t poison_note_refused(poison_t *poison, fingerprint_t fingerprint, uint64_t now_us)
+{
+	record_t *record = find(poison, fingerprint);
+
+	if (!record || !is_blocked(record, now_us))
+		return 0;
+	if (now_us >= record->held_us + BLOCK_US / 2) {
+		record->renewals++;
+		record->tell_us = now_us;
+		hold(record, now_us);
+		arm(record);
+	}
+	return record->held_us + BLOCK_US - now_us;
+}
+
+uint32_t poison_records(const poison_t *poison)
+{
+	return g_hash_table_size(poison->records);
+}
+
+uint32_t poison_blocked(const poison_t *poison, uint64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer record;
+	uint32_t blocked = 0;
+
+	g_hash_table_iter_init(&iter, poison->records);
+	while (g_hash_table_iter_next(&iter, NULL, &record))
+		blocked += is_blocked(record, now_us);
+	return blocked;
+}
+
+const poison_counters_t *poison_counters(const poison_t *poison)
+{
+	return &poison->counters;
+}
--- /dev/null
+++ b/src/core/poison.h
@@ -0,0 +1,109 @@
+/**
+ * @file poison.h
+ * Requests that crash the searchers that run them, remembered past their answers.
+ *
+ * When a searcher's process ends, everything that it worked on loses its connection: the request
+ * that did it, and whatever ran beside it. Each of them gets a strike and is suspect. A suspect is
+ * sent to one searcher at a time, until a searcher of the service that was lost answers: that
+ * clears it, for no searcher survives a request that crashes them. If a searcher ends under it once
+ * more, sent alone and a while later, it is refused for as long as it keeps coming.
+ *
+ * All VMs share strikes through the platform's store. They are merged by their maximum, not their
+ * sum: each VM counts on from what it knew when it sent, so copies of a request that are out at the
+ * same time, on one VM or on several, count once.
+ *
+ * Bounded: POISON_RECORDS_MOST requests, some hundred bytes each, each kept for a fixed time.
+ * Decides only: what is to be told or forgotten goes out by callbacks, and time comes in.
+ */
+#ifndef DS_POISON_H
+#define DS_POISON_H
+
+#include "core/fingerprint.h"
+#include "core/searcher.h"
+#include "core/timers.h"
+
+/* The first end may be any request's that ran there. At the second the request was alone, as far as
+ * its VM sent, at one of several searchers for some ms, a second or more after the first. */
+#define POISON_STRIKES 2
+/* Far more than are in flight when searchers end; with all of them a VM keeps 0.4 MB. */
+#define POISON_RECORDS_MOST 1024
+
+typedef struct poison_t poison_t;
+
+typedef enum poison_verdict_t {
+	POISON_CLEAR,
+	POISON_SUSPECT, /**< send it to one searcher at a time until one answers */
+	POISON_BLOCKED, /**< refuse it */
+} poison_verdict_t;
+
+/** What VMs tell each other of a request. */
+typedef struct poison_news_t {
+	fingerprint_t fingerprint;
+	uint32_t strikes;
+	uint32_t renewals;   /**< of its block, because it kept coming */
+	const char *service; /**< whose searcher ended last; borrowed */
+} poison_news_t;
+
+typedef struct poison_ops_t {
+	/** Let the other VMs know; poison_told() follows with the outcome, never before the return.
+	 */
+	void (*tell)(void *ctx, const poison_news_t *news);
+	/** It was cleared, or its time is over: let the others forget it. */
+	void (*forget)(void *ctx, fingerprint_t fingerprint);
+	/** For the log: @p what has become of it. */
+	void (*changed)(void *ctx, const poison_news_t *news, const char *what);
+} poison_ops_t;
+
+/** Counters, for metrics. */
+typedef struct poison_counters_t {
+	uint64_t strikes; /**< counted by this VM */
+	uint64_t cleared; /**< suspects that a searcher answered here */
+	uint64_t told;	  /**< times that the store was told of one */
+	uint64_t dropped; /**< forgotten early, because there were too many */
+} poison_counters_t;
+
+/** @param ops may be NULL: nothing is told */
+poison_t *poison_new(const poison_ops_t *ops, void *ctx, uint32_t seed);
+void poison_free(poison_t *poison);
+
+/* ---- what this VM sees ---- */
+
+/** A sub-request's connection ended without an answer. */
+void poison_note_lost(poison_t *poison, fingerprint_t fingerprint, searcher_t *searcher,
+		      uint64_t sent_us, uint64_t now_us);
+/** Nobody listens at its port any more, or a newer start of it is known. */
+void poison_note_ended(poison_t *poison, const searcher_t *searcher, uint64_t now_us);
+/** What was sent to it at @p since_us was answered, or a connection begun then was accepted. */
+void poison_note_alive(poison_t *poison, const searcher_t *searcher, uint64_t since_us);
+/** A searcher of @p service has answered it. */
+void poison_note_answered(poison_t *poison, fingerprint_t fingerprint, const char *service);
+
+/* ---- what other VMs say ---- */
+
+void poison_take(poison_t *poison, const poison_news_t *news, uint64_t now_us);
+/** The store knows it no more: it was cleared, or an operator lets it through. */
+void poison_release(poison_t *poison, fingerprint_t fingerprint);
+/** The store's whole list: poison_take() for each, then the end. */
+void poison_list_begin(poison_t *poison);
+void poison_list_end(poison_t *poison);
+/** The store has taken what `tell` said, or has not answered. */
+void poison_told(poison_t *poison, const poison_news_t *news, bool taken, uint64_t now_us);
+
+/* ---- what follows ---- */
+
+poison_verdict_t poison_judge(const poison_t *poison, fingerprint_t fingerprint, uint64_t now_us);
+/** The service whose searcher ended last under a suspect, or NULL. */
+const char *poison_service(const poison_t *poison, fingerprint_t fingerprint);
+/** Whether a suspect may be sent to one more searcher now; if so, it counts as sent. */
+bool poison_may_probe(poison_t *poison, fingerprint_t fingerprint, uint64_t now_us);
+/** It was refused; returns for how much longer it is, if it does not come again. */
+uint64_t poison_note_refused(poison_t *poison, fingerprint_t fingerprint, uint64_t now_us);
+
+uint64_t poison_next_us(const poison_t *poison);
+void poison_run(poison_t *poison, uint64_t now_us);
+/** Requests that are remembered, and those of them that are refused now. */
+uint32_t poison_records(const poison_t *poison);
+uint32_t poison_blocked(const poison_t *poison, uint64_t now_us);
+const poison_counters_t *poison_counters(const poison_t *poison);
+
+#endif
--- a/src/net/http_conn.c
+++ b/src/net/http_conn.c
@@ -111,6 +111,16 @@
 		conn_free(conn);
 }
 
+static http_conn_end_t end_of(sock_end_t how)
+{
+	static const http_conn_end_t ends[] = {[SOCK_CLOSED] = HTTP_CONN_CLOSED,
+					       [SOCK_RESET] = HTTP_CONN_RESET,
+					       [SOCK_REFUSED] = HTTP_CONN_REFUSED,
+					       [SOCK_UNREACHED] = HTTP_CONN_UNREACHED};
+
+	return ends[how];
+}
+
 static void on_ended(void *ctx, sock_end_t how)
 {
 	http_conn_t *conn = ctx;
@@ -121,9 +131,7 @@
 	if (conn->busy && http_message_state(conn->reply) == HTTP_MESSAGE_WHOLE) {
 		take_reply(conn, true);
 	} else if (!conn->ended) {
-		end(conn, how == SOCK_REFUSED ? HTTP_CONN_REFUSED
-			  : how == SOCK_RESET ? HTTP_CONN_RESET
-					      : HTTP_CONN_CLOSED);
+		end(conn, end_of(how));
 	}
 	conn_free(conn);
 }
--- a/src/net/http_conn.h
+++ b/src/net/http_conn.h
@@ -15,10 +15,11 @@
 
 /** Why a connection ended. */
 typedef enum http_conn_end_t {
-	HTTP_CONN_CLOSED,  /**< closed in order by the peer */
-	HTTP_CONN_RESET,   /**< it broke */
-	HTTP_CONN_REFUSED, /**< it was never established: nothing was sent */
-	HTTP_CONN_GARBAGE, /**< bytes that are no reply, or that no request asked for */
+	HTTP_CONN_CLOSED,    /**< closed in order by the peer */
+	HTTP_CONN_RESET,     /**< it broke */
+	HTTP_CONN_REFUSED,   /**< it was never established: nobody listens there */
+	HTTP_CONN_UNREACHED, /**< it was never established, for any other reason */
+	HTTP_CONN_GARBAGE,   /**< bytes that are no reply, or that no request asked for */
 } http_conn_end_t;
 
 typedef struct http_conn_ops_t {
--- a/src/net/http_pool.c
+++ b/src/net/http_pool.c
@@ -79,7 +79,9 @@
 
 	lane->conn = NULL;
 	if (lane->call)
-		call_end(lane->call, end == HTTP_CONN_REFUSED ? HTTP_END_NOT_SENT : HTTP_END_CUT);
+		call_end(lane->call, end == HTTP_CONN_REFUSED || end == HTTP_CONN_UNREACHED
+					     ? HTTP_END_NOT_SENT
+					     : HTTP_END_CUT);
 }
 
 static const http_conn_ops_t lane_ops = {.replied = on_replied, .ended = on_ended};
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -344,6 +344,12 @@
 	on_ended(connection, SOCK_CLOSED);
 }
 
+void http_exchange_cut(http_exchange_t *exchange)
+{
+	if (exchange->connection)
+		drop(exchange->connection);
+}
+
 static void check_limits(connection_t *connection, uint64_t now_us)
 {
 	const http_server_limits_t *limits = &connection->server->limits;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -76,6 +76,9 @@
 uint64_t http_exchange_begun_us(const http_exchange_t *exchange);
 void http_exchange_set_data(http_exchange_t *exchange, void *data);
 void *http_exchange_data(const http_exchange_t *exchange);
+/** Close its connection in place of a reply, as if it had broken; `gone` follows before the return.
+ */
+void http_exchange_cut(http_exchange_t *exchange);
 /** Add a header to the reply to come. */
 void http_exchange_add_header(http_exchange_t *exchange, const char *name, const char *value);
 /** Add whole header lines, each ended by CRLF, to the reply to come. */
--- a/src/net/sock.c
+++ b/src/net/sock.c
@@ -37,6 +37,16 @@
 	void *ctx;
 };
 
+const char *sock_end_name(sock_end_t end)
+{
+	static const char *const names[] = {[SOCK_CLOSED] = "closed",
+					    [SOCK_RESET] = "reset",
+					    [SOCK_REFUSED] = "refused",
+					    [SOCK_UNREACHED] = "unreached"};
+
+	return names[end];
+}
+
 static void drop_out(sock_t *sock)
 {
 	if (sock->out)
@@ -49,12 +59,19 @@
 	if (sock->closed)
 		return;
 	sock->closed = true;
-	if (sock->connecting)
-		end = SOCK_REFUSED;
+	if (sock->connecting && end != SOCK_REFUSED)
+		end = SOCK_UNREACHED;
 	if (sock->ops)
 		sock->ops->ended(sock->ctx, end);
 }
 
+/* A connection that can't be made may be told as readable first: then it is the read that says why.
+ */
+static sock_end_t end_of(int problem)
+{
+	return problem == ECONNREFUSED ? SOCK_REFUSED : SOCK_RESET;
+}
+
 /* 0 to go on, -1 when the connection has ended. */
 static int read_some(sock_t *sock)
 {
@@ -66,7 +83,7 @@
 		if (got < 0 && (errno == EAGAIN || errno == EINTR))
 			return 0;
 		if (got <= 0) {
-			tell_end(sock, got == 0 ? SOCK_CLOSED : SOCK_RESET);
+			tell_end(sock, got == 0 ? SOCK_CLOSED : end_of(errno));
 			return -1;
 		}
 		if (sock->ops)
@@ -81,7 +98,7 @@
 	socklen_t size = sizeof(problem);
 
 	if (getsockopt(sock->watch.fd, SOL_SOCKET, SO_ERROR, &problem, &size) || problem) {
-		tell_end(sock, SOCK_REFUSED);
+		tell_end(sock, end_of(problem));
 		return -1;
 	}
 	sock->connecting = false;
--- a/src/net/sock.h
+++ b/src/net/sock.h
@@ -16,9 +16,10 @@
 
 /** How a connection ended. */
 typedef enum sock_end_t {
-	SOCK_CLOSED,  /**< the peer closed it in order */
-	SOCK_RESET,   /**< it broke: reset, timed out in the kernel, unreachable */
-	SOCK_REFUSED, /**< it was never established */
+	SOCK_CLOSED,	/**< the peer closed it in order */
+	SOCK_RESET,	/**< it broke: reset, timed out in the kernel, unreachable */
+	SOCK_REFUSED,	/**< it was never established: nobody listens there */
+	SOCK_UNREACHED, /**< it was never established, for any other reason */
 } sock_end_t;
 
 typedef struct sock_ops_t {
@@ -32,6 +33,7 @@
 	void (*ended)(void *ctx, sock_end_t end);
 } sock_ops_t;
 
+const char *sock_end_name(sock_end_t end);
 /** Connect to an IPv4 number; NULL when the machine has no descriptor left for it. */
 sock_t *sock_connect(loop_t *loop, const char *address, uint16_t port, const sock_ops_t *ops,
 		     void *ctx);
--- a/src/queries/front_metrics.c
+++ b/src/queries/front_metrics.c
@@ -36,6 +36,18 @@
 		    counters->sub_ends[end]);
 }
 
+static void put_poison(GString *out, const poison_t *poison)
+{
+	const poison_counters_t *counters = poison_counters(poison);
+
+	put(out, "poison_requests", "state", "remembered", poison_records(poison));
+	put(out, "poison_requests", "state", "refused", poison_blocked(poison, loop_now_us()));
+	put(out, "poison_strikes_total", NULL, NULL, counters->strikes);
+	put(out, "poison_cleared_total", NULL, NULL, counters->cleared);
+	put(out, "poison_told_total", NULL, NULL, counters->told);
+	put(out, "poison_dropped_total", NULL, NULL, counters->dropped);
+}
+
 static void put_links(GString *out, const link_counters_t *links)
 {
 	put(out, "connections_opened_total", NULL, NULL, links->opened);
@@ -145,6 +157,7 @@
 	put(out, "vms", NULL, NULL, supply_task_vms(sources->supply)->len);
 	put_store(out, sources->supply, sources->store);
 	put_requests(out, sources->forwarder);
+	put_poison(out, forwarder_poison(sources->forwarder));
 	put_handovers(out, sources->handovers, sources->hops_open);
 	put_links(out, sources->links);
 	forwarder_visit_latency(sources->forwarder, put_route_latency, out);
--- a/src/tasks/feed_client.c
+++ b/src/tasks/feed_client.c
@@ -96,7 +96,7 @@
 	feed_client_t *client = ctx;
 
 	client->sock = NULL;
-	client_end(client, end == SOCK_REFUSED ? "refused" : "closed");
+	client_end(client, sock_end_name(end));
 }
 
 feed_client_t *feed_client_new(loop_t *loop, const char *address, uint16_t port,
--- a/src/tasks/front_task.c
+++ b/src/tasks/front_task.c
@@ -13,6 +13,7 @@
 #include "tasks/hop_server.h"
 #include "tasks/link_task.h"
 #include "tasks/own_vm.h"
+#include "tasks/poison_task.h"
 #include "tasks/relay.h"
 #include "tasks/supply_task.h"
 
@@ -40,6 +41,7 @@
 	gather_task_t *gathers; /* handed over to other VMs */
 	hop_server_t *hops;	/* handed over by other VMs */
 	supply_task_t *supply;
+	poison_task_t *poison;
 	platform_task_t *platform;
 	loop_timer_t forwarder_timer;
 	loop_timer_t registry_timer;
@@ -149,6 +151,8 @@
 		  searcher_state_name(searcher->state), searcher->id, searcher->service,
 		  searcher->address, searcher->port, searcher->data_centre);
 	shares_due(task);
+	if (searcher->state == SEARCHER_ENDED)
+		forwarder_searcher_ended(task->forwarder, searcher, loop_now_us());
 	link_task_searcher_changed(task->links, searcher);
 }
 
@@ -194,6 +198,19 @@
 	arm_forwarder(task);
 }
 
+static void on_refused(void *ctx, searcher_t *searcher)
+{
+	front_task_t *task = ctx;
+
+	forwarder_searcher_ended(task->forwarder, searcher, loop_now_us());
+	arm_forwarder(task);
+}
+
+static void on_listens(void *ctx, searcher_t *searcher, uint64_t since_us)
+{
+	forwarder_searcher_listens(((front_task_t *)ctx)->forwarder, searcher, since_us);
+}
+
 static void on_room(void *ctx, const char *service)
 {
 	front_task_t *task = ctx;
@@ -226,6 +243,28 @@
 	forwarder_take_sighting(task->forwarder, sighting, loop_now_us());
 }
 
+/* ---- requests under which searchers end ---- */
+
+static void on_poison_tell(void *ctx, const poison_news_t *news)
+{
+	poison_task_tell(((front_task_t *)ctx)->poison, news);
+}
+
+static void on_poison_forget(void *ctx, fingerprint_t fingerprint)
+{
+	poison_task_forget(((front_task_t *)ctx)->poison, fingerprint);
+}
+
+static void on_poison_changed(void *ctx, const poison_news_t *news, const char *what)
+{
+	char text[FINGERPRINT_TEXT_BYTES];
+
+	(void)ctx;
+	fingerprint_write(news->fingerprint, text);
+	g_message("event=poison fingerprint=%s outcome=%s strikes=%u service=%s", text, what,
+		  news->strikes, news->service);
+}
+
 /* ---- answers ---- */
 
 static hop_bytes_t bytes_of(const GString *text)
@@ -309,13 +348,14 @@
 		submit(ctx, relay);
 }
 
-/* The route of a request that may be handed over, or NULL. */
+/* The route of a request that may be handed over, or NULL. One that is refused is so here. */
 static const route_t *gather_route(const front_task_t *task, const relay_t *relay)
 {
 	const routing_t *routing = forwarder_routing(task->forwarder);
 	const route_t *route;
 
-	if (task->refusing || !routing)
+	if (task->refusing || !routing ||
+	    forwarder_blocks(task->forwarder, relay->request.fingerprint, loop_now_us()))
 		return NULL;
 	route = routing_match(routing, relay->request.host, relay->request.target);
 	return route && route->gathers ? route : NULL;
@@ -550,22 +590,33 @@
 
 static void on_list_begin(void *ctx, store_kind_t kind)
 {
+	front_task_t *task = ctx;
+
 	if (kind == STORE_SEARCHERS)
-		registry_list_begin(((front_task_t *)ctx)->registry);
+		registry_list_begin(task->registry);
+	else if (kind == STORE_POISON)
+		poison_list_begin(forwarder_poison(task->forwarder));
 }
 
 static void on_object(void *ctx, store_kind_t kind, const store_object_t *object)
 {
+	front_task_t *task = ctx;
+
 	if (kind == STORE_SEARCHERS)
-		take_searcher(ctx, object);
+		take_searcher(task, object);
+	else if (kind == STORE_CONFIGURATION)
+		take_configuration(task, object);
 	else
-		take_configuration(ctx, object);
+		poison_task_take(task->poison, object, loop_now_us());
+	arm_forwarder(task);
 }
 
 static void on_list_end(void *ctx, store_kind_t kind)
 {
 	front_task_t *task = ctx;
 
+	if (kind == STORE_POISON)
+		poison_list_end(forwarder_poison(task->forwarder));
 	if (kind != STORE_SEARCHERS)
 		return;
 	registry_list_end(task->registry, loop_now_us());
@@ -644,12 +695,19 @@
 
 front_task_t *front_task_new(loop_t *loop, const settings_t *settings, platform_task_t *platform)
 {
-	static const forwarder_ops_t forwarder_ops = {
-		.send = on_send, .cancel = on_cancel, .answer = on_answer, .sighted = on_sighted};
+	static const poison_ops_t poison_ops = {
+		.tell = on_poison_tell, .forget = on_poison_forget, .changed = on_poison_changed};
+	static const forwarder_ops_t forwarder_ops = {.send = on_send,
+						      .cancel = on_cancel,
+						      .answer = on_answer,
+						      .sighted = on_sighted,
+						      .poison = &poison_ops};
 	static const link_task_ops_t link_ops = {.write_head = write_head,
 						 .body = body_of,
 						 .id = id_of,
 						 .ended = on_sub_ended,
+						 .refused = on_refused,
+						 .listens = on_listens,
 						 .room = on_room};
 	static const supply_ops_t supply_ops = {.list_begin = on_list_begin,
 						.object = on_object,
@@ -672,6 +730,7 @@
 	start_registry(task, settings);
 	task->links = link_task_new(loop, &link_ops, task);
 	task->forwarder = forwarder_new(&forwarder_ops, task, task->registry, g_random_int());
+	task->poison = poison_task_new(platform, forwarder_poison(task->forwarder));
 	task->gathers = gather_task_new(loop, own_vm_new(settings), &gather_ops, task);
 	task->forwarder_timer = (loop_timer_t){.fire = run_forwarder, .ctx = task};
 	task->registry_timer = (loop_timer_t){.fire = run_registry, .ctx = task};
--- a/src/tasks/hop_client.c
+++ b/src/tasks/hop_client.c
@@ -91,7 +91,7 @@
 
 static void on_ended(void *ctx, sock_end_t end)
 {
-	link_lost(ctx, end == SOCK_REFUSED ? "refused" : "closed");
+	link_lost(ctx, sock_end_name(end));
 }
 
 static void link_open(hop_client_t *client, gatherer_t *gatherer)
--- a/src/tasks/link_task.c
+++ b/src/tasks/link_task.c
@@ -13,6 +13,9 @@
 #define CONNECT_MOST_US 400000
 /* A kept connection that idled for longer may have gone silent: for a second try it is replaced. */
 #define TRUSTED_IDLE_US 3000000
+/* All connections to a process that ends break at the same moment, give or take a turn of the loop
+ * or a lost packet. */
+#define BREAK_TOGETHER_US 1000000
 
 typedef struct link_conn_t {
 	struct link_t *link;
@@ -20,7 +23,7 @@
 	sub_t *sub; /* NULL when idle */
 	char *id;   /* of the request that is out */
 	loop_timer_t connect_timer;
-	uint64_t used_us;
+	uint64_t begun_us, used_us;
 	bool opened;
 	bool answered; /* it has carried a reply */
 } link_conn_t;
@@ -30,6 +33,7 @@
 	link_task_t *task;
 	searcher_t *searcher;
 	GPtrArray *conns; /* link_conn_t, the one used last at the end */
+	uint64_t lost_us; /* when one last broke under a sub-request; 0: never, or looked into */
 } link_t;
 
 struct link_task_t {
@@ -115,8 +119,11 @@
 {
 	link_conn_t *conn = ctx;
 
+	link_task_t *task = conn->link->task;
+
 	conn->opened = true;
 	loop_timer_cancel(&conn->connect_timer);
+	task->ops->listens(task->ctx, conn->link->searcher, conn->begun_us);
 }
 
 static void on_replied(void *ctx, const http_message_t *message, bool reusable)
@@ -149,7 +156,7 @@
 	link_counters_t *counters = &conn->link->task->counters;
 	searcher_t *searcher = conn->link->searcher;
 
-	counters->refused += end == HTTP_CONN_REFUSED;
+	counters->refused += end == HTTP_CONN_REFUSED || end == HTTP_CONN_UNREACHED;
 	counters->reset += end == HTTP_CONN_RESET;
 	counters->garbage += end == HTTP_CONN_GARBAGE;
 	if (end == HTTP_CONN_RESET && conn->opened && !conn->answered &&
@@ -157,15 +164,53 @@
 		searcher->connections_most--;
 }
 
+static link_conn_t *open_conn(link_t *link);
+
+/*
+ * A connection that breaks under a sub-request may have been reset by itself, or its searcher has
+ * ended. When none is left, a new one tells at once: it is refused, or it is there for the next
+ * sub-request. Without this the first to know would be the store, some four seconds later.
+ */
+static void look_for_process(searcher_t *searcher)
+{
+	link_t *link = searcher->link;
+
+	if (!link || link->conns->len || searcher->state != SEARCHER_READY)
+		return;
+	if (loop_now_us() < link->lost_us + BREAK_TOGETHER_US)
+		open_conn(link);
+	link->lost_us = 0;
+}
+
+static sub_reply_t *reply_of_end(const link_conn_t *conn, http_conn_end_t end)
+{
+	sub_reply_t *reply;
+
+	if (end == HTTP_CONN_REFUSED || end == HTTP_CONN_UNREACHED)
+		return sub_reply_new(SUB_NOT_SENT);
+	reply = sub_reply_new(SUB_UNKNOWN);
+	reply->broken = conn->opened && end != HTTP_CONN_GARBAGE;
+	return reply;
+}
+
 static void on_ended(void *ctx, http_conn_end_t end)
 {
 	link_conn_t *conn = ctx;
-	link_task_t *task = conn->link->task;
+	link_t *link = conn->link;
+	link_task_t *task = link->task;
+	searcher_t *searcher = searcher_ref(link->searcher);
 	sub_t *sub = conn->sub;
+	sub_reply_t *reply = sub ? reply_of_end(conn, end) : NULL;
 
+	if (reply && reply->broken)
+		link->lost_us = loop_now_us();
 	note_broken(conn, end);
 	forget(conn);
-	end_sub(task, sub, sub_reply_new(end == HTTP_CONN_REFUSED ? SUB_NOT_SENT : SUB_UNKNOWN));
+	if (end == HTTP_CONN_REFUSED)
+		task->ops->refused(task->ctx, searcher);
+	end_sub(task, sub, reply);
+	look_for_process(searcher);
+	searcher_unref(searcher);
 }
 
 static const http_conn_ops_t conn_ops = {
@@ -189,7 +234,7 @@
 	link_conn_t *conn = g_new0(link_conn_t, 1);
 
 	conn->link = link;
-	conn->used_us = loop_now_us();
+	conn->begun_us = conn->used_us = loop_now_us();
 	conn->conn = http_conn_open(link->task->loop, searcher->address, searcher->port, &conn_ops,
 				    conn);
 	if (!conn->conn) {
@@ -282,11 +327,13 @@
 	drop(conn);
 }
 
-static void tell_unknown(void *self, void *message)
+static void tell_broken(void *self, void *message)
 {
 	link_task_t *task = self;
+	sub_reply_t *reply = sub_reply_new(SUB_UNKNOWN);
 
-	end_sub(task, message, sub_reply_new(SUB_UNKNOWN));
+	reply->broken = true;
+	end_sub(task, message, reply);
 }
 
 /*
@@ -301,7 +348,7 @@
 
 		if (conn->sub) {
 			conn->sub->carrier = NULL;
-			loop_post(link->task->loop, tell_unknown, link->task, conn->sub);
+			loop_post(link->task->loop, tell_broken, link->task, conn->sub);
 		}
 		drop(conn);
 		if (last)
--- a/src/tasks/link_task.h
+++ b/src/tasks/link_task.h
@@ -20,6 +20,10 @@
 	const char *(*id)(void *ctx, const sub_t *sub);
 	/** Takes @p reply. */
 	void (*ended)(void *ctx, sub_t *sub, sub_reply_t *reply);
+	/** Nobody listens at the searcher's port any more. */
+	void (*refused)(void *ctx, searcher_t *searcher);
+	/** It has accepted a connection that was begun at @p since_us. */
+	void (*listens)(void *ctx, searcher_t *searcher, uint64_t since_us);
 	/** A searcher of @p service has room again. */
 	void (*room)(void *ctx, const char *service);
 } link_task_ops_t;
--- a/src/tasks/platform_task.h
+++ b/src/tasks/platform_task.h
@@ -8,8 +8,8 @@
 #include "core/platform_result.h"
 #include "net/loop.h"
 
-/** Two lists being followed, and room for a read of each beside a watch that hangs. */
-#define PLATFORM_FETCHES_MOST 4
+/** Three lists being followed, and room for a read of each beside a watch that hangs. */
+#define PLATFORM_FETCHES_MOST 6
 
 typedef struct platform_task_t platform_task_t;
 
--- /dev/null
+++ b/src/tasks/poison_task.c
@@ -0,0 +1,133 @@
+/**
+ * @file poison_task.c
+ * See poison_task.h.
+ *
+ * Writes are unconditional: a VM that hears of fewer strikes than it knows writes its own again, so
+ * whatever comes last, all of them end with the most.
+ */
+#include "tasks/poison_task.h"
+
+#define CALL_TIMEOUT_US 1500000
+#define STATUS_EXISTS 409
+#define STATUS_ABSENT 404
+/* Whether the object exists may change between two calls, by another VM or an operator. */
+#define TRIES_MOST 3
+
+struct poison_task_t {
+	platform_task_t *platform;
+	poison_t *poison;
+};
+
+/** One call to the store. */
+typedef struct poison_call_t {
+	poison_task_t *task;
+	poison_news_t news;
+	char *service;
+	bool replaces; /* the object exists, as far as is known */
+	uint32_t tries;
+} poison_call_t;
+
+poison_task_t *poison_task_new(platform_task_t *platform, poison_t *poison)
+{
+	poison_task_t *task = g_new0(poison_task_t, 1);
+
+	task->platform = platform;
+	task->poison = poison;
+	return task;
+}
+
+static poison_call_t *call_new(poison_task_t *task, const poison_news_t *news)
+{
+	poison_call_t *call = g_new0(poison_call_t, 1);
+
+	call->task = task;
+	call->news = *news;
+	call->service = g_strdup(news->service);
+	call->news.service = call->service;
+	return call;
+}
+
+static void call_free(poison_call_t *call)
+{
+	g_free(call->service);
+	g_free(call);
+}
+
+/* ---- telling ---- */
+
+static void put(poison_call_t *call);
+
+static void on_put(void *ctx, const platform_result_t *result)
+{
+	poison_call_t *call = ctx;
+	bool taken = result->status / 100 == 2;
+	bool other_way = result->status == (call->replaces ? STATUS_ABSENT : STATUS_EXISTS);
+
+	if (other_way && ++call->tries < TRIES_MOST) {
+		call->replaces = !call->replaces;
+		put(call);
+		return;
+	}
+	if (!taken)
+		g_info("event=poison-not-told status=%d outcome=again", result->status);
+	poison_told(call->task->poison, &call->news, taken, loop_now_us());
+	call_free(call);
+}
+
+static void put(poison_call_t *call)
+{
+	char name[FINGERPRINT_TEXT_BYTES];
+	g_autofree char *body = store_write_poison(&call->news);
+	g_autofree char *target = NULL;
+
+	fingerprint_write(call->news.fingerprint, name);
+	target = store_write_target(STORE_POISON, call->replaces ? name : NULL);
+	platform_task_send(call->task->platform, call->replaces ? "PUT" : "POST", target, body,
+			   CALL_TIMEOUT_US, on_put, call);
+}
+
+void poison_task_tell(poison_task_t *task, const poison_news_t *news)
+{
+	poison_call_t *call = call_new(task, news);
+
+	call->replaces = news->strikes > 1 || news->renewals;
+	put(call);
+}
+
+/* ---- forgetting ---- */
+
+/* One that stays there is told again by the store's list, and forgotten once more by its time. */
+static void on_deleted(void *ctx, const platform_result_t *result)
+{
+	(void)ctx;
+	if (result->status / 100 != 2 && result->status != STATUS_ABSENT)
+		g_message("event=poison-not-removed status=%d", result->status);
+}
+
+void poison_task_forget(poison_task_t *task, fingerprint_t fingerprint)
+{
+	char name[FINGERPRINT_TEXT_BYTES];
+	g_autofree char *target = NULL;
+
+	fingerprint_write(fingerprint, name);
+	target = store_write_target(STORE_POISON, name);
+	platform_task_send(task->platform, "DELETE", target, NULL, CALL_TIMEOUT_US, on_deleted,
+			   task);
+}
+
+/* ---- hearing ---- */
+
+void poison_task_take(poison_task_t *task, const store_object_t *object, uint64_t now_us)
+{
+	poison_news_t news;
+	err_t err = {0};
+
+	if (!store_read_poison(object, &news, &err)) {
+		g_info("event=poison-ignored name=\"%s\" reason=\"%s\"", object->name, err.text);
+		return;
+	}
+	if (object->removed)
+		poison_release(task->poison, news.fingerprint);
+	else
+		poison_take(task->poison, &news, now_us);
+}
--- /dev/null
+++ b/src/tasks/poison_task.h
@@ -0,0 +1,23 @@
+/**
+ * @file poison_task.h
+ * Carries what is known of requests that crash searchers to the platform's store, and from it.
+ */
+#ifndef DS_POISON_TASK_H
+#define DS_POISON_TASK_H
+
+#include "core/poison.h"
+#include "store.h"
+#include "tasks/platform_task.h"
+
+typedef struct poison_task_t poison_task_t;
+
+/** @param poison whose strikes are told, and which hears of others' */
+poison_task_t *poison_task_new(platform_task_t *platform, poison_t *poison);
+
+/** Callbacks of the forwarder's poison. */
+void poison_task_tell(poison_task_t *task, const poison_news_t *news);
+void poison_task_forget(poison_task_t *task, fingerprint_t fingerprint);
+/** An object of the store is new, has changed, or is gone. */
+void poison_task_take(poison_task_t *task, const store_object_t *object, uint64_t now_us);
+
+#endif
--- a/src/tasks/supply_task.c
+++ b/src/tasks/supply_task.c
@@ -31,8 +31,14 @@
 #define SIGHTINGS_GROUP_US 10000
 /* A VM in a data centre where much is slow sees some 30 odd answers a second; more is dropped. */
 #define SIGHTINGS_MOST_BYTES 4096
-/* The kinds that are watched and fed: searchers and configuration. */
-#define FED_KINDS 2
+/* The kinds that are watched and fed: searchers, configuration, requests that crash searchers. */
+#define FED_KINDS 3
+/*
+ * Nearly always there is nothing to hear of such requests, and each watch that ends is a priced
+ * call. A store that can't be heard shows by the other kinds, which are watched more often; then
+ * the list is read again.
+ */
+#define POISON_WATCH_MS 20000
 
 /** One kind of objects being followed. */
 typedef struct supply_kind_t {
@@ -150,14 +156,35 @@
 	follow_rest(kind->task);
 }
 
+/* Whether the kind tells how old what is known is. */
+static bool is_watched_often(store_kind_t kind)
+{
+	return kind != STORE_POISON;
+}
+
+/* A watch that waits for long on a connection that went silent hears nothing of what came. */
+static void catch_up_on_poison(supply_task_t *task)
+{
+	if (task->following)
+		follower_catch_up(task->kinds[STORE_POISON].follower);
+}
+
 static void on_lost(void *ctx)
 {
-	note_away(((supply_kind_t *)ctx)->task, true);
+	const supply_kind_t *kind = ctx;
+
+	if (is_watched_often(kind->kind))
+		note_away(kind->task, true);
 }
 
 static void on_back(void *ctx)
 {
-	note_away(((supply_kind_t *)ctx)->task, false);
+	const supply_kind_t *kind = ctx;
+
+	if (!is_watched_often(kind->kind))
+		return;
+	note_away(kind->task, false);
+	catch_up_on_poison(kind->task);
 }
 
 /* ---- following the store, or a feed ---- */
@@ -506,10 +533,11 @@
 
 static void set_waits(supply_task_t *task, bool feeds_others)
 {
+	uint32_t often_ms = feeds_others ? task->timing.feeder_watch_ms : task->timing.watch_ms;
+
 	for (uint32_t i = 0; i < FED_KINDS; i++)
-		follower_set_wait(task->kinds[i].follower, feeds_others
-								   ? task->timing.feeder_watch_ms
-								   : task->timing.watch_ms);
+		follower_set_wait(task->kinds[i].follower,
+				  is_watched_often((store_kind_t)i) ? often_ms : POISON_WATCH_MS);
 }
 
 static void on_members(void *ctx)
@@ -631,7 +659,8 @@
 	if (task->fed)
 		return now_us - task->fed_heard_us;
 	for (uint32_t i = 0; i < FED_KINDS; i++)
-		oldest_us = MIN(oldest_us, follower_heard_us(task->kinds[i].follower));
+		if (is_watched_often((store_kind_t)i))
+			oldest_us = MIN(oldest_us, follower_heard_us(task->kinds[i].follower));
 	return now_us - oldest_us;
 }
 
--- a/src/tool/explain.c
+++ b/src/tool/explain.c
@@ -33,6 +33,8 @@
 	{"too-few", "may have run in part: too few parts could still be had"},
 	{"failed", "may have run: the answer was lost, or was none"},
 	{"timeout", "may have run: sent, and no answer in time"},
+	{"blocked",
+	 "not run: searchers have ended under this request, and it is not sent any more"},
 };
 
 /** The window of an explanation. */
@@ -129,12 +131,24 @@
 	}
 }
 
+/* What was held against the request, by any VM. */
+static void print_poison(const view_t *view, const char *fingerprint)
+{
+	for (guint i = 0; fingerprint && i < view->lines->len; i++) {
+		const log_line_t *line = g_ptr_array_index(view->lines, i);
+
+		if (is_event(line, "poison") && log_line_has(line, "fingerprint", fingerprint))
+			print_line(line);
+	}
+}
+
 /* Each attempt of a caller has an id of its own; the fingerprint shows that it is one request. */
 static void print_attempts(const view_t *view)
 {
 	g_autofree char *fingerprint = log_line_value(view->answer, "fingerprint");
 	uint32_t attempts = 0;
 
+	print_poison(view, fingerprint);
 	for (guint i = 0; fingerprint && i < view->lines->len; i++) {
 		const log_line_t *line = g_ptr_array_index(view->lines, i);
 
--- a/standins/users_platform.c
+++ b/standins/users_platform.c
@@ -27,7 +27,14 @@
 #define SETTLE_US 5000000
 #define CRASHES_MOST 3
 
-typedef enum manner_t { MANNER_OK, MANNER_HANG, MANNER_SHED, MANNER_FAIL, MANNER_FOREIGN } manner_t;
+typedef enum manner_t {
+	MANNER_OK,
+	MANNER_HANG,
+	MANNER_SHED,
+	MANNER_FAIL,
+	MANNER_FOREIGN,
+	MANNER_CUT, /* closes the connection in place of an answer */
+} manner_t;
 
 typedef struct users_t {
 	loop_t *loop;
@@ -48,6 +55,7 @@
 /** What became of a request that ends searchers. */
 typedef struct crashes_t {
 	uint32_t ended;	    /**< searchers */
+	GHashTable *all;    /**< ids of attempts that reached a searcher */
 	uint64_t enough_us; /**< when the third one ended; 0: not yet */
 	GHashTable *late;   /**< ids of attempts that reached a searcher SETTLE_US after that */
 } crashes_t;
@@ -282,6 +290,7 @@
 	if (crashes)
 		return crashes;
 	crashes = g_new0(crashes_t, 1);
+	crashes->all = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	crashes->late = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	g_hash_table_insert(users->crashes, g_strdup(path), crashes);
 	return crashes;
@@ -303,6 +312,7 @@
 	if (!is_crashed_by(searcher, exchange))
 		return;
 	crashes = crashes_of(searcher->users, http_exchange_path(exchange));
+	g_hash_table_add(crashes->all, g_strdup(id ? id : ""));
 	if (crashes->enough_us && loop_now_us() > crashes->enough_us + SETTLE_US)
 		g_hash_table_add(crashes->late, g_strdup(id ? id : ""));
 }
@@ -333,6 +343,10 @@
 		crash(searcher, crashes_of(searcher->users, http_exchange_path(exchange)));
 		return;
 	}
+	if (exchange && searcher->manner == MANNER_CUT) {
+		http_exchange_cut(exchange);
+		return;
+	}
 	if (exchange) {
 		id = http_exchange_header(exchange, "Dogwoodsaddle-Request-Id");
 		stamp = g_strdup_printf("%s.%s", searcher->id, id ? id : "");
@@ -544,8 +558,9 @@
 		const crashes_t *crashes = value;
 
 		json_object_set_new(all, path,
-				    json_pack("{s:i,s:i}", "ended", (int)crashes->ended, "late",
-					      (int)g_hash_table_size(crashes->late)));
+				    json_pack("{s:i,s:i,s:i}", "ended", (int)crashes->ended,
+					      "reached", (int)g_hash_table_size(crashes->all),
+					      "late", (int)g_hash_table_size(crashes->late)));
 	}
 	return all;
 }
@@ -567,7 +582,7 @@
 
 static void on_control(void *ctx, http_exchange_t *exchange)
 {
-	static const char *const manners[] = {"ok", "hang", "shed", "fail", "foreign"};
+	static const char *const manners[] = {"ok", "hang", "shed", "fail", "foreign", "cut"};
 	users_t *users = ctx;
 	const char *action = http_exchange_param(exchange, "action");
 	const char *id = http_exchange_param(exchange, "id");
--- a/tests/forward_test.c
+++ b/tests/forward_test.c
@@ -20,6 +20,13 @@
  *     leave ID                    the caller goes away
  *     at MS                       time passes up to then
  *     answer SEARCHER ID [BODY]   also: fail, refuse, replaced, unsent, cut
+ *     breaks SEARCHER ID          its connection ends without an answer
+ *     refuses SEARCHER            nobody listens at its port any more
+ *     listens SEARCHER MS         it has accepted a connection begun at that time
+ *     other TARGET STRIKES SERVICE [RENEWALS]   another VM tells of a request on host h
+ *     release TARGET              the store knows no more of it
+ *     stored TARGET STRIKES       the store has taken what was told
+ *     poison                      print how many requests are remembered and refused
  *     many N SECONDS ID HOST TARGET   N requests, each answered at once by whom it is sent to
  */
 #include "core/forward.h"
@@ -108,6 +115,23 @@
 		    sighting->after_us / 1000);
 }
 
+static void on_poison_tell(void *ctx, const poison_news_t *news)
+{
+	say(ctx, "store strikes=%u renewals=%u service=%s", news->strikes, news->renewals,
+	    news->service);
+}
+
+static void on_poison_forget(void *ctx, fingerprint_t fingerprint)
+{
+	(void)fingerprint;
+	say(ctx, "store forgets");
+}
+
+static void on_poison_changed(void *ctx, const poison_news_t *news, const char *what)
+{
+	say(ctx, "poison %s strikes=%u", what, news->strikes);
+}
+
 static void on_changed(void *ctx, searcher_t *searcher)
 {
 	play_t *play = ctx;
@@ -120,8 +144,13 @@
 static void *play_new(GString *out)
 {
 	static const registry_ops_t registry_ops = {.changed = on_changed};
-	static const forwarder_ops_t ops = {
-		.send = on_send, .cancel = on_cancel, .answer = on_answer, .sighted = on_sighted};
+	static const poison_ops_t poison_ops = {
+		.tell = on_poison_tell, .forget = on_poison_forget, .changed = on_poison_changed};
+	static const forwarder_ops_t ops = {.send = on_send,
+					    .cancel = on_cancel,
+					    .answer = on_answer,
+					    .sighted = on_sighted,
+					    .poison = &poison_ops};
 	play_t *play = g_new0(play_t, 1);
 	const retry_bound_t bound = {.ratio = 0.2, .window_us = BOUND_WINDOW_US, .constant = 2};
 	place_t place = {.data_centre = "here"};
@@ -346,6 +375,15 @@
 	play->tells = true;
 }
 
+static fingerprint_t fingerprint_of_target(const char *host, const char *target)
+{
+	g_autoptr(GString) head = g_string_new(NULL);
+	g_autoptr(GString) body = g_string_new(NULL);
+
+	g_string_printf(head, "GET %s HTTP/1.1\r\nHost: %s\r\n", target, host);
+	return fingerprint_of(head, body);
+}
+
 static void submit(play_t *play, const char *id, const char *host, const char *target,
 		   const char *patience_ms)
 {
@@ -355,6 +393,7 @@
 		.id = key,
 		.host = host,
 		.target = target,
+		.fingerprint = fingerprint_of_target(host, target),
 		.received_us = play->now_us,
 		.patience_us = patience_ms ? strtoull(patience_ms, NULL, 10) * 1000 : 0};
 	forward_t *forward;
@@ -428,6 +467,81 @@
 			end_sub(play, sub, ends[i], words[3] ? words[3] : "");
 }
 
+static void do_breaks(void *ctx, char **words)
+{
+	play_t *play = ctx;
+	sub_t *sub = find_sub(play, words[1], words[2]);
+	sub_reply_t *reply;
+
+	if (!sub) {
+		say(play, "nothing is out to %s for %s", words[1], words[2]);
+		return;
+	}
+	reply = sub_reply_new(SUB_UNKNOWN);
+	reply->broken = true;
+	g_ptr_array_remove(play->subs, sub);
+	sub->searcher->connections--;
+	forwarder_sub_ended(play->forwarder, sub, reply, play->now_us);
+}
+
+static void do_refuses(void *ctx, char **words)
+{
+	play_t *play = ctx;
+
+	forwarder_searcher_ended(play->forwarder, registry_find(play->registry, words[1]),
+				 play->now_us);
+}
+
+static void do_listens(void *ctx, char **words)
+{
+	play_t *play = ctx;
+
+	forwarder_searcher_listens(play->forwarder, registry_find(play->registry, words[1]),
+				   1000000000 + strtoull(words[2], NULL, 10) * 1000);
+}
+
+static poison_news_t news_of_words(char **words)
+{
+	return (poison_news_t){
+		.fingerprint = fingerprint_of_target("h", words[1]),
+		.strikes = words[2] ? (uint32_t)atoi(words[2]) : 0,
+		.service = words[2] ? words[3] : NULL,
+		.renewals = words[2] && words[3] && words[4] ? (uint32_t)atoi(words[4]) : 0};
+}
+
+static void do_other(void *ctx, char **words)
+{
+	play_t *play = ctx;
+	const poison_news_t news = news_of_words(words);
+
+	poison_take(forwarder_poison(play->forwarder), &news, play->now_us);
+}
+
+static void do_release(void *ctx, char **words)
+{
+	play_t *play = ctx;
+
+	poison_release(forwarder_poison(play->forwarder), fingerprint_of_target("h", words[1]));
+}
+
+static void do_stored(void *ctx, char **words)
+{
+	play_t *play = ctx;
+	const poison_news_t news = news_of_words(words);
+
+	poison_told(forwarder_poison(play->forwarder), &news, true, play->now_us);
+}
+
+static void do_poison(void *ctx, char **words)
+{
+	play_t *play = ctx;
+	const poison_t *poison = forwarder_poison(play->forwarder);
+
+	(void)words;
+	say(play, "remembered=%u refused=%u", poison_records(poison),
+	    poison_blocked(poison, play->now_us));
+}
+
 static void do_many(void *ctx, char **words)
 {
 	play_t *play = ctx;
@@ -468,6 +582,13 @@
 	{"replaced", do_end},
 	{"unsent", do_end},
 	{"cut", do_end},
+	{"breaks", do_breaks},
+	{"refuses", do_refuses},
+	{"listens", do_listens},
+	{"other", do_other},
+	{"release", do_release},
+	{"stored", do_stored},
+	{"poison", do_poison},
 	{"many", do_many},
 };
 
--- a/tests/front_lib.sh
+++ b/tests/front_lib.sh
@@ -87,5 +87,6 @@
 	curl -s -m 5 -D "$RUN/head" -o "$RUN/body" -H "Host: $host" -H "Dogwoodsaddle-Request-Id: attempt-$ATTEMPTS" \
 		-H 'Dogwoodsaddle-Request-Deadline: 1000' "$@" "http://127.0.0.1:$((FRONT_FROM + 10 * vm))$path"
 }
-# crashes PATH ended|late: searchers that ended under it; attempts that reached one long after the third had.
+# crashes PATH ended|reached|late: searchers that ended under it; attempts that reached one, and those that did so
+# long after the third had ended.
 crashes() { users none | jq ".crashes[\"$1\"].$2 // 0"; }
--- a/tests/front_world.c
+++ b/tests/front_world.c
@@ -210,7 +210,8 @@
 static bool says_not_run(forward_end_t end)
 {
 	return end == FORWARD_NOT_READY || end == FORWARD_NO_SEARCHER || end == FORWARD_LEAVING ||
-	       end == FORWARD_TOO_LATE || end == FORWARD_FULL || end == FORWARD_REJECTED;
+	       end == FORWARD_TOO_LATE || end == FORWARD_FULL || end == FORWARD_REJECTED ||
+	       end == FORWARD_BLOCKED;
 }
 
 static void check_stamps(front_world_t *world, const played_t *played,
--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -384,6 +384,65 @@
 	json_decref(json);
 }
 
+static bool read_poison(const char *name, const char *content, poison_news_t *news)
+{
+	json_t *json = json_loads(content, 0, NULL);
+	const store_object_t object = {.name = name, .content = json};
+	err_t err = {0};
+	bool read = store_read_poison(&object, news, &err);
+
+	json_decref(json);
+	return read;
+}
+
+static void test_poison(void **state)
+{
+	const poison_news_t told = {
+		.fingerprint = 0xabc, .strikes = 2, .renewals = 3, .service = "s-1"};
+	g_autofree char *text = store_write_poison(&told);
+	json_t *json = json_loads(text, 0, NULL);
+	const json_t *meta = json_object_get(json, "meta");
+	const store_object_t object = {.name = json_string_value(json_object_get(meta, "name")),
+				       .content = json_object_get(json, "spec")};
+	const store_object_t removed = {.name = "0000000000000abc", .removed = true};
+	poison_news_t news;
+	err_t err = {0};
+
+	(void)state;
+	assert_true(store_read_poison(&object, &news, &err));
+	assert_true(news.fingerprint == 0xabc);
+	assert_int_equal(news.strikes, 2);
+	assert_int_equal(news.renewals, 3);
+	assert_string_equal(news.service, "s-1");
+	assert_true(store_read_poison(&removed, &news, &err));
+	assert_true(news.fingerprint == 0xabc);
+	json_decref(json);
+}
+
+/* Entries of another writer refuse nobody. */
+static void test_poison_of_others(void **state)
+{
+	static const char *const contents[] = {
+		"{}",
+		"{\"strikes\":2}",
+		"{\"strikes\":2,\"renewals\":0}",
+		"{\"strikes\":0,\"renewals\":0,\"service\":\"s\"}",
+		"{\"strikes\":-1,\"renewals\":0,\"service\":\"s\"}",
+		"{\"strikes\":\"2\",\"renewals\":0,\"service\":\"s\"}",
+		"{\"strikes\":2,\"renewals\":0,\"service\":7}",
+		"{\"strikes\":9000000000,\"renewals\":0,\"service\":\"s\"}",
+	};
+	const char *sound = "{\"strikes\":2,\"renewals\":0,\"service\":\"s\"}";
+	poison_news_t news;
+
+	(void)state;
+	assert_true(read_poison("0000000000000abc", sound, &news));
+	assert_false(read_poison("abc", sound, &news));
+	assert_false(read_poison("0000000000000000", sound, &news));
+	for (size_t i = 0; i < G_N_ELEMENTS(contents); i++)
+		assert_false(read_poison("0000000000000abc", contents[i], &news));
+}
+
 /* A daemon of an earlier version says nothing of its processor, and gathers for nobody. */
 static void test_earlier_vm(void **state)
 {
@@ -428,6 +487,8 @@
 		cmocka_unit_test(test_pages),
 		cmocka_unit_test(test_vm),
 		cmocka_unit_test(test_earlier_vm),
+		cmocka_unit_test(test_poison),
+		cmocka_unit_test(test_poison_of_others),
 		cmocka_unit_test(test_targets),
 		cmocka_unit_test(test_foreign_entries),
 		cmocka_unit_test(test_damaged_pages),
--- /dev/null
+++ b/tests/poison_test.c
@@ -0,0 +1,245 @@
+/**
+ * @file poison_test.c
+ * What is remembered of requests that crash searchers: how much, for how long, and what is told.
+ * Their course, request by request, is in tests/forward/poison_*.txt.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include "core/poison.h"
+
+#define SECOND_US 1000000ull
+#define HOUR_US (3600 * SECOND_US)
+#define START_US 1000000000ull
+
+typedef struct told_t {
+	uint32_t tells;	  /* to the store */
+	uint32_t forgets; /* by the store */
+	uint32_t firsts;  /* of the tells: first strikes */
+} told_t;
+
+static void on_tell(void *ctx, const poison_news_t *news)
+{
+	told_t *told = ctx;
+
+	told->tells++;
+	told->firsts += news->strikes == 1;
+}
+
+static void on_forget(void *ctx, fingerprint_t fingerprint)
+{
+	(void)fingerprint;
+	((told_t *)ctx)->forgets++;
+}
+
+static void on_changed(void *ctx, const poison_news_t *news, const char *what)
+{
+	(void)ctx;
+	(void)news;
+	(void)what;
+}
+
+static const poison_ops_t ops = {.tell = on_tell, .forget = on_forget, .changed = on_changed};
+
+static searcher_t *searcher_of(const char *id, const char *service)
+{
+	const searcher_entry_t entry = {.id = (char *)id,
+					.service = (char *)service,
+					.address = "127.0.0.1",
+					.data_centre = "here",
+					.slots = 2};
+
+	return searcher_new(&entry, DISTANCE_LOCAL, START_US);
+}
+
+/* One searcher more ends under it. */
+static void strike(poison_t *poison, fingerprint_t fingerprint, uint64_t now_us)
+{
+	searcher_t *searcher = searcher_of("x", "s");
+
+	poison_note_lost(poison, fingerprint, searcher, now_us, now_us);
+	poison_note_ended(poison, searcher, now_us);
+	searcher_unref(searcher);
+}
+
+/*
+ * Somebody sends thousands of different requests that each end a searcher. A VM must not grow with
+ * them, nor the store: the oldest suspects are forgotten, there too, and what is refused stays.
+ */
+static void test_many_requests(void **state)
+{
+	told_t told = {0};
+	poison_t *poison = poison_new(&ops, &told, 1);
+	const poison_news_t blocked = {.fingerprint = 7, .strikes = POISON_STRIKES, .service = "s"};
+	uint64_t now_us = START_US;
+
+	(void)state;
+	poison_take(poison, &blocked, now_us);
+	for (fingerprint_t i = 100; i < 100 + 5 * POISON_RECORDS_MOST; i++) {
+		const poison_news_t news = {.fingerprint = i, .strikes = 1, .service = "s"};
+
+		poison_take(poison, &news, ++now_us);
+		assert_true(poison_records(poison) <= POISON_RECORDS_MOST);
+	}
+	assert_int_equal(poison_records(poison), POISON_RECORDS_MOST);
+	assert_int_equal(poison_judge(poison, 7, now_us), POISON_BLOCKED);
+	assert_int_equal(poison_judge(poison, 100, now_us), POISON_CLEAR);
+	assert_int_equal(told.forgets, 4 * POISON_RECORDS_MOST + 1);
+	assert_int_equal(poison_counters(poison)->dropped, told.forgets);
+	poison_free(poison);
+}
+
+/* All that is remembered goes by itself, and the store is told so: nobody has to tidy up. */
+static void test_all_is_forgotten(void **state)
+{
+	told_t told = {0};
+	poison_t *poison = poison_new(&ops, &told, 1);
+
+	(void)state;
+	for (fingerprint_t i = 1; i <= 20; i++) {
+		const poison_news_t news = {
+			.fingerprint = i, .strikes = 1 + (uint32_t)i % 3, .service = "s"};
+
+		poison_take(poison, &news, START_US);
+	}
+	poison_run(poison, START_US + HOUR_US);
+	assert_int_equal(poison_records(poison), 0);
+	assert_int_equal(told.forgets, 20);
+	assert_true(poison_next_us(poison) == TIMERS_NEVER);
+	poison_free(poison);
+}
+
+/* When many searchers end together, a VM has many first strikes: the store is told of the first few
+ * at once, and of the rest one by one. */
+static void test_first_strikes_are_told_slowly(void **state)
+{
+	told_t told = {0};
+	poison_t *poison = poison_new(&ops, &told, 1);
+
+	(void)state;
+	for (fingerprint_t i = 1; i <= 100; i++)
+		strike(poison, i, START_US);
+	poison_run(poison, START_US + 200000);
+	assert_int_equal(told.tells, 0);
+	poison_run(poison, START_US + SECOND_US);
+	assert_in_range(told.tells, 8, 10);
+	for (uint32_t ms = 1000; ms < 60000; ms += 100)
+		poison_run(poison, START_US + ms * 1000ull);
+	assert_int_equal(told.tells, 100);
+	poison_free(poison);
+}
+
+/* The second strike refuses a request: the others must know within the settle time, whatever else
+ * is told. */
+static void test_second_strike_is_told_at_once(void **state)
+{
+	told_t told = {0};
+	poison_t *poison = poison_new(&ops, &told, 1);
+	const poison_news_t news = {.fingerprint = 500, .strikes = 1, .service = "s"};
+
+	(void)state;
+	poison_take(poison, &news, START_US);
+	for (fingerprint_t i = 1; i <= 100; i++)
+		strike(poison, i, START_US + 2 * SECOND_US);
+	strike(poison, 500, START_US + 2 * SECOND_US);
+	assert_int_equal(poison_judge(poison, 500, START_US + 2 * SECOND_US), POISON_BLOCKED);
+	poison_run(poison, START_US + 2 * SECOND_US + 1000);
+	assert_int_equal(told.tells - told.firsts, 1);
+	poison_free(poison);
+}
+
+/* A store that does not answer is told again, second by second, and no more than that. */
+static void test_store_does_not_answer(void **state)
+{
+	told_t told = {0};
+	poison_t *poison = poison_new(&ops, &told, 1);
+	const poison_news_t news = {.fingerprint = 1, .strikes = 1, .service = "s"};
+
+	(void)state;
+	strike(poison, 1, START_US);
+	for (uint32_t ms = 0; ms < 10000; ms += 100) {
+		uint32_t before = told.tells;
+
+		poison_run(poison, START_US + ms * 1000ull);
+		if (told.tells > before)
+			poison_told(poison, &news, false, START_US + ms * 1000ull);
+	}
+	assert_in_range(told.tells, 9, 10);
+	poison_free(poison);
+}
+
+/* Written while it is cleared: what has come to the store too late is taken out again. */
+static void test_cleared_while_told(void **state)
+{
+	told_t told = {0};
+	poison_t *poison = poison_new(&ops, &told, 1);
+	const poison_news_t news = {.fingerprint = 1, .strikes = 1, .service = "s"};
+
+	(void)state;
+	strike(poison, 1, START_US);
+	poison_run(poison, START_US + SECOND_US);
+	assert_int_equal(told.tells, 1);
+	poison_note_answered(poison, 1, "s");
+	assert_int_equal(told.forgets, 0);
+	poison_told(poison, &news, true, START_US + SECOND_US);
+	assert_int_equal(told.forgets, 1);
+	poison_free(poison);
+}
+
+/* A list that was read anew lacks what was removed while nobody watched. */
+static void test_list(void **state)
+{
+	told_t told = {0};
+	poison_t *poison = poison_new(&ops, &told, 1);
+	const poison_news_t kept = {.fingerprint = 1, .strikes = 2, .service = "s"};
+	const poison_news_t gone = {.fingerprint = 2, .strikes = 2, .service = "s"};
+
+	(void)state;
+	poison_take(poison, &kept, START_US);
+	poison_take(poison, &gone, START_US);
+	strike(poison, 3, START_US); /* the store was not told of this one yet */
+	poison_list_begin(poison);
+	poison_take(poison, &kept, START_US);
+	poison_list_end(poison);
+	assert_int_equal(poison_judge(poison, 1, START_US), POISON_BLOCKED);
+	assert_int_equal(poison_judge(poison, 2, START_US), POISON_CLEAR);
+	assert_int_equal(poison_judge(poison, 3, START_US), POISON_SUSPECT);
+	poison_free(poison);
+}
+
+/* Searchers are held only as long as losses under them are unexplained. */
+static void test_losses_are_few_and_short(void **state)
+{
+	poison_t *poison = poison_new(&ops, &(told_t){0}, 1);
+	searcher_t *searcher = searcher_of("x", "s");
+
+	(void)state;
+	for (int i = 0; i < 100; i++)
+		poison_note_lost(poison, 1, searcher, START_US, START_US);
+	assert_int_equal(searcher->refs, 1 + 8);
+	poison_note_lost(poison, 0, searcher, START_US, START_US);
+	assert_int_equal(poison_records(poison), 1);
+	poison_run(poison, START_US + 10 * SECOND_US);
+	assert_int_equal(searcher->refs, 1);
+	assert_int_equal(poison_records(poison), 0);
+	searcher_unref(searcher);
+	poison_free(poison);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_many_requests),
+		cmocka_unit_test(test_all_is_forgotten),
+		cmocka_unit_test(test_first_strikes_are_told_slowly),
+		cmocka_unit_test(test_second_strike_is_told_at_once),
+		cmocka_unit_test(test_store_does_not_answer),
+		cmocka_unit_test(test_cleared_while_told),
+		cmocka_unit_test(test_list),
+		cmocka_unit_test(test_losses_are_few_and_short),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
