A proxy before the searchers hides their ends no longer

A connection that is accepted after another broke dropped the loss, so behind a proxy that accepts for searchers that have ended no strike was ever counted.

--- a/src/core/forwarder.c
+++ b/src/core/forwarder.c
@@ -175,7 +175,7 @@
 void forwarder_searcher_listens(forwarder_t *forwarder, const searcher_t *searcher,
 				uint64_t since_us)
 {
-	poison_note_alive(forwarder->poison, searcher, since_us);
+	poison_note_listens(forwarder->poison, searcher, since_us);
 }
 
 poison_t *forwarder_poison(const forwarder_t *forwarder)
--- a/src/core/poison.c
+++ b/src/core/poison.c
@@ -48,7 +48,8 @@
 typedef struct loss_t {
 	searcher_t *searcher; /* referenced */
 	uint64_t sent_us, lost_us;
-	bool alone; /* nothing else of this VM was out to it */
+	bool alone;   /* nothing else of this VM was out to it */
+	bool listens; /* something at its address does: its end is not likely, but possible */
 } loss_t;
 
 /** A request that was answered whole of late. */
@@ -280,12 +281,20 @@
 	say(record, record->strikes >= POISON_STRIKES ? "blocked" : "suspected");
 }
 
+/* One that something listened for after the loss has ended later, unless a newer start of it says
+ * that it was a proxy that did. */
+static bool tells(const loss_t *loss)
+{
+	return !loss->listens || loss->searcher->state == SEARCHER_ENDED;
+}
+
 static void explain_losses(record_t *record, const searcher_t *searcher, uint64_t now_us)
 {
 	for (uint32_t i = record->loss_count; i-- > 0;) {
 		if (record->losses[i].searcher != searcher)
 			continue;
-		strike(record, &record->losses[i], now_us);
+		if (tells(&record->losses[i]))
+			strike(record, &record->losses[i], now_us);
 		remove_loss(record, i);
 	}
 	arm(record);
@@ -299,8 +308,11 @@
 	if (!poison->losses)
 		return;
 	g_hash_table_iter_init(&iter, poison->records);
-	while (g_hash_table_iter_next(&iter, NULL, &record))
+	while (g_hash_table_iter_next(&iter, NULL, &record)) {
 		explain_losses(record, searcher, now_us);
+		if (is_empty(record))
+			g_hash_table_iter_remove(&iter);
+	}
 }
 
 static bool was_served(const poison_t *poison, fingerprint_t fingerprint, uint64_t now_us)
@@ -356,6 +368,26 @@
 	}
 }
 
+/* Where a proxy stands before the searchers, it accepts whether they live or not. What is lost then
+ * makes no suspect, and counts all the same when a newer start of the searcher is known. */
+void poison_note_listens(poison_t *poison, const searcher_t *searcher, uint64_t since_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!poison->losses)
+		return;
+	g_hash_table_iter_init(&iter, poison->records);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		record_t *record = value;
+
+		for (uint32_t i = 0; i < record->loss_count; i++)
+			if (record->losses[i].searcher == searcher &&
+			    record->losses[i].lost_us <= since_us)
+				record->losses[i].listens = true;
+	}
+}
+
 /* Answers of other services say nothing: a request may crash the searchers of one shard only. */
 void poison_note_answered(poison_t *poison, fingerprint_t fingerprint, const char *service)
 {
@@ -501,11 +533,19 @@
 
 /* ---- what follows ---- */
 
+static bool is_suspect(const record_t *record)
+{
+	for (uint32_t i = 0; i < record->loss_count; i++)
+		if (!record->losses[i].listens)
+			return true;
+	return record->strikes > 0;
+}
+
 poison_verdict_t poison_judge(const poison_t *poison, fingerprint_t fingerprint, uint64_t now_us)
 {
 	const record_t *record = find(poison, fingerprint);
 
-	if (!record)
+	if (!record || !is_suspect(record))
 		return POISON_CLEAR;
 	return is_blocked(record, now_us) ? POISON_BLOCKED : POISON_SUSPECT;
 }
--- a/src/core/poison.h
+++ b/src/core/poison.h
@@ -84,8 +84,11 @@
 		      uint64_t sent_us, bool alone, uint64_t now_us);
 /** Nobody listens at its port any more, or a newer start of it is known. */
 void poison_note_ended(poison_t *poison, const searcher_t *searcher, uint64_t now_us);
-/** What was sent to it at @p since_us was answered, or a connection begun then was accepted. */
+/** It has answered what was sent to it at @p since_us. */
 void poison_note_alive(poison_t *poison, const searcher_t *searcher, uint64_t since_us);
+/** Something at its address has accepted a connection that was begun at @p since_us: the searcher,
+ * or a proxy before it. */
+void poison_note_listens(poison_t *poison, const searcher_t *searcher, uint64_t since_us);
 /** A searcher of @p service has answered it. */
 void poison_note_answered(poison_t *poison, fingerprint_t fingerprint, const char *service);
 /** It was answered whole: searchers of all its services survive it, for now. */
--- a/tests/forward_test.c
+++ b/tests/forward_test.c
@@ -137,6 +137,8 @@
 	play_t *play = ctx;
 
 	say(play, "searcher %s %s", searcher->id, searcher_state_name(searcher->state));
+	if (play->forwarder && searcher->state == SEARCHER_ENDED)
+		forwarder_searcher_ended(play->forwarder, searcher, play->now_us);
 	if (play->forwarder && searcher->state != SEARCHER_READY)
 		forwarder_room(play->forwarder, searcher->service, play->now_us);
 }
--- a/tests/poison_test.c
+++ b/tests/poison_test.c
@@ -209,6 +209,23 @@
 	poison_free(poison);
 }
 
+/* What is explained without a strike leaves nothing behind. */
+static void test_explained_without_a_strike(void **state)
+{
+	poison_t *poison = poison_new(&ops, &(told_t){0}, 1);
+	searcher_t *searcher = searcher_of("x", "s");
+
+	(void)state;
+	poison_note_lost(poison, 1, searcher, START_US, true, START_US);
+	poison_note_listens(poison, searcher, START_US + 1);
+	assert_int_equal(poison_judge(poison, 1, START_US + 1), POISON_CLEAR);
+	poison_note_ended(poison, searcher, START_US + SECOND_US);
+	assert_int_equal(poison_records(poison), 0);
+	assert_int_equal(searcher->refs, 1);
+	searcher_unref(searcher);
+	poison_free(poison);
+}
+
 /* Searchers are held only as long as losses under them are unexplained. */
 static void test_losses_are_few_and_short(void **state)
 {
@@ -238,6 +255,7 @@
 		cmocka_unit_test(test_store_does_not_answer),
 		cmocka_unit_test(test_cleared_while_told),
 		cmocka_unit_test(test_list),
+		cmocka_unit_test(test_explained_without_a_strike),
 		cmocka_unit_test(test_losses_are_few_and_short),
 	};
 
