--- a/tests/front_lib.sh
+++ b/tests/front_lib.sh
@@ -79,12 +79,12 @@
 header() { tr -d '\r' <"$RUN/head" | grep -i "^$1:" | head -n 1 | cut -d' ' -f2-; }
 metric() { curl -s -m 2 "http://127.0.0.1:$((FRONT_FROM + 10 * ${2:-0} + 2))/metrics" | grep -F "$1" | head -n 1 | awk '{print $2}'; }
 # attempt VM HOST PATH [curl arguments]: one attempt of a caller, with an id of its own.
-ATTEMPTS=0
+ATTEMPTS=0 ATTEMPT=attempt
 attempt() {
 	local vm=$1 host=$2 path=$3
 	shift 3
 	ATTEMPTS=$((ATTEMPTS + 1))
-	curl -s -m 5 -D "$RUN/head" -o "$RUN/body" -H "Host: $host" -H "Dogwoodsaddle-Request-Id: attempt-$ATTEMPTS" \
+	curl -s -m 5 -D "$RUN/head" -o "$RUN/body" -H "Host: $host" -H "Dogwoodsaddle-Request-Id: $ATTEMPT-$ATTEMPTS" \
 		-H 'Dogwoodsaddle-Request-Deadline: 1000' "$@" "http://127.0.0.1:$((FRONT_FROM + 10 * vm))$path"
 }
 # crashes PATH ended|reached|late: searchers that ended under it; attempts that reached one, and those that did so
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -6,6 +6,23 @@
 set -u
 cd "$(dirname "$0")/.."
 MUTANTS=(
+	'a request that crashes searchers is not remembered|src/core/poison.c|s/if \(!fingerprint \|\| was_served/if (1 || was_served/'
+	'what runs beside such a request is refused with it|src/core/poison.c|s/record->strikes == 1 \? STRIKE_GAP_US : 0/0/'
+	'a suspect goes to all shards|src/core/forwarder.c|s/if \(!forward_is_careful\(forward, now_us\)\)\n\t\tstart_parts/if (1)\n\t\tstart_parts/'
+	'a suspect that lost its searcher asks the next|src/core/part.c|s/bool gives_up = reply->broken && forward->probe == part;/bool gives_up = false;/'
+	'a suspect is hedged|src/core/part.c|s/if \(forward_is_careful\(part->forward, now_us\)\) \{/if (0) {/'
+	'copies of a suspect go all at once|src/core/poison.c|s/now_us < record->probe_us \+ PROBE_GAP_US/0/'
+	'an answer does not clear|src/core/poison.c|s/if \(record->strikes && g_str_equal\(record->service, service\)\) \{/if (0) {/'
+	'an answer of any shard clears|src/core/poison.c|s/if \(record->strikes && g_str_equal\(record->service, service\)\) \{/if (record->strikes) {/'
+	'a reset connection counts as an end|src/core/poison.c|s/return !loss->listens \|\| /return 1 || /'
+	'a proxy hides ends|src/core/poison.c|s/return !loss->listens \|\| .*;/return !loss->listens;/'
+	'strikes of other VMs are added up|src/core/poison.c|s/set_strikes\(record, news->strikes, news->service, now_us\);/set_strikes(record, record->strikes + news->strikes, news->service, now_us);/'
+	'any number of requests is remembered|src/core/poison.c|s/if \(g_hash_table_size\(poison->records\) >= POISON_RECORDS_MOST\)/if (0)/'
+	'what is forgotten stays in the store|src/core/poison.c|s/if \(record->stored && poison->ops\)/if (0)/'
+	'first strikes flood the store|src/core/poison.c|s/define TELL_BURST 8/define TELL_BURST 800/'
+	'a block ends while it is asked for|src/core/poison.c|s/record->renewals\+\+;/return 0;/'
+	'what was just served is suspected|src/core/poison.c|s/return served->fingerprint == fingerprint &&/return 0 \&\&/'
+	'suspects share a searcher|src/core/placement.c|s/\(alone && searcher->probes\)/0/'
 	'parts of a short shard wait to the target|src/core/part.c|s/if \(shedding_is_allowed\(part->forward\) && shedding_waits_too_long/if (0 \&\& shedding_waits_too_long/; s/if \(shedding_is_allowed\(part->forward\) && shedding_is_too_late/if (0 \&\& shedding_is_too_late/'
 	'more parts are left out than coverage allows|src/core/shedding.c|s/forward_has_enough\(forward, left - 1\)/1/'
 	'parts that a request needs wait behind others|src/core/part.c|s/if \(spare != shedding_is_allowed\(other->forward\)\)/if (0)/'
@@ -109,22 +126,23 @@
 LIBS="$(pkg-config --libs glib-2.0 jansson libxxhash msgpack) -lcmocka -lm"
 
 # Test programs in the order they are tried, and what each is linked from besides src/core.
-TESTS="forward_test handover_test fleet_test parts_test message_test gossip_test script_test load_test random_test"
+TESTS="forward_test poison_test handover_test fleet_test parts_test message_test gossip_test script_test load_test random_test front_random_test front_fleet_test"
 declare -A SEEN_BY=(
 	[forward_test]='the forwarding scripts' [handover_test]='the scripts of handing over'
 	[fleet_test]='the fleets' [parts_test]='the small parts' [message_test]="the codec's tests"
-	[load_test]='the loads'
+	[load_test]='the loads' [poison_test]='the bounds on what is remembered'
+	[front_random_test]='the schedules of forwarding' [front_fleet_test]='the schedules of several VMs'
 	[gossip_test]='the members' [script_test]='the scripts' [random_test]='the schedules')
 declare -A WITH=([forward_test]='playbook' [handover_test]='playbook' [message_test]='net_http_message' [script_test]='world' [random_test]='world'
-	[load_test]='load_world')
-declare -A ARGS=([random_test]=400)
+	[load_test]='load_world' [front_random_test]='front_world' [front_fleet_test]='front_world')
+declare -A ARGS=([random_test]=400 [front_random_test]=400 [front_fleet_test]=100)
 
 object_of() { echo "$SCRATCH/objects/$(echo "${1#src/}" | sed 's|^core/||; s|^tests/||; s|/|_|g; s|\.c$||').o"; }
 
 # Everything sound is compiled once; a mutant needs its one file, and a link.
 compile_all() {
 	mkdir -p "$SCRATCH/objects"
-	for file in src/core/*.c src/net/http_message.c tests/world.c tests/load_world.c tests/playbook.c $(printf 'tests/%s.c ' $TESTS); do
+	for file in src/core/*.c src/net/http_message.c tests/world.c tests/load_world.c tests/front_world.c tests/playbook.c $(printf 'tests/%s.c ' $TESTS); do
 		echo "$file $(object_of "$file")"
 	done | xargs -P "$(nproc)" -L 1 sh -c "gcc $CFLAGS -c -o \"\$1\" \"\$0\""
 }
--- a/tests/soak/front_soak.sh
+++ b/tests/soak/front_soak.sh
@@ -7,6 +7,9 @@
 #   holds the greatest records of just those parts; a single answer is the searcher's; what was refused
 #   as not run did not run; what must not be repeated ran once at most; afterwards all VMs serve again.
 #
+# With a seed that three divides, two requests end the searchers that run them, and come again and again at any VM;
+# afterwards, with all VMs in touch, few more attempts reach a searcher, and none but these two is refused.
+#
 #   tests/soak/front_soak.sh SEED [SECONDS]
 set -u
 cd "$(dirname "$0")/../.."
@@ -74,6 +77,16 @@
 	done
 }
 
+CRASHERS=(find.example/find/crash get.example/get/crash)
+[ $((SEED % 3)) = 0 ] || CRASHERS=()
+crasher() { # host/path
+	local ATTEMPT=crasher$BASHPID
+	while [ ! -e "$RUN/over" ]; do
+		attempt $((RANDOM % VMS_RUN)) "${1%%/*}" "/${1#*/}"
+		sleep "0.$((RANDOM % 9 + 1))"
+	done
+}
+
 # A process that ended is started again, as the platform does.
 ended() { case $(awk '{print $3}' "/proc/${FRONT_PID[$1]}/stat" 2>/dev/null) in '' | Z) return 0 ;; esac; return 1; }
 supervise() {
@@ -108,6 +121,7 @@
 
 callers=()
 for ((i = 0; i < 4; i++)); do caller $i & callers+=($!); done
+for path in ${CRASHERS[@]+"${CRASHERS[@]}"}; do crasher "$path" & callers+=($!); done
 end=$(($(date +%s) + SECONDS_RUN))
 while [ "$(date +%s)" -lt $end ]; do
 	fault
@@ -130,6 +144,26 @@
 	done
 	[ $served -ge 5 ] || bad "seed $SEED: VM $i served $served of 10 after the faults"
 done
+# Known by now, or soon: each VM is asked a few times, and once the settle time is over a few times more.
+each_crasher() { # times
+	local n path
+	for ((n = 0; n < $1; n++)); do
+		for path in ${CRASHERS[@]+"${CRASHERS[@]}"}; do attempt $((n % VMS_RUN)) "${path%%/*}" "/${path#*/}"; done
+		sleep 1.3
+	done
+}
+if [ ${#CRASHERS[@]} -gt 0 ]; then
+	each_crasher 6
+	sleep 5.2
+	before=$(users none | jq '[.crashes[].reached] | add')
+	each_crasher 6
+	reached=$(($(users none | jq '[.crashes[].reached] | add') - before))
+	[ $reached -le 6 ] || bad "seed $SEED: two requests that end searchers reached them in $reached of 12 attempts: $(users none | jq -c .crashes)"
+	for ((i = 0; i < VMS_RUN; i++)); do
+		refused=$(metric 'poison_requests{state="refused"}' "$i")
+		[ "$refused" -le 2 ] || bad "seed $SEED: VM $i refuses $refused requests, of two that end searchers"
+	done
+fi
 posted=$(users none | jq '.posted')
 jq -e 'all(.[]; . < 2)' <<<"$posted" >/dev/null || bad "seed $SEED: ran more than once: $(jq -c 'with_entries(select(.value > 1))' <<<"$posted")"
 for id in $(cat "$RUN"/posts.* | awk '$1 == 503 {print $2}'); do
