A route's allowed regions are read, checked and part of each version of the routing

Cause: nothing read the regions that a route may be served in. Read where the configuration is: no list or an empty one means anywhere; a list that is none, or a name that is no text, makes the version unreadable, as other faults do (logged with its value, counted, the version before stays in force); a region named twice is taken once and logged; one that no data centre is in stays a bound and is logged and counted (regions_unknown).

Whom a part may be sent to is one value now (candidates_t: pool, route, who was asked), in place of a pool and a list handed to six functions. Nothing is decided by the regions yet.

Tests: platform_test reads and refuses them; all scripts as before.

--- a/src/core/forward.c
+++ b/src/core/forward.c
@@ -250,7 +250,9 @@
 	if (!forward->may_probe)
 		forward->may_probe = poison_may_probe(poison, forward->request.fingerprint, now_us);
 	while (forward->may_probe && !forward->probe && (part = held_part(forward))) {
-		if (placement_is_all_probed(part->pool, part->asked))
+		const candidates_t candidates = part_candidates(part);
+
+		if (placement_is_all_probed(&candidates))
 			return;
 		forward->probe = part;
 		part_go_on(part, now_us);
--- a/src/core/forward_private.h
+++ b/src/core/forward_private.h
@@ -37,6 +37,8 @@
 /** Its request is over; it may still end by itself @p within_us, which saves the connection. */
 void sub_release(sub_t *sub, uint64_t within_us, uint64_t now_us);
 
+/** Whom the part's next sub-request may be sent to. */
+candidates_t part_candidates(const part_t *part);
 /** Whether the part is held back until it is known what its request does to a searcher. */
 bool part_is_held(const part_t *part);
 /** Send what was held back, its first sub-request or the next one; or queue it, or lose it. */
--- a/src/core/forwarder.c
+++ b/src/core/forwarder.c
@@ -235,8 +235,9 @@
 {
 	for (GList *item = pool->waiting.head; item; item = item->next) {
 		part_t *part = item->data;
+		const candidates_t candidates = part_candidates(part);
 
-		if (!placement_is_possible(pool, part->asked))
+		if (!placement_is_possible(&candidates))
 			return part;
 	}
 	return NULL;
@@ -321,8 +322,9 @@
 {
 	for (uint32_t i = 0; i < forward->part_count; i++) {
 		part_t *part = &forward->parts[i];
+		const candidates_t candidates = part_candidates(part);
 
-		if (part->state == PART_WAITING && !placement_is_possible(part->pool, NULL))
+		if (part->state == PART_WAITING && !placement_is_possible(&candidates))
 			part_lose(part);
 	}
 }
@@ -375,13 +377,21 @@
 
 	for (uint32_t i = 0; i < forward->part_count; i++) {
 		const part_t *part = &forward->parts[i];
+		const candidates_t candidates = part_candidates(part);
 
-		if (part->state == PART_WAITING && !placement_has_room(part->pool))
+		if (part->state == PART_WAITING && !placement_has_room(&candidates))
 			hopeless += part_waits_in_vain(part, now_us);
 	}
 	return !forward_has_enough(forward, forward->part_count - hopeless);
 }
 
+static double wait_us(const part_t *part)
+{
+	const candidates_t candidates = part_candidates(part);
+
+	return placement_wait_us(&candidates);
+}
+
 /* The part without room that would wait longest, or NULL. */
 static part_t *longest_wait(const forward_t *forward)
 {
@@ -392,7 +402,7 @@
 
 		if (part->state != PART_WAITING || part->is_queued)
 			continue;
-		if (!longest || placement_wait_us(part->pool) > placement_wait_us(longest->pool))
+		if (!longest || wait_us(part) > wait_us(longest))
 			longest = part;
 	}
 	return longest;
--- a/src/core/part.c
+++ b/src/core/part.c
@@ -24,6 +24,19 @@
 /* Three refusals in a row; two may be a moment at which it is full. */
 #define REFUSES_A_SHARE 0.3
 
+candidates_t part_candidates(const part_t *part)
+{
+	return (candidates_t){
+		.pool = part->pool, .route = part->forward->route, .asked = part->asked};
+}
+
+static bool is_possible(const part_t *part)
+{
+	const candidates_t candidates = part_candidates(part);
+
+	return placement_is_possible(&candidates);
+}
+
 static bool may_run_again(const part_t *part)
 {
 	return part->forward->route->idempotent && part->runs < part->forward->attempts_most;
@@ -168,9 +181,10 @@
 /* Refused now, its caller can come back in time; held, it would be refused at its deadline. */
 bool part_waits_in_vain(const part_t *part, uint64_t now_us)
 {
+	const candidates_t candidates = part_candidates(part);
 	double usual_us = placement_typical_us(part->pool);
 
-	return now_us + (uint64_t)(placement_wait_us(part->pool) + usual_us) >
+	return now_us + (uint64_t)(placement_wait_us(&candidates) + usual_us) >
 	       part->forward->deadline_us;
 }
 
@@ -188,11 +202,12 @@
 /* Two suspects at one searcher, and nobody could say which of them it ended under. */
 searcher_t *part_choose(const part_t *part, uint64_t now_us)
 {
+	const candidates_t candidates = part_candidates(part);
 	GRand *rand = part->forward->forwarder->rand;
 
 	if (part->forward->probe == part)
-		return placement_choose_alone(part->pool, part->asked, rand, now_us);
-	return placement_choose(part->pool, part->asked, rand, now_us);
+		return placement_choose_alone(&candidates, rand, now_us);
+	return placement_choose(&candidates, rand, now_us);
 }
 
 bool part_start(part_t *part, sub_purpose_t purpose, uint64_t now_us)
@@ -201,7 +216,7 @@
 
 	if (searcher)
 		part_send(part, searcher, purpose, now_us);
-	else if (!placement_is_possible(part->pool, part->asked))
+	else if (!is_possible(part))
 		part_lose(part);
 	else
 		return false;
@@ -237,6 +252,7 @@
 
 void part_hedge(part_t *part, uint64_t now_us)
 {
+	const candidates_t candidates = part_candidates(part);
 	forwarder_t *forwarder = part->forward->forwarder;
 	const retry_bound_t *bound = &part->pool->bound;
 	searcher_t *searcher;
@@ -249,7 +265,7 @@
 		part->hedge_us = now_us + HEDGE_AGAIN_US;
 		return;
 	}
-	searcher = placement_choose(part->pool, part->asked, forwarder->rand, now_us);
+	searcher = placement_choose(&candidates, forwarder->rand, now_us);
 	if (!searcher) {
 		part->hedge_us = now_us + HEDGE_AGAIN_US;
 		return;
@@ -369,8 +385,7 @@
  */
 static void forgive(part_t *part, searcher_t *searcher, uint64_t now_us)
 {
-	if (yield_lost(&searcher->yield, now_us) > REFUSES_A_SHARE &&
-	    !placement_is_possible(part->pool, part->asked))
+	if (yield_lost(&searcher->yield, now_us) > REFUSES_A_SHARE && !is_possible(part))
 		g_ptr_array_remove(part->asked, searcher);
 }
 
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -52,25 +52,42 @@
 	return pool->typical.value_us > 0 ? pool->typical.value_us : TYPICAL_UNKNOWN_US;
 }
 
-uint32_t placement_room_most(const pool_t *pool)
+static bool may_be_sent(const searcher_t *searcher, const route_t *route)
 {
+	(void)route;
+	return searcher_is_usable(searcher);
+}
+
+static bool is_candidate(const candidates_t *candidates, const searcher_t *searcher)
+{
+	if (!may_be_sent(searcher, candidates->route))
+		return false;
+	return !candidates->asked ||
+	       !g_ptr_array_find((GPtrArray *)candidates->asked, searcher, NULL);
+}
+
+/* Connections that this VM may have to all that the route's parts may be sent to. */
+static uint32_t room_most(const candidates_t *candidates)
+{
+	const GPtrArray *searchers = candidates->pool->searchers;
 	uint32_t most = 0;
 
-	for (guint i = 0; i < pool->searchers->len; i++) {
-		const searcher_t *searcher = g_ptr_array_index(pool->searchers, i);
+	for (guint i = 0; i < searchers->len; i++) {
+		const searcher_t *searcher = g_ptr_array_index(searchers, i);
 
-		if (searcher_is_usable(searcher))
+		if (may_be_sent(searcher, candidates->route))
 			most += searcher->connections_most;
 	}
 	return most;
 }
 
 /* Those that wait each need a connection for the usual time. */
-double placement_wait_us(const pool_t *pool)
+double placement_wait_us(const candidates_t *candidates)
 {
+	const pool_t *pool = candidates->pool;
 	double ahead = pool->waiting.length + 1.0;
 
-	return placement_typical_us(pool) * ahead / MAX(placement_room_most(pool), 1);
+	return placement_typical_us(pool) * ahead / MAX(room_most(candidates), 1);
 }
 
 static double way_us(const searcher_t *searcher)
@@ -147,11 +164,6 @@
 	return cost_us;
 }
 
-static bool is_excluded(const GPtrArray *excluded, const searcher_t *searcher)
-{
-	return excluded && g_ptr_array_find((GPtrArray *)excluded, searcher, NULL);
-}
-
 /* Whatever else is out to the searcher of a suspect request makes its end say nothing. */
 static double company_us(const searcher_t *searcher, bool alone)
 {
@@ -159,9 +171,9 @@
 		     : (searcher->probes ? COMPANY_US : 0);
 }
 
-static searcher_t *choose(const pool_t *pool, const GPtrArray *excluded, bool alone, GRand *rand,
-			  uint64_t now_us)
+static searcher_t *choose(const candidates_t *candidates, bool alone, GRand *rand, uint64_t now_us)
 {
+	const pool_t *pool = candidates->pool;
 	searcher_t *best = NULL;
 	double best_us = 0;
 
@@ -169,8 +181,8 @@
 		searcher_t *searcher = g_ptr_array_index(pool->searchers, i);
 		double cost_us;
 
-		if (!searcher_is_usable(searcher) || !searcher_has_room(searcher) ||
-		    is_excluded(excluded, searcher) || (alone && searcher->probes))
+		if (!searcher_has_room(searcher) || !is_candidate(candidates, searcher) ||
+		    (alone && searcher->probes))
 			continue;
 		cost_us = placement_cost_us(searcher, pool, now_us) *
 			  g_rand_double_range(rand, 1, 1 + SPREAD);
@@ -183,26 +195,25 @@
 	return best;
 }
 
-searcher_t *placement_choose(const pool_t *pool, const GPtrArray *excluded, GRand *rand,
-			     uint64_t now_us)
+searcher_t *placement_choose(const candidates_t *candidates, GRand *rand, uint64_t now_us)
 {
-	return choose(pool, excluded, false, rand, now_us);
+	return choose(candidates, false, rand, now_us);
 }
 
-searcher_t *placement_choose_alone(const pool_t *pool, const GPtrArray *excluded, GRand *rand,
-				   uint64_t now_us)
+searcher_t *placement_choose_alone(const candidates_t *candidates, GRand *rand, uint64_t now_us)
 {
-	return choose(pool, excluded, true, rand, now_us);
+	return choose(candidates, true, rand, now_us);
 }
 
-bool placement_is_all_probed(const pool_t *pool, const GPtrArray *excluded)
+bool placement_is_all_probed(const candidates_t *candidates)
 {
+	const GPtrArray *searchers = candidates->pool->searchers;
 	bool some = false;
 
-	for (guint i = 0; i < pool->searchers->len; i++) {
-		searcher_t *searcher = g_ptr_array_index(pool->searchers, i);
+	for (guint i = 0; i < searchers->len; i++) {
+		const searcher_t *searcher = g_ptr_array_index(searchers, i);
 
-		if (!searcher_is_usable(searcher) || is_excluded(excluded, searcher))
+		if (!is_candidate(candidates, searcher))
 			continue;
 		if (!searcher->probes)
 			return false;
@@ -211,24 +222,25 @@
 	return some;
 }
 
-bool placement_has_room(const pool_t *pool)
+bool placement_has_room(const candidates_t *candidates)
 {
-	for (guint i = 0; i < pool->searchers->len; i++) {
-		const searcher_t *searcher = g_ptr_array_index(pool->searchers, i);
+	const GPtrArray *searchers = candidates->pool->searchers;
 
-		if (searcher_is_usable(searcher) && searcher_has_room(searcher))
+	for (guint i = 0; i < searchers->len; i++) {
+		const searcher_t *searcher = g_ptr_array_index(searchers, i);
+
+		if (searcher_has_room(searcher) && is_candidate(candidates, searcher))
 			return true;
 	}
 	return false;
 }
 
-bool placement_is_possible(const pool_t *pool, const GPtrArray *excluded)
+bool placement_is_possible(const candidates_t *candidates)
 {
-	for (guint i = 0; i < pool->searchers->len; i++) {
-		searcher_t *searcher = g_ptr_array_index(pool->searchers, i);
+	const GPtrArray *searchers = candidates->pool->searchers;
 
-		if (searcher_is_usable(searcher) && !is_excluded(excluded, searcher))
+	for (guint i = 0; i < searchers->len; i++)
+		if (is_candidate(candidates, g_ptr_array_index(searchers, i)))
 			return true;
-	}
 	return false;
 }
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -6,6 +6,7 @@
 #define DS_PLACEMENT_H
 
 #include "core/registry.h"
+#include "core/routing.h"
 
 /** A sub-request that was sent; embedded in its owner, linked in its searcher's queue. */
 typedef struct sending_t {
@@ -13,12 +14,17 @@
 	GList link; /**< in searcher_t.out; data is the sending_t */
 } sending_t;
 
+/** Whom a sub-request may be sent to, of the searchers of one service. */
+typedef struct candidates_t {
+	const pool_t *pool;
+	const route_t *route;	/**< its regions bind; NULL: none do */
+	const GPtrArray *asked; /**< searcher_t that are not asked again; NULL: none */
+} candidates_t;
+
 /** What a sub-request to the pool usually takes. */
 double placement_typical_us(const pool_t *pool);
 /** How long one more part would wait for room, behind those that wait already. */
-double placement_wait_us(const pool_t *pool);
-/** Connections that this VM may have to all usable searchers of the pool. */
-uint32_t placement_room_most(const pool_t *pool);
+double placement_wait_us(const candidates_t *candidates);
 /** Expected time until an answer, for comparing searchers. */
 double placement_cost_us(const searcher_t *searcher, const pool_t *pool, uint64_t now_us);
 /** What a sub-request to it should take, by what was measured of late. */
@@ -29,21 +35,16 @@
 bool placement_is_stuck(const searcher_t *searcher, const pool_t *pool, uint64_t now_us);
 /** After how long without an answer it is taken to hang: well beyond a pause. */
 uint64_t placement_hang_us(const searcher_t *searcher, const pool_t *pool, uint64_t now_us);
-/**
- * The searcher with the least cost that has room, or NULL.
- * @param excluded searcher_t that were asked already
- */
-searcher_t *placement_choose(const pool_t *pool, const GPtrArray *excluded, GRand *rand,
-			     uint64_t now_us);
+/** The candidate with the least cost that has room, or NULL. */
+searcher_t *placement_choose(const candidates_t *candidates, GRand *rand, uint64_t now_us);
 /** The same for a suspect request: one that no other suspect is out to, and that has nothing else
  * of this VM, if there is one. See poison.h. */
-searcher_t *placement_choose_alone(const pool_t *pool, const GPtrArray *excluded, GRand *rand,
-				   uint64_t now_us);
-/** Whether suspect requests are out to all that may be sent work and are not @p excluded. */
-bool placement_is_all_probed(const pool_t *pool, const GPtrArray *excluded);
-/** Whether any searcher of the pool may be sent work now. */
-bool placement_has_room(const pool_t *pool);
-/** Whether any searcher outside @p excluded may be sent work, with room or without. */
-bool placement_is_possible(const pool_t *pool, const GPtrArray *excluded);
+searcher_t *placement_choose_alone(const candidates_t *candidates, GRand *rand, uint64_t now_us);
+/** Whether suspect requests are out to all candidates. */
+bool placement_is_all_probed(const candidates_t *candidates);
+/** Whether any candidate may be sent work now. */
+bool placement_has_room(const candidates_t *candidates);
+/** Whether there is any candidate, with room or without. */
+bool placement_is_possible(const candidates_t *candidates);
 
 #endif
--- a/src/core/registry.c
+++ b/src/core/registry.c
@@ -155,8 +155,9 @@
 
 static void add(registry_t *registry, const searcher_entry_t *entry, uint64_t now_us)
 {
+	const char *region = g_hash_table_lookup(registry->place.regions, entry->data_centre);
 	searcher_t *searcher =
-		searcher_new(entry, distance_of(registry, entry->data_centre), now_us);
+		searcher_new(entry, distance_of(registry, entry->data_centre), region, now_us);
 
 	if (start_of(registry, entry->id)->draining)
 		searcher->state = SEARCHER_DRAINING;
--- a/src/core/routing.c
+++ b/src/core/routing.c
@@ -19,6 +19,8 @@
 	g_free(route->host);
 	g_free(route->prefix);
 	g_array_unref(route->targets);
+	if (route->regions)
+		g_ptr_array_unref(route->regions);
 	g_free(route);
 }
 
@@ -70,6 +72,60 @@
 	g_array_append_val(route->targets, target);
 }
 
+bool route_add_region(route_t *route, const char *region)
+{
+	if (!route->regions)
+		route->regions = g_ptr_array_new_with_free_func(g_free);
+	else if (route_allows(route, region))
+		return false;
+	g_ptr_array_add(route->regions, g_strdup(region));
+	return true;
+}
+
+bool route_allows(const route_t *route, const char *region)
+{
+	if (!route->regions)
+		return true;
+	for (guint i = 0; region && i < route->regions->len; i++)
+		if (g_str_equal(g_ptr_array_index(route->regions, i), region))
+			return true;
+	return false;
+}
+
+static bool is_region(GHashTable *regions, const char *name)
+{
+	GHashTableIter iter;
+	gpointer region;
+
+	g_hash_table_iter_init(&iter, regions);
+	while (g_hash_table_iter_next(&iter, NULL, &region))
+		if (g_str_equal(region, name))
+			return true;
+	return false;
+}
+
+uint32_t routing_strange_regions(const routing_t *routing, GHashTable *regions,
+				 const route_t **route, const char **region)
+{
+	uint32_t strange = 0;
+
+	for (guint i = 0; i < routing->routes->len; i++) {
+		const route_t *each = g_ptr_array_index(routing->routes, i);
+
+		for (guint j = 0; each->regions && j < each->regions->len; j++) {
+			const char *name = g_ptr_array_index(each->regions, j);
+
+			if (is_region(regions, name))
+				continue;
+			if (!strange++) {
+				*route = each;
+				*region = name;
+			}
+		}
+	}
+	return strange;
+}
+
 void routing_set_connections(routing_t *routing, const char *service, uint32_t connections)
 {
 	g_hash_table_insert(routing->connections, g_strdup(service), GUINT_TO_POINTER(connections));
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -29,6 +29,7 @@
 	uint32_t top;		/**< gathers: records in the answer */
 	double coverage_least;	/**< gathers: share of the targets that makes a success */
 	GArray *targets;	/**< route_target_t */
+	GPtrArray *regions;	/**< names; its requests stay in these. NULL: anywhere */
 } route_t;
 
 /** What callers may send, and how long they may take. */
@@ -56,10 +57,19 @@
 /** A route to be filled in; it is the routing's from here on. */
 route_t *routing_add(routing_t *routing);
 void route_add_target(route_t *route, const char *service, double weight);
+/** Bind the route to @p region, and to those named before; false when it is named once more. */
+bool route_add_region(route_t *route, const char *region);
+/** Whether the route's requests may be sent to @p region; NULL: one that is not known. */
+bool route_allows(const route_t *route, const char *region);
 void routing_set_connections(routing_t *routing, const char *service, uint32_t connections);
 /** Call once all routes are filled in. */
 void routing_seal(routing_t *routing);
 
+/** Count the regions that routes are bound to and that are not among @p regions, a table of data
+ * centre to region; the first of them and its route are set in @p route and @p region. */
+uint32_t routing_strange_regions(const routing_t *routing, GHashTable *regions,
+				 const route_t **route, const char **region);
+
 /** The route with the longest prefix of @p target's path for @p host, or NULL. */
 const route_t *routing_match(const routing_t *routing, const char *host, const char *target);
 /** Whether some route asks @p service alone, and not as one of many shards. */
--- a/src/core/searcher.c
+++ b/src/core/searcher.c
@@ -29,7 +29,8 @@
 	*entry = (searcher_entry_t){0};
 }
 
-searcher_t *searcher_new(const searcher_entry_t *entry, distance_t distance, uint64_t now_us)
+searcher_t *searcher_new(const searcher_entry_t *entry, distance_t distance, const char *region,
+			 uint64_t now_us)
 {
 	searcher_t *searcher = g_new0(searcher_t, 1);
 
@@ -40,6 +41,7 @@
 	searcher->address = g_strdup(entry->address);
 	searcher->port = entry->port;
 	searcher->data_centre = g_strdup(entry->data_centre);
+	searcher->region = g_strdup(region);
 	searcher->slots = MAX(entry->slots, 1);
 	searcher->distance = distance;
 	searcher->cold_until_us = now_us + entry->cold_us;
@@ -62,6 +64,7 @@
 	g_free(searcher->service);
 	g_free(searcher->address);
 	g_free(searcher->data_centre);
+	g_free(searcher->region);
 	g_free(searcher);
 }
 
--- a/src/core/searcher.h
+++ b/src/core/searcher.h
@@ -47,6 +47,7 @@
 	char *address;
 	uint16_t port;
 	char *data_centre;
+	char *region; /**< of the data centre; NULL: not known */
 	uint32_t slots;
 	searcher_state_t state;
 	distance_t distance;
@@ -72,7 +73,9 @@
 
 void searcher_entry_clear(searcher_entry_t *entry);
 
-searcher_t *searcher_new(const searcher_entry_t *entry, distance_t distance, uint64_t now_us);
+/** @param region of its data centre; NULL: not known */
+searcher_t *searcher_new(const searcher_entry_t *entry, distance_t distance, const char *region,
+			 uint64_t now_us);
 searcher_t *searcher_ref(searcher_t *searcher);
 void searcher_unref(searcher_t *searcher);
 
--- a/src/queries/front_metrics.h
+++ b/src/queries/front_metrics.h
@@ -21,6 +21,8 @@
 	const handovers_t *handovers;
 	uint32_t hops_open;	  /**< requests that other VMs have handed over */
 	uint64_t entries_ignored; /**< reads of entries that name no searcher */
+	uint64_t configurations_ignored; /**< reads of some that can't be read */
+	uint32_t regions_strange;	 /**< that routes are bound to, and no data centre is in */
 } front_sources_t;
 
 GString *front_metrics_write(const front_sources_t *sources);
--- a/src/tasks/front_task.c
+++ b/src/tasks/front_task.c
@@ -52,9 +52,12 @@
 	double retry_ratio;
 	uint32_t retry_constant;
 	char *vm_name;
+	char *data_centre;
 	GHashTable *regions;	/* data centre to region */
 	GHashTable *unreadable; /* names of entries that were said to be so */
 	uint64_t entries_ignored;
+	uint64_t configurations_ignored;
+	uint32_t regions_strange; /* that routes in force are bound to, and no data centre is in */
 	bool leaving;
 	bool refusing;
 };
@@ -348,7 +351,7 @@
 		submit(ctx, relay);
 }
 
-/* The route of a request that may be handed over, or NULL. One that is refused is so here. */
+/* The route of a request that is gathered, or NULL. One that is refused is so here. */
 static const route_t *gather_route(const front_task_t *task, const relay_t *relay)
 {
 	const routing_t *routing = forwarder_routing(task->forwarder);
@@ -550,6 +553,18 @@
 	run_registry(task);
 }
 
+/* The route is served by nobody: more likely a slip of the operator's than meant. */
+static void say_strange_regions(front_task_t *task, const routing_t *routing)
+{
+	const route_t *route = NULL;
+	const char *region = NULL;
+
+	task->regions_strange = routing_strange_regions(routing, task->regions, &route, &region);
+	if (task->regions_strange)
+		g_warning("event=region-unknown route=%s region=%s in_all=%u outcome=kept",
+			  route->name, region, task->regions_strange);
+}
+
 static void apply(front_task_t *task, routing_t *routing)
 {
 	const http_server_limits_t limits = {.message = {.head_bytes = routing->limits.head_bytes,
@@ -559,6 +574,7 @@
 
 	g_message("event=configuration version=%" G_GUINT64_FORMAT " routes=%u outcome=in-force",
 		  routing->version, routing->routes->len);
+	say_strange_regions(task, routing);
 	forwarder_set_routing(task->forwarder, routing);
 	http_server_set_limits(task->callers, &limits);
 	fleet_changed(task);
@@ -575,6 +591,7 @@
 		return;
 	routing = store_read_routing(object->content, &err);
 	if (!routing) {
+		task->configurations_ignored++;
 		g_warning("event=configuration outcome=ignored reason=\"%s\"", err.text);
 		return;
 	}
@@ -650,7 +667,9 @@
 					 .store = platform_task_counters(task->platform),
 					 .handovers = gather_task_handovers(task->gathers),
 					 .hops_open = hop_server_open(task->hops),
-					 .entries_ignored = task->entries_ignored};
+					 .entries_ignored = task->entries_ignored,
+					 .configurations_ignored = task->configurations_ignored,
+					 .regions_strange = task->regions_strange};
 	g_autoptr(GString) text = front_metrics_write(&sources);
 
 	http_exchange_reply(exchange, 200, "text/plain; version=0.0.4", text->str, text->len);
@@ -725,6 +744,7 @@
 	task->retry_ratio = settings->retry_ratio;
 	task->retry_constant = settings->retry_constant;
 	task->vm_name = g_strdup(settings->vm_name);
+	task->data_centre = g_strdup(settings->data_centre);
 	task->regions = g_hash_table_ref(settings->regions);
 	task->unreadable = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	start_registry(task, settings);
--- a/tests/fleet_test.c
+++ b/tests/fleet_test.c
@@ -189,7 +189,7 @@
 	static const registry_ops_t ops = {0};
 	registry_t *registry = registry_new(&place, &bound, &ops, NULL);
 	pool_t *pool = registry_pool(registry, service);
-	searcher_t *searcher = searcher_new(&entry, DISTANCE_FAR, 0);
+	searcher_t *searcher = searcher_new(&entry, DISTANCE_FAR, NULL, 0);
 	sharing_t sharing;
 	taken_t taken;
 
--- a/tests/forward_test.c
+++ b/tests/forward_test.c
@@ -4,7 +4,8 @@
  *
  * A script holds commands and, after "> ", the lines that they must print. Commands:
  *
- *     route NAME HOST PREFIX single|gather idempotent|once KEY=NUMBER... SERVICE[*WEIGHT]...
+ *     route NAME HOST PREFIX single|gather idempotent|once KEY=NUMBER... [region=NAME]...
+ *           SERVICE[*WEIGHT]...
  *     routing VERSION             put the routes so far in force
  *     searcher ID SERVICE local|far [slots [born_ms]]
  *     drain ID, gone ID [born_ms] the store says so
@@ -208,7 +209,9 @@
 	const char *equals = strchr(word, '=');
 	double value = g_ascii_strtod(equals + 1, NULL);
 
-	if (g_str_has_prefix(word, "timeout_ms="))
+	if (g_str_has_prefix(word, "region="))
+		route_add_region(route, equals + 1);
+	else if (g_str_has_prefix(word, "timeout_ms="))
 		route->timeout_us = (uint64_t)value * 1000;
 	else if (g_str_has_prefix(word, "target_ms="))
 		route->target_us = (uint64_t)value * 1000;
--- a/tests/parts_test.c
+++ b/tests/parts_test.c
@@ -223,11 +223,13 @@
 {
 	GRand *rand = g_rand_new_with_seed(1);
 	uint64_t now_us = 100 * SECOND_US;
+	candidates_t candidates = {0};
 	searcher_t *near;
 	site_t site;
 
 	(void)state;
 	site_start(&site, "a");
+	candidates.pool = site.pool;
 	near = g_ptr_array_index(site.pool->searchers, 0);
 	for (guint i = 0; i < 3; i++) {
 		searcher_t *searcher = g_ptr_array_index(site.pool->searchers, i);
@@ -235,14 +237,14 @@
 		searcher->connections_most = 2;
 		searcher->idle = 1;
 	}
-	assert_ptr_equal(placement_choose(site.pool, NULL, rand, now_us), near);
+	assert_ptr_equal(placement_choose(&candidates, rand, now_us), near);
 	for (int i = 0; i < 4; i++)
 		searcher_note_answer(near, 150000, now_us += SECOND_US);
-	assert_ptr_not_equal(placement_choose(site.pool, NULL, rand, now_us), near);
+	assert_ptr_not_equal(placement_choose(&candidates, rand, now_us), near);
 	now_us += 10 * SECOND_US;
-	assert_ptr_equal(placement_choose(site.pool, NULL, rand, now_us), near);
+	assert_ptr_equal(placement_choose(&candidates, rand, now_us), near);
 	searcher_note_failure(near, now_us);
-	assert_ptr_not_equal(placement_choose(site.pool, NULL, rand, now_us), near);
+	assert_ptr_not_equal(placement_choose(&candidates, rand, now_us), near);
 	site_end(&site);
 	g_rand_free(rand);
 }
--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -102,10 +102,11 @@
 	"\",\"route-type\":\"idempotent\","
 	"\"timeout-ms\":600,\"target-latency-ms\":100,\"priority\":2,\"max-attempts\":2,\"top-k\":"
 	"5,"
-	"\"min-coverage\":0.75,\"fanout-services\":[\"s1\",\"s2\"]},"
+	"\"min-coverage\":0.75,\"fanout-services\":[\"s1\",\"s2\"],\"allowed-regions\":[]},"
 	"{\"name\":\"o\",\"host\":\"h.example\",\"path-prefix\":\"/a/"
 	"\",\"route-type\":\"non_idempotent\","
-	"\"split\":[{\"service\":\"s1\",\"weight\":3},{\"service\":\"s2\",\"weight\":1}]}],"
+	"\"split\":[{\"service\":\"s1\",\"weight\":3},{\"service\":\"s2\",\"weight\":1}],"
+	"\"allowed-regions\":[\"south\",\"east\",\"south\"]}],"
 	"\"services\":[{\"name\":\"s1\",\"max-connections\":25}],"
 	"\"limits\":{\"max-header-bytes\":100,\"max-body-bytes\":200,\"header-timeout-ms\":3,"
 	"\"idle-timeout-ms\":4}}";
@@ -126,12 +127,16 @@
 	route = routing_match(routing, "H.example:80", "/a/b/c?x=/a/");
 	assert_string_equal(route->name, "g");
 	assert_true(route->gathers && route->idempotent);
+	assert_true(route_allows(route, "west") && route_allows(route, NULL));
 	assert_int_equal(route->rank, 2);
 	assert_int_equal(route->target_us, 100000);
 	route = routing_match(routing, "h.example", "/a/c");
 	assert_string_equal(route->name, "o");
 	assert_false(route->gathers || route->idempotent);
 	assert_true(g_array_index(route->targets, route_target_t, 0).weight == 3);
+	assert_int_equal(route->regions->len, 2);
+	assert_true(route_allows(route, "south") && route_allows(route, "east"));
+	assert_false(route_allows(route, "west") || route_allows(route, NULL));
 	assert_null(routing_match(routing, "h.example", "/b/"));
 	assert_null(routing_match(routing, "h.example", "/a"));
 	assert_null(routing_match(routing, "else", "/a/"));
@@ -139,6 +144,32 @@
 	json_decref(json);
 }
 
+#define ROUTE_IN(regions)                                                                          \
+	"{\"version\":1,\"routes\":[{\"name\":\"n\",\"host\":\"h\",\"path-prefix\":\"/\","         \
+	"\"service\":\"s\",\"allowed-regions\":" regions "}]}"
+
+/* A region that no data centre is in stays a bound: the operator is told, and nobody serves it. */
+static void test_strange_regions(void **state)
+{
+	json_t *json = json_loads(configuration, 0, NULL);
+	GHashTable *regions = g_hash_table_new(g_str_hash, g_str_equal);
+	const route_t *route = NULL;
+	const char *region = NULL;
+	err_t err = {0};
+	routing_t *routing = store_read_routing(json, &err);
+
+	(void)state;
+	g_hash_table_insert(regions, "hall", "south");
+	assert_int_equal(routing_strange_regions(routing, regions, &route, &region), 1);
+	assert_string_equal(route->name, "o");
+	assert_string_equal(region, "east");
+	g_hash_table_insert(regions, "other", "east");
+	assert_int_equal(routing_strange_regions(routing, regions, &route, &region), 0);
+	g_hash_table_unref(regions);
+	routing_unref(routing);
+	json_decref(json);
+}
+
 static void test_bad_routing(void **state)
 {
 	static const char *const texts[] = {
@@ -150,6 +181,9 @@
 		"\"fanout-services\":[1]}]}",
 		"{\"version\":-1,\"routes\":[]}",
 		"{\"version\":1.5,\"routes\":[]}",
+		ROUTE_IN("\"south\""),
+		ROUTE_IN("[7]"),
+		ROUTE_IN("[\"\"]"),
 		"{\"version\":1,\"routes\":[],\"limits\":{\"max-body-bytes\":-1}}",
 		"{\"version\":1,\"routes\":[],\"limits\":{\"idle-timeout-ms\":\"4\"}}",
 		"{\"version\":1,\"routes\":[],\"services\":[{\"name\":\"s\","
@@ -482,6 +516,7 @@
 		cmocka_unit_test(test_request_head),
 		cmocka_unit_test(test_replies),
 		cmocka_unit_test(test_routing),
+		cmocka_unit_test(test_strange_regions),
 		cmocka_unit_test(test_bad_routing),
 		cmocka_unit_test(test_searcher),
 		cmocka_unit_test(test_pages),
--- a/tests/poison_test.c
+++ b/tests/poison_test.c
@@ -51,7 +51,7 @@
 					.data_centre = "here",
 					.slots = 2};
 
-	return searcher_new(&entry, DISTANCE_LOCAL, START_US);
+	return searcher_new(&entry, DISTANCE_LOCAL, NULL, START_US);
 }
 
 /* One searcher more ends under it. */
