Requests of a route that must stay in some regions reach no searcher and no gatherer elsewhere

Every way to a searcher goes through candidates_t: first sends, hedges, retries, a suspect's single try, room for those that wait, what is hopeless. A searcher elsewhere is no candidate, so a shard without one here is a missing part, and with nobody left the request is refused at once as not run. A part that waits for room here no longer holds up those behind it that may go elsewhere.

A request is handed over only where this VM's own region is allowed: gatherers are of that region, which need not be the caller's when the balancer has sent it to another one. Else this VM gathers itself. A gatherer whose newer version forbids its region does not take the request.

What got worse: a route bound to other regions than the taker's is gathered by the taker over far connections.

--- a/src/core/forwarder.c
+++ b/src/core/forwarder.c
@@ -268,7 +268,7 @@
 		searcher_t *searcher = part_choose(part, now_us);
 
 		next = item->next;
-		if (!searcher && !part->asked && forward->probe != part)
+		if (!searcher && !part->asked && !forward->route->regions && forward->probe != part)
 			break; /* nobody has room, for any part */
 		if (!searcher)
 			continue;
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -52,10 +52,10 @@
 	return pool->typical.value_us > 0 ? pool->typical.value_us : TYPICAL_UNKNOWN_US;
 }
 
+/* What the operator and the route allow; whether it has room is another matter. */
 static bool may_be_sent(const searcher_t *searcher, const route_t *route)
 {
-	(void)route;
-	return searcher_is_usable(searcher);
+	return searcher_is_usable(searcher) && (!route || route_allows(route, searcher->region));
 }
 
 static bool is_candidate(const candidates_t *candidates, const searcher_t *searcher)
--- a/src/tasks/front_task.c
+++ b/src/tasks/front_task.c
@@ -351,6 +351,11 @@
 		submit(ctx, relay);
 }
 
+static const char *own_region(const front_task_t *task)
+{
+	return g_hash_table_lookup(task->regions, task->data_centre);
+}
+
 /* The route of a request that is gathered, or NULL. One that is refused is so here. */
 static const route_t *gather_route(const front_task_t *task, const relay_t *relay)
 {
@@ -381,8 +386,11 @@
 	relay = relay_of_caller(exchange);
 	http_exchange_set_data(exchange, relay);
 	route = gather_route(task, relay);
-	if (route && gather_task_hand_over(task->gathers, relay, route,
-					   forwarder_routing(task->forwarder)->version))
+	/* Gatherers are in this VM's region, which need not be its caller's: what must stay in
+	 * other regions goes to none of them. */
+	if (route && route_allows(route, own_region(task)) &&
+	    gather_task_hand_over(task->gathers, relay, route,
+				  forwarder_routing(task->forwarder)->version))
 		return;
 	if (route)
 		on_gather_here(task, relay);
@@ -462,7 +470,7 @@
 		return false;
 	}
 	route = routing_match(routing, job->host, job->target);
-	if (!route || !route->gathers) {
+	if (!route || !route->gathers || !route_allows(route, own_region(task))) {
 		*reason = HOP_NO_GATHER;
 		return false;
 	}
