Evacuations are heard: read, watched where a deployment has them, fed, and kept through a restored store

Cause: nothing read the operator's evacuations. They are a fourth kind that is watched and fed. A deployment without a bound for them (store.evacuate_ms, from the platform's settings) does not follow them: no call more there. A VM sends nothing before it knows them.

One that names no data centre is logged, counted and ignored. One that a restored store has lost counts 5 s longer. The registry marks searchers of an evacuated data centre; nothing is decided by that yet.

Tests: parts_test plays the list, events, and the store that lost one.

--- a/src/core/feed_timing.h
+++ b/src/core/feed_timing.h
@@ -17,18 +17,20 @@
 #define FEED_WATCH_SLACK_MS 700
 
 typedef struct feed_timing_t {
-	uint32_t watch_ms;	  /**< that a watch waits for a change */
-	uint32_t feeder_watch_ms; /**< the same, on VMs that feed others */
-	uint64_t age_most_us;	  /**< a feed whose news is older is left */
-	uint64_t look_least_us;	  /**< from one look at the store to the next, while the feeder */
-	uint64_t look_most_us;	  /**< can't hear it */
+	uint32_t watch_ms;	      /**< that a watch waits for a change */
+	uint32_t feeder_watch_ms;     /**< the same, on VMs that feed others */
+	uint32_t evacuation_watch_ms; /**< the same, for evacuations */
+	uint64_t age_most_us;	      /**< a feed whose news is older is left */
+	uint64_t look_least_us; /**< from one look at the store to the next, while the feeder */
+	uint64_t look_most_us;	/**< can't hear it */
 } feed_timing_t;
 
 /**
  * @param apply_ms within which a change must be in force
  * @param settle_ms after which a VM whose connections were harmed must keep to that again
+ * @param evacuate_ms within which an evacuation must be in force; 0: there are none
  */
-feed_timing_t feed_timing_for(uint32_t apply_ms, uint32_t settle_ms);
+feed_timing_t feed_timing_for(uint32_t apply_ms, uint32_t settle_ms, uint32_t evacuate_ms);
 
 /** What a fed VM does after its feeder's news. */
 typedef enum feed_verdict_t {
--- a/src/core/registry.c
+++ b/src/core/registry.c
@@ -27,14 +27,16 @@
 	retry_bound_t bound;
 	const registry_ops_t *ops;
 	void *ctx;
-	GHashTable *by_id;   /* id to searcher_t */
-	GHashTable *starts;  /* id to start_t; those that are gone, too */
-	GHashTable *pools;   /* service to pool_t */
-	GHashTable *listed;  /* ids seen in the list being taken in; NULL between lists */
-	GHashTable *lapsing; /* id to nothing: missing, and perhaps registering again */
+	GHashTable *by_id;     /* id to searcher_t */
+	GHashTable *starts;    /* id to start_t; those that are gone, too */
+	GHashTable *pools;     /* service to pool_t */
+	GHashTable *listed;    /* ids seen in the list being taken in; NULL between lists */
+	GHashTable *lapsing;   /* id to nothing: missing, and perhaps registering again */
+	GHashTable *evacuated; /* data centres that are */
 	uint64_t lapse_end_us;
 	bool store_away;
 	bool known;
+	bool awaits_evacuations;
 };
 
 static void pool_free(void *data)
@@ -61,6 +63,7 @@
 	registry->starts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	registry->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pool_free);
 	registry->lapsing = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	registry->evacuated = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return registry;
 }
 
@@ -72,6 +75,7 @@
 	g_hash_table_unref(registry->by_id);
 	g_hash_table_unref(registry->starts);
 	g_hash_table_unref(registry->lapsing);
+	g_hash_table_unref(registry->evacuated);
 	if (registry->listed)
 		g_hash_table_unref(registry->listed);
 	g_free(registry);
@@ -159,6 +163,7 @@
 	searcher_t *searcher =
 		searcher_new(entry, distance_of(registry, entry->data_centre), region, now_us);
 
+	searcher->evacuated = g_hash_table_contains(registry->evacuated, entry->data_centre);
 	if (start_of(registry, entry->id)->draining)
 		searcher->state = SEARCHER_DRAINING;
 	g_hash_table_insert(registry->by_id, searcher->id, searcher);
@@ -247,6 +252,37 @@
 	registry->ops->changed(registry->ctx, searcher);
 }
 
+/* Whatever follows from a change may change the registry, too: not while it is gone through. */
+static GPtrArray *searchers_in(registry_t *registry, const char *data_centre)
+{
+	GPtrArray *found = g_ptr_array_new_with_free_func((GDestroyNotify)searcher_unref);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, registry->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		searcher_t *searcher = value;
+
+		if (g_str_equal(searcher->data_centre, data_centre))
+			g_ptr_array_add(found, searcher_ref(searcher));
+	}
+	return found;
+}
+
+void registry_set_evacuated(registry_t *registry, const char *data_centre, bool evacuated)
+{
+	g_autoptr(GPtrArray) searchers = searchers_in(registry, data_centre);
+
+	if (evacuated)
+		g_hash_table_add(registry->evacuated, g_strdup(data_centre));
+	else
+		g_hash_table_remove(registry->evacuated, data_centre);
+	for (guint i = 0; i < searchers->len; i++)
+		((searcher_t *)g_ptr_array_index(searchers, i))->evacuated = evacuated;
+	for (guint i = 0; i < searchers->len; i++)
+		registry->ops->changed(registry->ctx, g_ptr_array_index(searchers, i));
+}
+
 void registry_list_begin(registry_t *registry)
 {
 	if (registry->listed)
@@ -313,7 +349,12 @@
 
 bool registry_is_known(const registry_t *registry)
 {
-	return registry->known;
+	return registry->known && !registry->awaits_evacuations;
+}
+
+void registry_await_evacuations(registry_t *registry, bool awaited)
+{
+	registry->awaits_evacuations = awaited;
 }
 
 searcher_t *registry_find(const registry_t *registry, const char *id)
--- a/src/core/registry.h
+++ b/src/core/registry.h
@@ -64,6 +64,8 @@
  * uses up the retry budget of the service that has the address now.
  */
 void registry_note_replaced(registry_t *registry, searcher_t *searcher);
+/** Send nothing new to the searchers of @p data_centre, those to come too; or do so again. */
+void registry_set_evacuated(registry_t *registry, const char *data_centre, bool evacuated);
 /** The store did not answer; removals soon after its return may be lapses. */
 void registry_store_lost(registry_t *registry);
 void registry_store_back(registry_t *registry, uint64_t now_us);
@@ -71,8 +73,10 @@
 bool registry_is_store_away(const registry_t *registry);
 /** Carry out removals whose time has come; returns when to call again, or UINT64_MAX. */
 uint64_t registry_run(registry_t *registry, uint64_t now_us);
-/** Whether a whole list was taken in since the start. */
+/** Whether a whole list was taken in since the start, and nothing else is awaited. */
 bool registry_is_known(const registry_t *registry);
+/** Nothing is to be sent before the evacuations are known, either, or they are now. */
+void registry_await_evacuations(registry_t *registry, bool awaited);
 
 /** The pool of @p service; made when first asked for. */
 pool_t *registry_pool(registry_t *registry, const char *service);
--- a/src/core/searcher.h
+++ b/src/core/searcher.h
@@ -50,6 +50,7 @@
 	char *region; /**< of the data centre; NULL: not known */
 	uint32_t slots;
 	searcher_state_t state;
+	bool evacuated; /**< its data centre is: nothing new until that is taken back */
 	distance_t distance;
 	uint64_t cold_until_us;
 
--- a/src/queries/front_metrics.c
+++ b/src/queries/front_metrics.c
@@ -152,6 +152,8 @@
 
 	put(out, "configuration_version", NULL, NULL, routing ? routing->version : 0);
 	put(out, "configurations_ignored_total", NULL, NULL, sources->configurations_ignored);
+	put(out, "evacuations", NULL, NULL, evacuations_count(sources->evacuations));
+	put(out, "evacuations_ignored_total", NULL, NULL, sources->evacuations_ignored);
 	put(out, "regions_unknown", NULL, NULL, sources->regions_strange);
 	put(out, "searchers", NULL, NULL,
 	    g_hash_table_size(registry_searchers((registry_t *)sources->registry)));
--- a/src/tasks/follower.c
+++ b/src/tasks/follower.c
@@ -11,9 +11,9 @@
  * a priced call, so after one with changes the next waits; what happens meanwhile comes with it. A
  * change is then known within a second. */
 #define GROUP_US 800000
-/* Of the configuration, which changes seldom: VMs that watch it should know it at the same time, or
- * callers are answered by the new and the old version by turns. */
-#define CONFIGURATION_GROUP_US 100000
+/* Of what operators write, which changes seldom: VMs that watch the configuration should know it at
+ * the same time, or callers are answered by the new and the old version by turns. */
+#define OPERATOR_GROUP_US 100000
 /* A slow store was seen to take 0.4 s for an answer (a hundred times its usual 4 ms). */
 #define LIST_TIMEOUT_US 1500000
 /* Between tries; random, so that VMs do not all come back in one moment. At the most, the news that
@@ -137,7 +137,10 @@
 
 static uint64_t group_us(const follower_t *follower)
 {
-	return follower->kind == STORE_CONFIGURATION ? CONFIGURATION_GROUP_US : GROUP_US;
+	bool by_operator =
+		follower->kind == STORE_CONFIGURATION || follower->kind == STORE_EVACUATIONS;
+
+	return by_operator ? OPERATOR_GROUP_US : GROUP_US;
 }
 
 /* After a failure, a random time that doubles up to a bound; else at once, or when the group is
--- a/src/tasks/front_task.c
+++ b/src/tasks/front_task.c
@@ -4,6 +4,7 @@
  */
 #include "tasks/front_task.h"
 
+#include "core/evacuation.h"
 #include "core/retry_after.h"
 #include "core/sharing.h"
 #include "headers.h"
@@ -37,6 +38,7 @@
 	http_server_t *callers;
 	forwarder_t *forwarder;
 	registry_t *registry;
+	evacuations_t *evacuations;
 	link_task_t *links;
 	gather_task_t *gathers; /* handed over to other VMs */
 	hop_server_t *hops;	/* handed over by other VMs */
@@ -45,6 +47,7 @@
 	platform_task_t *platform;
 	loop_timer_t forwarder_timer;
 	loop_timer_t registry_timer;
+	loop_timer_t evacuations_timer;
 	loop_timer_t shares_timer;
 	sharing_t sharing;  /* with whom, as the VMs and the configuration last were */
 	bool fleet_changed; /* it has to be worked out anew */
@@ -58,6 +61,7 @@
 	uint64_t entries_ignored;
 	uint64_t configurations_ignored;
 	uint32_t regions_strange; /* that routes in force are bound to, and no data centre is in */
+	uint64_t evacuations_ignored; /* reads of some that name no data centre */
 	bool leaving;
 	bool refusing;
 };
@@ -93,6 +97,16 @@
 		loop_timer_set(task->loop, &task->registry_timer, next_us - now_us);
 }
 
+static void run_evacuations(void *ctx)
+{
+	front_task_t *task = ctx;
+	uint64_t now_us = loop_now_us();
+	uint64_t next_us = evacuations_run(task->evacuations, now_us);
+
+	if (next_us != UINT64_MAX)
+		loop_timer_set(task->loop, &task->evacuations_timer, next_us - now_us);
+}
+
 /* ---- connections to searchers ---- */
 
 static void set_pool_shares(front_task_t *task, pool_t *pool, const sharing_t *sharing)
@@ -150,9 +164,10 @@
 {
 	front_task_t *task = ctx;
 
-	g_message("event=searcher-%s searcher=%s service=%s address=%s:%u data_centre=%s",
+	g_message("event=searcher-%s searcher=%s service=%s address=%s:%u data_centre=%s "
+		  "evacuated=%d",
 		  searcher_state_name(searcher->state), searcher->id, searcher->service,
-		  searcher->address, searcher->port, searcher->data_centre);
+		  searcher->address, searcher->port, searcher->data_centre, searcher->evacuated);
 	shares_due(task);
 	if (searcher->state == SEARCHER_ENDED)
 		forwarder_searcher_ended(task->forwarder, searcher, loop_now_us());
@@ -588,6 +603,36 @@
 	fleet_changed(task);
 }
 
+/* ---- evacuations ---- */
+
+static void on_evacuation_changed(void *ctx, const char *data_centre, bool evacuated)
+{
+	front_task_t *task = ctx;
+
+	g_message("event=evacuation data_centre=%s outcome=%s", data_centre,
+		  evacuated ? "in-force" : "taken-back");
+	registry_set_evacuated(task->registry, data_centre, evacuated);
+}
+
+/* One that names no data centre is a slip of its operator's: its searchers go on being used. */
+static void take_evacuation(front_task_t *task, const store_object_t *object)
+{
+	if (object->removed) {
+		evacuations_remove(task->evacuations, object->name);
+	} else if (g_hash_table_contains(task->regions, object->name)) {
+		evacuations_put(task->evacuations, object->name);
+	} else {
+		g_autofree char *escaped = g_strescape(object->name, NULL);
+
+		task->evacuations_ignored++;
+		g_warning("event=evacuation data_centre=\"%s\" outcome=ignored "
+			  "reason=no-such-data-centre",
+			  escaped);
+	}
+}
+
+/* ---- the configuration ---- */
+
 /* A version once in force is never followed by an older one. */
 static void take_configuration(front_task_t *task, const store_object_t *object)
 {
@@ -621,6 +666,8 @@
 		registry_list_begin(task->registry);
 	else if (kind == STORE_POISON)
 		poison_list_begin(forwarder_poison(task->forwarder));
+	else if (kind == STORE_EVACUATIONS)
+		evacuations_list_begin(task->evacuations);
 }
 
 static void on_object(void *ctx, store_kind_t kind, const store_object_t *object)
@@ -631,6 +678,8 @@
 		take_searcher(task, object);
 	else if (kind == STORE_CONFIGURATION)
 		take_configuration(task, object);
+	else if (kind == STORE_EVACUATIONS)
+		take_evacuation(task, object);
 	else
 		poison_task_take(task->poison, object, loop_now_us());
 	arm_forwarder(task);
@@ -640,12 +689,16 @@
 {
 	front_task_t *task = ctx;
 
-	if (kind == STORE_POISON)
+	if (kind == STORE_POISON) {
 		poison_list_end(forwarder_poison(task->forwarder));
-	if (kind != STORE_SEARCHERS)
-		return;
-	registry_list_end(task->registry, loop_now_us());
-	run_registry(task);
+	} else if (kind == STORE_EVACUATIONS) {
+		evacuations_list_end(task->evacuations, loop_now_us());
+		registry_await_evacuations(task->registry, false);
+		run_evacuations(task);
+	} else if (kind == STORE_SEARCHERS) {
+		registry_list_end(task->registry, loop_now_us());
+		run_registry(task);
+	}
 }
 
 static void on_members(void *ctx)
@@ -676,6 +729,8 @@
 					 .handovers = gather_task_handovers(task->gathers),
 					 .hops_open = hop_server_open(task->hops),
 					 .entries_ignored = task->entries_ignored,
+					 .evacuations = task->evacuations,
+					 .evacuations_ignored = task->evacuations_ignored,
 					 .configurations_ignored = task->configurations_ignored,
 					 .regions_strange = task->regions_strange};
 	g_autoptr(GString) text = front_metrics_write(&sources);
@@ -713,11 +768,14 @@
 static void start_registry(front_task_t *task, const settings_t *settings)
 {
 	static const registry_ops_t ops = {.changed = on_searcher_changed};
+	static const evacuations_ops_t evacuation_ops = {.changed = on_evacuation_changed};
 	const place_t place = {.data_centre = settings->data_centre, .regions = settings->regions};
 	const retry_bound_t bound = {.ratio = settings->retry_ratio,
 				     .window_us = (uint64_t)settings->retry_window_s * 1000000};
 
 	task->registry = registry_new(&place, &bound, &ops, task);
+	task->evacuations = evacuations_new(&evacuation_ops, task);
+	registry_await_evacuations(task->registry, settings->evacuate_ms > 0);
 }
 
 front_task_t *front_task_new(loop_t *loop, const settings_t *settings, platform_task_t *platform)
@@ -762,6 +820,7 @@
 	task->gathers = gather_task_new(loop, own_vm_new(settings), &gather_ops, task);
 	task->forwarder_timer = (loop_timer_t){.fire = run_forwarder, .ctx = task};
 	task->registry_timer = (loop_timer_t){.fire = run_registry, .ctx = task};
+	task->evacuations_timer = (loop_timer_t){.fire = run_evacuations, .ctx = task};
 	task->shares_timer = (loop_timer_t){.fire = set_shares, .ctx = task};
 	task->fleet_changed = true;
 	if (!listen_all(task, settings))
--- a/src/tasks/supply_task.c
+++ b/src/tasks/supply_task.c
@@ -31,8 +31,9 @@
 #define SIGHTINGS_GROUP_US 10000
 /* A VM in a data centre where much is slow sees some 30 odd answers a second; more is dropped. */
 #define SIGHTINGS_MOST_BYTES 4096
-/* The kinds that are watched and fed: searchers, configuration, requests that crash searchers. */
-#define FED_KINDS 3
+/* The kinds that are watched and fed: searchers, configuration, requests that crash searchers, and
+ * evacuations where there are any. */
+#define FED_KINDS_MOST 4
 /*
  * Nearly always there is nothing to hear of such requests, and each watch that ends is a priced
  * call. A store that can't be heard shows by the other kinds, which are watched more often; then
@@ -55,7 +56,8 @@
 	void *ctx;
 	GRand *rand;
 	member_task_t *members;
-	supply_kind_t kinds[FED_KINDS];
+	supply_kind_t kinds[FED_KINDS_MOST];
+	uint32_t kind_count;
 	feed_server_t *server;
 	feed_client_t *client; /* NULL without a feed */
 	char *feeder;	       /* name of the VM that feeds us; NULL without a feed */
@@ -139,7 +141,7 @@
 /* While the store is away it is tried for one kind; when that is read, for the others. */
 static void follow_rest(supply_task_t *task)
 {
-	for (uint32_t i = 0; i < FED_KINDS; i++) {
+	for (uint32_t i = 0; i < task->kind_count; i++) {
 		supply_kind_t *kind = &task->kinds[i];
 
 		if (kind->waits && task->following)
@@ -159,14 +161,17 @@
 /* Whether the kind tells how old what is known is. */
 static bool is_watched_often(store_kind_t kind)
 {
-	return kind != STORE_POISON;
+	return kind == STORE_SEARCHERS || kind == STORE_CONFIGURATION;
 }
 
 /* A watch that waits for long on a connection that went silent hears nothing of what came. */
-static void catch_up_on_poison(supply_task_t *task)
+static void catch_up_on_rest(supply_task_t *task)
 {
-	if (task->following)
-		follower_catch_up(task->kinds[STORE_POISON].follower);
+	if (!task->following)
+		return;
+	for (uint32_t i = 0; i < task->kind_count; i++)
+		if (!is_watched_often((store_kind_t)i))
+			follower_catch_up(task->kinds[i].follower);
 }
 
 static void on_lost(void *ctx)
@@ -184,7 +189,7 @@
 	if (!is_watched_often(kind->kind))
 		return;
 	note_away(kind->task, false);
-	catch_up_on_poison(kind->task);
+	catch_up_on_rest(kind->task);
 }
 
 /* ---- following the store, or a feed ---- */
@@ -197,9 +202,9 @@
 	if (task->following)
 		return;
 	task->following = true;
-	for (uint32_t i = 0; i < FED_KINDS; i++)
+	for (uint32_t i = 0; i < task->kind_count; i++)
 		task->kinds[i].waits = task->away && i != STORE_CONFIGURATION;
-	for (uint32_t i = 0; i < FED_KINDS; i++)
+	for (uint32_t i = 0; i < task->kind_count; i++)
 		if (!task->kinds[i].waits)
 			follower_refresh(task->kinds[i].follower, task->away);
 }
@@ -207,7 +212,7 @@
 static void stop_following(supply_task_t *task)
 {
 	task->following = false;
-	for (uint32_t i = 0; i < FED_KINDS; i++)
+	for (uint32_t i = 0; i < task->kind_count; i++)
 		follower_pause(task->kinds[i].follower);
 }
 
@@ -221,7 +226,7 @@
 	g_free(task->feeder);
 	task->feeder = NULL;
 	task->fed = false;
-	for (uint32_t i = 0; i < FED_KINDS; i++)
+	for (uint32_t i = 0; i < task->kind_count; i++)
 		task->kinds[i].fed = false;
 }
 
@@ -267,7 +272,7 @@
 
 static bool is_fed_whole(const supply_task_t *task)
 {
-	for (uint32_t i = 0; i < FED_KINDS; i++)
+	for (uint32_t i = 0; i < task->kind_count; i++)
 		if (!task->kinds[i].fed)
 			return false;
 	return true;
@@ -442,7 +447,7 @@
 static void on_feed_message(void *ctx, const feed_message_t *message)
 {
 	supply_task_t *task = ctx;
-	supply_kind_t *kind = message->kind < FED_KINDS ? &task->kinds[message->kind] : NULL;
+	supply_kind_t *kind = message->kind < task->kind_count ? &task->kinds[message->kind] : NULL;
 
 	if (message->type == FEED_NEWS) {
 		take_news(task, message);
@@ -534,10 +539,14 @@
 static void set_waits(supply_task_t *task, bool feeds_others)
 {
 	uint32_t often_ms = feeds_others ? task->timing.feeder_watch_ms : task->timing.watch_ms;
+	const uint32_t waits_ms[FED_KINDS_MOST] = {[STORE_SEARCHERS] = often_ms,
+						   [STORE_CONFIGURATION] = often_ms,
+						   [STORE_POISON] = POISON_WATCH_MS,
+						   [STORE_EVACUATIONS] =
+							   task->timing.evacuation_watch_ms};
 
-	for (uint32_t i = 0; i < FED_KINDS; i++)
-		follower_set_wait(task->kinds[i].follower,
-				  is_watched_often((store_kind_t)i) ? often_ms : POISON_WATCH_MS);
+	for (uint32_t i = 0; i < task->kind_count; i++)
+		follower_set_wait(task->kinds[i].follower, waits_ms[i]);
 }
 
 static void on_members(void *ctx)
@@ -591,7 +600,7 @@
 					   .lost = on_lost,
 					   .back = on_back};
 
-	for (uint32_t i = 0; i < FED_KINDS; i++) {
+	for (uint32_t i = 0; i < task->kind_count; i++) {
 		supply_kind_t *kind = &task->kinds[i];
 
 		*kind = (supply_kind_t){.task = task, .kind = (store_kind_t)i};
@@ -612,8 +621,10 @@
 	task->ops = ops;
 	task->ctx = ctx;
 	task->rand = g_rand_new();
+	task->kind_count = settings->evacuate_ms ? FED_KINDS_MOST : STORE_EVACUATIONS;
 	task->feeds = true; /* until it is known that the data centre is small */
-	task->server = feed_server_new(loop, feed->address, feed->port, FED_KINDS, on_heard, task);
+	task->server =
+		feed_server_new(loop, feed->address, feed->port, task->kind_count, on_heard, task);
 	if (!task->server)
 		return NULL;
 	task->news_timer = (loop_timer_t){.fire = send_news, .ctx = task};
@@ -624,7 +635,8 @@
 	task->stale_timer = (loop_timer_t){.fire = on_stale, .ctx = task};
 	task->look_timer = (loop_timer_t){.fire = look_at_store, .ctx = task};
 	task->platform = platform;
-	task->timing = feed_timing_for(settings->apply_ms, settings->settle_ms);
+	task->timing =
+		feed_timing_for(settings->apply_ms, settings->settle_ms, settings->evacuate_ms);
 	start_followers(task, platform);
 	set_waits(task, false);
 	task->members = member_task_new(loop, platform, own_vm_new(settings), &member_ops, task);
@@ -658,7 +670,7 @@
 
 	if (task->fed)
 		return now_us - task->fed_heard_us;
-	for (uint32_t i = 0; i < FED_KINDS; i++)
+	for (uint32_t i = 0; i < task->kind_count; i++)
 		if (is_watched_often((store_kind_t)i))
 			oldest_us = MIN(oldest_us, follower_heard_us(task->kinds[i].follower));
 	return now_us - oldest_us;
--- a/tests/forward_test.c
+++ b/tests/forward_test.c
@@ -9,6 +9,7 @@
  *     routing VERSION             put the routes so far in force
  *     searcher ID SERVICE local|far [slots [born_ms]]
  *     drain ID, gone ID [born_ms] the store says so
+ *     evacuate DATA_CENTRE, reopen DATA_CENTRE   its operator says so
  *     unreadable ID               its entry in the store can't be read any more
  *     lost, back                  the store stops answering, or answers again
  *     list ID...                  the store's whole list
@@ -137,10 +138,11 @@
 {
 	play_t *play = ctx;
 
-	say(play, "searcher %s %s", searcher->id, searcher_state_name(searcher->state));
+	say(play, "searcher %s %s%s", searcher->id, searcher_state_name(searcher->state),
+	    searcher->evacuated ? " evacuated" : "");
 	if (play->forwarder && searcher->state == SEARCHER_ENDED)
 		forwarder_searcher_ended(play->forwarder, searcher, play->now_us);
-	if (play->forwarder && searcher->state != SEARCHER_READY)
+	if (play->forwarder && !searcher_is_usable(searcher))
 		forwarder_room(play->forwarder, searcher->service, play->now_us);
 }
 
@@ -307,6 +309,12 @@
 	registry_run(play->registry, play->now_us);
 }
 
+static void do_evacuate(void *ctx, char **words)
+{
+	play_t *play = ctx;
+	registry_set_evacuated(play->registry, words[1], g_str_equal(words[0], "evacuate"));
+}
+
 static void do_unreadable(void *ctx, char **words)
 {
 	play_t *play = ctx;
@@ -569,6 +577,8 @@
 	{"searcher", do_searcher},
 	{"drain", do_drain},
 	{"gone", do_gone},
+	{"evacuate", do_evacuate},
+	{"reopen", do_evacuate},
 	{"list", do_list},
 	{"unreadable", do_unreadable},
 	{"lost", do_lost},
--- a/tests/parts_test.c
+++ b/tests/parts_test.c
@@ -11,6 +11,7 @@
 #include "core/feed_book.h"
 #include "core/feed_choice.h"
 #include "core/feed_message.h"
+#include "core/evacuation.h"
 #include "core/feed_timing.h"
 #include "core/fingerprint.h"
 #include "core/follow.h"
@@ -249,6 +250,55 @@
 	g_rand_free(rand);
 }
 
+/* ---- evacuations ---- */
+
+static void on_evacuation(void *ctx, const char *data_centre, bool evacuated)
+{
+	g_string_append_printf(ctx, "%s%s ", evacuated ? "+" : "-", data_centre);
+}
+
+static void list_evacuations(evacuations_t *evacuations, const char *data_centre, uint64_t now_us)
+{
+	evacuations_list_begin(evacuations);
+	if (data_centre)
+		evacuations_put(evacuations, data_centre);
+	evacuations_list_end(evacuations, now_us);
+}
+
+/*
+ * Work goes on reaching a data centre that is being emptied: the store came back from a copy that
+ * does not hold the evacuation, and the list says that there is none. Its operator writes it again
+ * some seconds later. So one that is missing then counts for as long; one that is taken back by its
+ * operator does not.
+ */
+static void test_evacuations(void **state)
+{
+	static const evacuations_ops_t ops = {.changed = on_evacuation};
+	g_autoptr(GString) seen = g_string_new(NULL);
+	evacuations_t *evacuations = evacuations_new(&ops, seen);
+
+	(void)state;
+	list_evacuations(evacuations, "a", SECOND_US);
+	evacuations_put(evacuations, "b");
+	evacuations_put(evacuations, "b");
+	list_evacuations(evacuations, "b", 2 * SECOND_US);
+	assert_string_equal(seen->str, "+a +b -a ");
+	evacuations_store_restored(evacuations, 3 * SECOND_US);
+	list_evacuations(evacuations, NULL, 3 * SECOND_US);
+	assert_int_equal(evacuations_count(evacuations), 1);
+	assert_int_equal(evacuations_run(evacuations, 7 * SECOND_US), 8 * SECOND_US);
+	evacuations_put(evacuations, "b");
+	assert_int_equal(evacuations_run(evacuations, 8 * SECOND_US), UINT64_MAX);
+	assert_int_equal(evacuations_count(evacuations), 1);
+	evacuations_store_restored(evacuations, 9 * SECOND_US);
+	evacuations_remove(evacuations, "b");
+	evacuations_put(evacuations, "c");
+	list_evacuations(evacuations, NULL, 10 * SECOND_US);
+	assert_int_equal(evacuations_run(evacuations, 14 * SECOND_US), UINT64_MAX);
+	assert_string_equal(seen->str, "+a +b -a -b +c -c ");
+	evacuations_free(evacuations);
+}
+
 /* ---- feeds ---- */
 
 static GPtrArray *vms_new(int count)
@@ -328,7 +378,7 @@
  */
 static void test_feed_judged(void **state)
 {
-	const feed_timing_t timing = feed_timing_for(6000, 8000);
+	const feed_timing_t timing = feed_timing_for(6000, 8000, 0);
 
 	(void)state;
 	assert_int_equal(feed_judge(&timing, true, false, 100000), FEED_KEEP);
@@ -338,7 +388,7 @@
 	assert_int_equal(feed_judge(&timing, false, true, 100000), FEED_LEAVE);
 	assert_int_equal(feed_judge(&timing, false, false, 100000), FEED_KEEP);
 	for (uint32_t apply_ms = 1000; apply_ms <= 60000; apply_ms += 500) {
-		const feed_timing_t any = feed_timing_for(apply_ms, 8000);
+		const feed_timing_t any = feed_timing_for(apply_ms, 8000, 0);
 
 		assert_true(any.look_most_us <= apply_ms * 1000ull);
 		assert_true(any.look_least_us < any.look_most_us);
@@ -460,7 +510,7 @@
 	(void)state;
 	for (uint32_t apply_ms = 2500; apply_ms <= 20000; apply_ms += 500) {
 		for (uint32_t settle_ms = 2000; settle_ms <= 20000; settle_ms += 500) {
-			feed_timing_t timing = feed_timing_for(apply_ms, settle_ms);
+			feed_timing_t timing = feed_timing_for(apply_ms, settle_ms, 0);
 			uint32_t sound_ms =
 				timing.feeder_watch_ms + grouped_ms + news_ms + answer_ms;
 
@@ -543,6 +593,7 @@
 		cmocka_unit_test(test_shares_of_many),
 		cmocka_unit_test(test_shares_of_few),
 		cmocka_unit_test(test_placement),
+		cmocka_unit_test(test_evacuations),
 		cmocka_unit_test(test_feed_choice),
 		cmocka_unit_test(test_feed_sizes),
 		cmocka_unit_test(test_feed_judged),
