Nothing new goes to searchers of an evacuated data centre, until it is taken back

A searcher there is not usable, so no way leads to it: first sends, hedges, retries, a suspect's single try, those that wait for room, warm connections. Parts that wait for nobody else are lost at once, and a request that can't do without them is refused as not run. Its VMs go on taking and gathering; idle connections stay, for when it is taken back.

What got worse: one watch more on deployments with evacuations.

--- a/src/core/searcher.c
+++ b/src/core/searcher.c
@@ -70,7 +70,7 @@
 
 bool searcher_is_usable(const searcher_t *searcher)
 {
-	return searcher->state == SEARCHER_READY;
+	return searcher->state == SEARCHER_READY && !searcher->evacuated;
 }
 
 bool searcher_has_room(const searcher_t *searcher)
