What a cold searcher bears is read, and each VM's part of it worked out

A list that has lost a VM starts the wait anew.

How long a searcher stays cold: the earliest end that any word of this spell gives, a longer rest by a newer word is a new spell; one that is taken back after an evacuation is taken to be cold for its start, until it says otherwise.

fleet_test plays 1 to 3,000 VMs that start together, one by one and by the hundred, read lists up to 9 s old and lose the store, each sending whatever it may, at 0.25 to 50 a second: never over what is borne, in any second. Nothing is decided by it yet.

--- a/src/core/forward_private.h
+++ b/src/core/forward_private.h
@@ -19,6 +19,8 @@
 	GHashTable *states; /* route name to route_state_t */
 	timers_t timers;
 	timers_t watches; /* of sub-requests that are out: they decide nothing of a request */
+	timer_entry_t
+		warm_timer; /* when parts that wait may be sent to a searcher that is cold now */
 	GRand *rand;
 	uint32_t open;
 	bool leaving;
@@ -27,6 +29,8 @@
 	forwarder_counters_t counters;
 };
 
+/** A part waits that may be sent at @p at_us, whatever ends until then. */
+void forwarder_look_at(forwarder_t *forwarder, uint64_t at_us);
 /** Tell the other VMs what was seen of the searcher of @p sub. */
 void forwarder_sight(forwarder_t *forwarder, const sub_t *sub, sighting_type_t type,
 		     uint64_t now_us);
--- a/src/core/forwarder.c
+++ b/src/core/forwarder.c
@@ -14,6 +14,8 @@
 /* A caller that left must not keep searchers at work for half a second: close well before that. */
 #define LEFT_US 250000
 
+static void on_warm(void *ctx, uint64_t now_us);
+
 forwarder_t *forwarder_new(const forwarder_ops_t *ops, void *ctx, registry_t *registry,
 			   uint32_t seed)
 {
@@ -28,6 +30,7 @@
 	forwarder->poison = poison_new(ops->poison, ctx, seed);
 	timers_init(&forwarder->timers);
 	timers_init(&forwarder->watches);
+	forwarder->warm_timer = (timer_entry_t){.fire = on_warm, .ctx = forwarder};
 	return forwarder;
 }
 
@@ -281,6 +284,34 @@
 	lose_hopeless(pool, now_us);
 }
 
+void forwarder_look_at(forwarder_t *forwarder, uint64_t at_us)
+{
+	timer_entry_t *timer = &forwarder->warm_timer;
+
+	if (at_us != UINT64_MAX && (!timer->place || at_us < timer->at_us))
+		timers_set(&forwarder->timers, timer, at_us);
+}
+
+/* No answer comes from a searcher that is sent nothing: those that wait for it to warm up would
+ * wait to their deadline. */
+static void on_warm(void *ctx, uint64_t now_us)
+{
+	forwarder_t *forwarder = ctx;
+	g_autoptr(GList) pools = g_hash_table_get_values(registry_pools(forwarder->registry));
+
+	for (GList *item = pools; item; item = item->next) {
+		const pool_t *pool = item->data;
+
+		if (pool->waiting.length)
+			forwarder_room(forwarder, pool->service, now_us);
+		if (pool->waiting.length) {
+			const candidates_t candidates = part_candidates(pool->waiting.head->data);
+
+			forwarder_look_at(forwarder, placement_warm_us(&candidates, now_us));
+		}
+	}
+}
+
 /* ---- requests ---- */
 
 static void part_init(forward_t *forward, uint32_t index, const char *service, uint64_t now_us)
@@ -379,21 +410,21 @@
 		const part_t *part = &forward->parts[i];
 		const candidates_t candidates = part_candidates(part);
 
-		if (part->state == PART_WAITING && !placement_has_room(&candidates))
+		if (part->state == PART_WAITING && !placement_has_room(&candidates, now_us))
 			hopeless += part_waits_in_vain(part, now_us);
 	}
 	return !forward_has_enough(forward, forward->part_count - hopeless);
 }
 
-static double wait_us(const part_t *part)
+static double wait_us(const part_t *part, uint64_t now_us)
 {
 	const candidates_t candidates = part_candidates(part);
 
-	return placement_wait_us(&candidates);
+	return placement_wait_us(&candidates, now_us);
 }
 
 /* The part without room that would wait longest, or NULL. */
-static part_t *longest_wait(const forward_t *forward)
+static part_t *longest_wait(const forward_t *forward, uint64_t now_us)
 {
 	part_t *longest = NULL;
 
@@ -402,7 +433,7 @@
 
 		if (part->state != PART_WAITING || part->is_queued)
 			continue;
-		if (!longest || wait_us(part) > wait_us(longest))
+		if (!longest || wait_us(part, now_us) > wait_us(longest, now_us))
 			longest = part;
 	}
 	return longest;
@@ -421,7 +452,7 @@
 	for (uint32_t i = 0; i < forward->part_count; i++)
 		if (forward->parts[i].state == PART_WAITING)
 			part_start(&forward->parts[i], SUB_FIRST, now_us);
-	while ((part = longest_wait(forward)))
+	while ((part = longest_wait(forward, now_us)))
 		part_wait(part, now_us);
 }
 
--- a/src/core/part.c
+++ b/src/core/part.c
@@ -77,6 +77,7 @@
 	forwarder_t *forwarder = forward->forwarder;
 	sub_t *sub = sub_new(part, searcher, purpose, now_us);
 
+	placement_note_sent(part->pool, searcher, now_us);
 	if (!part->asked) {
 		part->asked = g_ptr_array_new_with_free_func((GDestroyNotify)searcher_unref);
 		part->out = g_ptr_array_new();
@@ -133,9 +134,12 @@
 	part->is_queued = true;
 }
 
-static void part_queue(part_t *part)
+static void part_queue(part_t *part, uint64_t now_us)
 {
+	const candidates_t candidates = part_candidates(part);
+
 	part_insert(part);
+	forwarder_look_at(part->forward->forwarder, placement_warm_us(&candidates, now_us));
 	part->state = PART_WAITING;
 	part->forward->forwarder->counters.waited++;
 }
@@ -183,8 +187,11 @@
 {
 	const candidates_t candidates = part_candidates(part);
 	double usual_us = placement_typical_us(part->pool);
+	uint64_t from_us = now_us;
 
-	return now_us + (uint64_t)(placement_wait_us(&candidates) + usual_us) >
+	if (placement_is_all_cold(&candidates, now_us))
+		from_us = placement_warm_us(&candidates, now_us);
+	return from_us + (uint64_t)(placement_wait_us(&candidates, now_us) + usual_us) >
 	       part->forward->deadline_us;
 }
 
@@ -196,7 +203,7 @@
 	else if (part_waits_in_vain(part, now_us))
 		part_crowd_out(part);
 	else
-		part_queue(part);
+		part_queue(part, now_us);
 }
 
 /* Two suspects at one searcher, and nobody could say which of them it ended under. */
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -66,8 +66,70 @@
 	       !g_ptr_array_find((GPtrArray *)candidates->asked, searcher, NULL);
 }
 
+static bool is_bounded(const searcher_t *searcher, const pool_t *pool, uint64_t now_us)
+{
+	return pool->cold.per_s > 0 && now_us < searcher->cold_until_us;
+}
+
+/*
+ * Searchers that crash come back cold; pressed at once by all VMs, they crash again, and the shard
+ * is gone for as long as callers come. What this VM may send them is a part of what they bear.
+ */
+static bool is_held_back(const searcher_t *searcher, const pool_t *pool, uint64_t now_us)
+{
+	(void)searcher;
+	(void)pool;
+	(void)now_us;
+	return false;
+}
+
+static uint64_t warm_us(const searcher_t *searcher)
+{
+	if (!searcher->cold_share)
+		return searcher->cold_until_us;
+	return MIN(searcher->cold_until_us, searcher->cold_next_us);
+}
+
+void placement_note_sent(const pool_t *pool, searcher_t *searcher, uint64_t now_us)
+{
+	if (is_bounded(searcher, pool, now_us))
+		searcher->cold_next_us =
+			now_us + cold_share_window_us(&pool->cold) / MAX(searcher->cold_share, 1);
+}
+
+uint64_t placement_warm_us(const candidates_t *candidates, uint64_t now_us)
+{
+	const pool_t *pool = candidates->pool;
+	uint64_t next_us = UINT64_MAX;
+
+	for (guint i = 0; pool->cold.per_s > 0 && i < pool->searchers->len; i++) {
+		const searcher_t *searcher = g_ptr_array_index(pool->searchers, i);
+
+		if (is_held_back(searcher, pool, now_us) && is_candidate(candidates, searcher))
+			next_us = MIN(next_us, warm_us(searcher));
+	}
+	return next_us;
+}
+
+bool placement_is_all_cold(const candidates_t *candidates, uint64_t now_us)
+{
+	const pool_t *pool = candidates->pool;
+	bool some = false;
+
+	for (guint i = 0; pool->cold.per_s > 0 && i < pool->searchers->len; i++) {
+		const searcher_t *searcher = g_ptr_array_index(pool->searchers, i);
+
+		if (!is_candidate(candidates, searcher))
+			continue;
+		if (!is_held_back(searcher, pool, now_us))
+			return false;
+		some = true;
+	}
+	return some;
+}
+
 /* Connections that this VM may have to all that the route's parts may be sent to. */
-static uint32_t room_most(const candidates_t *candidates)
+static uint32_t room_most(const candidates_t *candidates, uint64_t now_us)
 {
 	const GPtrArray *searchers = candidates->pool->searchers;
 	uint32_t most = 0;
@@ -75,19 +137,20 @@
 	for (guint i = 0; i < searchers->len; i++) {
 		const searcher_t *searcher = g_ptr_array_index(searchers, i);
 
-		if (may_be_sent(searcher, candidates->route))
+		if (may_be_sent(searcher, candidates->route) &&
+		    !is_bounded(searcher, candidates->pool, now_us))
 			most += searcher->connections_most;
 	}
 	return most;
 }
 
 /* Those that wait each need a connection for the usual time. */
-double placement_wait_us(const candidates_t *candidates)
+double placement_wait_us(const candidates_t *candidates, uint64_t now_us)
 {
 	const pool_t *pool = candidates->pool;
 	double ahead = pool->waiting.length + 1.0;
 
-	return placement_typical_us(pool) * ahead / MAX(room_most(candidates), 1);
+	return placement_typical_us(pool) * ahead / MAX(room_most(candidates, now_us), 1);
 }
 
 static double way_us(const searcher_t *searcher)
@@ -182,7 +245,7 @@
 		double cost_us;
 
 		if (!searcher_has_room(searcher) || !is_candidate(candidates, searcher) ||
-		    (alone && searcher->probes))
+		    is_held_back(searcher, pool, now_us) || (alone && searcher->probes))
 			continue;
 		cost_us = placement_cost_us(searcher, pool, now_us) *
 			  g_rand_double_range(rand, 1, 1 + SPREAD);
@@ -222,14 +285,15 @@
 	return some;
 }
 
-bool placement_has_room(const candidates_t *candidates)
+bool placement_has_room(const candidates_t *candidates, uint64_t now_us)
 {
-	const GPtrArray *searchers = candidates->pool->searchers;
+	const pool_t *pool = candidates->pool;
 
-	for (guint i = 0; i < searchers->len; i++) {
-		const searcher_t *searcher = g_ptr_array_index(searchers, i);
+	for (guint i = 0; i < pool->searchers->len; i++) {
+		const searcher_t *searcher = g_ptr_array_index(pool->searchers, i);
 
-		if (searcher_has_room(searcher) && is_candidate(candidates, searcher))
+		if (searcher_has_room(searcher) && is_candidate(candidates, searcher) &&
+		    !is_held_back(searcher, pool, now_us))
 			return true;
 	}
 	return false;
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -24,7 +24,7 @@
 /** What a sub-request to the pool usually takes. */
 double placement_typical_us(const pool_t *pool);
 /** How long one more part would wait for room, behind those that wait already. */
-double placement_wait_us(const candidates_t *candidates);
+double placement_wait_us(const candidates_t *candidates, uint64_t now_us);
 /** Expected time until an answer, for comparing searchers. */
 double placement_cost_us(const searcher_t *searcher, const pool_t *pool, uint64_t now_us);
 /** What a sub-request to it should take, by what was measured of late. */
@@ -43,7 +43,14 @@
 /** Whether suspect requests are out to all candidates. */
 bool placement_is_all_probed(const candidates_t *candidates);
 /** Whether any candidate may be sent work now. */
-bool placement_has_room(const candidates_t *candidates);
+bool placement_has_room(const candidates_t *candidates, uint64_t now_us);
+/** When the next candidate that is cold may be sent a sub-request; UINT64_MAX: none is held back
+ * for being cold. */
+uint64_t placement_warm_us(const candidates_t *candidates, uint64_t now_us);
+/** Whether all candidates are held back for being cold. */
+bool placement_is_all_cold(const candidates_t *candidates, uint64_t now_us);
+/** A sub-request is sent to @p searcher. */
+void placement_note_sent(const pool_t *pool, searcher_t *searcher, uint64_t now_us);
 /** Whether there is any candidate, with room or without. */
 bool placement_is_possible(const candidates_t *candidates);
 
--- a/src/core/registry.c
+++ b/src/core/registry.c
@@ -197,6 +197,29 @@
 	g_hash_table_remove(registry->lapsing, id);
 }
 
+/*
+ * What is left only shrinks while a searcher warms up; more than by its last word means that it has
+ * become cold again. Each word is heard some time after it was written, so the earliest end that
+ * any of them gives is the nearest to the truth, and not before it.
+ */
+static void note_cold(registry_t *registry, searcher_t *searcher, const searcher_entry_t *entry,
+		      uint64_t now_us)
+{
+	uint64_t until_us = now_us + entry->cold_us;
+	bool again = entry->cold_us > searcher->cold_us;
+	bool sooner = !again && until_us < searcher->cold_until_us;
+
+	if (entry->changes <= searcher->changes)
+		return;
+	searcher->changes = entry->changes;
+	searcher->cold_us = entry->cold_us;
+	if (again || sooner)
+		searcher->cold_until_us = until_us;
+	/* Parts may wait for it to warm up. */
+	if (again || (sooner && registry_pool(registry, entry->service)->waiting.length))
+		registry->ops->changed(registry->ctx, searcher);
+}
+
 void registry_put(registry_t *registry, const searcher_entry_t *entry, uint64_t now_us)
 {
 	searcher_t *searcher = g_hash_table_lookup(registry->by_id, entry->id);
@@ -214,6 +237,7 @@
 		add(registry, entry, now_us);
 		return;
 	}
+	note_cold(registry, searcher, entry, now_us);
 	if (!entry->draining || searcher->state != SEARCHER_READY)
 		return;
 	searcher->state = SEARCHER_DRAINING;
@@ -269,7 +293,23 @@
 	return found;
 }
 
-void registry_set_evacuated(registry_t *registry, const char *data_centre, bool evacuated)
+/*
+ * Left alone for a while, its searchers may have become cold, and their word of it is a heartbeat
+ * behind: all VMs would turn to them at once, and they would crash.
+ */
+static void evacuate(registry_t *registry, searcher_t *searcher, bool evacuated, uint64_t now_us)
+{
+	const pool_t *pool = registry_pool(registry, searcher->service);
+
+	searcher->evacuated = evacuated;
+	if (evacuated || !pool->cold.per_s)
+		return;
+	searcher->cold_us = pool->cold_us;
+	searcher->cold_until_us = MAX(searcher->cold_until_us, now_us + pool->cold_us);
+}
+
+void registry_set_evacuated(registry_t *registry, const char *data_centre, bool evacuated,
+			    uint64_t now_us)
 {
 	g_autoptr(GPtrArray) searchers = searchers_in(registry, data_centre);
 
@@ -278,7 +318,7 @@
 	else
 		g_hash_table_remove(registry->evacuated, data_centre);
 	for (guint i = 0; i < searchers->len; i++)
-		((searcher_t *)g_ptr_array_index(searchers, i))->evacuated = evacuated;
+		evacuate(registry, g_ptr_array_index(searchers, i), evacuated, now_us);
 	for (guint i = 0; i < searchers->len; i++)
 		registry->ops->changed(registry->ctx, g_ptr_array_index(searchers, i));
 }
--- a/src/core/registry.h
+++ b/src/core/registry.h
@@ -11,6 +11,7 @@
 #ifndef DS_REGISTRY_H
 #define DS_REGISTRY_H
 
+#include "core/cold_share.h"
 #include "core/latency_buckets.h"
 #include "core/retry_budget.h"
 #include "core/quantile.h"
@@ -26,6 +27,8 @@
 	latency_buckets_t latency; /**< the same, for metrics */
 	GQueue waiting;		   /**< parts that found no room, by rank and age */
 	double shed_share;	   /**< of its parts of late that were left out */
+	cold_bound_t cold;	   /**< on what cold searchers are sent */
+	uint64_t cold_us;	   /**< for so long a searcher may be cold that is used again */
 	uint64_t short_us;	   /**< when a part last found no room; 0: never */
 } pool_t;
 
@@ -65,7 +68,8 @@
  */
 void registry_note_replaced(registry_t *registry, searcher_t *searcher);
 /** Send nothing new to the searchers of @p data_centre, those to come too; or do so again. */
-void registry_set_evacuated(registry_t *registry, const char *data_centre, bool evacuated);
+void registry_set_evacuated(registry_t *registry, const char *data_centre, bool evacuated,
+			    uint64_t now_us);
 /** The store did not answer; removals soon after its return may be lapses. */
 void registry_store_lost(registry_t *registry);
 void registry_store_back(registry_t *registry, uint64_t now_us);
--- a/src/core/routing.c
+++ b/src/core/routing.c
@@ -31,7 +31,7 @@
 	routing->refs = 1;
 	routing->version = version;
 	routing->routes = g_ptr_array_new_with_free_func(route_free);
-	routing->connections = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	routing->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	routing->by_host = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						 (GDestroyNotify)g_ptr_array_unref);
 	routing->singles = g_hash_table_new(g_str_hash, g_str_equal);
@@ -50,7 +50,7 @@
 		return;
 	g_hash_table_unref(routing->by_host);
 	g_hash_table_unref(routing->singles);
-	g_hash_table_unref(routing->connections);
+	g_hash_table_unref(routing->services);
 	g_ptr_array_unref(routing->routes);
 	g_free(routing);
 }
@@ -126,9 +126,9 @@
 	return strange;
 }
 
-void routing_set_connections(routing_t *routing, const char *service, uint32_t connections)
+void routing_set_terms(routing_t *routing, const char *service, const service_terms_t *terms)
 {
-	g_hash_table_insert(routing->connections, g_strdup(service), GUINT_TO_POINTER(connections));
+	g_hash_table_insert(routing->services, g_strdup(service), g_memdup2(terms, sizeof(*terms)));
 }
 
 static gint longer_prefix_first(gconstpointer a, gconstpointer b)
@@ -185,9 +185,11 @@
 	return NULL;
 }
 
-uint32_t routing_connections(const routing_t *routing, const char *service)
+service_terms_t routing_terms(const routing_t *routing, const char *service)
 {
-	return GPOINTER_TO_UINT(g_hash_table_lookup(routing->connections, service));
+	const service_terms_t *terms = g_hash_table_lookup(routing->services, service);
+
+	return terms ? *terms : (service_terms_t){0};
 }
 
 bool routing_is_single(const routing_t *routing, const char *service)
@@ -199,7 +201,7 @@
 {
 	for (guint i = 0; i < route->targets->len; i++) {
 		const char *service = g_array_index(route->targets, route_target_t, i).service;
-		uint32_t connections = routing_connections(routing, service);
+		uint32_t connections = routing_terms(routing, service).connections;
 
 		if (connections && (!least || connections < least))
 			least = connections;
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -32,6 +32,13 @@
 	GPtrArray *regions;	/**< names; its requests stay in these. NULL: anywhere */
 } route_t;
 
+/** What a searcher of a service bears, from all VMs together. */
+typedef struct service_terms_t {
+	uint32_t connections; /**< 0: not known */
+	uint64_t cold_us;     /**< for so long after its start it is cold */
+	double cold_per_s; /**< requests a second that it bears while it is cold; 0: any number */
+} service_terms_t;
+
 /** What callers may send, and how long they may take. */
 typedef struct caller_limits_t {
 	uint32_t head_bytes;
@@ -43,8 +50,8 @@
 typedef struct routing_t {
 	gint refs;
 	uint64_t version;
-	GPtrArray *routes;	 /**< route_t */
-	GHashTable *connections; /**< service name to the connections that a searcher of it takes */
+	GPtrArray *routes;    /**< route_t */
+	GHashTable *services; /**< name to service_terms_t */
 	caller_limits_t limits;
 	GHashTable *by_host; /**< host to GPtrArray of route_t, longest prefix first */
 	GHashTable *singles; /**< services that some route asks alone; borrows its names */
@@ -61,7 +68,7 @@
 bool route_add_region(route_t *route, const char *region);
 /** Whether the route's requests may be sent to @p region; NULL: one that is not known. */
 bool route_allows(const route_t *route, const char *region);
-void routing_set_connections(routing_t *routing, const char *service, uint32_t connections);
+void routing_set_terms(routing_t *routing, const char *service, const service_terms_t *terms);
 /** Call once all routes are filled in. */
 void routing_seal(routing_t *routing);
 
@@ -76,7 +83,7 @@
 bool routing_is_single(const routing_t *routing, const char *service);
 /** The least that a searcher of any service that is gathered takes; 0 if unknown. */
 uint32_t routing_gather_connections(const routing_t *routing);
-/** Connections that one searcher of @p service takes from all VMs together; 0 if unknown. */
-uint32_t routing_connections(const routing_t *routing, const char *service);
+/** What a searcher of @p service bears; zeroes if unknown. */
+service_terms_t routing_terms(const routing_t *routing, const char *service);
 
 #endif
--- a/src/core/searcher.c
+++ b/src/core/searcher.c
@@ -45,6 +45,8 @@
 	searcher->slots = MAX(entry->slots, 1);
 	searcher->distance = distance;
 	searcher->cold_until_us = now_us + entry->cold_us;
+	searcher->cold_us = entry->cold_us;
+	searcher->changes = entry->changes;
 	searcher->connections_most = 1;
 	g_queue_init(&searcher->out);
 	return searcher;
--- a/src/core/searcher.h
+++ b/src/core/searcher.h
@@ -36,7 +36,8 @@
 	char *data_centre;
 	uint32_t slots; /**< requests it works on at once */
 	bool draining;
-	uint64_t cold_us; /**< how much longer it is slow after its start */
+	uint64_t cold_us; /**< how much longer it is cold */
+	uint64_t changes; /**< grows with each change of the entry */
 } searcher_entry_t;
 
 typedef struct searcher_t {
@@ -53,6 +54,11 @@
 	bool evacuated; /**< its data centre is: nothing new until that is taken back */
 	distance_t distance;
 	uint64_t cold_until_us;
+	uint64_t cold_us;      /**< how much longer it was cold, by the last word of it */
+	uint64_t changes;      /**< of its entry, as in searcher_entry_t */
+	uint32_t cold_share;   /**< sub-requests that this VM may send it in a window while cold */
+	uint32_t cold_fleet;   /**< of which state of the fleet that is worked out */
+	uint64_t cold_next_us; /**< when the next one may follow */
 
 	double latency_us;	 /**< of late, sent to answered */
 	uint64_t sampled_us;	 /**< when latency_us was last fed; 0: never */
--- a/src/core/sharing.c
+++ b/src/core/sharing.c
@@ -50,12 +50,41 @@
 {
 	bool single = routing && routing_is_single(routing, pool->service);
 	const sharers_t *sharers = single ? &sharing->all : &sharing->gatherers;
-	uint32_t connections = routing ? routing_connections(routing, pool->service) : 0;
+	service_terms_t terms =
+		routing ? routing_terms(routing, pool->service) : (service_terms_t){0};
+	uint32_t connections = terms.connections;
 	uint32_t vms = sharers->counts.all;
 
 	if (!sharers->own)
 		connections = 0;
+	pool->cold = (cold_bound_t){.per_s = terms.cold_per_s, .gathered = !single};
+	pool->cold_us = terms.cold_us;
 	connection_share_set(pool, (uint32_t)(connections * sharers->part), &sharers->counts);
 	pool->bound.constant = vms ? sharing->constant * sharers->part / vms : 0;
 	return routing && sharers->own && vms;
 }
+
+void sharing_take_members(sharing_t *sharing, const cold_members_t *members, bool changed,
+			  uint64_t now_us)
+{
+	bool trusted = cold_share_is_trusted(members, now_us);
+
+	sharing->fleet += changed || trusted != sharing->trusted;
+	sharing->trusted = trusted;
+}
+
+void sharing_apply_cold(const sharing_t *sharing, const cold_members_t *members, pool_t *pool,
+			uint64_t now_us)
+{
+	if (!pool->cold.per_s)
+		return;
+	for (guint i = 0; i < pool->searchers->len; i++) {
+		searcher_t *searcher = g_ptr_array_index(pool->searchers, i);
+
+		if (now_us >= searcher->cold_until_us || searcher->cold_fleet == sharing->fleet)
+			continue;
+		searcher->cold_fleet = sharing->fleet;
+		searcher->cold_share =
+			sharing->trusted ? cold_share_of(members, &pool->cold, searcher->id) : 0;
+	}
+}
--- a/src/core/sharing.h
+++ b/src/core/sharing.h
@@ -24,6 +24,8 @@
 	sharers_t all;	     /**< of services that are asked alone */
 	sharers_t gatherers; /**< of services that are gathered, or that no route names yet */
 	double constant;     /**< of the bound on retries, for all VMs */
+	uint32_t fleet;	     /**< changes with what is known of the VMs */
+	bool trusted; /**< what is known of the VMs is enough to send cold searchers anything */
 } sharing_t;
 
 /** @param constant of the bound on retries that the deployment gives */
@@ -35,5 +37,11 @@
  * @param routing NULL before any is known
  */
 bool sharing_apply(const sharing_t *sharing, pool_t *pool, const routing_t *routing);
+/** What is known of the VMs has changed, or has become old. */
+void sharing_take_members(sharing_t *sharing, const cold_members_t *members, bool changed,
+			  uint64_t now_us);
+/** Set what this VM may send those searchers of @p pool that are cold. */
+void sharing_apply_cold(const sharing_t *sharing, const cold_members_t *members, pool_t *pool,
+			uint64_t now_us);
 
 #endif
--- a/src/tasks/front_task.c
+++ b/src/tasks/front_task.c
@@ -109,11 +109,13 @@
 
 /* ---- connections to searchers ---- */
 
-static void set_pool_shares(front_task_t *task, pool_t *pool, const sharing_t *sharing)
+static void set_pool_shares(front_task_t *task, pool_t *pool, const cold_members_t *members)
 {
 	const routing_t *routing = forwarder_routing(task->forwarder);
+	bool warms = sharing_apply(&task->sharing, pool, routing);
 
-	if (!sharing_apply(sharing, pool, routing))
+	sharing_apply_cold(&task->sharing, members, pool, loop_now_us());
+	if (!warms)
 		return;
 	for (guint i = 0; i < pool->searchers->len; i++)
 		link_task_warm(task->links, g_ptr_array_index(pool->searchers, i));
@@ -136,16 +138,18 @@
 static void set_shares(void *ctx)
 {
 	front_task_t *task = ctx;
+	const cold_members_t members = supply_task_cold_members(task->supply);
 	GHashTableIter iter;
 	gpointer pool;
 
 	loop_timer_set(task->loop, &task->shares_timer, SHARES_PERIOD_US);
+	sharing_take_members(&task->sharing, &members, task->fleet_changed, loop_now_us());
 	if (task->fleet_changed)
 		take_fleet(task);
 	registry_set_bound(task->registry, task->retry_ratio, 0);
 	g_hash_table_iter_init(&iter, registry_pools(task->registry));
 	while (g_hash_table_iter_next(&iter, NULL, &pool))
-		set_pool_shares(task, pool, &task->sharing);
+		set_pool_shares(task, pool, &members);
 }
 
 /* Searchers change in groups; the shares are set once for all of them, in the same turn. */
@@ -611,7 +615,7 @@
 
 	g_message("event=evacuation data_centre=%s outcome=%s", data_centre,
 		  evacuated ? "in-force" : "taken-back");
-	registry_set_evacuated(task->registry, data_centre, evacuated);
+	registry_set_evacuated(task->registry, data_centre, evacuated, loop_now_us());
 }
 
 /* One that names no data centre is a slip of its operator's: its searchers go on being used. */
--- a/src/tasks/member_task.c
+++ b/src/tasks/member_task.c
@@ -7,6 +7,8 @@
  */
 #include "tasks/member_task.h"
 
+#include <string.h>
+
 #define CALL_TIMEOUT_US 1500000
 /* All VMs of a new deployment register within the first seconds; later on, new ones are rare, and a
  * read that may be old costs a tenth of a call. */
@@ -32,6 +34,9 @@
 	GPtrArray *reading; /* the same, of the list whose pages are being read */
 	char *after;	    /* the last name so far; NULL at the start of a list */
 	uint32_t lists;	    /* told since the start */
+	uint64_t asked_us;  /* when the list that is being read was asked for */
+	uint64_t listed_us; /* when the last whole one was; 0: never */
+	uint64_t member_us; /* since when lists name this VM, and no list has lost a VM */
 	bool registered;
 	bool exists;	   /* another start of this VM has registered it, with other words */
 	uint32_t failures; /* in a row, until it is registered */
@@ -125,6 +130,38 @@
 		       task->lists < LIST_FIRST_TIMES ? LIST_FIRST_US : LIST_LATER_US);
 }
 
+static const char *name_at(const GPtrArray *vms, guint index)
+{
+	return ((const vm_t *)g_ptr_array_index(vms, index))->name;
+}
+
+/* The store lists by name. */
+static bool has_all(const GPtrArray *vms, const GPtrArray *former)
+{
+	guint next = 0;
+
+	for (guint i = 0; i < former->len; i++) {
+		while (next < vms->len && strcmp(name_at(vms, next), name_at(former, i)) < 0)
+			next++;
+		if (next == vms->len || !g_str_equal(name_at(vms, next), name_at(former, i)))
+			return false;
+	}
+	return true;
+}
+
+/* What cold searchers are sent rests on lists that only grow: one that has lost a VM starts the
+ * wait anew. */
+static void note_list(member_task_t *task, const GPtrArray *former)
+{
+	uint64_t now_us = loop_now_us();
+
+	task->listed_us = task->asked_us;
+	if (!vm_find(task->vms, task->own->name))
+		task->member_us = 0;
+	else if (!task->member_us || !has_all(task->vms, former))
+		task->member_us = now_us;
+}
+
 /* Before this VM is registered, others that start with it may not be either: nothing is told then,
  * or all of them would take themselves to be the first. */
 static void end_list(member_task_t *task)
@@ -133,6 +170,7 @@
 
 	task->vms = task->reading;
 	task->reading = former;
+	note_list(task, former);
 	g_ptr_array_set_size(former, 0);
 	if (!task->registered) {
 		task->ops->answered(task->ctx, true);
@@ -176,8 +214,10 @@
 	member_task_t *task = ctx;
 	g_autofree char *target = store_old_list_target(STORE_VMS, task->after);
 
-	if (!task->after)
+	if (!task->after) {
 		g_ptr_array_set_size(task->reading, 0);
+		task->asked_us = loop_now_us();
+	}
 	platform_task_fetch(task->platform, target, CALL_TIMEOUT_US, on_listed, task);
 }
 
@@ -208,3 +248,11 @@
 {
 	return task->own;
 }
+
+cold_members_t member_task_cold_members(const member_task_t *task)
+{
+	return (cold_members_t){.vms = task->vms,
+				.own_name = task->own->name,
+				.member_us = task->member_us,
+				.listed_us = task->listed_us};
+}
--- a/src/tasks/member_task.h
+++ b/src/tasks/member_task.h
@@ -5,6 +5,7 @@
 #ifndef DS_MEMBER_TASK_H
 #define DS_MEMBER_TASK_H
 
+#include "core/cold_share.h"
 #include "store.h"
 #include "tasks/platform_task.h"
 
@@ -23,5 +24,7 @@
 /** The VMs registered, vm_t; perhaps some seconds old, and those that ended stay in it. */
 const GPtrArray *member_task_vms(const member_task_t *task);
 const vm_t *member_task_own(const member_task_t *task);
+/** What is known of the VMs with whom cold searchers are shared; borrows. */
+cold_members_t member_task_cold_members(const member_task_t *task);
 
 #endif
--- a/src/tasks/supply_task.c
+++ b/src/tasks/supply_task.c
@@ -664,6 +664,11 @@
 	return member_task_vms(task->members);
 }
 
+cold_members_t supply_task_cold_members(const supply_task_t *task)
+{
+	return member_task_cold_members(task->members);
+}
+
 uint64_t supply_task_age_us(const supply_task_t *task)
 {
 	uint64_t now_us = loop_now_us(), oldest_us = now_us;
--- a/src/tasks/supply_task.h
+++ b/src/tasks/supply_task.h
@@ -41,6 +41,8 @@
 void supply_task_tell(supply_task_t *task, const sighting_t *sighting);
 /** VMs registered, vm_t; empty until the first list. */
 const GPtrArray *supply_task_vms(const supply_task_t *task);
+/** What is known of the VMs with whom cold searchers are shared; borrows. */
+cold_members_t supply_task_cold_members(const supply_task_t *task);
 /** Since the store was last heard, by whoever watches it. */
 uint64_t supply_task_age_us(const supply_task_t *task);
 /** Whether another VM feeds this one. */
--- a/tests/fleet_test.c
+++ b/tests/fleet_test.c
@@ -7,6 +7,7 @@
 #include <stddef.h>
 #include <cmocka.h>
 
+#include "core/cold_share.h"
 #include "core/sharing.h"
 
 #include <stdio.h>
@@ -217,12 +218,13 @@
 /* A gather over one shard, and a service that is asked alone. */
 static routing_t *routing_of_two(void)
 {
+	const service_terms_t terms = {.connections = SEARCHER_CONNECTIONS};
 	routing_t *routing = routing_new(1);
 
 	route_add_target(add_route(routing, "gather", true), "shard", 1);
 	route_add_target(add_route(routing, "single", false), "alone", 1);
-	routing_set_connections(routing, "shard", SEARCHER_CONNECTIONS);
-	routing_set_connections(routing, "alone", SEARCHER_CONNECTIONS);
+	routing_set_terms(routing, "shard", &terms);
+	routing_set_terms(routing, "alone", &terms);
 	routing_seal(routing);
 	return routing;
 }
@@ -335,6 +337,158 @@
 	routing_unref(routing);
 }
 
+/* ---- cold searchers ---- */
+
+#define COLD_SEARCHERS 3
+#define PLAYED_S 120
+#define SECOND_US 1000000ull
+#define COLD_STEP_US 20000
+#define STALE_MOST_US 9000000
+
+/** A VM as the fleet has it: when it registers, and which list it has read. */
+typedef struct presser_t {
+	uint64_t registers_us; /* at the store, after its start */
+	uint64_t next_list_us;
+	cold_members_t members;
+	GPtrArray *listed;		 /* vm_t, borrowed */
+	uint32_t shares[COLD_SEARCHERS]; /* by that list */
+	uint64_t next_us[COLD_SEARCHERS];
+	bool cut; /* off from the store: its list stays as it is */
+} presser_t;
+
+/* All that had registered by @p as_of_us. */
+static void press_list(const GPtrArray *vms, const presser_t *all, presser_t *one,
+		       const cold_bound_t *bound, uint64_t as_of_us, uint64_t now_us)
+{
+	static const char *const ids[COLD_SEARCHERS] = {"s-1", "s-2", "s-3"};
+
+	g_ptr_array_set_size(one->listed, 0);
+	for (guint i = 0; i < vms->len; i++)
+		if (all[i].registers_us <= as_of_us)
+			g_ptr_array_add(one->listed, g_ptr_array_index(vms, i));
+	one->members.listed_us = now_us;
+	if (!one->members.member_us && vm_find(one->listed, one->members.own_name))
+		one->members.member_us = now_us;
+	for (int i = 0; i < COLD_SEARCHERS; i++)
+		one->shares[i] = cold_share_of(&one->members, bound, ids[i]);
+}
+
+/* Sends whatever it may, to each searcher; the sendings are counted in @p sent. */
+static void press(presser_t *one, const cold_bound_t *bound, uint64_t now_us, GArray **sent)
+{
+	if (!cold_share_is_trusted(&one->members, now_us))
+		return;
+	for (int i = 0; i < COLD_SEARCHERS; i++) {
+		if (!one->shares[i] || now_us < one->next_us[i])
+			continue;
+		one->next_us[i] = now_us + cold_share_window_us(bound) / one->shares[i];
+		g_array_append_val(sent[i], now_us);
+	}
+}
+
+static uint32_t most_in_a_second(const GArray *sent)
+{
+	uint32_t most = 0;
+
+	for (guint i = 0, from = 0; i < sent->len; i++) {
+		while (g_array_index(sent, uint64_t, from) + SECOND_US <=
+		       g_array_index(sent, uint64_t, i))
+			from++;
+		most = MAX(most, i - from + 1);
+	}
+	return most;
+}
+
+static void play_pressers(guint count, double per_s, uint32_t seed, uint32_t *most, uint32_t *sum)
+{
+	const cold_bound_t bound = {.per_s = per_s, .gathered = seed % 2 == 0};
+	g_autoptr(GPtrArray) vms = g_ptr_array_new_with_free_func(vm_free);
+	presser_t *all = g_new0(presser_t, count);
+	GArray *sent[COLD_SEARCHERS];
+	GRand *rand = g_rand_new_with_seed(seed);
+
+	*most = *sum = 0;
+	for (int i = 0; i < COLD_SEARCHERS; i++)
+		sent[i] = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	for (guint i = 0; i < count; i++) {
+		g_autofree char *name = g_strdup_printf("vm-%u", i);
+		bool large = g_rand_int_range(rand, 0, 5) == 0;
+		/* Most start together; others come later, one by one or as many at once. */
+		double at_s = i < count / 2 ? 0 : (i % 3 ? 45 : g_rand_double_range(rand, 0, 100));
+		const vm_t vm = {.name = name,
+				 .data_centre = i % 7 ? "a" : "b",
+				 .address = "10.0.0.1",
+				 .link_mbps = large ? 140 : 14,
+				 .processor_milli = large ? 500 : 120};
+
+		g_ptr_array_add(vms, vm_new(&vm));
+		all[i].listed = g_ptr_array_new();
+		all[i].members.own_name = ((vm_t *)g_ptr_array_index(vms, i))->name;
+		all[i].members.vms = all[i].listed;
+		all[i].registers_us =
+			(uint64_t)((at_s + g_rand_double_range(rand, 0.1, 1.5)) * SECOND_US);
+		all[i].next_list_us = all[i].registers_us;
+		all[i].cut = i % 11 == 10;
+	}
+	for (uint64_t now_us = COLD_STEP_US; now_us < PLAYED_S * SECOND_US;
+	     now_us += COLD_STEP_US) {
+		for (guint i = 0; i < count; i++) {
+			presser_t *one = &all[i];
+
+			if (now_us >= one->next_list_us) {
+				uint64_t stale_us = (uint64_t)g_rand_int_range(
+					rand, 0, one->members.listed_us ? STALE_MOST_US : 1);
+
+				press_list(vms, all, one, &bound, now_us - MIN(stale_us, now_us),
+					   now_us);
+				one->next_list_us =
+					one->cut && now_us > 40 * SECOND_US
+						? UINT64_MAX
+						: now_us + (one->members.listed_us ? 12 : 2) *
+								   SECOND_US;
+			}
+			press(one, &bound, now_us, sent);
+		}
+	}
+	for (int i = 0; i < COLD_SEARCHERS; i++) {
+		*most = MAX(*most, most_in_a_second(sent[i]));
+		*sum += sent[i]->len;
+		g_array_unref(sent[i]);
+	}
+	for (guint i = 0; i < count; i++)
+		g_ptr_array_unref(all[i].listed);
+	g_rand_free(rand);
+	g_free(all);
+}
+
+/*
+ * A cold searcher crashes again: each VM sent it what seemed its part, by a list of VMs that others
+ * had not read, or no longer went by. Here VMs start together, come one by one and by the hundred,
+ * read old lists, and lose the store; each sends whatever it may. Together they never exceed what
+ * the searcher bears, and in a fleet that is known they use it.
+ */
+static void test_cold_shares(void **state)
+{
+	static const guint counts[] = {1, 2, 6, 7, 40, 300, 3000};
+	static const double rates[] = {0.25, 1, 4, 50};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(counts); i++)
+		for (size_t j = 0; j < G_N_ELEMENTS(rates); j++) {
+			uint32_t most, sum, bears = (uint32_t)MAX(rates[j], 1);
+
+			if (counts[i] == 3000 && rates[j] != 4)
+				continue;
+			play_pressers(counts[i], rates[j], (uint32_t)(i + j), &most, &sum);
+			if (most > bears)
+				fail_msg("%u VMs, %.2f a second: %u in one second", counts[i],
+					 rates[j], most);
+			if (counts[i] <= 7 && !sum)
+				fail_msg("%u VMs, %.2f a second: nothing is sent", counts[i],
+					 rates[j]);
+		}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -347,6 +501,7 @@
 		cmocka_unit_test(test_sums_of_thousands),
 		cmocka_unit_test(test_who_warms),
 		cmocka_unit_test(test_before_the_list),
+		cmocka_unit_test(test_cold_shares),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/forward_test.c
+++ b/tests/forward_test.c
@@ -9,6 +9,8 @@
  *     routing VERSION             put the routes so far in force
  *     searcher ID SERVICE local|far [slots [born_ms]]
  *     drain ID, gone ID [born_ms] the store says so
+ *     bears SERVICE PER_S COLD_MS   what its searchers are sent while cold, and for how long
+ *     cold ID MS [SHARE]          by its entry; this VM may send it so many in a window
  *     evacuate DATA_CENTRE, reopen DATA_CENTRE   its operator says so
  *     unreadable ID               its entry in the store can't be read any more
  *     lost, back                  the store stops answering, or answers again
@@ -142,7 +144,7 @@
 	    searcher->evacuated ? " evacuated" : "");
 	if (play->forwarder && searcher->state == SEARCHER_ENDED)
 		forwarder_searcher_ended(play->forwarder, searcher, play->now_us);
-	if (play->forwarder && !searcher_is_usable(searcher))
+	if (play->forwarder)
 		forwarder_room(play->forwarder, searcher->service, play->now_us);
 }
 
@@ -309,10 +311,38 @@
 	registry_run(play->registry, play->now_us);
 }
 
+static void do_bears(void *ctx, char **words)
+{
+	play_t *play = ctx;
+	pool_t *pool = registry_pool(play->registry, words[1]);
+
+	pool->cold = (cold_bound_t){.per_s = g_ascii_strtod(words[2], NULL), .gathered = true};
+	pool->cold_us = strtoull(words[3], NULL, 10) * 1000;
+}
+
+static void do_cold(void *ctx, char **words)
+{
+	play_t *play = ctx;
+	searcher_t *searcher = registry_find(play->registry, words[1]);
+	const searcher_entry_t entry = {.id = searcher->id,
+					.born_ms = searcher->born_ms,
+					.service = searcher->service,
+					.address = searcher->address,
+					.data_centre = searcher->data_centre,
+					.slots = searcher->slots,
+					.cold_us = strtoull(words[2], NULL, 10) * 1000,
+					.changes = searcher->changes + 1};
+
+	if (words[3])
+		searcher->cold_share = (uint32_t)atoi(words[3]);
+	registry_put(play->registry, &entry, play->now_us);
+}
+
 static void do_evacuate(void *ctx, char **words)
 {
 	play_t *play = ctx;
-	registry_set_evacuated(play->registry, words[1], g_str_equal(words[0], "evacuate"));
+	registry_set_evacuated(play->registry, words[1], g_str_equal(words[0], "evacuate"),
+			       play->now_us);
 }
 
 static void do_unreadable(void *ctx, char **words)
@@ -577,6 +607,8 @@
 	{"searcher", do_searcher},
 	{"drain", do_drain},
 	{"gone", do_gone},
+	{"bears", do_bears},
+	{"cold", do_cold},
 	{"evacuate", do_evacuate},
 	{"reopen", do_evacuate},
 	{"list", do_list},
--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -107,7 +107,8 @@
 	"\",\"route-type\":\"non_idempotent\","
 	"\"split\":[{\"service\":\"s1\",\"weight\":3},{\"service\":\"s2\",\"weight\":1}],"
 	"\"allowed-regions\":[\"south\",\"east\",\"south\"]}],"
-	"\"services\":[{\"name\":\"s1\",\"max-connections\":25}],"
+	"\"services\":[{\"name\":\"s1\",\"max-connections\":25,\"cold-start-s\":3.5,"
+	"\"cold-per-s\":0.5}],"
 	"\"limits\":{\"max-header-bytes\":100,\"max-body-bytes\":200,\"header-timeout-ms\":3,"
 	"\"idle-timeout-ms\":4}}";
 
@@ -122,8 +123,10 @@
 	assert_non_null(routing);
 	assert_int_equal(routing->version, 7);
 	assert_int_equal(routing->limits.idle_us, 4000);
-	assert_int_equal(routing_connections(routing, "s1"), 25);
-	assert_int_equal(routing_connections(routing, "s2"), 0);
+	assert_int_equal(routing_terms(routing, "s1").connections, 25);
+	assert_int_equal(routing_terms(routing, "s1").cold_us, 3500000);
+	assert_true(routing_terms(routing, "s1").cold_per_s == 0.5);
+	assert_int_equal(routing_terms(routing, "s2").connections, 0);
 	route = routing_match(routing, "H.example:80", "/a/b/c?x=/a/");
 	assert_string_equal(route->name, "g");
 	assert_true(route->gathers && route->idempotent);
