A cold searcher is sent this VM's part of what it bears, and the rest goes elsewhere or is refused at once

Cause: its part was known and not kept to. A searcher whose turn has not come has no room: first sends, hedges, retries and single tries go to others; parts wait for it to warm up, and are looked at when it does, if that is in time; if all of a shard are cold until past the deadline, the part is lost at once.

What got worse: while all searchers of a shard are cold (3 s), its part is missing but for a few a second.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -77,10 +77,9 @@
  */
 static bool is_held_back(const searcher_t *searcher, const pool_t *pool, uint64_t now_us)
 {
-	(void)searcher;
-	(void)pool;
-	(void)now_us;
-	return false;
+	if (!is_bounded(searcher, pool, now_us))
+		return false;
+	return !searcher->cold_share || now_us < searcher->cold_next_us;
 }
 
 static uint64_t warm_us(const searcher_t *searcher)
