The load that searchers tell is read from each answer, with its age

Requests running, waiting, slots, and how slow work is there now; two figures or three as far as they go, what follows a fourth is passed over, what can't be read is counted (loads_malformed_total) and changes nothing. An answer of another searcher at the address is not taken for this one's. The log of sub-requests shows it. Nothing is decided by it yet.

--- a/src/core/forward.h
+++ b/src/core/forward.h
@@ -34,8 +34,10 @@
 	sub_end_t end;
 	bool broken; /**< unknown: the connection ended before any answer */
 	int status;
-	char *stamp;   /**< what the searcher signed the reply with; NULL when it did not */
-	char *headers; /**< lines to hand on, each ended by CRLF; NULL when none */
+	char *stamp;	  /**< what the searcher signed the reply with; NULL when it did not */
+	char *headers;	  /**< lines to hand on, each ended by CRLF; NULL when none */
+	told_load_t load; /**< without a time: when it was heard is not known here */
+	bool load_told, load_malformed;
 	GString *body; /**< NULL when none */
 } sub_reply_t;
 
@@ -186,6 +188,8 @@
 	uint64_t firsts, hedges, retries, waited;
 	uint64_t shed; /**< parts left out because their shard is short */
 	uint64_t sub_ends[SUB_UNKNOWN + 1];
+	uint64_t loads_told;	  /**< replies that told their searcher's load */
+	uint64_t loads_malformed; /**< replies whose load could not be read */
 } forwarder_counters_t;
 
 forwarder_t *forwarder_new(const forwarder_ops_t *ops, void *ctx, registry_t *registry,
--- a/src/core/forwarder.c
+++ b/src/core/forwarder.c
@@ -191,12 +191,25 @@
 	return poison_judge(forwarder->poison, fingerprint, now_us) == POISON_BLOCKED;
 }
 
+/* Another searcher at its address tells its own. */
+static void note_load(forwarder_t *forwarder, searcher_t *searcher, const sub_reply_t *reply,
+		      uint64_t now_us)
+{
+	forwarder->counters.loads_malformed += reply->load_malformed;
+	if (!reply->load_told || reply->end == SUB_REPLACED)
+		return;
+	forwarder->counters.loads_told++;
+	searcher->load = reply->load;
+	searcher->load.at_us = now_us;
+}
+
 static void measure(forwarder_t *forwarder, sub_t *sub, const sub_reply_t *reply, uint64_t now_us)
 {
 	uint64_t took_us = now_us - sub->sending.sent_us;
 
 	forwarder->counters.sub_ends[reply->end]++;
 	note_survival(forwarder, sub, reply, now_us);
+	note_load(forwarder, sub->searcher, reply, now_us);
 	switch (reply->end) {
 	case SUB_ANSWERED:
 		measure_answer(forwarder, sub, took_us, now_us);
--- a/src/core/searcher.h
+++ b/src/core/searcher.h
@@ -5,6 +5,7 @@
 #ifndef DS_SEARCHER_H
 #define DS_SEARCHER_H
 
+#include "core/told_load.h"
 #include "core/yield.h"
 
 #include <glib.h>
@@ -65,6 +66,7 @@
 	GQueue out;		 /**< attempts sent and not ended, oldest first */
 	uint32_t failures;	 /**< in a row, without an answer in between */
 	yield_t yield;		 /**< what it refuses, fails or loses */
+	told_load_t load;	 /**< as it last told it */
 	uint64_t avoid_until_us; /**< after failures: only if there is nobody else */
 	uint64_t answered_us;	 /**< when it last answered this VM; 0: never */
 	uint64_t served_us;	 /**< the latest sending that it has answered; 0: none */
--- a/src/queries/front_log.c
+++ b/src/queries/front_log.c
@@ -90,6 +90,18 @@
 	g_log(NULL, whole ? G_LOG_LEVEL_INFO : G_LOG_LEVEL_MESSAGE, "%s", line->str);
 }
 
+/* What the searcher told before this reply, and how long before. */
+static void append_load(GString *line, const told_load_t *load)
+{
+	if (load->at_us)
+		g_string_append_printf(line,
+				       " load=%u+%u/%u load_slowness_percent=%u "
+				       "load_age_us=%" G_GUINT64_FORMAT,
+				       load->running, load->waiting, load->slots,
+				       load->slowness_percent,
+				       told_load_age_us(load, loop_now_us()));
+}
+
 void front_log_sub(const sub_t *sub, const sub_reply_t *reply)
 {
 	bool failed = reply->end != SUB_ANSWERED;
@@ -105,6 +117,7 @@
 			       sub->searcher->id, sub_purpose_name(sub->purpose),
 			       sub_end_name(reply->end), reply->status,
 			       loop_now_us() - sub->sending.sent_us, sub->searcher->out.length);
+	append_load(line, &sub->searcher->load);
 	append_fingerprint(line, sub->fingerprint);
 	g_log(NULL, failed ? G_LOG_LEVEL_MESSAGE : G_LOG_LEVEL_INFO, "%s", line->str);
 }
--- a/src/queries/front_metrics.c
+++ b/src/queries/front_metrics.c
@@ -31,6 +31,8 @@
 	put(out, "sub_requests_total", "purpose", "retry", counters->retries);
 	put(out, "parts_waited_total", NULL, NULL, counters->waited);
 	put(out, "parts_shed_total", NULL, NULL, counters->shed);
+	put(out, "loads_told_total", NULL, NULL, counters->loads_told);
+	put(out, "loads_malformed_total", NULL, NULL, counters->loads_malformed);
 	for (int end = 0; end <= SUB_UNKNOWN; end++)
 		put(out, "sub_replies_total", "outcome", sub_end_name((sub_end_t)end),
 		    counters->sub_ends[end]);
--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -61,6 +61,50 @@
 
 #define STAMPED "Dogwoodsaddle-Response-Signature: s\r\n"
 
+typedef struct load_case_t {
+	const char *text;
+	bool told;
+	told_load_t load;
+} load_case_t;
+
+static const load_case_t loads[] = {
+	{"3,0,8", true, {3, 0, 8, 0}},
+	{"3,1", true, {3, 1, 0, 0}},
+	{"4, 2,4 ,130", true, {4, 2, 4, 130}},
+	{"0,0,4,100,9", true, {0, 0, 4, 100}},
+	{"", false},
+	{"3", false},
+	{"3,", false},
+	{"3,x,4", false},
+	{"-1,0,4", false},
+	{"1,0,0", false},
+	{"1.5,0,4", false},
+	{"1,0,99999999999999999999", false},
+};
+
+/* What a searcher tells of its load is a hint: one that can't be read changes nothing else. */
+static void test_loads(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(loads); i++) {
+		g_autofree char *text = g_strdup_printf("HTTP/1.1 200 OK\r\n"
+							"Dogwoodsaddle-Response-Signature: s\r\n"
+							"Dogwoodsaddle-Server-Load: %s\r\n"
+							"Content-Length: 0\r\n\r\n",
+							loads[i].text);
+		http_message_t *message = message_of(HTTP_MESSAGE_REPLY, text);
+		bool foreign = false;
+		sub_reply_t *reply = headers_read_reply(message, "id", &foreign);
+
+		assert_int_equal(reply->end, SUB_ANSWERED);
+		assert_int_equal(reply->load_told, loads[i].told);
+		assert_int_equal(reply->load_malformed, !loads[i].told);
+		assert_memory_equal(&reply->load, &loads[i].load, sizeof(told_load_t));
+		sub_reply_free(reply);
+		http_message_free(message);
+	}
+}
+
 static const reply_case_t replies[] = {
 	{"success", "HTTP/1.1 200 OK\r\n" STAMPED "Content-Length: 0\r\n\r\n", SUB_ANSWERED},
 	{"no stamp", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", SUB_UNKNOWN},
@@ -518,6 +562,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_request_head),
 		cmocka_unit_test(test_replies),
+		cmocka_unit_test(test_loads),
 		cmocka_unit_test(test_routing),
 		cmocka_unit_test(test_strange_regions),
 		cmocka_unit_test(test_bad_routing),
