The store's return from a copy: its era is followed, lists are read anew, and what was known stays known

Cause: what the system wrote since the copy is gone, revisions go back and are given out again. A watch from a revision of before got no 410 once it was given out again, and the change in its place was never heard (front_restored: a configuration 5 kept for 7). An old list brought back searchers that had left and dropped an evacuation.

- store_era: a later era in any reply or feed makes every list be read anew; a reply of an earlier one counts as none, a write in flight as unknown; a feed of an earlier one is passed over.
Fed VMs learn it with their feed.
- registry: searchers that the copy lacks have the time to register again; one that had gone comes back only with a change of its entry that is newer than the last one known.
- requests that crash searchers: told again by whoever knows them, VMs that watch first, each at its own moment and not if another has.
VMs: those that the copy lacks register again, spread over 4 s, and count meanwhile.
- A bad era is logged, counted and changes nothing.

What got worse: a message of feeds has one field more; daemons before this one take such feeds for garbage and watch the store themselves until they are replaced.

--- a/src/core/feed_book.c
+++ b/src/core/feed_book.c
@@ -9,6 +9,7 @@
 	GHashTable *objects; /* name to text; NULL for one that is only announced */
 	GHashTable *listing; /* the list being taken in; NULL between lists */
 	bool known;
+	uint64_t era; /* of the store whose list it is */
 };
 
 static GHashTable *texts_new(void)
@@ -52,6 +53,7 @@
 		if (book->listing)
 			g_hash_table_unref(book->listing);
 		book->listing = texts_new();
+		book->era = message->era;
 		break;
 	case FEED_OBJECT:
 		g_hash_table_insert(objects, g_strdup(message->name), g_strdup(message->text));
@@ -91,12 +93,17 @@
 
 	if (!book->known)
 		return;
-	feed_message_write(out, &(feed_message_t){.type = FEED_LIST_BEGIN, .kind = book->kind});
+	feed_message_write(
+		out,
+		&(feed_message_t){.type = FEED_LIST_BEGIN, .kind = book->kind, .era = book->era});
 	g_hash_table_iter_init(&iter, book->objects);
 	while (g_hash_table_iter_next(&iter, &name, &text))
 		feed_message_write(out, &(feed_message_t){.type = text ? FEED_OBJECT : FEED_CHANGED,
 							  .kind = book->kind,
 							  .name = name,
-							  .text = text});
-	feed_message_write(out, &(feed_message_t){.type = FEED_LIST_END, .kind = book->kind});
+							  .text = text,
+							  .era = book->era});
+	feed_message_write(
+		out,
+		&(feed_message_t){.type = FEED_LIST_END, .kind = book->kind, .era = book->era});
 }
--- a/src/core/feed_message.c
+++ b/src/core/feed_message.c
@@ -8,7 +8,9 @@
 
 #include <string.h>
 
-#define FIELDS 6
+#define FIELDS 7
+/* Daemons of an earlier version do not know the store's era. */
+#define FIELDS_LEAST 6
 
 static void pack_text(msgpack_packer *packer, const char *text)
 {
@@ -32,6 +34,7 @@
 	pack_text(&packer, message->text);
 	msgpack_pack_uint64(&packer, message->age_us);
 	msgpack_pack_uint8(&packer, message->away);
+	msgpack_pack_uint64(&packer, message->era);
 	framing_append(out, buffer.data, buffer.size);
 	msgpack_sbuffer_destroy(&buffer);
 }
@@ -49,7 +52,8 @@
 }
 
 /* The texts are copied: msgpack's are not ended by a NUL. */
-static bool take_fields(const msgpack_object *fields, feed_message_f take, void *ctx)
+static bool take_fields(const msgpack_object *fields, uint32_t count, feed_message_f take,
+			void *ctx)
 {
 	g_autofree char *name = NULL;
 	g_autofree char *text = NULL;
@@ -57,7 +61,8 @@
 
 	if (!is_number(&fields[0]) || fields[0].via.u64 >= FEED_TYPES || !is_number(&fields[1]) ||
 	    fields[2].type != MSGPACK_OBJECT_STR || fields[3].type != MSGPACK_OBJECT_STR ||
-	    !is_number(&fields[4]) || !is_number(&fields[5]))
+	    !is_number(&fields[4]) || !is_number(&fields[5]) ||
+	    (count >= FIELDS && !is_number(&fields[6])))
 		return false;
 	name = copy_text(&fields[2]);
 	text = copy_text(&fields[3]);
@@ -66,7 +71,8 @@
 				   .name = name,
 				   .text = text,
 				   .age_us = fields[4].via.u64,
-				   .away = fields[5].via.u64 != 0};
+				   .away = fields[5].via.u64 != 0,
+				   .era = count >= FIELDS ? fields[6].via.u64 : 0};
 	take(ctx, &message);
 	return true;
 }
@@ -75,7 +81,8 @@
 {
 	msgpack_unpacked unpacked;
 	const msgpack_object_array *array = msgpack_array_read(&unpacked, payload);
-	bool taken = array && array->size == FIELDS && take_fields(array->ptr, take, ctx);
+	bool taken = array && array->size >= FIELDS_LEAST &&
+		     take_fields(array->ptr, array->size, take, ctx);
 
 	msgpack_unpacked_destroy(&unpacked);
 	return taken;
--- a/src/core/feed_message.h
+++ b/src/core/feed_message.h
@@ -36,6 +36,7 @@
 	uint64_t age_us;  /**< news: since the store was last heard, by whoever watches it;
 			   * sightings: since the sub-request was sent */
 	bool away;	  /**< news: the store does not answer */
+	uint64_t era;	  /**< of the store that this is a word of; not of sightings */
 } feed_message_t;
 
 /** Append the frame of @p message to @p out. */
--- a/src/core/poison.c
+++ b/src/core/poison.c
@@ -44,6 +44,11 @@
 /* After the store did not answer. */
 #define TELL_AGAIN_US 1000000
 
+/* After the store came back from a copy: each VM that watches it tells what it knows at some moment
+ * of the first, unless it hears before that another has; those that are fed, of the second. */
+#define REWRITE_FIRST_US 3000000
+#define REWRITE_LAST_US 30000000
+
 /** A connection that broke under a request; nobody knows yet whether its searcher ended. */
 typedef struct loss_t {
 	searcher_t *searcher; /* referenced */
@@ -425,6 +430,8 @@
 		say(record, "told-by-other-vm");
 	} else if (news->strikes < record->strikes && !record->tell_us) {
 		record->tell_us = now_us;
+	} else if (news->strikes == record->strikes && news->renewals == record->renewals) {
+		record->tell_us = 0; /* told by another VM */
 	} else if (news->renewals > record->renewals) {
 		record->renewals = news->renewals;
 		hold(record, now_us);
@@ -468,6 +475,25 @@
 	}
 }
 
+void poison_store_restored(poison_t *poison, bool last, uint64_t now_us)
+{
+	uint64_t from_us = now_us + (last ? REWRITE_FIRST_US : 0);
+	gint32 most_us = last ? REWRITE_LAST_US : REWRITE_FIRST_US;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, poison->records);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		record_t *record = value;
+
+		if (!record->stored)
+			continue;
+		record->stored = 0;
+		record->tell_us = from_us + (uint64_t)g_rand_int_range(poison->rand, 0, most_us);
+		arm(record);
+	}
+}
+
 void poison_told(poison_t *poison, const poison_news_t *news, bool taken, uint64_t now_us)
 {
 	record_t *record = find(poison, news->fingerprint);
--- a/src/core/poison.h
+++ b/src/core/poison.h
@@ -102,6 +102,11 @@
 /** The store's whole list: poison_take() for each, then the end. */
 void poison_list_begin(poison_t *poison);
 void poison_list_end(poison_t *poison);
+/**
+ * The store came back from a copy, and may have lost what it was told. @param last others tell it
+ * before this VM does, if they know as much
+ */
+void poison_store_restored(poison_t *poison, bool last, uint64_t now_us);
 /** The store has taken what `tell` said, or has not answered. */
 void poison_told(poison_t *poison, const poison_news_t *news, bool taken, uint64_t now_us);
 
--- a/src/core/registry.c
+++ b/src/core/registry.c
@@ -8,6 +8,9 @@
  * return; a little more for the way. Well below the time that a leaving searcher goes on serving.
  */
 #define LAPSE_US 2300000
+/* Searchers that have left are removed from a restored store after three heartbeats of silence, of
+ * one to two seconds each. */
+#define COPIED_US 12000000
 /* The pool's median follows all its answers, so a smaller step keeps it steady. */
 #define TYPICAL_STEP 0.05
 
@@ -19,7 +22,9 @@
 /* The latest start of an id that was heard of. */
 typedef struct start_t {
 	uint64_t born_ms;
+	uint64_t changes; /* of its entry */
 	bool draining;
+	bool gone; /* its entry was removed */
 } start_t;
 
 struct registry_t {
@@ -34,6 +39,7 @@
 	GHashTable *lapsing;   /* id to nothing: missing, and perhaps registering again */
 	GHashTable *evacuated; /* data centres that are */
 	uint64_t lapse_end_us;
+	uint64_t copied_until_us; /* until then entries may be those of a copy of the store */
 	bool store_away;
 	bool known;
 	bool awaits_evacuations;
@@ -149,9 +155,13 @@
 {
 	start_t *start = start_of(registry, entry->id);
 
-	if (entry->born_ms > start->born_ms)
+	if (entry->born_ms > start->born_ms) {
 		start->draining = false;
+		start->changes = 0;
+	}
 	start->born_ms = entry->born_ms;
+	start->changes = MAX(start->changes, entry->changes);
+	start->gone = false;
 	start->draining = start->draining || entry->draining;
 }
 
@@ -187,9 +197,23 @@
 
 static void remove_now(registry_t *registry, const char *id)
 {
+	if (g_hash_table_contains(registry->by_id, id))
+		start_of(registry, id)->gone = true;
 	take_out(registry, id, SEARCHER_GONE);
 }
 
+/*
+ * An entry that was removed, as a copy of the store still holds it: its searcher has left, and its
+ * address may be another's. One that lives writes again, with another change of its entry.
+ */
+static bool is_of_copy(const registry_t *registry, const searcher_entry_t *entry, uint64_t now_us)
+{
+	const start_t *start = g_hash_table_lookup(registry->starts, entry->id);
+
+	return start && start->gone && now_us < registry->copied_until_us &&
+	       entry->born_ms == start->born_ms && entry->changes <= start->changes;
+}
+
 static void note_listed(registry_t *registry, const char *id)
 {
 	if (registry->listed)
@@ -225,7 +249,7 @@
 	searcher_t *searcher = g_hash_table_lookup(registry->by_id, entry->id);
 
 	note_listed(registry, entry->id);
-	if (is_outdated(registry, entry->id, entry->born_ms))
+	if (is_outdated(registry, entry->id, entry->born_ms) || is_of_copy(registry, entry, now_us))
 		return;
 	note_start(registry, entry);
 	/* Nothing that is known of the process before it holds for this one. */
@@ -362,6 +386,12 @@
 	registry->lapse_end_us = now_us + LAPSE_US;
 }
 
+void registry_store_restored(registry_t *registry, uint64_t now_us)
+{
+	registry->lapse_end_us = now_us + LAPSE_US;
+	registry->copied_until_us = now_us + COPIED_US;
+}
+
 bool registry_is_store_away(const registry_t *registry)
 {
 	return registry->store_away;
--- a/src/core/registry.h
+++ b/src/core/registry.h
@@ -73,6 +73,11 @@
 /** The store did not answer; removals soon after its return may be lapses. */
 void registry_store_lost(registry_t *registry);
 void registry_store_back(registry_t *registry, uint64_t now_us);
+/**
+ * The store came back from a copy: searchers that are missing in its lists may register again, and
+ * entries that were removed may be there again.
+ */
+void registry_store_restored(registry_t *registry, uint64_t now_us);
 /** Whether the store does not answer, as far as is known. */
 bool registry_is_store_away(const registry_t *registry);
 /** Carry out removals whose time has come; returns when to call again, or UINT64_MAX. */
--- /dev/null
+++ b/src/core/store_era.c
@@ -0,0 +1,20 @@
+/**
+ * @file store_era.c
+ * See store_era.h.
+ */
+#include "core/store_era.h"
+
+store_era_news_t store_era_take(store_era_t *era, uint64_t number)
+{
+	if (era->known && number < era->number)
+		return STORE_ERA_OLDER;
+	if (era->known && number == era->number)
+		return STORE_ERA_SAME;
+	/* Before the first word nothing was known that could be wrong. */
+	if (!era->known) {
+		*era = (store_era_t){.number = number, .known = true};
+		return STORE_ERA_SAME;
+	}
+	era->number = number;
+	return STORE_ERA_NEWER;
+}
--- a/src/net/http_pool.c
+++ b/src/net/http_pool.c
@@ -26,6 +26,8 @@
 	lane_t *lane;
 	GString *head;
 	GString *reply;
+	char *kept_header; /* its name */
+	char *header;	   /* its value; NULL when there is none */
 	void (*finished)(void *ctx, http_call_t *call);
 	void *ctx;
 	int status;
@@ -42,6 +44,8 @@
 	call->finished(call->ctx, call);
 	g_string_free(call->head, TRUE);
 	g_string_free(call->reply, TRUE);
+	g_free(call->kept_header);
+	g_free(call->header);
 	g_free(call);
 }
 
@@ -65,6 +69,8 @@
 	if (!reusable)
 		lane->conn = NULL;
 	call->status = http_message_status(reply);
+	if (call->kept_header)
+		call->header = g_strdup(http_message_header(reply, call->kept_header));
 	g_string_append_len(call->reply, body->str, (gssize)body->len);
 	if (reusable && !call->keep) {
 		http_conn_close(lane->conn);
@@ -144,6 +150,7 @@
 	call->lane = lane;
 	call->head = g_string_sized_new(256);
 	call->reply = g_string_new(NULL);
+	call->kept_header = g_strdup(request->kept_header);
 	call->finished = request->finished;
 	call->ctx = request->ctx;
 	call->keep = !request->fresh_connection;
@@ -184,3 +191,8 @@
 {
 	return call->reply;
 }
+
+const char *http_call_header(const http_call_t *call)
+{
+	return call->header;
+}
--- a/src/net/http_pool.h
+++ b/src/net/http_pool.h
@@ -30,7 +30,8 @@
 	const char *headers; /**< whole header lines, each ended by CRLF, or NULL */
 	const char *body;    /**< NULL for none */
 	size_t body_bytes;
-	bool fresh_connection; /**< do not reuse one: it could die silently under the request */
+	const char *kept_header; /**< of the reply, for http_call_header(); NULL: none */
+	bool fresh_connection;	 /**< do not reuse one: it could die silently under the request */
 	/** Called once, from the loop. The slot is free again once this is called. */
 	void (*finished)(void *ctx, http_call_t *call);
 	void *ctx;
@@ -46,5 +47,7 @@
 http_end_t http_call_end(const http_call_t *call);
 int http_call_status(const http_call_t *call);
 const GString *http_call_reply(const http_call_t *call);
+/** The reply's header that was asked for; NULL when it has none. */
+const char *http_call_header(const http_call_t *call);
 
 #endif
--- a/src/queries/front_metrics.c
+++ b/src/queries/front_metrics.c
@@ -112,6 +112,9 @@
 	put(out, "store_calls_total", "kind", "write", store->writes);
 	put(out, "store_calls_unanswered_total", NULL, NULL, store->unknown);
 	put(out, "store_values_damaged_total", NULL, NULL, store->damaged);
+	put(out, "store_era", NULL, NULL, supply_task_era(supply));
+	put(out, "store_replies_outdated_total", NULL, NULL, store->outdated);
+	put(out, "store_eras_malformed_total", NULL, NULL, store->eras_malformed);
 }
 
 static void put_gatherers(GString *out, const handovers_t *handovers)
--- a/src/tasks/follower.c
+++ b/src/tasks/follower.c
@@ -241,6 +241,21 @@
 	loop_timer_set(follower->loop, &follower->retry, 0);
 }
 
+/*
+ * The reply to a watch from a revision that was given out before is no 410 once the store has given
+ * it out again: it tells what came after, and nothing of what came in place of the changes that are
+ * known. Not all at once: many VMs learn of it from the same reply's moment.
+ */
+void follower_restored(follower_t *follower)
+{
+	if (follow_next(&follower->follow) == FOLLOW_NOTHING)
+		return;
+	follow_again(&follower->follow);
+	start_list(follower);
+	loop_timer_set(follower->loop, &follower->retry,
+		       (uint64_t)g_rand_int_range(follower->rand, 0, RETRY_FIRST_US));
+}
+
 void follower_pause(follower_t *follower)
 {
 	follow_stop(&follower->follow);
--- a/src/tasks/follower.h
+++ b/src/tasks/follower.h
@@ -36,6 +36,8 @@
 void follower_read_once(follower_t *follower);
 /** Another VM is ahead: read the whole list at once, unless that is under way. */
 void follower_catch_up(follower_t *follower);
+/** The store came back from a copy: what is under way is of no use, nor are its revisions. */
+void follower_restored(follower_t *follower);
 /** Ask nothing more until the next follower_refresh(). */
 void follower_pause(follower_t *follower);
 /** When the store last answered; 0: never. */
--- a/src/tasks/front_task.c
+++ b/src/tasks/front_task.c
@@ -567,6 +567,19 @@
 	searcher_entry_clear(&entry);
 }
 
+/* VMs that watch the store tell it first; the others hear that it is told. */
+static void on_store_restored(void *ctx, bool watches)
+{
+	front_task_t *task = ctx;
+	uint64_t now_us = loop_now_us();
+
+	registry_store_restored(task->registry, now_us);
+	run_registry(task);
+	evacuations_store_restored(task->evacuations, now_us);
+	poison_store_restored(forwarder_poison(task->forwarder), !watches, now_us);
+	arm_forwarder(task);
+}
+
 static void on_store_lost(void *ctx)
 {
 	registry_store_lost(((front_task_t *)ctx)->registry);
@@ -803,6 +816,7 @@
 						.list_end = on_list_end,
 						.lost = on_store_lost,
 						.back = on_store_back,
+						.restored = on_store_restored,
 						.sighting = on_sighting,
 						.members = on_members};
 	static const gather_ops_t gather_ops = {
--- a/src/tasks/member_task.c
+++ b/src/tasks/member_task.c
@@ -23,6 +23,10 @@
 #define RETRY_FIRST_US 100000
 #define RETRY_MOST_US 1000000
 #define STATUS_EXISTS 409
+/* After the store came back from a copy: VMs that it has lost register again within the first, each
+ * at a moment of its own, and count as registered for the second. */
+#define REWRITE_MOST_US 4000000
+#define REWRITTEN_US 30000000
 
 struct member_task_t {
 	loop_t *loop;
@@ -30,13 +34,14 @@
 	vm_t *own;
 	const member_ops_t *ops;
 	void *ctx;
-	GPtrArray *vms;	    /* vm_t */
-	GPtrArray *reading; /* the same, of the list whose pages are being read */
-	char *after;	    /* the last name so far; NULL at the start of a list */
-	uint32_t lists;	    /* told since the start */
-	uint64_t asked_us;  /* when the list that is being read was asked for */
-	uint64_t listed_us; /* when the last whole one was; 0: never */
-	uint64_t member_us; /* since when lists name this VM, and no list has lost a VM */
+	GPtrArray *vms;	      /* vm_t */
+	GPtrArray *reading;   /* the same, of the list whose pages are being read */
+	char *after;	      /* the last name so far; NULL at the start of a list */
+	uint32_t lists;	      /* told since the start */
+	uint64_t asked_us;    /* when the list that is being read was asked for */
+	uint64_t listed_us;   /* when the last whole one was; 0: never */
+	uint64_t restored_us; /* when the store came back from a copy; 0: it did not */
+	uint64_t member_us;   /* since when lists name this VM, and no list has lost a VM */
 	bool registered;
 	bool exists;	   /* another start of this VM has registered it, with other words */
 	uint32_t failures; /* in a row, until it is registered */
@@ -87,10 +92,8 @@
  * The list says whether there is anything to write. When all VMs of a fleet start again, each would
  * otherwise make two calls for what stands there already.
  */
-static void look_for_own(member_task_t *task)
+static void look_for_own(member_task_t *task, const vm_t *listed)
 {
-	const vm_t *listed = vm_find(task->vms, task->own->name);
-
 	if (listed && vm_equal(listed, task->own)) {
 		g_message("event=registered vm=%s outcome=found", task->own->name);
 		task->registered = true;
@@ -162,19 +165,43 @@
 		task->member_us = now_us;
 }
 
+static gint by_name(gconstpointer a, gconstpointer b)
+{
+	return strcmp((*(vm_t *const *)a)->name, (*(vm_t *const *)b)->name);
+}
+
+/*
+ * VMs that a restored store has lost are about to register again. Without them each of the others
+ * would take a larger share of the searchers' connections and of the retries.
+ */
+static void keep_lost(member_task_t *task, const GPtrArray *former)
+{
+	if (!task->restored_us || loop_now_us() > task->restored_us + REWRITTEN_US)
+		return;
+	for (guint i = 0; i < former->len; i++) {
+		const vm_t *vm = g_ptr_array_index(former, i);
+
+		if (!vm_find(task->vms, vm->name))
+			g_ptr_array_add(task->vms, vm_new(vm));
+	}
+	g_ptr_array_sort(task->vms, by_name);
+}
+
 /* Before this VM is registered, others that start with it may not be either: nothing is told then,
  * or all of them would take themselves to be the first. */
 static void end_list(member_task_t *task)
 {
 	GPtrArray *former = task->vms;
+	const vm_t *listed = vm_find(task->reading, task->own->name);
 
 	task->vms = task->reading;
 	task->reading = former;
+	keep_lost(task, former);
 	note_list(task, former);
 	g_ptr_array_set_size(former, 0);
 	if (!task->registered) {
 		task->ops->answered(task->ctx, true);
-		look_for_own(task);
+		look_for_own(task, listed);
 	}
 	if (task->registered)
 		tell(task);
@@ -239,6 +266,14 @@
 	return task;
 }
 
+void member_task_restored(member_task_t *task)
+{
+	task->restored_us = loop_now_us();
+	task->registered = false;
+	loop_timer_set(task->loop, &task->list_timer,
+		       (uint64_t)g_random_int_range(0, REWRITE_MOST_US));
+}
+
 const GPtrArray *member_task_vms(const member_task_t *task)
 {
 	return task->vms;
--- a/src/tasks/member_task.h
+++ b/src/tasks/member_task.h
@@ -21,6 +21,8 @@
 /** @p own is taken over. */
 member_task_t *member_task_new(loop_t *loop, platform_task_t *platform, vm_t *own,
 			       const member_ops_t *ops, void *ctx);
+/** The store came back from a copy, and may have lost this VM and others. */
+void member_task_restored(member_task_t *task);
 /** The VMs registered, vm_t; perhaps some seconds old, and those that ended stay in it. */
 const GPtrArray *member_task_vms(const member_task_t *task);
 const vm_t *member_task_own(const member_task_t *task);
--- a/src/tasks/platform_task.c
+++ b/src/tasks/platform_task.c
@@ -6,6 +6,7 @@
 
 #include "core/json_salvage.h"
 #include "net/http_pool.h"
+#include "store.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -40,6 +41,9 @@
 	platform_call_t *slots[CALL_SLOTS];
 	GQueue pending; /* platform_call_t */
 	platform_counters_t counters;
+	store_era_t era;
+	void (*restored)(void *ctx);
+	void *restored_ctx;
 };
 
 platform_task_t *platform_task_new(loop_t *loop, const char *address, uint16_t port)
@@ -96,12 +100,57 @@
 	return body;
 }
 
+void platform_task_set_restored(platform_task_t *task, void (*restored)(void *ctx), void *ctx)
+{
+	task->restored = restored;
+	task->restored_ctx = ctx;
+}
+
+store_era_news_t platform_task_take_era(platform_task_t *task, uint64_t number)
+{
+	store_era_news_t news = store_era_take(&task->era, number);
+
+	if (news != STORE_ERA_NEWER)
+		return news;
+	g_message("event=store-restored era=%" G_GUINT64_FORMAT " outcome=read-anew", number);
+	if (task->restored)
+		task->restored(task->restored_ctx);
+	return news;
+}
+
+uint64_t platform_task_era(const platform_task_t *task)
+{
+	return task->era.number;
+}
+
+/*
+ * Whether the reply is of the store as it is now. One that it gave before it came back from a copy
+ * may have been on its way: what it tells is gone, and so may be what it says was written.
+ */
+static bool is_current(platform_task_t *task, const http_call_t *http)
+{
+	err_t err = {0};
+	uint64_t era;
+
+	if (!store_read_era(http_call_header(http), http_call_status(http), &era, &err)) {
+		if (!*err.text)
+			return true;
+		task->counters.eras_malformed++;
+		g_warning("event=store-era-ignored reason=\"%s\"", err.text);
+		return true;
+	}
+	if (platform_task_take_era(task, era) != STORE_ERA_OLDER)
+		return true;
+	task->counters.outdated++;
+	return false;
+}
+
 static void give_result(platform_call_t *call, const http_call_t *http)
 {
 	platform_result_t result = {.end = PLATFORM_UNKNOWN};
 	json_t *body = NULL;
 
-	if (http_call_end(http) == HTTP_END_REPLIED) {
+	if (http_call_end(http) == HTTP_END_REPLIED && is_current(call->task, http)) {
 		const GString *text = http_call_reply(http);
 
 		body = read_body(call, text);
@@ -145,6 +194,7 @@
 			       .port = task->port,
 			       .path = call->path,
 			       .headers = call->body ? "Content-Type: application/json\r\n" : NULL,
+			       .kept_header = STORE_ERA_HEADER,
 			       .body = call->body,
 			       .body_bytes = call->body ? strlen(call->body) : 0,
 			       .finished = call_finished,
--- a/src/tasks/platform_task.h
+++ b/src/tasks/platform_task.h
@@ -6,10 +6,11 @@
 #define DS_PLATFORM_TASK_H
 
 #include "core/platform_result.h"
+#include "core/store_era.h"
 #include "net/loop.h"
 
-/** Three lists being followed, and room for a read of each beside a watch that hangs. */
-#define PLATFORM_FETCHES_MOST 6
+/** Four lists being followed, and room for a read of each beside a watch that hangs. */
+#define PLATFORM_FETCHES_MOST 8
 
 typedef struct platform_task_t platform_task_t;
 
@@ -18,8 +19,10 @@
 
 typedef struct platform_counters_t {
 	uint64_t reads, writes, watches, fetches;
-	uint64_t unknown; /**< calls without an answer, or with one of no use */
-	uint64_t damaged; /**< values in replies that are no JSON */
+	uint64_t unknown;	 /**< calls without an answer, or with one of no use */
+	uint64_t damaged;	 /**< values in replies that are no JSON */
+	uint64_t outdated;	 /**< replies that the store gave before it came back from a copy */
+	uint64_t eras_malformed; /**< replies whose era could not be read */
 } platform_counters_t;
 
 platform_task_t *platform_task_new(loop_t *loop, const char *address, uint16_t port);
@@ -40,6 +43,13 @@
 /** As platform_task_fetch(), with another method and a JSON body. */
 void platform_task_send(platform_task_t *task, const char *method, const char *target,
 			const char *body, uint64_t timeout_us, platform_done_f done, void *ctx);
+/** Tell @p restored when the store turns out to have come back from a copy: before the reply that
+ * says so is handed on. */
+void platform_task_set_restored(platform_task_t *task, void (*restored)(void *ctx), void *ctx);
+/** Another VM has heard of the store's era @p number. */
+store_era_news_t platform_task_take_era(platform_task_t *task, uint64_t number);
+/** The latest era heard of; 0 before any is. */
+uint64_t platform_task_era(const platform_task_t *task);
 const platform_counters_t *platform_task_counters(const platform_task_t *task);
 
 #endif
--- a/src/tasks/supply_task.c
+++ b/src/tasks/supply_task.c
@@ -109,7 +109,8 @@
 	message = (feed_message_t){.type = type,
 				   .kind = kind->kind,
 				   .name = object ? object->name : "",
-				   .text = fits ? text : ""};
+				   .text = fits ? text : "",
+				   .era = platform_task_era(task->platform)};
 	feed_server_tell(task->server, &message);
 	free(text);
 }
@@ -449,6 +450,11 @@
 	supply_task_t *task = ctx;
 	supply_kind_t *kind = message->kind < task->kind_count ? &task->kinds[message->kind] : NULL;
 
+	/* Of a feeder that has not heard yet that the store is another one: its next list will be
+	 * of this one, or its news grow too old. */
+	if (message->type != FEED_SIGHTING &&
+	    platform_task_take_era(task->platform, message->era) == STORE_ERA_OLDER)
+		return;
 	if (message->type == FEED_NEWS) {
 		take_news(task, message);
 		return;
@@ -583,13 +589,25 @@
 static void send_news(void *ctx)
 {
 	supply_task_t *task = ctx;
-	const feed_message_t message = {
-		.type = FEED_NEWS, .age_us = supply_task_age_us(task), .away = is_unsure(task)};
+	const feed_message_t message = {.type = FEED_NEWS,
+					.age_us = supply_task_age_us(task),
+					.away = is_unsure(task),
+					.era = platform_task_era(task->platform)};
 
 	feed_server_tell(task->server, &message);
 	loop_timer_set(task->loop, &task->news_timer, NEWS_PERIOD_US);
 }
 
+static void on_restored(void *ctx)
+{
+	supply_task_t *task = ctx;
+
+	task->ops->restored(task->ctx, task->following);
+	for (uint32_t i = 0; i < task->kind_count; i++)
+		follower_restored(task->kinds[i].follower);
+	member_task_restored(task->members);
+}
+
 /* ---- start ---- */
 
 static void start_followers(supply_task_t *task, platform_task_t *platform)
@@ -639,6 +657,7 @@
 		feed_timing_for(settings->apply_ms, settings->settle_ms, settings->evacuate_ms);
 	start_followers(task, platform);
 	set_waits(task, false);
+	platform_task_set_restored(platform, on_restored, task);
 	task->members = member_task_new(loop, platform, own_vm_new(settings), &member_ops, task);
 	loop_timer_set(loop, &task->news_timer, NEWS_PERIOD_US);
 	return task;
@@ -685,3 +704,8 @@
 {
 	return task->fed;
 }
+
+uint64_t supply_task_era(const supply_task_t *task)
+{
+	return platform_task_era(task->platform);
+}
--- a/src/tasks/supply_task.h
+++ b/src/tasks/supply_task.h
@@ -24,6 +24,9 @@
 	/** The store can't be heard, or is heard again. */
 	void (*lost)(void *ctx);
 	void (*back)(void *ctx);
+	/** The store has come back from a copy; lists of it follow. @param watches whether this VM
+	 * hears it itself, and so does before those that are fed */
+	void (*restored)(void *ctx, bool watches);
 	/** Another VM of this data centre has seen this of a searcher. */
 	void (*sighting)(void *ctx, const sighting_t *sighting);
 	/** The number of VMs may have changed. */
@@ -45,6 +48,8 @@
 cold_members_t supply_task_cold_members(const supply_task_t *task);
 /** Since the store was last heard, by whoever watches it. */
 uint64_t supply_task_age_us(const supply_task_t *task);
+/** The store's era; 0 before any is heard of. */
+uint64_t supply_task_era(const supply_task_t *task);
 /** Whether another VM feeds this one. */
 bool supply_task_is_fed(const supply_task_t *task);
 
--- a/standins/users_platform.c
+++ b/standins/users_platform.c
@@ -8,6 +8,9 @@
  *
  * A request whose path holds "crash" ends each searcher that runs it: its connections break, its
  * port is closed, and it starts again a while later. "crash=shard-N" ends those of one shard only.
+ *
+ * The store may be brought back from a copy (copy, then restore): its era rises. What operators and
+ * searchers wrote since is written again by the actions that wrote it.
  */
 #include "net/http_server.h"
 
@@ -39,6 +42,7 @@
 typedef struct users_t {
 	loop_t *loop;
 	int store_port, control_port, searchers_from, shards, work_ms, advertise, back_ms;
+	int cold_per_s;	     /* requests a second that a cold searcher bears; 0: any number */
 	GHashTable *posted;  /* id of a POST to how often it ran */
 	GHashTable *crashes; /* path to crashes_t */
 	GHashTable *objects; /* "kind/name" to json_t */
@@ -49,6 +53,9 @@
 	uint64_t born_ms;   /* when this program started */
 	uint64_t forgotten; /* revision up to which history is gone */
 	uint64_t calls;
+	uint64_t era;
+	GHashTable *copy;	/* what the objects were when a copy was made; NULL: none was */
+	uint64_t copy_revision; /* and the revision */
 	bool down;
 } users_t;
 
@@ -77,6 +84,8 @@
 	const char *data_centre;
 	http_server_t *server;
 	uint64_t born_ms;
+	uint64_t seq;	   /* of its entry */
+	uint64_t cold_ms;  /* that its next entry tells */
 	loop_timer_t back; /* when it starts again */
 	manner_t manner;
 	uint64_t runs;
@@ -91,6 +100,13 @@
 
 /* ---- the store ---- */
 
+static void add_era(const users_t *users, http_exchange_t *exchange)
+{
+	g_autofree char *era = g_strdup_printf("%" G_GUINT64_FORMAT, users->era);
+
+	http_exchange_add_header(exchange, "Store-Era", era);
+}
+
 static void reply_json(http_exchange_t *exchange, int status, json_t *body)
 {
 	char *text = json_dumps(body, JSON_COMPACT);
@@ -118,6 +134,7 @@
 {
 	users_t *users = watch->users;
 
+	add_era(users, watch->exchange);
 	reply_json(watch->exchange, 200,
 		   json_pack("{s:o,s:I}", "events", events_since(users, watch->kind, watch->since),
 			     "as-of", (json_int_t)users->revision));
@@ -186,7 +203,8 @@
 	const char *wait = http_exchange_param(exchange, "wait-ms");
 	watch_t *watch;
 
-	if (since < users->forgotten) {
+	if (since < users->forgotten || since > users->revision) {
+		add_era(users, exchange);
 		reply_json(exchange, 410, json_object());
 		return;
 	}
@@ -249,6 +267,8 @@
 		http_exchange_reply(exchange, 503, NULL, "", 0);
 		return;
 	}
+	if (!http_exchange_param(exchange, "watch"))
+		add_era(users, exchange);
 	if (g_str_equal(http_exchange_method(exchange), "DELETE") && parts > 3)
 		delete_object(users, exchange, path[2], path[3]);
 	else if (!g_str_equal(http_exchange_method(exchange), "GET"))
@@ -259,6 +279,43 @@
 		list(users, exchange, path[2]);
 }
 
+/* Objects are replaced, never changed. */
+static GHashTable *copy_of(GHashTable *objects)
+{
+	GHashTable *copy =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)json_decref);
+	GHashTableIter iter;
+	gpointer key, object;
+
+	g_hash_table_iter_init(&iter, objects);
+	while (g_hash_table_iter_next(&iter, &key, &object))
+		g_hash_table_insert(copy, g_strdup(key), json_incref(object));
+	return copy;
+}
+
+static void make_copy(users_t *users)
+{
+	if (users->copy)
+		g_hash_table_unref(users->copy);
+	users->copy = copy_of(users->objects);
+	users->copy_revision = users->revision;
+}
+
+/* Revisions go back and are given out again; watches that wait are cut off. */
+static void come_back_from_copy(users_t *users)
+{
+	if (!users->copy)
+		return;
+	users->era++;
+	g_hash_table_unref(users->objects);
+	users->objects = copy_of(users->copy);
+	users->revision = users->copy_revision;
+	users->forgotten = users->copy_revision;
+	g_ptr_array_set_size(users->history, 0);
+	while (users->watches->len)
+		end_watch(g_ptr_array_index(users->watches, 0));
+}
+
 static void on_store_gone(void *ctx, http_exchange_t *exchange)
 {
 	users_t *users = ctx;
@@ -355,6 +412,7 @@
 		http_exchange_add_header(exchange, "Dogwoodsaddle-Request-Id",
 					 searcher->manner == MANNER_FOREIGN ? "other" : id);
 		http_exchange_add_header(exchange, "Dogwoodsaddle-Response-Signature", stamp);
+		http_exchange_add_header(exchange, "Dogwoodsaddle-Server-Load", "1,0,2,100");
 		http_exchange_reply(exchange, searcher->manner == MANNER_FAIL ? 500 : 200, NULL,
 				    body->str, body->len);
 		http_exchange_unref(exchange);
@@ -435,10 +493,10 @@
 		g_strdup_printf("127.0.0.1:%d", searcher->port + searcher->users->advertise);
 
 	put(searcher->users, "servers", searcher->id,
-	    json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:i,s:I}", "service", searcher->service,
+	    json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:I,s:I,s:I}", "service", searcher->service,
 		      "address", address, "zone", searcher->data_centre, "version", "v1", "slots",
-		      2, "state", state, "cold-remaining-ms", 0, "seq", 1, "born",
-		      (json_int_t)searcher->born_ms));
+		      2, "state", state, "cold-remaining-ms", (json_int_t)searcher->cold_ms, "seq",
+		      (json_int_t)++searcher->seq, "born", (json_int_t)searcher->born_ms));
 }
 
 static bool listen_at_port(searcher_t *searcher)
@@ -496,24 +554,33 @@
 	json_t *find = route("find", "find.example", "/find/", "idempotent");
 	json_t *get = route("get", "get.example", "/get/", "idempotent");
 	json_t *act = route("act", "get.example", "/get/act/", "non_idempotent");
+	json_t *home = route("home", "home.example", "/home/", "idempotent");
+	json_t *kept = route("kept", "home.example", "/kept/", "idempotent");
 	json_t *shards = json_array(), *services = json_array();
 
 	for (int i = 0; i < users->shards; i++) {
 		g_autofree char *name = g_strdup_printf("shard-%d", i);
 
 		json_array_append_new(shards, json_string(name));
-		json_array_append_new(services,
-				      json_pack("{s:s,s:i}", "name", name, "max-connections", 25));
+		json_array_append_new(services, json_pack("{s:s,s:i,s:i,s:i}", "name", name,
+							  "max-connections", 25, "cold-start-s", 3,
+							  "cold-per-s", users->cold_per_s));
 	}
 	json_array_append_new(services,
-			      json_pack("{s:s,s:i}", "name", "single", "max-connections", 25));
+			      json_pack("{s:s,s:i,s:i,s:i}", "name", "single", "max-connections",
+					25, "cold-start-s", 3, "cold-per-s", users->cold_per_s));
+	json_object_set_new(kept, "fanout-services", json_deep_copy(shards));
+	json_object_set_new(kept, "allowed-regions", json_pack("[s]", "two"));
+	json_object_set_new(home, "service", json_string("single"));
+	json_object_set_new(home, "allowed-regions", json_pack("[s]", "two"));
 	json_object_set_new(find, "fanout-services", shards);
 	json_object_set_new(get, "service", json_string("single"));
 	json_object_set_new(act, "service", json_string("single"));
 	put(users, "config", "main",
-	    json_pack("{s:i,s:[o,o,o],s:o,s:{s:i,s:i,s:i,s:i}}", "version", version, "routes", find,
-		      get, act, "services", services, "limits", "max-header-bytes", 4096,
-		      "max-body-bytes", 8192, "header-timeout-ms", 1000, "idle-timeout-ms", 5000));
+	    json_pack("{s:i,s:[o,o,o,o,o],s:o,s:{s:i,s:i,s:i,s:i}}", "version", version, "routes",
+		      find, get, act, home, kept, "services", services, "limits",
+		      "max-header-bytes", 4096, "max-body-bytes", 8192, "header-timeout-ms", 1000,
+		      "idle-timeout-ms", 5000));
 }
 
 /* ---- control ---- */
@@ -535,6 +602,19 @@
 		((searcher_t *)g_ptr_array_index(users->searchers, i))->born_ms++;
 }
 
+/* They say that they are cold for so long. */
+static void set_cold(users_t *users, const char *id, uint64_t cold_ms)
+{
+	for (guint i = 0; i < users->searchers->len; i++) {
+		searcher_t *searcher = g_ptr_array_index(users->searchers, i);
+
+		if (!g_str_has_prefix(searcher->id, id))
+			continue;
+		searcher->cold_ms = cold_ms;
+		register_searcher(searcher, "ready");
+	}
+}
+
 static void set_state(users_t *users, const char *id, const char *state)
 {
 	for (guint i = 0; i < users->searchers->len; i++) {
@@ -605,6 +685,16 @@
 		users->down = atoi(number) != 0;
 	else if (!g_strcmp0(action, "forget"))
 		users->forgotten = users->revision + 1;
+	else if (!g_strcmp0(action, "evacuate"))
+		put(users, "evacuations", id, json_object());
+	else if (!g_strcmp0(action, "reopen"))
+		put(users, "evacuations", id, NULL);
+	else if (!g_strcmp0(action, "cold"))
+		set_cold(users, id, strtoull(number, NULL, 10));
+	else if (!g_strcmp0(action, "copy"))
+		make_copy(users);
+	else if (!g_strcmp0(action, "restore"))
+		come_back_from_copy(users);
 	else if (!g_strcmp0(action, "configure"))
 		configure(users, atoi(number));
 	reply_json(exchange, 200, counts(users));
@@ -620,6 +710,7 @@
 	{"advertise", 'a', "OFFSET", 0, "searchers register ports higher by this", 0},
 	{"work-ms", 'w', "MS", 0, "how long a searcher works", 0},
 	{"back-ms", 'b', "MS", 0, "from a searcher's end to its next start", 0},
+	{"cold-per-s", 'k', "COUNT", 0, "requests a second that a cold searcher bears", 0},
 	{0},
 };
 
@@ -629,7 +720,7 @@
 	int *const fields[] = {['s'] = &users->store_port,     ['c'] = &users->control_port,
 			       ['f'] = &users->searchers_from, ['n'] = &users->shards,
 			       ['w'] = &users->work_ms,	       ['a'] = &users->advertise,
-			       ['b'] = &users->back_ms};
+			       ['b'] = &users->back_ms,	       ['k'] = &users->cold_per_s};
 
 	if (key <= 0 || (size_t)key >= G_N_ELEMENTS(fields) || !fields[key])
 		return ARGP_ERR_UNKNOWN;
--- a/tests/forward_test.c
+++ b/tests/forward_test.c
@@ -15,6 +15,8 @@
  *     unreadable ID               its entry in the store can't be read any more
  *     lost, back                  the store stops answering, or answers again
  *     list ID...                  the store's whole list
+ *     restored                    the store has come back from a copy
+ *     copied ID SERVICE local|far an entry as it was there some time ago
  *     room ID CONNECTIONS         this VM's share of the searcher's connections
  *     constant N                  this VM's part of the constant of the retry bound
  *     idle ID CONNECTIONS         this VM has so many connections to it that carry nothing
@@ -52,7 +54,8 @@
 	GHashTable *forwards; /* id to forward_t */
 	GPtrArray *subs;      /* sub_t that are out */
 	GHashTable *regions;
-	bool quiet; /* `many` prints nothing */
+	uint64_t changes; /* of entries in the store, so far */
+	bool quiet;	  /* `many` prints nothing */
 	bool tells;
 } play_t;
 
@@ -266,7 +269,7 @@
 }
 
 static void put(play_t *play, const char *id, const char *service, bool local, const char *slots,
-		bool draining, uint64_t born_ms)
+		bool draining, uint64_t born_ms, uint64_t changes)
 {
 	const searcher_entry_t entry = {.id = (char *)id,
 					.born_ms = born_ms,
@@ -275,7 +278,8 @@
 					.port = 1,
 					.data_centre = local ? "here" : "there",
 					.slots = slots ? (uint32_t)atoi(slots) : 2,
-					.draining = draining};
+					.draining = draining,
+					.changes = changes};
 	searcher_t *searcher;
 
 	registry_put(play->registry, &entry, play->now_us);
@@ -292,7 +296,19 @@
 		registry_list_end(play->registry, play->now_us);
 	}
 	put(play, words[1], words[2], g_str_equal(words[3], "local"), words[4], false,
-	    words[4] && words[5] ? strtoull(words[5], NULL, 10) : 0);
+	    words[4] && words[5] ? strtoull(words[5], NULL, 10) : 0, ++play->changes);
+}
+
+static void do_copied(void *ctx, char **words)
+{
+	put(ctx, words[1], words[2], g_str_equal(words[3], "local"), NULL, false, 0, 0);
+}
+
+static void do_restored(void *ctx, char **words)
+{
+	play_t *play = ctx;
+	(void)words;
+	registry_store_restored(play->registry, play->now_us);
 }
 
 static void do_drain(void *ctx, char **words)
@@ -300,7 +316,8 @@
 	play_t *play = ctx;
 	searcher_t *searcher = registry_find(play->registry, words[1]);
 
-	put(play, words[1], searcher->service, true, NULL, true, searcher->born_ms);
+	put(play, words[1], searcher->service, true, NULL, true, searcher->born_ms,
+	    ++play->changes);
 }
 
 static void do_gone(void *ctx, char **words)
@@ -359,7 +376,8 @@
 		searcher_t *searcher = registry_find(play->registry, *id);
 
 		if (searcher)
-			put(play, *id, searcher->service, true, NULL, false, searcher->born_ms);
+			put(play, *id, searcher->service, true, NULL, false, searcher->born_ms,
+			    searcher->changes);
 	}
 	registry_list_end(play->registry, play->now_us);
 }
@@ -613,6 +631,8 @@
 	{"reopen", do_evacuate},
 	{"list", do_list},
 	{"unreadable", do_unreadable},
+	{"copied", do_copied},
+	{"restored", do_restored},
 	{"lost", do_lost},
 	{"back", do_back},
 	{"room", do_room},
--- a/tests/parts_test.c
+++ b/tests/parts_test.c
@@ -13,6 +13,7 @@
 #include "core/feed_message.h"
 #include "core/evacuation.h"
 #include "core/feed_timing.h"
+#include "core/store_era.h"
 #include "core/fingerprint.h"
 #include "core/follow.h"
 #include "core/placement.h"
@@ -452,10 +453,25 @@
 	assert_int_equal(follow_next(&follow), FOLLOW_LIST);
 }
 
+/* A reply that was on its way while the store came back from a copy says what is gone: believed, a
+ * VM would go on by revisions that mean something else now. */
+static void test_store_era(void **state)
+{
+	store_era_t era = {0};
+
+	(void)state;
+	assert_int_equal(store_era_take(&era, 3), STORE_ERA_SAME);
+	assert_int_equal(store_era_take(&era, 3), STORE_ERA_SAME);
+	assert_int_equal(store_era_take(&era, 4), STORE_ERA_NEWER);
+	assert_int_equal(store_era_take(&era, 3), STORE_ERA_OLDER);
+	assert_int_equal(store_era_take(&era, 4), STORE_ERA_SAME);
+	assert_int_equal(era.number, 4);
+}
+
 static void write_down(void *ctx, const feed_message_t *message)
 {
-	g_string_append_printf(ctx, "%d %u %s %s;", message->type, message->kind, message->name,
-			       message->text);
+	g_string_append_printf(ctx, "%d %u %s %s %" G_GUINT64_FORMAT ";", message->type,
+			       message->kind, message->name, message->text, message->era);
 }
 
 /* What a subscriber reads is what was told, however the bytes arrive; garbage is found out. */
@@ -470,7 +486,7 @@
 	feed_book_take(book, &(feed_message_t){.type = FEED_OBJECT, .kind = 1, .name = "early"});
 	feed_book_write(book, bytes);
 	assert_int_equal(bytes->len, 0);
-	feed_book_take(book, &(feed_message_t){.type = FEED_LIST_BEGIN, .kind = 1});
+	feed_book_take(book, &(feed_message_t){.type = FEED_LIST_BEGIN, .kind = 1, .era = 2});
 	feed_book_take(book,
 		       &(feed_message_t){.type = FEED_OBJECT, .kind = 1, .name = "a", .text = "x"});
 	feed_book_take(book, &(feed_message_t){.type = FEED_LIST_END, .kind = 1});
@@ -486,7 +502,7 @@
 		if (got == FRAMING_ONE)
 			at += used;
 	}
-	assert_string_equal(read->str, "0 1  ;1 1 b y;4 1  ;");
+	assert_string_equal(read->str, "0 1   2;1 1 b y 2;4 1   2;");
 	assert_int_equal(
 		feed_message_read((const uint8_t *)"\xff\xff\xff\xff", 4, &used, write_down, read),
 		FRAMING_BAD);
@@ -600,6 +616,7 @@
 		cmocka_unit_test(test_announced_before_the_feed_is_taken),
 		cmocka_unit_test(test_announced_by_a_feed_that_ends),
 		cmocka_unit_test(test_follow_ends),
+		cmocka_unit_test(test_store_era),
 		cmocka_unit_test(test_feed),
 		cmocka_unit_test(test_feed_timing),
 		cmocka_unit_test(test_retry_after),
--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -195,6 +195,24 @@
 	"{\"version\":1,\"routes\":[{\"name\":\"n\",\"host\":\"h\",\"path-prefix\":\"/\","         \
 	"\"service\":\"s\",\"allowed-regions\":" regions "}]}"
 
+/* What refuses a call may be no store at all, and one without eras never came back from a copy. */
+static void test_eras(void **state)
+{
+	err_t err = {0};
+	uint64_t era = 9;
+
+	(void)state;
+	assert_true(store_read_era("12", 503, &era, &err));
+	assert_int_equal(era, 12);
+	assert_true(store_read_era(NULL, 200, &era, &err));
+	assert_int_equal(era, 0);
+	assert_false(store_read_era(NULL, 503, &era, &err));
+	assert_false(*err.text);
+	assert_false(store_read_era("twelve", 200, &era, &err));
+	assert_non_null(strstr(err.text, "twelve"));
+	assert_int_equal(era, 0);
+}
+
 /* A region that no data centre is in stays a bound: the operator is told, and nobody serves it. */
 static void test_strange_regions(void **state)
 {
@@ -565,6 +583,7 @@
 		cmocka_unit_test(test_loads),
 		cmocka_unit_test(test_routing),
 		cmocka_unit_test(test_strange_regions),
+		cmocka_unit_test(test_eras),
 		cmocka_unit_test(test_bad_routing),
 		cmocka_unit_test(test_searcher),
 		cmocka_unit_test(test_pages),
--- a/tests/poison_test.c
+++ b/tests/poison_test.c
@@ -111,6 +111,40 @@
 	poison_free(poison);
 }
 
+/*
+ * The store comes back from a copy that lacks a refused request: VMs that start would send it, and
+ * searchers would end once more. Each VM that knows it tells the store again, at a moment of its
+ * own, unless it hears first that another has; with all of them telling at once, 300 VMs would
+ * flood the store in the moment of its return.
+ */
+static void test_restored_store_is_told_again(void **state)
+{
+	const poison_news_t blocked = {.fingerprint = 7, .strikes = POISON_STRIKES, .service = "s"};
+	uint32_t tells = 0;
+
+	(void)state;
+	for (uint32_t vm = 0; vm < 100; vm++) {
+		told_t told = {0};
+		poison_t *poison = poison_new(&ops, &told, vm);
+
+		poison_take(poison, &blocked, START_US);
+		poison_store_restored(poison, vm >= 10, START_US);
+		poison_list_begin(poison);
+		poison_list_end(poison);
+		assert_int_equal(poison_judge(poison, 7, START_US), POISON_BLOCKED);
+		poison_run(poison, START_US + SECOND_US);
+		tells += told.tells;
+		if (!told.tells)
+			poison_take(poison, &blocked, START_US + SECOND_US);
+		poison_run(poison, START_US + 60 * SECOND_US);
+		assert_int_equal(told.tells <= 1, 1);
+		assert_int_equal(told.forgets, 0);
+		assert_int_equal(poison_records(poison), 1);
+		poison_free(poison);
+	}
+	assert_in_range(tells, 1, 9);
+}
+
 /* When many searchers end together, a VM has many first strikes: the store is told of the first few
  * at once, and of the rest one by one. */
 static void test_first_strikes_are_told_slowly(void **state)
@@ -250,6 +284,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_many_requests),
 		cmocka_unit_test(test_all_is_forgotten),
+		cmocka_unit_test(test_restored_store_is_told_again),
 		cmocka_unit_test(test_first_strikes_are_told_slowly),
 		cmocka_unit_test(test_second_strike_is_told_at_once),
 		cmocka_unit_test(test_store_does_not_answer),
