--- a/src/core/registry.c
+++ b/src/core/registry.c
@@ -224,9 +224,10 @@
 /*
  * What is left only shrinks while a searcher warms up; more than by its last word means that it has
  * become cold again. Each word is heard some time after it was written, so the earliest end that
- * any of them gives is the nearest to the truth, and not before it.
+ * any of them gives is the nearest to the truth, and not before it. True when those that wait for
+ * the searcher should know.
  */
-static void note_cold(registry_t *registry, searcher_t *searcher, const searcher_entry_t *entry,
+static bool note_cold(registry_t *registry, searcher_t *searcher, const searcher_entry_t *entry,
 		      uint64_t now_us)
 {
 	uint64_t until_us = now_us + entry->cold_us;
@@ -234,19 +235,27 @@
 	bool sooner = !again && until_us < searcher->cold_until_us;
 
 	if (entry->changes <= searcher->changes)
-		return;
+		return false;
 	searcher->changes = entry->changes;
 	searcher->cold_us = entry->cold_us;
 	if (again || sooner)
 		searcher->cold_until_us = until_us;
-	/* Parts may wait for it to warm up. */
-	if (again || (sooner && registry_pool(registry, entry->service)->waiting.length))
-		registry->ops->changed(registry->ctx, searcher);
+	return again || (sooner && registry_pool(registry, entry->service)->waiting.length);
+}
+
+/* It is to get nothing new; true when that is news. */
+static bool note_draining(searcher_t *searcher, const searcher_entry_t *entry)
+{
+	if (!entry->draining || searcher->state != SEARCHER_READY)
+		return false;
+	searcher->state = SEARCHER_DRAINING;
+	return true;
 }
 
 void registry_put(registry_t *registry, const searcher_entry_t *entry, uint64_t now_us)
 {
 	searcher_t *searcher = g_hash_table_lookup(registry->by_id, entry->id);
+	bool changed;
 
 	note_listed(registry, entry->id);
 	if (is_outdated(registry, entry->id, entry->born_ms) || is_of_copy(registry, entry, now_us))
@@ -261,11 +270,11 @@
 		add(registry, entry, now_us);
 		return;
 	}
-	note_cold(registry, searcher, entry, now_us);
-	if (!entry->draining || searcher->state != SEARCHER_READY)
-		return;
-	searcher->state = SEARCHER_DRAINING;
-	registry->ops->changed(registry->ctx, searcher);
+	/* Both before anybody is told: one word may say that it is warm and that it leaves. */
+	changed = note_draining(searcher, entry);
+	changed = note_cold(registry, searcher, entry, now_us) || changed;
+	if (changed)
+		registry->ops->changed(registry->ctx, searcher);
 }
 
 void registry_put_unreadable(registry_t *registry, const char *id)
