A silent connection hides no evacuation past the settle time

Cause: the watch for evacuations waited for settle + evacuate less the ways (8.9 s on the shifted deployment), as if what is written right behind the silence were due that late. It is due once both times are over, not their sum: 6 s there. The new test failed (9.6 s of 6), and passes: the watch waits for the longer of the two less the ways, 4 s.

--- a/src/core/feed_timing.c
+++ b/src/core/feed_timing.c
@@ -30,10 +30,11 @@
 
 feed_timing_t feed_timing_for(uint32_t apply_ms, uint32_t settle_ms, uint32_t evacuate_ms)
 {
-	/* Whether a feeder hears the store shows by kinds that change more often. A watch on a
-	 * connection that went silent before the operator wrote is all that this one must find. */
-	uint32_t evacuation_ms =
-		less(settle_ms + evacuate_ms, FEED_WATCH_SLACK_MS + READ_MS + EVACUATION_FEED_MS);
+	/* Whether a feeder hears the store shows by kinds that change more often. What this one
+	 * must find is that its connection went silent: a VM counts again settle_ms after that, and
+	 * what the operator wrote just behind it is due by then, or later. */
+	uint32_t evacuation_ms = less(MAX(settle_ms, evacuate_ms),
+				      FEED_WATCH_SLACK_MS + READ_MS + EVACUATION_FEED_MS);
 	uint32_t watch_ms = less(settle_ms, FEED_WATCH_SLACK_MS + READ_MS);
 	uint32_t feeder_ms = less(apply_ms, FEED_MS);
 	feed_timing_t timing = {.watch_ms = CLAMP(watch_ms, WATCH_LEAST_MS, WATCH_MOST_MS)};
--- a/tests/parts_test.c
+++ b/tests/parts_test.c
@@ -253,6 +253,27 @@
 
 /* ---- evacuations ---- */
 
+/*
+ * Work reaches a data centre that is being emptied: the connection on which a VM waits for
+ * evacuations went silent, and the operator wrote right behind that. The VM counts again once its
+ * settle time is over, and the evacuation is due when both that and its own time are; by then the
+ * watch must have been in vain, the list been read, and subscribers been told.
+ */
+static void test_evacuation_watch(void **state)
+{
+	const uint32_t read_ms = 300, told_ms = 500;
+
+	(void)state;
+	for (uint32_t settle_ms = 4000; settle_ms <= 8000; settle_ms += 1000)
+		for (uint32_t evacuate_ms = 3000; evacuate_ms <= 9000; evacuate_ms += 1000) {
+			feed_timing_t timing = feed_timing_for(5000, settle_ms, evacuate_ms);
+			uint32_t known_ms = timing.evacuation_watch_ms + FEED_WATCH_SLACK_MS +
+					    read_ms + told_ms;
+
+			assert_true(known_ms <= MAX(settle_ms, evacuate_ms));
+		}
+}
+
 static void on_evacuation(void *ctx, const char *data_centre, bool evacuated)
 {
 	g_string_append_printf(ctx, "%s%s ", evacuated ? "+" : "-", data_centre);
@@ -609,6 +630,7 @@
 		cmocka_unit_test(test_shares_of_many),
 		cmocka_unit_test(test_shares_of_few),
 		cmocka_unit_test(test_placement),
+		cmocka_unit_test(test_evacuation_watch),
 		cmocka_unit_test(test_evacuations),
 		cmocka_unit_test(test_feed_choice),
 		cmocka_unit_test(test_feed_sizes),
