Taken back: gathers go to the data centre that has most of the region's searchers

The logs say why: each shard has its searchers in one data centre of a region, but half of the shards in each, so no data centre is ahead and the place moves with every searcher that comes or goes. What would spare those bytes is a gather split in two within a region, each half beside its shards: not built.

--- a/src/core/gatherer.c
+++ b/src/core/gatherer.c
@@ -13,12 +13,13 @@
 /* One late word moves the median of what is usual by a tenth. */
 #define TAKEN_STEP 0.1
 
-gatherer_t *gatherer_new(const vm_t *vm)
+gatherer_t *gatherer_new(const vm_t *vm, bool local)
 {
 	gatherer_t *gatherer = g_new0(gatherer_t, 1);
 
 	gatherer->refs = 1;
 	gatherer->vm = vm_new(vm);
+	gatherer->local = local;
 	gatherer->taken = (quantile_t){.fraction = 0.5, .step = TAKEN_STEP};
 	return gatherer;
 }
--- a/src/core/gatherer.h
+++ b/src/core/gatherer.h
@@ -21,7 +21,7 @@
 typedef struct gatherer_t {
 	gint refs;
 	vm_t *vm;
-	bool preferred; /**< in the data centre where gathers belong */
+	bool local; /**< in this VM's data centre */
 	gatherer_state_t state;
 	uint64_t avoid_until_us; /**< it did not take a request a moment ago */
 	uint32_t out;		 /**< requests that it has of this VM */
@@ -29,7 +29,7 @@
 	void *link;		 /**< the connection; set by the task that owns it */
 } gatherer_t;
 
-gatherer_t *gatherer_new(const vm_t *vm);
+gatherer_t *gatherer_new(const vm_t *vm, bool local);
 gatherer_t *gatherer_ref(gatherer_t *gatherer);
 void gatherer_unref(gatherer_t *gatherer);
 /** Whether @p vm is this one, at the same address. */
--- a/src/core/gatherer_choice.c
+++ b/src/core/gatherer_choice.c
@@ -137,7 +137,6 @@
 
 GPtrArray *gatherers_for(const fleet_t *fleet, const char *name, const char *data_centre)
 {
-	const char *place = fleet->gather_place ? fleet->gather_place : data_centre;
 	g_autoptr(GPtrArray) gatherers = gatherers_of_region(fleet, region_of(fleet, data_centre));
 	GPtrArray *ordered = g_ptr_array_new();
 
@@ -145,7 +144,7 @@
 		return ordered;
 	/* Each VM spreads itself over them by its own name. */
 	g_ptr_array_sort_with_data(gatherers, by_rank, (gpointer)name);
-	append_where(ordered, gatherers, place, true);
-	append_where(ordered, gatherers, place, false);
+	append_where(ordered, gatherers, data_centre, true);
+	append_where(ordered, gatherers, data_centre, false);
 	return ordered;
 }
--- a/src/core/gatherer_choice.h
+++ b/src/core/gatherer_choice.h
@@ -19,7 +19,6 @@
 	const GPtrArray *vms;	   /**< vm_t */
 	const GHashTable *regions; /**< data centre to region */
 	uint32_t connections;	   /**< that a searcher takes from all VMs together; 0: not known */
-	const char *gather_place;  /**< data centre whose gatherers come first; NULL: a VM's own */
 } fleet_t;
 
 /** The VMs that gather in @p region; the result borrows from the fleet. */
@@ -27,9 +26,8 @@
 /** The VMs that gather, in all regions; borrowed, too. */
 GPtrArray *gatherers_of_all(const fleet_t *fleet);
 /**
- * Whom the VM @p name hands gathers to, best first: VMs of the data centre where gathers of its
- * region belong, then others of the region. Empty when it gathers itself, or nobody there gathers
- * for others.
+ * Whom the VM @p name hands gathers to, best first: VMs of its own data centre, then others of its
+ * region. Empty when it gathers itself, or nobody there gathers for others.
  */
 GPtrArray *gatherers_for(const fleet_t *fleet, const char *name, const char *data_centre);
 
--- a/src/core/handover.c
+++ b/src/core/handover.c
@@ -60,7 +60,7 @@
 	return NULL;
 }
 
-void handovers_set_gatherers(handovers_t *all, const GPtrArray *vms, const char *place)
+void handovers_set_gatherers(handovers_t *all, const GPtrArray *vms, const char *data_centre)
 {
 	GPtrArray *fresh = g_ptr_array_new_with_free_func((GDestroyNotify)gatherer_unref);
 
@@ -69,8 +69,7 @@
 		gatherer_t *gatherer = known_gatherer(all, vm);
 
 		if (!gatherer)
-			gatherer = gatherer_new(vm);
-		gatherer->preferred = g_str_equal(vm->data_centre, place);
+			gatherer = gatherer_new(vm, g_str_equal(vm->data_centre, data_centre));
 		g_ptr_array_add(fresh, gatherer);
 	}
 	for (guint i = 0; i < all->gatherers->len; i++) {
@@ -102,13 +101,13 @@
 	g_free(handover);
 }
 
-/* One in the place for it first; of those the one with the least of ours. */
+/* A gatherer of this data centre first; of those the one with the least of ours. */
 static bool is_better(const gatherer_t *gatherer, const gatherer_t *than)
 {
 	if (!than)
 		return true;
-	if (gatherer->preferred != than->preferred)
-		return gatherer->preferred;
+	if (gatherer->local != than->local)
+		return gatherer->local;
 	return gatherer->out < than->out;
 }
 
--- a/src/core/handover.h
+++ b/src/core/handover.h
@@ -70,9 +70,8 @@
 
 handovers_t *handovers_new(const handover_ops_t *ops, void *ctx);
 void handovers_free(handovers_t *all);
-/** The gatherers to choose from, best first, vm_t; those that stay keep what is known of them.
- * Those of @p place are asked before others. */
-void handovers_set_gatherers(handovers_t *all, const GPtrArray *vms, const char *place);
+/** The gatherers to choose from, best first, vm_t; those that stay keep what is known of them. */
+void handovers_set_gatherers(handovers_t *all, const GPtrArray *vms, const char *data_centre);
 /** gatherer_t, best first. */
 const GPtrArray *handovers_gatherers(const handovers_t *all);
 
--- a/src/tasks/front_task.c
+++ b/src/tasks/front_task.c
@@ -5,7 +5,6 @@
 #include "tasks/front_task.h"
 
 #include "core/evacuation.h"
-#include "core/gather_place.h"
 #include "core/retry_after.h"
 #include "core/sharing.h"
 #include "headers.h"
@@ -57,9 +56,8 @@
 	uint32_t retry_constant;
 	char *vm_name;
 	char *data_centre;
-	GHashTable *regions;	  /* data centre to region */
-	const char *gather_place; /* data centre where gathers of this region belong; borrowed */
-	GHashTable *unreadable;	  /* names of entries that were said to be so */
+	GHashTable *regions;	/* data centre to region */
+	GHashTable *unreadable; /* names of entries that were said to be so */
 	uint64_t entries_ignored;
 	uint64_t configurations_ignored;
 	uint32_t regions_strange; /* that routes in force are bound to, and no data centre is in */
@@ -129,8 +127,7 @@
 	const routing_t *routing = forwarder_routing(task->forwarder);
 	const fleet_t fleet = {.vms = supply_task_vms(task->supply),
 			       .regions = task->regions,
-			       .connections = routing ? routing_gather_connections(routing) : 0,
-			       .gather_place = task->gather_place};
+			       .connections = routing ? routing_gather_connections(routing) : 0};
 
 	task->fleet_changed = false;
 	gather_task_set_fleet(task->gathers, &fleet);
@@ -138,21 +135,6 @@
 	sharing_take(&task->sharing, &fleet, task->vm_name, task->retry_constant);
 }
 
-/* Where searchers are changes seldom: one that is lost does not move the gathers. */
-static void look_where_to_gather(front_task_t *task)
-{
-	const routing_t *routing = forwarder_routing(task->forwarder);
-	const char *place = task->data_centre;
-
-	if (routing)
-		place = gather_place(task->registry, routing, task->regions, task->data_centre);
-	if (!g_strcmp0(place, task->gather_place))
-		return;
-	g_message("event=gather-place data_centre=%s", place);
-	task->gather_place = place;
-	task->fleet_changed = true;
-}
-
 static void set_shares(void *ctx)
 {
 	front_task_t *task = ctx;
@@ -162,7 +144,6 @@
 
 	loop_timer_set(task->loop, &task->shares_timer, SHARES_PERIOD_US);
 	sharing_take_members(&task->sharing, &members, task->fleet_changed, loop_now_us());
-	look_where_to_gather(task);
 	if (task->fleet_changed)
 		take_fleet(task);
 	registry_set_bound(task->registry, task->retry_ratio, 0);
--- a/src/tasks/gather_task.c
+++ b/src/tasks/gather_task.c
@@ -165,8 +165,7 @@
 	g_autoptr(GPtrArray) gatherers =
 		gatherers_for(fleet, task->own->name, task->own->data_centre);
 
-	handovers_set_gatherers(task->handovers, gatherers,
-				fleet->gather_place ? fleet->gather_place : task->own->data_centre);
+	handovers_set_gatherers(task->handovers, gatherers, task->own->data_centre);
 	hop_client_look(task->client);
 }
 
