A few VMs of each region watch the store, in place of a few of each data centre

Small deployments have a data centre a region and are as they were. The watchers are of as many data centres as can be, and a VM hears one of its own first, so a data centre that is gone does not turn all others to the store (test_feed_of_region). What got worse: where a data centre has one watcher, the loss of that one moves its subscribers to a feed of another data centre; feeds between data centres cost bytes. Sightings of searchers are now told in the region.

--- a/src/core/feed_choice.c
+++ b/src/core/feed_choice.c
@@ -7,10 +7,10 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* Up to so many VMs of a data centre all watch: a feed would save hardly any calls, and each VM
+/* Up to so many VMs of a region all watch: a feed would save hardly any calls, and each VM
  * then depends on no other. */
 #define WATCH_ALL_MOST 4
-/* Watchers of a larger data centre: two, so that one may fail, and one more for each so many VMs:
+/* Watchers of a larger region: two, so that one may fail, and one more for each so many VMs:
  * 40 subscribers take 40 x 250 B for each change of a searcher, 10 KB, of a link of 14 Mbit/s. */
 #define WATCHERS_LEAST 2
 #define VMS_A_WATCHER 40
@@ -54,43 +54,89 @@
 	g_ptr_array_sort_with_data(vms, by_hash, &order);
 }
 
-static GPtrArray *vms_of(const GPtrArray *vms, const char *data_centre)
+static const char *region_of(const feed_vms_t *all, const char *data_centre)
+{
+	const char *region = g_hash_table_lookup((GHashTable *)all->regions, data_centre);
+
+	return region ? region : data_centre;
+}
+
+static GPtrArray *vms_of_region(const feed_vms_t *all, const char *region)
 {
 	GPtrArray *same = g_ptr_array_new();
 
-	for (guint i = 0; i < vms->len; i++) {
-		vm_t *vm = g_ptr_array_index(vms, i);
+	for (guint i = 0; i < all->vms->len; i++) {
+		vm_t *vm = g_ptr_array_index(all->vms, i);
 
-		if (g_str_equal(vm->data_centre, data_centre))
+		if (g_str_equal(region_of(all, vm->data_centre), region))
 			g_ptr_array_add(same, vm);
 	}
 	return same;
 }
 
-bool feed_is_used(const GPtrArray *vms, const char *data_centre)
+static bool has_of(const GPtrArray *vms, const char *data_centre)
+{
+	for (guint i = 0; i < vms->len; i++)
+		if (g_str_equal(((const vm_t *)g_ptr_array_index(vms, i))->data_centre,
+				data_centre))
+			return true;
+	return false;
+}
+
+/* The first @p most of @p sorted, of as many data centres as can be: those that are fed must not
+ * all turn to the store because one data centre is gone. */
+static GPtrArray *spread_out(const GPtrArray *sorted, guint most)
+{
+	GPtrArray *chosen = g_ptr_array_new();
+
+	for (guint i = 0; i < sorted->len && chosen->len < most; i++) {
+		vm_t *vm = g_ptr_array_index(sorted, i);
+
+		if (!has_of(chosen, vm->data_centre))
+			g_ptr_array_add(chosen, vm);
+	}
+	for (guint i = 0; i < sorted->len && chosen->len < most; i++)
+		if (!g_ptr_array_find(chosen, g_ptr_array_index(sorted, i), NULL))
+			g_ptr_array_add(chosen, g_ptr_array_index(sorted, i));
+	return chosen;
+}
+
+bool feed_is_used(const feed_vms_t *all, const char *data_centre)
 {
-	g_autoptr(GPtrArray) same = vms_of(vms, data_centre);
+	g_autoptr(GPtrArray) same = vms_of_region(all, region_of(all, data_centre));
 
 	return same->len > WATCH_ALL_MOST;
 }
 
-GPtrArray *feed_choose(const GPtrArray *vms, const char *own_name, const char *data_centre)
+static void append_where(GPtrArray *to, const GPtrArray *from, const char *data_centre, bool there)
 {
-	GPtrArray *chosen = vms_of(vms, data_centre);
-	guint watchers;
+	for (guint i = 0; i < from->len; i++) {
+		vm_t *vm = g_ptr_array_index(from, i);
 
-	if (chosen->len <= WATCH_ALL_MOST) {
-		g_ptr_array_set_size(chosen, 0);
-		return chosen;
+		if (g_str_equal(vm->data_centre, data_centre) == there)
+			g_ptr_array_add(to, vm);
 	}
-	watchers = WATCHERS_LEAST + chosen->len / VMS_A_WATCHER;
-	/* All VMs agree on the watchers; each spreads itself over them by its own name. */
-	sort(chosen, data_centre, true);
-	g_ptr_array_set_size(chosen, (gint)MIN(watchers, chosen->len));
+}
+
+GPtrArray *feed_choose(const feed_vms_t *all, const char *own_name, const char *data_centre)
+{
+	const char *region = region_of(all, data_centre);
+	g_autoptr(GPtrArray) same = vms_of_region(all, region);
+	g_autoptr(GPtrArray) chosen = NULL;
+	GPtrArray *ordered = g_ptr_array_new();
+
+	if (same->len <= WATCH_ALL_MOST)
+		return ordered;
+	/* All VMs agree on the watchers; each spreads itself over them by its own name, over those
+	 * of its data centre first. */
+	sort(same, region, true);
+	chosen = spread_out(same, WATCHERS_LEAST + same->len / VMS_A_WATCHER);
 	if (vm_find(chosen, own_name))
-		g_ptr_array_set_size(chosen, 0);
+		return ordered;
 	sort(chosen, own_name, false);
-	return chosen;
+	append_where(ordered, chosen, data_centre, true);
+	append_where(ordered, chosen, data_centre, false);
+	return ordered;
 }
 
 bool feed_may_tell(size_t bytes, uint32_t subscribers, uint32_t link_mbps)
--- a/src/core/feed_choice.h
+++ b/src/core/feed_choice.h
@@ -2,8 +2,8 @@
  * @file feed_choice.h
  * Which VMs watch the platform's store, and whom the others hear it from.
  *
- * The store's calls are priced and its rates grow more slowly than the fleet. So in a data centre
- * with many VMs a few watch it and feed the rest. Each VM decides alone, from the list of VMs that
+ * The store's calls are priced and its rates grow more slowly than the fleet. So in a region with
+ * many VMs a few watch it and feed the rest. Each VM decides alone, from the list of VMs that
  * it knows; lists that differ for a while only make some VM watch, or ask, one more.
  */
 #ifndef DS_FEED_CHOICE_H
@@ -13,13 +13,21 @@
 
 #include <stdbool.h>
 
-/** Whether @p data_centre has so many VMs that a few watch the store and feed the rest. */
-bool feed_is_used(const GPtrArray *vms, const char *data_centre);
+/** The VMs registered, and where they are. */
+typedef struct feed_vms_t {
+	const GPtrArray *vms;	   /**< vm_t */
+	const GHashTable *regions; /**< data centre to region; one that is missing is a region of
+				    * its own */
+} feed_vms_t;
+
+/** Whether the region of @p data_centre has so many VMs that a few watch the store and feed the
+ * rest. */
+bool feed_is_used(const feed_vms_t *all, const char *data_centre);
 /**
- * The VMs to hear the store from, best first; empty when this VM watches the store itself.
- * @param vms vm_t; the result borrows from it
+ * The VMs to hear the store from, best first; empty when this VM watches the store itself. The
+ * result borrows.
  */
-GPtrArray *feed_choose(const GPtrArray *vms, const char *own_name, const char *data_centre);
+GPtrArray *feed_choose(const feed_vms_t *all, const char *own_name, const char *data_centre);
 
 /**
  * Whether an object of @p bytes is told, or only announced, to be read from the store.
--- a/src/tasks/supply_task.c
+++ b/src/tasks/supply_task.c
@@ -56,6 +56,7 @@
 	void *ctx;
 	GRand *rand;
 	member_task_t *members;
+	GHashTable *regions; /* data centre to region */
 	supply_kind_t kinds[FED_KINDS_MOST];
 	uint32_t kind_count;
 	feed_server_t *server;
@@ -492,7 +493,9 @@
 {
 	const vm_t *own = member_task_own(task->members);
 
-	return feed_choose(member_task_vms(task->members), own->name, own->data_centre);
+	const feed_vms_t all = {.vms = member_task_vms(task->members), .regions = task->regions};
+
+	return feed_choose(&all, own->name, own->data_centre);
 }
 
 static void take_feed(supply_task_t *task, const vm_t *feeder)
@@ -561,7 +564,9 @@
 	const vm_t *own = member_task_own(task->members);
 	g_autoptr(GPtrArray) feeders = feeders_of(task);
 
-	task->feeds = feed_is_used(member_task_vms(task->members), own->data_centre);
+	const feed_vms_t all = {.vms = member_task_vms(task->members), .regions = task->regions};
+
+	task->feeds = feed_is_used(&all, own->data_centre);
 	set_waits(task, task->feeds && !feeders->len);
 	if (!task->feeds)
 		feed_server_clear(task->server);
@@ -639,6 +644,7 @@
 	task->ops = ops;
 	task->ctx = ctx;
 	task->rand = g_rand_new();
+	task->regions = g_hash_table_ref(settings->regions);
 	task->kind_count = settings->evacuate_ms ? FED_KINDS_MOST : STORE_EVACUATIONS;
 	task->feeds = true; /* until it is known that the data centre is small */
 	task->server =
--- a/tests/parts_test.c
+++ b/tests/parts_test.c
@@ -342,10 +342,50 @@
 
 /* Small data centres need no feed; in large ones a few watch, all VMs agree on who, and the
  * subscribers spread over them. */
+/*
+ * One data centre of a region loses its power. If both VMs that watch the store for the region were in
+ * it, all others would turn to the store at once, 50 of them here; so the watchers are spread over the
+ * data centres, and a VM hears one of its own first.
+ */
+static void test_feed_of_region(void **state)
+{
+	g_autoptr(GHashTable) regions = g_hash_table_new(g_str_hash, g_str_equal);
+	GPtrArray *vms = vms_new(70);
+	const feed_vms_t all = {.vms = vms, .regions = regions};
+	int watchers[2] = {0};
+
+	(void)state;
+	g_hash_table_insert(regions, "here", "one");
+	g_hash_table_insert(regions, "there", "one");
+	for (guint i = 0; i < vms->len; i += 3) {
+		vm_t *vm = g_ptr_array_index(vms, i);
+
+		g_free(vm->data_centre);
+		vm->data_centre = g_strdup("there");
+	}
+	for (guint i = 0; i < vms->len; i++) {
+		const vm_t *vm = g_ptr_array_index(vms, i);
+		g_autoptr(GPtrArray) chosen = feed_choose(&all, vm->name, vm->data_centre);
+
+		watchers[g_str_equal(vm->data_centre, "there")] += chosen->len == 0;
+		if (chosen->len)
+			assert_string_equal(((vm_t *)g_ptr_array_index(chosen, 0))->data_centre,
+					    vm->data_centre);
+	}
+	assert_true(watchers[0] > 0 && watchers[1] > 0);
+	assert_int_equal(watchers[0] + watchers[1], 3);
+	assert_true(feed_is_used(&all, "there"));
+	assert_false(feed_is_used(&all, "elsewhere"));
+	g_ptr_array_unref(vms);
+}
+
 static void test_feed_choice(void **state)
 {
 	GPtrArray *few = vms_new(4), *many = vms_new(100);
-	GPtrArray *chosen = feed_choose(few, "vm-1", "here");
+	g_autoptr(GHashTable) regions = g_hash_table_new(g_str_hash, g_str_equal);
+	const feed_vms_t all_few = {.vms = few, .regions = regions};
+	const feed_vms_t all_many = {.vms = many, .regions = regions};
+	GPtrArray *chosen = feed_choose(&all_few, "vm-1", "here");
 	GHashTable *loads = g_hash_table_new(g_str_hash, g_str_equal);
 	int watchers = 0;
 
@@ -355,7 +395,7 @@
 	for (guint i = 0; i < many->len; i++) {
 		vm_t *first;
 
-		chosen = feed_choose(many, ((vm_t *)g_ptr_array_index(many, i))->name, "here");
+		chosen = feed_choose(&all_many, ((vm_t *)g_ptr_array_index(many, i))->name, "here");
 		watchers += chosen->len == 0;
 		if (chosen->len) {
 			first = g_ptr_array_index(chosen, 0);
@@ -369,7 +409,7 @@
 	}
 	assert_int_equal(watchers, 4);
 	assert_int_equal(g_hash_table_size(loads), 4);
-	chosen = feed_choose(many, "vm-1", "elsewhere");
+	chosen = feed_choose(&all_many, "vm-1", "elsewhere");
 	assert_int_equal(chosen->len, 0);
 	g_ptr_array_unref(chosen);
 	g_hash_table_unref(loads);
@@ -632,6 +672,7 @@
 		cmocka_unit_test(test_placement),
 		cmocka_unit_test(test_evacuation_watch),
 		cmocka_unit_test(test_evacuations),
+		cmocka_unit_test(test_feed_of_region),
 		cmocka_unit_test(test_feed_choice),
 		cmocka_unit_test(test_feed_sizes),
 		cmocka_unit_test(test_feed_judged),
