--- a/src/core/forward.h
+++ b/src/core/forward.h
@@ -225,6 +225,8 @@
 void forwarder_take_sighting(forwarder_t *forwarder, const sighting_t *sighting, uint64_t now_us);
 /** A searcher has room again, or is new. */
 void forwarder_room(forwarder_t *forwarder, const char *service, uint64_t now_us);
+/** Searchers that @p part was not sent to, by why. */
+passed_over_t forward_passed_over(const part_t *part, uint64_t now_us);
 /** What is left of the caller's time. */
 uint64_t forward_left_us(const forward_t *forward, uint64_t now_us);
 /** For how long its searcher should work on @p sub: the deadline that it is told. */
--- a/src/core/part.c
+++ b/src/core/part.c
@@ -415,3 +415,10 @@
 		return;
 	part->hedge_us = MAX(hedge_due_us(part, now_us), now_us);
 }
+
+passed_over_t forward_passed_over(const part_t *part, uint64_t now_us)
+{
+	const candidates_t candidates = part_candidates(part);
+
+	return placement_passed_over(&candidates, now_us);
+}
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -307,3 +307,23 @@
 			return true;
 	return false;
 }
+
+passed_over_t placement_passed_over(const candidates_t *candidates, uint64_t now_us)
+{
+	const pool_t *pool = candidates->pool;
+	passed_over_t passed = {0};
+
+	for (guint i = 0; i < pool->searchers->len; i++) {
+		const searcher_t *searcher = g_ptr_array_index(pool->searchers, i);
+
+		if (searcher->state != SEARCHER_READY)
+			continue;
+		if (candidates->route && !route_allows(candidates->route, searcher->region))
+			passed.elsewhere++;
+		else if (searcher->evacuated)
+			passed.evacuated++;
+		else if (is_held_back(searcher, pool, now_us))
+			passed.cold++;
+	}
+	return passed;
+}
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -49,6 +49,14 @@
 uint64_t placement_warm_us(const candidates_t *candidates, uint64_t now_us);
 /** Whether all candidates are held back for being cold. */
 bool placement_is_all_cold(const candidates_t *candidates, uint64_t now_us);
+/** Ready searchers of a service that a part was not sent to, by why. */
+typedef struct passed_over_t {
+	uint32_t elsewhere; /**< in regions that its route must not leave its own for */
+	uint32_t evacuated;
+	uint32_t cold; /**< they have had what this VM may send them */
+} passed_over_t;
+
+passed_over_t placement_passed_over(const candidates_t *candidates, uint64_t now_us);
 /** A sub-request is sent to @p searcher. */
 void placement_note_sent(const pool_t *pool, searcher_t *searcher, uint64_t now_us);
 /** Whether there is any candidate, with room or without. */
--- a/src/queries/front_log.c
+++ b/src/queries/front_log.c
@@ -26,6 +26,18 @@
 				       ((searcher_t *)g_ptr_array_index(part->asked, i))->id);
 }
 
+/* Searchers that the part could have been sent to, but for its route's regions, an evacuation or a
+ * cold rest. */
+static void append_passed_over(GString *line, const part_t *part)
+{
+	const passed_over_t passed = forward_passed_over(part, loop_now_us());
+
+	if (passed.elsewhere + passed.evacuated + passed.cold)
+		g_string_append_printf(line, " passed_over=%s:elsewhere=%u:evacuated=%u:cold=%u",
+				       part->pool->service, passed.elsewhere, passed.evacuated,
+				       passed.cold);
+}
+
 /* What became of the parts that are missing; the first few tell the cause. */
 static void append_missing(GString *line, const forward_t *forward)
 {
@@ -44,6 +56,7 @@
 				       part->reply  ? sub_end_name(part->reply->end)
 				       : part->shed ? "shard-short"
 						    : "no-reply");
+		append_passed_over(line, part);
 	}
 }
 
--- a/src/tool/explain.c
+++ b/src/tool/explain.c
@@ -25,7 +25,9 @@
 	{"answered", "answered; parts that are missing are named by lost="},
 	{"not-ready", "not run: this VM had no configuration or list of searchers yet"},
 	{"no-route", "not run: no route of its version fits the host and path"},
-	{"no-searcher", "not run: no searcher of the service could be sent work"},
+	{"no-searcher",
+	 "not run: no searcher of the service could be sent work; passed_over= counts those that "
+	 "its regions, an evacuation or their cold rest forbade"},
 	{"leaving", "not run: this VM was about to end"},
 	{"too-late", "not run: the caller's time was over when it was read"},
 	{"full", "not run: no connection to a searcher would have become free in time"},
--- a/tests/system/front_regions.sh
+++ b/tests/system/front_regions.sh
@@ -21,6 +21,8 @@
 	[ "$(status)" = 503 ] && [ -n "$(header Retry-After)" ] || bad "$path gets $(status), $(header Retry-After)"
 	[ $(($(date +%s%3N) - started)) -lt 700 ] || bad "$path was not refused at once"
 done
+"$BUILD/dogwoodsaddle" explain "attempt-$ATTEMPTS" "$RUN"/front-*.log >"$RUN/explained"
+grep -q 'passed_over=shard-0:elsewhere=1:evacuated=1:cold=0' "$RUN/explained" || bad "explain says why: $(cat "$RUN/explained")"
 attempt 0 find.example /find/x && [ "$(status)" = 200 ] || bad "a route of all regions gets $(status)"
 [ "$(header Dogwoodsaddle-Missing-Parts)" = 0 ] || bad "it needs nobody there"
 users reopen there >/dev/null
