Load test: all searchers of two shards crash and come back cold

Plays the cascade that the users saw: a searcher that gets more than 11 requests in a second while it is cold ends once more. Sends to a searcher that is down are no arrivals: nobody listens.

--- a/tests/load_test.c
+++ b/tests/load_test.c
@@ -36,6 +36,11 @@
 	{{"reset", "two of three cut 40 %", 0, 0.7, LOAD_RESET, 1, 0.4}, 0.98},
 	{{"slow", "half of the searchers take four times as long", 0, 0.7, LOAD_SLOW, 0.75, 1},
 	 0.95},
+	/* Broad requests can't do without two shards of ten: for 3.5 s of the 18 that count, the
+	 * end of their rest, they can't be served; from then on all are. */
+	{{"crash", "all searchers of two shards end and come back cold", 0, 0.7, LOAD_CRASH, 0.2,
+	  1},
+	 0.82},
 };
 
 static double served(const load_result_t *result)
@@ -59,6 +64,9 @@
 
 		load_play(&load->plan, seed, &result);
 		sum += served(&result);
+		if (result.pressed)
+			fail_msg("%s, seed %u: %u searchers end for having been pressed while cold",
+				 load->plan.name, seed, result.pressed);
 		if (result.worst_extra > 1)
 			fail_msg("%s, seed %u: %.2f of the bound on extra sub-requests",
 				 load->plan.name, seed, result.worst_extra);
--- a/tests/load_world.c
+++ b/tests/load_world.c
@@ -24,6 +24,12 @@
 #define PAUSE_US (250 * MS)
 #define PAUSE_EACH_US (6000 * MS)
 #define SLOW_TIMES 4
+/* A searcher that has ended is back after so long, and cold for so long. */
+#define BACK_US (1500 * MS)
+#define COLD_US (3000 * MS)
+/* What it bears a second while it is cold, and from how many on it ends: the users' rule. */
+#define COLD_PER_S 4
+#define COLD_MOST (COLD_PER_S * 1.5 + 5)
 #define RATIO 0.2
 #define CONSTANT 58
 #define WINDOW_US (10000 * MS)
@@ -35,6 +41,8 @@
 /* VMs of the data centres take requests in these proportions. */
 static const double weights[DATA_CENTRES] = {0.18, 0.31, 0.51};
 
+static const char *const data_centres[DATA_CENTRES] = {"north", "town", "lake"};
+
 typedef struct route_plan_t {
 	const char *name;
 	double share; /* of the requests */
@@ -61,6 +69,10 @@
 	uint32_t connections;
 	uint64_t pause_at_us; /* when its next pause starts; 0: it never pauses */
 	bool faulty;
+	uint64_t down_until_us, cold_until_us; /* after it has ended */
+	uint64_t changes;		       /* of its entry */
+	GArray *cold_us;		       /* times of what it was sent while cold */
+	timer_entry_t back;
 	GQueue queue;	  /* job_t */
 	double waited_us; /* time that requests spent in the queue */
 } server_t;
@@ -111,6 +123,7 @@
 	GArray *extra_us[SHARDS];
 	GArray *request_us;
 	timer_entry_t arrival;
+	timer_entry_t crash;
 	double per_s;
 	uint64_t end_us; /* of the callers' traffic */
 	uint32_t ids;
@@ -254,6 +267,83 @@
 	}
 }
 
+static uint32_t within(const GArray *times, uint64_t from_us);
+
+/* The VMs as each has them in its list, for so long that all count. */
+static uint32_t share_of(const vm_sim_t *vm, const server_t *server)
+{
+	static const cold_bound_t bound = {.per_s = COLD_PER_S, .gathered = true};
+	g_autoptr(GPtrArray) vms = g_ptr_array_new_with_free_func(vm_free);
+	cold_members_t members = {.vms = vms};
+
+	for (uint32_t i = 0; i < VMS; i++) {
+		g_autofree char *name = g_strdup_printf("vm-%u", i);
+		const vm_t each = {.name = name, .data_centre = "", .address = ""};
+
+		g_ptr_array_add(vms, vm_new(&each));
+	}
+	members.own_name = ((vm_t *)g_ptr_array_index(vms, vm - vm->world->vms))->name;
+	return cold_share_of(&members, &bound, server->id);
+}
+
+static void tell_of_server(vm_sim_t *vm, const server_t *server, uint64_t now_us)
+{
+	const searcher_entry_t entry = {.id = (char *)server->id,
+					.service = (char *)server->service,
+					.address = "127.0.0.1",
+					.port = 1,
+					.data_centre = (char *)data_centres[server->data_centre],
+					.slots = server->slots,
+					.cold_us = COLD_US,
+					.changes = server->changes};
+
+	registry_find(vm->registry, server->id)->cold_share = share_of(vm, server);
+	/* Another rest, however long the one before was. */
+	registry_find(vm->registry, server->id)->cold_us = 0;
+	registry_put(vm->registry, &entry, now_us);
+}
+
+/* Back, and cold: all VMs hear of it, and know what each may send it. */
+static void come_back(void *ctx, uint64_t now_us)
+{
+	server_t *server = ctx;
+	load_world_t *world = server->world;
+
+	server->down_until_us = 0;
+	server->cold_until_us = now_us + COLD_US;
+	server->changes++;
+	g_array_set_size(server->cold_us, 0);
+	for (uint32_t i = 0; i < VMS; i++)
+		tell_of_server(&world->vms[i], server, now_us);
+}
+
+static void end_server(server_t *server)
+{
+	server->down_until_us = server->world->now_us + BACK_US;
+	after(server->world, &server->back, BACK_US, come_back, server);
+}
+
+static void end_faulty(void *ctx, uint64_t now_us)
+{
+	load_world_t *world = ctx;
+
+	(void)now_us;
+	for (guint i = 0; i < world->servers->len; i++) {
+		server_t *server = g_ptr_array_index(world->servers, i);
+
+		if (server->faulty)
+			end_server(server);
+	}
+}
+
+static bool is_pressed(server_t *server, uint64_t now_us)
+{
+	if (now_us >= server->cold_until_us)
+		return false;
+	g_array_append_val(server->cold_us, now_us);
+	return within(server->cold_us, now_us > 1000 * MS ? now_us - 1000 * MS : 0) > COLD_MOST;
+}
+
 static void arrive_at_server(void *ctx, uint64_t now_us)
 {
 	job_t *job = ctx;
@@ -262,6 +352,14 @@
 	bool sheds = server->faulty && fault_is_on(world) && world->plan->fault == LOAD_BUSY &&
 		     uniform(world) < world->plan->fault_odds;
 
+	if (!server->down_until_us && is_pressed(server, now_us)) {
+		world->result->pressed++;
+		end_server(server);
+	}
+	if (server->down_until_us) {
+		send_back(job, SUB_NOT_SENT);
+		return;
+	}
 	if (sheds || server->queue.length >= server->queue_most || now_us >= job->deadline_us) {
 		send_back(job, SUB_NOT_RUN);
 		return;
@@ -335,7 +433,8 @@
 		sub->searcher->idle--;
 	}
 	sub->carrier = job;
-	count_arrival(world, sub);
+	if (!job->server->down_until_us) /* else nobody listens, and nothing arrives */
+		count_arrival(world, sub);
 	after(world, &job->timer, way_us(job) * (job->connects ? 3 : 1), arrive_at_server, job);
 }
 
@@ -459,8 +558,6 @@
 
 /* ---- set-up ---- */
 
-static const char *const data_centres[DATA_CENTRES] = {"north", "town", "lake"};
-
 static void on_changed(void *ctx, searcher_t *searcher)
 {
 	(void)ctx;
@@ -479,6 +576,7 @@
 	g_snprintf(server->id, sizeof(server->id), "s%u-%u", shard, data_centre);
 	g_snprintf(server->service, sizeof(server->service), "s%u", shard);
 	g_queue_init(&server->queue);
+	server->cold_us = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	g_ptr_array_add(world->servers, server);
 	g_hash_table_insert(world->by_id, server->id, server);
 }
@@ -491,7 +589,10 @@
 		uint32_t shard = (uint32_t)g_ascii_strtoull(server->service + 1, NULL, 10);
 		bool spared = server->data_centre == shard % DATA_CENTRES;
 
-		server->faulty = !spared && uniform(world) < world->plan->fault_share;
+		if (world->plan->fault == LOAD_CRASH)
+			server->faulty = shard < world->plan->fault_share * SHARDS;
+		else
+			server->faulty = !spared && uniform(world) < world->plan->fault_share;
 	}
 }
 
@@ -551,6 +652,16 @@
 		connection_share_set(pool, connections, &counts);
 }
 
+static void bound_cold(registry_t *registry)
+{
+	GHashTableIter iter;
+	gpointer pool;
+
+	g_hash_table_iter_init(&iter, registry_pools(registry));
+	while (g_hash_table_iter_next(&iter, NULL, &pool))
+		((pool_t *)pool)->cold = (cold_bound_t){.per_s = COLD_PER_S, .gathered = true};
+}
+
 static void start_vm(load_world_t *world, uint32_t index, uint32_t vms, uint32_t connections)
 {
 	static const registry_ops_t registry_ops = {.changed = on_changed};
@@ -573,6 +684,8 @@
 		register_server(vm->registry, g_ptr_array_index(world->servers, i));
 	registry_list_end(vm->registry, BEGIN_US);
 	share_connections(vm->registry, connections, vms + 1);
+	if (world->plan && world->plan->fault == LOAD_CRASH)
+		bound_cold(vm->registry);
 	vm->forwarder = forwarder_new(&ops, vm, vm->registry, index + 1);
 	forwarder_set_routing(vm->forwarder, routing_for(world->plan ? SHARDS : 1, world->plan));
 }
@@ -664,6 +777,8 @@
 	choose_faulty(world);
 	for (uint32_t i = 0; i < VMS; i++)
 		start_vm(world, i, VMS, CONNECTIONS);
+	if (plan->fault == LOAD_CRASH)
+		after(world, &world->crash, FAULT_FROM_US, end_faulty, world);
 	world->per_s = plan->offered * capacity_per_s();
 	world->end_us = BEGIN_US + END_US;
 	run(world);
--- a/tests/load_world.h
+++ b/tests/load_world.h
@@ -23,6 +23,8 @@
 	LOAD_MUTE,   /**< run it and never answer */
 	LOAD_RESET,  /**< run it and close the connection */
 	LOAD_SLOW,   /**< take four times as long */
+	LOAD_CRASH,  /**< end at once, all of a shard, and are back cold after a second and a half;
+		      * they  end once more when they are pressed then */
 } load_fault_t;
 
 /** One scenario. */
@@ -48,6 +50,7 @@
 typedef struct load_result_t {
 	load_route_t routes[LOAD_ROUTES];
 	uint32_t sub_requests, extras;
+	uint32_t pressed;   /**< searchers that ended for having been pressed while cold */
 	double worst_extra; /**< extras of one shard within a window, as a share of the bound */
 } load_result_t;
 
