--- a/src/core/feed_choice.c
+++ b/src/core/feed_choice.c
@@ -15,11 +15,11 @@
 #define WATCHERS_LEAST 2
 #define VMS_A_WATCHER 40
 
-/* A subscriber's own requests wait while it reads: 37 ms on a link of 14 Mbit/s. One of 550 KB held
- * such a link up for 4 s when 14 others were told it there, and with it every sub-request. */
+/* A subscriber's own requests wait while it reads, for tens of ms on the smallest links; a larger
+ * one would hold up every sub-request there for seconds. */
 #define TELL_MOST_BYTES (64u << 10)
 /* The feeder's requests wait while it writes to all. Announced instead, each subscriber has to read
- * the object from the store: in a fleet of 295 VMs 287 calls for each change. */
+ * the object from the store, a call each. */
 #define TELL_MOST_US 50000
 /* A link that is not known is taken to be as slow as those of small VMs. */
 #define LINK_UNKNOWN_MBPS 14
--- a/src/core/feed_timing.c
+++ b/src/core/feed_timing.c
@@ -49,9 +49,9 @@
 
 /*
  * When the store is down, every feeder is away, and every VM that left its feed for that would try
- * the store by itself, several times a second, and read it whole when it is back: 9,662 calls on a
- * day with an outage of 7 s, by 295 VMs. What the feeder knows is as good as what any other VM
- * does; a look every few seconds shows whether the store turned away only the feeder.
+ * the store by itself, several times a second, and read it whole when it is back: calls grow with
+ * the fleet. What the feeder knows is as good as what any other VM does; a look every few seconds
+ * shows whether the store turned away only the feeder.
  */
 feed_verdict_t feed_judge(const feed_timing_t *timing, bool fed, bool away, uint64_t age_us)
 {
--- a/src/core/forwarder.c
+++ b/src/core/forwarder.c
@@ -6,8 +6,8 @@
 
 #include "core/retry_after.h"
 
-/* The caller's clock started a trip earlier, and the answer needs another: 1 to 3 ms each way in
- * the deployments, and a turn of this loop. */
+/* The caller's clock started a trip earlier, and the answer needs another, of some ms each, and a
+ * turn of this loop. */
 #define WAY_US 9000
 /* Callers that do not say how long they wait, on routes without a timeout. */
 #define PATIENCE_UNKNOWN_US 5000000
@@ -455,8 +455,7 @@
 /*
  * Where several shards are short, a request goes without the one that is shortest. In the order of
  * the shards the first was left out of nearly all requests, and had room to spare, while the others
- * were not relieved: of three offered 120 %, 87 % of the requests were served in time, and 92 % so
- * (make loads, three-short, 12 seeds).
+ * were not relieved.
  */
 static void start_parts(forward_t *forward, uint64_t now_us)
 {
--- a/src/core/latency_buckets.h
+++ b/src/core/latency_buckets.h
@@ -10,7 +10,7 @@
 
 #include <stdint.h>
 
-/* Targets of the deployments' routes are 100 to 400 ms, timeouts up to 3 s. */
+/* From what a searcher in memory takes to the longest that callers wait. */
 #define LATENCY_BOUNDS 12
 
 typedef struct latency_buckets_t {
--- a/src/core/part.c
+++ b/src/core/part.c
@@ -8,11 +8,10 @@
 #include "core/shedding.h"
 
 /* A sub-request that is out for longer than this many times the usual met a pause, a slow searcher
- * or a queue in most cases: pauses alone hold up 4.4 % of them, and the budget allows 20 %. */
+ * or a queue in most cases, and there are fewer of those than the budget allows. */
 #define HEDGE_TIMES 1.5
 /* So much more when the budget is used up: then hardly any but what pauses or hangs is sent once
- * more. Twice as much served fewer where every third part was slow, none at all fewer at 100 VMs.
- */
+ * more. */
 #define HEDGE_TIMES_SPENT 0.8
 #define HEDGE_LEAST_US 13000
 /* Room for a second answer that takes longer than expected. */
@@ -44,12 +43,12 @@
 
 /*
  * By what this searcher takes, and not by what the route's parts take: when some searchers are slow
- * or dark, a third of the parts goes to far ones, and the median of all rose from 12 to 40 ms. The
- * hedge then came at 60 ms and its answer at 100 to 126, past the targets. Yet a searcher serves
- * routes with more and with less work, so the route's own share of that counts.
+ * or dark, many parts go to far ones, the median of all rises, and with it hedges would come so
+ * late that their answers are past the target. Yet a searcher serves routes with more and with less
+ * work, so the route's own share of that counts.
  *
- * The less of the budget is left, the later: with 100 VMs each has two or three extra sub-requests
- * in ten seconds for a shard. Spent at 1.5 times the usual, they were gone when a searcher paused.
+ * The less of the budget is left, the later: where many VMs share it, each has few extra
+ * sub-requests for a shard. Spent early, they are gone when a searcher pauses.
  */
 static uint64_t hedge_due_us(part_t *part, uint64_t now_us)
 {
@@ -107,9 +106,7 @@
 
 /*
  * Parts first whose request fails without them, then urgent ranks, then in order of arrival. One
- * that has left out as many parts as it may would otherwise wait behind others that can do without:
- * where three shards of ten are offered 120 %, 78 % of the requests were served in time in order of
- * rank and arrival, and 84 % so (make loads, three-short, 16 seeds).
+ * that has left out as many parts as it may would otherwise wait behind others that can do without.
  */
 static bool goes_before(const part_t *part, const part_t *other)
 {
@@ -387,8 +384,7 @@
 
 /*
  * A searcher that refuses a share of what it is sent may take the same part the next time; one that
- * has refused once is full for now. Where two of three refuse 60 %, and the third is full, 93.3 %
- * of the requests were served without this and 94.4 % with it (make loads, busy, 16 seeds).
+ * has refused once is full for now.
  */
 static void forgive(part_t *part, searcher_t *searcher, uint64_t now_us)
 {
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -9,42 +9,41 @@
 
 #include <math.h>
 
-/* Before a searcher is measured, what the way adds: a round trip between regions is 24 to 40 ms in
- * the deployments, within one 2 to 3 ms. */
+/* Before a searcher is measured, what the way adds: a round trip between regions, and within one.
+ */
 #define FAR_US 32000
 #define REGION_US 3000
-/* Before anything is measured: a sub-request of the deployments takes 3 to 15 ms at a searcher. */
+/* Before anything is measured: that of an index in memory. */
 #define TYPICAL_UNKNOWN_US 12000
-/* What was measured of a searcher counts half after so long without news: slow spells last 5 to
- * 12 s, and one that recovered is asked again within a second or two. */
+/* What was measured of a searcher counts half after so long without news: one that recovered is
+ * asked again within a second or two, before its callers' patience is over. */
 #define MEMORY_HALF_US 1500000
 /* What a searcher told of its load counts half after so long: its queue is another one by then. */
 #define TOLD_HALF_US 300000
 /* A new connection costs a handshake of up to 6 ms at the searcher, and a round trip. */
 #define CONNECT_US 8000
-/* Pauses last 200 ms and start at any moment; a sub-request that is out three times as long as
- * usual, and for at least 25 ms, meets one in most cases. */
+/* Searchers pause, as for collecting garbage: a sub-request that is out three times as long as
+ * usual, and beyond what a busy machine explains, meets one in most cases. */
 #define STUCK_TIMES 3
 #define STUCK_LEAST_US 25000
 /* What a stuck searcher costs: most of a pause is still to come. */
 #define STUCK_US 150000
-/* One that another VM found stuck: 80 ms of the pause are still to come on average. A little less,
- * so that all VMs of a data centre turn to the far searchers that they are connected to (44 ms),
- * and not to those where they would have to connect first, all at once (84 ms). */
+/* One that another VM found stuck: half of the pause is over. More than a far searcher costs that
+ * this VM is connected to, and less than one where it would have to connect first: all VMs that are
+ * told would do so at once. */
 #define STUCK_TOLD_US 60000
-/* Pauses last 200 ms and a searcher ten times slower answers within 120 ms; where requests take
- * longer, four times the usual. */
+/* Longer than any pause, and than a slow searcher takes; where requests take longer, four times the
+ * usual. */
 #define HANGS_LEAST_US 300000
 #define HANGS_TIMES 4
 #define COLD_TIMES 1.6
 /* One that has just failed comes after all others. */
 #define AVOID_US 1000000
 /* What a sub-request that comes to nothing costs: the part waits for a second try, which the budget
- * may not allow. Two searchers of three that refuse 60 % then get a sixth of what the third one
- * does. */
+ * may not allow. */
 #define LOST_US 300000
 /* What it is worth that a suspect request is the only one of this VM at its searcher: a far
- * searcher that is sound is as good (44 ms), one that is stuck is not. */
+ * searcher that is sound is as good, one that is stuck is not. */
 #define COMPANY_US 50000
 /* VMs that know the same must not all choose the same one. */
 #define SPREAD 0.1
--- a/src/core/poison.h
+++ b/src/core/poison.h
@@ -26,10 +26,7 @@
 
 /*
  * The first end may be any request's that ran there. A second one under a request that was alone at
- * one of several searchers, for some ms, is hardly chance; in company it takes a third. With two in
- * any company, 5 of 4,000 random schedules of crashing searchers refused a request that was sound,
- * with a second one alone only, 7 let one through that was not; as it is, neither (seeds 1 to 8000,
- * where every other seed has such requests).
+ * one of several searchers, for some ms, is hardly chance; in company it takes a third.
  */
 #define POISON_STRIKES 3
 #define POISON_STRIKES_ALONE 2
--- a/src/core/route_state.c
+++ b/src/core/route_state.c
@@ -11,13 +11,13 @@
 #define RELATIVE_WHOLE 1000
 /* Where a route begins: two answers in time, and it tells. */
 #define HUNG_FIRST 0.5
-/* At the worst of the deployments' days 28 in 100 searchers are dark or slow at once. */
+/* More searchers than that are not dark or slow at once, unless a data centre is lost. */
 #define HUNG_MOST 0.45
 
 /*
  * Routes with requests that last for longer than any pause, by their nature, exist beside others
- * that use the same searchers. Each such request would have its searcher avoided by eight VMs for
- * a second and more: 2.5 sound ones a second in a deployment of 90 VMs.
+ * that use the same searchers. Each such request would have its searcher avoided by all VMs that
+ * are told, for a second and more.
  */
 bool route_state_tells(const route_state_t *state)
 {
--- a/src/core/searcher.c
+++ b/src/core/searcher.c
@@ -6,17 +6,16 @@
 
 #include <math.h>
 
-/* What an answer says of a searcher weighs as much as the time that it stands for: at one answer a
- * second (90 VMs) it counts for a third, so a searcher that turned ten times slower is avoided
- * after two; at thirty a second (6 VMs) for a twentieth, so that a pause of 200 ms hardly moves it
- * and a slow spell is still known within a second. */
+/* What an answer says of a searcher weighs as much as the time that it stands for: where answers
+ * are seconds apart, a searcher that turned slow is avoided after two; where they are many, one
+ * that met a pause hardly counts, and a slow spell is still known within a second. */
 #define LATENCY_MEMORY_US 2500000.0
 #define LATENCY_WEIGHT_LEAST 0.05
 /* A searcher that failed is left alone for so long, doubled with each failure in a row. */
 #define AVOID_FIRST_US 100000
 #define AVOID_MOST_US 2000000
-/* One that hangs is left alone for longer: with 90 VMs each asks a searcher about once a second, so
- * after a tenth of a second the next request would hang, too. Dark spells last 4 to 8 s. */
+/* One that hangs is left alone for longer: a request that finds it still so waits in vain, while
+ * one that is back is found within a second or two. */
 #define AVOID_HUNG_FIRST_US 1000000
 #define AVOID_HUNG_MOST_US 4000000
 
--- a/src/core/shedding.c
+++ b/src/core/shedding.c
@@ -9,15 +9,12 @@
 /* After the last part that found no room: a shard offered a tenth more than it can do makes parts
  * wait several times a second, on each VM. */
 #define SHORT_FOR_US 1000000
-/* Weight of one part in the share that is left out: 50 parts, two seconds of a VM's. */
+/* Weight of one part in the share that is left out: that of the last seconds. */
 #define SHARE_WEIGHT 0.02
 /*
  * A part is left out when it would be answered after the target; where parts are left out all the
- * time, earlier: the wait is an average, and one that comes just too late is work for nobody. Of
- * three shards of ten offered 120 %, 82 % of the requests are served in time without this, 92 %
- * with it (make loads, three-short, 12 seeds). As much from the start left parts out in short
- * rushes, too: where a shard was gone and searchers of others were slow for seconds, callers
- * got 92.1 % of what they were owed, and 92.5 % without (five seeds).
+ * time, earlier: the wait is an average, and one that comes just too late is work for nobody. Not
+ * from the start: a short rush would cost parts that could still be had.
  */
 #define SHARE_TIMES 4
 #define TIMES_MOST 2.2
--- a/src/core/sighting.c
+++ b/src/core/sighting.c
@@ -4,22 +4,19 @@
  */
 #include "core/sighting.h"
 
-/* Sub-requests of one service take 0.4 to 2 times the usual, by their route; slow spells of the
- * deployments begin at 4 times. */
+/* Beyond what the routes of one service differ by, and well below what a slow searcher takes. */
 #define NEWS_TIMES 2.5
-/* Weight of one sub-request in the share of odd ones: a gather of 36 parts moves it by four fifths.
+/* Weight of one sub-request in the share of odd ones: one gather of tens of parts moves most of it.
  */
 #define ODD_WEIGHT 0.05
-/* At the worst of the deployments' days half of the searchers are slow or dark at once. A VM that
- * is slow itself, or cut off, sees nearly all of them so; told, that would turn the others away
- * from sound searchers. */
+/* A VM that is slow itself, or cut off, sees nearly all searchers slow or dark; told, that would
+ * turn the others away from sound ones. */
 #define ODD_MOST 0.6
 /*
  * VMs that start together all connect at once, and wait for each other's handshakes of 6 ms. Told
- * as slowness, that turned them from the near searchers to the far ones, where they had to connect
- * as well: after 90 VMs had lost power 8,757 connections were made beyond what searchers take, and
- * 184 of 333 requests of the first two seconds failed; 1,276 and 149 without. So slowness counts
- * only once a VM has its connections; by then the searchers' own are back to the usual, too.
+ * as slowness, that turns them from the near searchers to the far ones, where they have to connect
+ * as well, beyond what those take. So slowness counts only once a VM has its connections; by then
+ * the searchers' own are back to the usual, too.
  */
 #define SETTLE_US 6000000
 /* How long searchers pause. */
--- a/src/dogwoodsaddled.c
+++ b/src/dogwoodsaddled.c
@@ -19,8 +19,8 @@
 
 #define EXIT_BAD_SETTINGS 2
 #define STOP_CHECK_US 20000
-/* Requests taken later than this before the end might not be answered in time: the longest timeout
- * of the deployments' routes is 2.5 s (3 s where the grace time leaves room). */
+/* Requests taken later than this before the end might not be answered in time: the longest that
+ * callers of a search wait. */
 #define LAST_REQUEST_US 2500000
 /* A change of the file is in force within the 3 s that any change is given. */
 #define FILE_CHECK_US 2000000
--- a/src/tasks/link_task.c
+++ b/src/tasks/link_task.c
@@ -373,9 +373,8 @@
 		drop(g_ptr_array_index(idle, i));
 }
 
-/* The first request should not wait for the handshake. Far searchers are not asked first:
- * connections kept to them for second tries crowded out others' (56,421 opened in place of 13,391
- * by 90 VMs). */
+/* The first request should not wait for the handshake. Far searchers are not asked first, and
+ * connections kept to them for second tries would crowd out those of VMs that are near. */
 void link_task_warm(link_task_t *task, searcher_t *searcher)
 {
 	if (searcher_is_usable(searcher) && !searcher->connections &&
--- a/src/tasks/member_task.c
+++ b/src/tasks/member_task.c
@@ -18,8 +18,8 @@
 #define OTHERS_REGISTER_US 600000
 #define LIST_LATER_US 12000000
 /* Between tries at the start, doubled each time. A VM that starts knows nothing until the store
- * answers, and refuses everything: after a loss of all VMs during an outage of the store, tries
- * each second lost 0.7 s of its return, 150 requests. */
+ * answers, and refuses everything: after a loss of all VMs during an outage, whatever lies between
+ * two tries is lost of the store's return. */
 #define RETRY_FIRST_US 100000
 #define RETRY_MOST_US 1000000
 #define STATUS_EXISTS 409
--- a/src/tool/dogwoodsaddle.c
+++ b/src/tool/dogwoodsaddle.c
@@ -20,7 +20,7 @@
 #define EXIT_USAGE 2
 #define EXIT_UNREACHED 3
 #define WAIT_STEP_US 100000
-/* One a VM; the largest deployment that is planned has 2,600. */
+/* One a VM, of thousands. */
 #define LOGS_MOST 10000
 
 const char *argp_program_version = "dogwoodsaddle " DS_VERSION;
