--- a/src/queries/front_metrics.c
+++ b/src/queries/front_metrics.c
@@ -156,13 +156,14 @@
 	const routing_t *routing = forwarder_routing(sources->forwarder);
 
 	put(out, "configuration_version", NULL, NULL, routing ? routing->version : 0);
-	put(out, "configurations_ignored_total", NULL, NULL, sources->configurations_ignored);
-	put(out, "evacuations", NULL, NULL, evacuations_count(sources->evacuations));
-	put(out, "evacuations_ignored_total", NULL, NULL, sources->evacuations_ignored);
-	put(out, "regions_unknown", NULL, NULL, sources->regions_strange);
+	put(out, "configurations_ignored_total", NULL, NULL,
+	    sources->reader.configurations_ignored);
+	put(out, "evacuations", NULL, NULL, sources->reader.evacuations);
+	put(out, "evacuations_ignored_total", NULL, NULL, sources->reader.evacuations_ignored);
+	put(out, "regions_unknown", NULL, NULL, sources->reader.regions_strange);
 	put(out, "searchers", NULL, NULL,
 	    g_hash_table_size(registry_searchers((registry_t *)sources->registry)));
-	put(out, "searcher_entries_ignored_total", NULL, NULL, sources->entries_ignored);
+	put(out, "searcher_entries_ignored_total", NULL, NULL, sources->reader.entries_ignored);
 	put(out, "vms", NULL, NULL, supply_task_vms(sources->supply)->len);
 	put_store(out, sources->supply, sources->store);
 	put_requests(out, sources->forwarder);
--- a/src/queries/front_metrics.h
+++ b/src/queries/front_metrics.h
@@ -5,11 +5,11 @@
 #ifndef DS_FRONT_METRICS_H
 #define DS_FRONT_METRICS_H
 
-#include "core/evacuation.h"
 #include "core/forward.h"
 #include "core/handover.h"
 #include "tasks/link_task.h"
 #include "tasks/platform_task.h"
+#include "tasks/store_reader.h"
 #include "tasks/supply_task.h"
 
 /** Where the figures come from; borrowed for the call. */
@@ -20,12 +20,8 @@
 	const supply_task_t *supply;
 	const platform_counters_t *store;
 	const handovers_t *handovers;
-	uint32_t hops_open;	  /**< requests that other VMs have handed over */
-	uint64_t entries_ignored; /**< reads of entries that name no searcher */
-	const evacuations_t *evacuations;
-	uint64_t evacuations_ignored;	 /**< reads of some that name no data centre */
-	uint64_t configurations_ignored; /**< reads of some that can't be read */
-	uint32_t regions_strange;	 /**< that routes are bound to, and no data centre is in */
+	uint32_t hops_open; /**< requests that other VMs have handed over */
+	store_reader_counters_t reader;
 } front_sources_t;
 
 GString *front_metrics_write(const front_sources_t *sources);
--- a/src/tasks/front_task.c
+++ b/src/tasks/front_task.c
@@ -4,7 +4,6 @@
  */
 #include "tasks/front_task.h"
 
-#include "core/evacuation.h"
 #include "core/retry_after.h"
 #include "core/sharing.h"
 #include "headers.h"
@@ -16,14 +15,13 @@
 #include "tasks/own_vm.h"
 #include "tasks/poison_task.h"
 #include "tasks/relay.h"
+#include "tasks/store_reader.h"
 #include "tasks/supply_task.h"
 
 #include <string.h>
 
 /* Shares that were cut after a refusal are given back this often. */
 #define SHARES_PERIOD_US 5000000
-/* Names of unreadable entries that are remembered, so that each is logged once. */
-#define UNREADABLE_MOST 256
 /* A request that has waited for a turn of this VM for so long is better off elsewhere: its target
  * may be a tenth of a second. */
 #define BUSY_US 60000
@@ -38,7 +36,7 @@
 	http_server_t *callers;
 	forwarder_t *forwarder;
 	registry_t *registry;
-	evacuations_t *evacuations;
+	store_reader_t *reader;
 	link_task_t *links;
 	gather_task_t *gathers; /* handed over to other VMs */
 	hop_server_t *hops;	/* handed over by other VMs */
@@ -46,8 +44,6 @@
 	poison_task_t *poison;
 	platform_task_t *platform;
 	loop_timer_t forwarder_timer;
-	loop_timer_t registry_timer;
-	loop_timer_t evacuations_timer;
 	loop_timer_t shares_timer;
 	sharing_t sharing;  /* with whom, as the VMs and the configuration last were */
 	bool fleet_changed; /* it has to be worked out anew */
@@ -56,12 +52,7 @@
 	uint32_t retry_constant;
 	char *vm_name;
 	char *data_centre;
-	GHashTable *regions;	/* data centre to region */
-	GHashTable *unreadable; /* names of entries that were said to be so */
-	uint64_t entries_ignored;
-	uint64_t configurations_ignored;
-	uint32_t regions_strange; /* that routes in force are bound to, and no data centre is in */
-	uint64_t evacuations_ignored; /* reads of some that name no data centre */
+	GHashTable *regions; /* data centre to region */
 	bool leaving;
 	bool refusing;
 };
@@ -87,26 +78,6 @@
 	arm_forwarder(task);
 }
 
-static void run_registry(void *ctx)
-{
-	front_task_t *task = ctx;
-	uint64_t now_us = loop_now_us();
-	uint64_t next_us = registry_run(task->registry, now_us);
-
-	if (next_us != UINT64_MAX)
-		loop_timer_set(task->loop, &task->registry_timer, next_us - now_us);
-}
-
-static void run_evacuations(void *ctx)
-{
-	front_task_t *task = ctx;
-	uint64_t now_us = loop_now_us();
-	uint64_t next_us = evacuations_run(task->evacuations, now_us);
-
-	if (next_us != UINT64_MAX)
-		loop_timer_set(task->loop, &task->evacuations_timer, next_us - now_us);
-}
-
 /* ---- connections to searchers ---- */
 
 static void set_pool_shares(front_task_t *task, pool_t *pool, const cold_members_t *members)
@@ -534,188 +505,52 @@
 
 /* ---- what the store says ---- */
 
-/* One line a name, until it is read again: each list repeats what is wrong. */
-static void say_unreadable(front_task_t *task, const char *name, const char *reason)
-{
-	g_autofree char *escaped = g_strescape(name, NULL);
-
-	task->entries_ignored++;
-	if (g_hash_table_size(task->unreadable) >= UNREADABLE_MOST ||
-	    !g_hash_table_add(task->unreadable, g_strdup(name)))
-		return;
-	g_warning("event=searcher-ignored searcher=\"%s\" reason=\"%s\"", escaped, reason);
-}
-
-static void take_searcher(front_task_t *task, const store_object_t *object)
-{
-	searcher_entry_t entry;
-	err_t err = {0};
-
-	if (object->removed) {
-		g_hash_table_remove(task->unreadable, object->name);
-		registry_remove(task->registry, object->name, store_born_ms(object), loop_now_us());
-		run_registry(task);
-		return;
-	}
-	if (!store_read_searcher(object, &entry, &err)) {
-		say_unreadable(task, object->name, err.text);
-		registry_put_unreadable(task->registry, object->name);
-		return;
-	}
-	g_hash_table_remove(task->unreadable, object->name);
-	registry_put(task->registry, &entry, loop_now_us());
-	searcher_entry_clear(&entry);
-}
-
-/* VMs that watch the store tell it first; the others hear that it is told. */
-static void on_store_restored(void *ctx, bool watches)
+static void on_configured(void *ctx, const routing_t *routing)
 {
 	front_task_t *task = ctx;
-	uint64_t now_us = loop_now_us();
-
-	registry_store_restored(task->registry, now_us);
-	run_registry(task);
-	evacuations_store_restored(task->evacuations, now_us);
-	poison_store_restored(forwarder_poison(task->forwarder), !watches, now_us);
-	arm_forwarder(task);
-}
-
-static void on_store_lost(void *ctx)
-{
-	registry_store_lost(((front_task_t *)ctx)->registry);
-}
-
-static void on_store_back(void *ctx)
-{
-	front_task_t *task = ctx;
-
-	registry_store_back(task->registry, loop_now_us());
-	run_registry(task);
-}
-
-/* The route is served by nobody: more likely a slip of the operator's than meant. */
-static void say_strange_regions(front_task_t *task, const routing_t *routing)
-{
-	const route_t *route = NULL;
-	const char *region = NULL;
-
-	task->regions_strange = routing_strange_regions(routing, task->regions, &route, &region);
-	if (task->regions_strange)
-		g_warning("event=region-unknown route=%s region=%s in_all=%u outcome=kept",
-			  route->name, region, task->regions_strange);
-}
-
-static void apply(front_task_t *task, routing_t *routing)
-{
 	const http_server_limits_t limits = {.message = {.head_bytes = routing->limits.head_bytes,
 							 .body_bytes = routing->limits.body_bytes},
 					     .receive_us = routing->limits.receive_us,
 					     .idle_us = routing->limits.idle_us};
 
-	g_message("event=configuration version=%" G_GUINT64_FORMAT " routes=%u outcome=in-force",
-		  routing->version, routing->routes->len);
-	say_strange_regions(task, routing);
-	forwarder_set_routing(task->forwarder, routing);
 	http_server_set_limits(task->callers, &limits);
 	fleet_changed(task);
 }
 
-/* ---- evacuations ---- */
-
-static void on_evacuation_changed(void *ctx, const char *data_centre, bool evacuated)
+static void on_list_begin(void *ctx, store_kind_t kind)
 {
-	front_task_t *task = ctx;
-
-	g_message("event=evacuation data_centre=%s outcome=%s", data_centre,
-		  evacuated ? "in-force" : "taken-back");
-	registry_set_evacuated(task->registry, data_centre, evacuated, loop_now_us());
+	store_reader_list_begin(((front_task_t *)ctx)->reader, kind);
 }
 
-/* One that names no data centre is a slip of its operator's: its searchers go on being used. */
-static void take_evacuation(front_task_t *task, const store_object_t *object)
+static void on_object(void *ctx, store_kind_t kind, const store_object_t *object)
 {
-	if (object->removed) {
-		evacuations_remove(task->evacuations, object->name);
-	} else if (g_hash_table_contains(task->regions, object->name)) {
-		evacuations_put(task->evacuations, object->name);
-	} else {
-		g_autofree char *escaped = g_strescape(object->name, NULL);
+	front_task_t *task = ctx;
 
-		task->evacuations_ignored++;
-		g_warning("event=evacuation data_centre=\"%s\" outcome=ignored "
-			  "reason=no-such-data-centre",
-			  escaped);
-	}
+	store_reader_take(task->reader, kind, object);
+	arm_forwarder(task);
 }
 
-/* ---- the configuration ---- */
-
-/* A version once in force is never followed by an older one. */
-static void take_configuration(front_task_t *task, const store_object_t *object)
+static void on_list_end(void *ctx, store_kind_t kind)
 {
-	const routing_t *current = forwarder_routing(task->forwarder);
-	routing_t *routing;
-	err_t err = {0};
-
-	if (!store_is_configuration(object))
-		return;
-	routing = store_read_routing(object->content, &err);
-	if (!routing) {
-		task->configurations_ignored++;
-		g_warning("event=configuration outcome=ignored reason=\"%s\"", err.text);
-		return;
-	}
-	if (current && routing->version <= current->version) {
-		g_info("event=configuration version=%" G_GUINT64_FORMAT
-		       " outcome=ignored reason=not-newer",
-		       routing->version);
-		routing_unref(routing);
-		return;
-	}
-	apply(task, routing);
+	store_reader_list_end(((front_task_t *)ctx)->reader, kind);
 }
 
-static void on_list_begin(void *ctx, store_kind_t kind)
+static void on_store_lost(void *ctx)
 {
-	front_task_t *task = ctx;
-
-	if (kind == STORE_SEARCHERS)
-		registry_list_begin(task->registry);
-	else if (kind == STORE_POISON)
-		poison_list_begin(forwarder_poison(task->forwarder));
-	else if (kind == STORE_EVACUATIONS)
-		evacuations_list_begin(task->evacuations);
+	store_reader_lost(((front_task_t *)ctx)->reader);
 }
 
-static void on_object(void *ctx, store_kind_t kind, const store_object_t *object)
+static void on_store_back(void *ctx)
 {
-	front_task_t *task = ctx;
-
-	if (kind == STORE_SEARCHERS)
-		take_searcher(task, object);
-	else if (kind == STORE_CONFIGURATION)
-		take_configuration(task, object);
-	else if (kind == STORE_EVACUATIONS)
-		take_evacuation(task, object);
-	else
-		poison_task_take(task->poison, object, loop_now_us());
-	arm_forwarder(task);
+	store_reader_back(((front_task_t *)ctx)->reader);
 }
 
-static void on_list_end(void *ctx, store_kind_t kind)
+static void on_store_restored(void *ctx, bool watches)
 {
 	front_task_t *task = ctx;
 
-	if (kind == STORE_POISON) {
-		poison_list_end(forwarder_poison(task->forwarder));
-	} else if (kind == STORE_EVACUATIONS) {
-		evacuations_list_end(task->evacuations, loop_now_us());
-		registry_await_evacuations(task->registry, false);
-		run_evacuations(task);
-	} else if (kind == STORE_SEARCHERS) {
-		registry_list_end(task->registry, loop_now_us());
-		run_registry(task);
-	}
+	store_reader_restored(task->reader, watches);
+	arm_forwarder(task);
 }
 
 static void on_members(void *ctx)
@@ -745,11 +580,7 @@
 					 .store = platform_task_counters(task->platform),
 					 .handovers = gather_task_handovers(task->gathers),
 					 .hops_open = hop_server_open(task->hops),
-					 .entries_ignored = task->entries_ignored,
-					 .evacuations = task->evacuations,
-					 .evacuations_ignored = task->evacuations_ignored,
-					 .configurations_ignored = task->configurations_ignored,
-					 .regions_strange = task->regions_strange};
+					 .reader = store_reader_counters(task->reader)};
 	g_autoptr(GString) text = front_metrics_write(&sources);
 
 	http_exchange_reply(exchange, 200, "text/plain; version=0.0.4", text->str, text->len);
@@ -785,16 +616,25 @@
 static void start_registry(front_task_t *task, const settings_t *settings)
 {
 	static const registry_ops_t ops = {.changed = on_searcher_changed};
-	static const evacuations_ops_t evacuation_ops = {.changed = on_evacuation_changed};
 	const place_t place = {.data_centre = settings->data_centre, .regions = settings->regions};
 	const retry_bound_t bound = {.ratio = settings->retry_ratio,
 				     .window_us = (uint64_t)settings->retry_window_s * 1000000};
 
 	task->registry = registry_new(&place, &bound, &ops, task);
-	task->evacuations = evacuations_new(&evacuation_ops, task);
 	registry_await_evacuations(task->registry, settings->evacuate_ms > 0);
 }
 
+static void start_reader(front_task_t *task)
+{
+	static const store_reader_ops_t ops = {.configured = on_configured};
+	const store_reader_parts_t parts = {.registry = task->registry,
+					    .forwarder = task->forwarder,
+					    .poison = task->poison,
+					    .regions = task->regions};
+
+	task->reader = store_reader_new(task->loop, &parts, &ops, task);
+}
+
 front_task_t *front_task_new(loop_t *loop, const settings_t *settings, platform_task_t *platform)
 {
 	static const poison_ops_t poison_ops = {
@@ -830,15 +670,13 @@
 	task->vm_name = g_strdup(settings->vm_name);
 	task->data_centre = g_strdup(settings->data_centre);
 	task->regions = g_hash_table_ref(settings->regions);
-	task->unreadable = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	start_registry(task, settings);
 	task->links = link_task_new(loop, &link_ops, task);
 	task->forwarder = forwarder_new(&forwarder_ops, task, task->registry, g_random_int());
 	task->poison = poison_task_new(platform, forwarder_poison(task->forwarder));
+	start_reader(task);
 	task->gathers = gather_task_new(loop, own_vm_new(settings), &gather_ops, task);
 	task->forwarder_timer = (loop_timer_t){.fire = run_forwarder, .ctx = task};
-	task->registry_timer = (loop_timer_t){.fire = run_registry, .ctx = task};
-	task->evacuations_timer = (loop_timer_t){.fire = run_evacuations, .ctx = task};
 	task->shares_timer = (loop_timer_t){.fire = set_shares, .ctx = task};
 	task->fleet_changed = true;
 	if (!listen_all(task, settings))
--- a/tests/parts_test.c
+++ b/tests/parts_test.c
@@ -343,9 +343,9 @@
 /* Small data centres need no feed; in large ones a few watch, all VMs agree on who, and the
  * subscribers spread over them. */
 /*
- * One data centre of a region loses its power. If both VMs that watch the store for the region were in
- * it, all others would turn to the store at once, 50 of them here; so the watchers are spread over the
- * data centres, and a VM hears one of its own first.
+ * One data centre of a region loses its power. If both VMs that watch the store for the region were
+ * in it, all others would turn to the store at once, 50 of them here; so the watchers are spread
+ * over the data centres, and a VM hears one of its own first.
  */
 static void test_feed_of_region(void **state)
 {
