--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -18,8 +18,6 @@
 /* What was measured of a searcher counts half after so long without news: one that recovered is
  * asked again within a second or two, before its callers' patience is over. */
 #define MEMORY_HALF_US 1500000
-/* What a searcher told of its load counts half after so long: its queue is another one by then. */
-#define TOLD_HALF_US 300000
 /* A new connection costs a handshake of up to 6 ms at the searcher, and a round trip. */
 #define CONNECT_US 8000
 /* Searchers pause, as for collecting garbage: a sub-request that is out three times as long as
@@ -208,32 +206,9 @@
 	return (uint64_t)MAX(HANGS_TIMES * usual_us, HANGS_LEAST_US);
 }
 
-/* What its queue and the speed of its machine make of the usual time. */
-static double told_us(const searcher_t *searcher, const pool_t *pool)
-{
-	const told_load_t *load = &searcher->load;
-	double slowness = load->slowness_percent ? load->slowness_percent / 100.0 : 1;
-	double turns = 1 + (double)load->waiting / load->slots;
-
-	return way_us(searcher) + placement_typical_us(pool) * slowness * turns;
-}
-
-/* What a searcher tells of itself is true at once, and soon old; what was measured of it lags, and
- * holds for longer. */
-static double likely_us(const searcher_t *searcher, const pool_t *pool, uint64_t now_us)
-{
-	double measured_us = placement_expected_us(searcher, pool, now_us);
-	uint64_t age_us = told_load_age_us(&searcher->load, now_us);
-
-	if (!searcher->load.slots || age_us == UINT64_MAX)
-		return measured_us;
-	return measured_us +
-	       (told_us(searcher, pool) - measured_us) * exp2(-(double)age_us / TOLD_HALF_US);
-}
-
 double placement_cost_us(const searcher_t *searcher, const pool_t *pool, uint64_t now_us)
 {
-	double cost_us = likely_us(searcher, pool, now_us);
+	double cost_us = placement_expected_us(searcher, pool, now_us);
 
 	cost_us *= 1 + (double)searcher->out.length / searcher->slots;
 	if (now_us < searcher->cold_until_us)
