--- a/tests/soak/front_soak.sh
+++ b/tests/soak/front_soak.sh
@@ -10,6 +10,9 @@
 # With a seed that three divides, two requests end the searchers that run them, and come again and again at any VM;
 # afterwards, with all VMs in touch, few more attempts reach a searcher, and none but these two is refused.
 #
+# With a seed from 1000 on, a data centre is evacuated and taken back, searchers become cold, the store comes back
+# from a copy and its operator and searchers write again, and callers ask for what must stay in the other region.
+#
 #   tests/soak/front_soak.sh SEED [SECONDS]
 set -u
 cd "$(dirname "$0")/../.."
@@ -18,6 +21,8 @@
 . tests/front_lib.sh
 RANDOM=$SEED
 VMS_RUN=3 SHARDS=3 OFFSET=100
+PLACES=$((SEED >= 1000))
+[ $PLACES = 0 ] || EVACUATE_MS=5000
 # With an odd seed two large VMs gather for a small one.
 front_size() {
 	[ $((SEED % 2)) = 1 ] || return 0
@@ -33,7 +38,7 @@
 PIDS+=($!)
 REAL_STORE=$STORE
 "$BUILD/standin-users-platform" --store "$REAL_STORE" --control "$CONTROL" --searchers "$SHARDS_FROM" \
-	--advertise $OFFSET >>"$RUN/users.log" 2>&1 &
+	--advertise $OFFSET --cold-per-s $((4 * PLACES)) >>"$RUN/users.log" 2>&1 &
 PIDS+=($!)
 STORE=$STORE_DOOR
 wait_until users none
@@ -77,6 +82,21 @@
 	done
 }
 
+# What must stay in region two is answered by searchers there, or not at all.
+home_caller() {
+	local n=0 code path stamps
+	while [ ! -e "$RUN/over" ]; do
+		n=$((n + 1)) path=$([ $((n % 2)) = 0 ] && echo home || echo kept)
+		code=$(curl -s -m 3 -D "$RUN/h.home" -o "$RUN/b.home" -w '%{http_code}' -H 'Host: home.example' \
+			-H "Dogwoodsaddle-Request-Id: home-$n" -H 'Dogwoodsaddle-Request-Deadline: 1500' \
+			"http://127.0.0.1:$((FRONT_FROM + 10 * (n % VMS_RUN)))/$path/x")
+		stamps=$(tr -d '\r' <"$RUN/h.home" | grep -i '^Dogwoodsaddle-\(Part-Stamps\|Response-Signature\):')
+		! grep -q -e '-here\.' <<<"$stamps" || echo "home-$n: answered by another region: $stamps" >>"$RUN/wrong"
+		case $code in 200 | 000 | 500 | 502 | 503 | 504) ;; *) echo "home-$n: status $code" >>"$RUN/wrong" ;; esac
+		sleep 0.1
+	done
+}
+
 CRASHERS=(find.example/find/crash get.example/get/crash)
 [ $((SEED % 3)) = 0 ] || CRASHERS=()
 crasher() { # host/path
@@ -100,8 +120,22 @@
 is_up() { supervise; is_ready "$1"; }
 
 version=1
+# The operator and the searchers write again what a copy has lost.
+write_again() {
+	users ready i- >/dev/null
+	users configure '' $version >/dev/null
+}
+place_fault() {
+	case $((RANDOM % 4)) in
+	0) users evacuate "$1" >/dev/null; sleep 1; users reopen "$1" >/dev/null ;;
+	1) users cold "$(pick i-shard-0 i-single-here i-shard-2-there)" 1500 >/dev/null ;;
+	2) users copy >/dev/null ;;
+	3) users down '' 1 >/dev/null; sleep 0.5; users restore >/dev/null; users down '' 0 >/dev/null; sleep 0.4; write_again ;;
+	esac
+}
 fault() {
 	local vm=$((RANDOM % VMS_RUN)) searcher
+	[ $PLACES = 0 ] || place_fault "$(pick here there)"
 	searcher=$(pick i-shard-0-here i-shard-1-here i-shard-2-there i-single-here i-shard-1)
 	case $((RANDOM % 12)) in
 	0) kill -KILL "${FRONT_PID[$vm]}" ;;
@@ -122,6 +156,7 @@
 callers=()
 for ((i = 0; i < 4; i++)); do caller $i & callers+=($!); done
 for path in ${CRASHERS[@]+"${CRASHERS[@]}"}; do crasher "$path" & callers+=($!); done
+[ $PLACES = 0 ] || { home_caller & callers+=($!); }
 end=$(($(date +%s) + SECONDS_RUN))
 while [ "$(date +%s)" -lt $end ]; do
 	fault
@@ -132,6 +167,7 @@
 proxy cut
 users ok i- >/dev/null
 users down '' 0 >/dev/null
+[ $PLACES = 0 ] || { users reopen here >/dev/null; users reopen there >/dev/null; write_again; }
 touch "$RUN/over"
 wait "${callers[@]}"
 for ((i = 0; i < VMS_RUN; i++)); do
