--- a/src/core/forward.h
+++ b/src/core/forward.h
@@ -221,7 +221,7 @@
 poison_t *forwarder_poison(const forwarder_t *forwarder);
 /** Whether a request would be refused because searchers end under it. */
 bool forwarder_blocks(const forwarder_t *forwarder, fingerprint_t fingerprint, uint64_t now_us);
-/** Another VM of this data centre has seen this of a searcher. */
+/** Another VM of this region has seen this of a searcher. */
 void forwarder_take_sighting(forwarder_t *forwarder, const sighting_t *sighting, uint64_t now_us);
 /** A searcher has room again, or is new. */
 void forwarder_room(forwarder_t *forwarder, const char *service, uint64_t now_us);
--- a/src/core/searcher.h
+++ b/src/core/searcher.h
@@ -94,7 +94,7 @@
 bool searcher_has_room(const searcher_t *searcher);
 /** An answer came @p latency_us after the sending. */
 void searcher_note_answer(searcher_t *searcher, uint64_t latency_us, uint64_t now_us);
-/** The same, but the answer came to another VM of this data centre. */
+/** The same, but the answer came to another VM of this region. */
 void searcher_note_heard(searcher_t *searcher, uint64_t latency_us, uint64_t now_us);
 /** A connection failed, or an answer was no answer. */
 void searcher_note_failure(searcher_t *searcher, uint64_t now_us);
--- a/src/core/sighting.h
+++ b/src/core/sighting.h
@@ -39,7 +39,7 @@
 void sighting_filter_note(sighting_filter_t *filter, bool odd, uint64_t now_us);
 /** Whether to tell @p type, or to believe another VM's. */
 bool sighting_filter_passes(const sighting_filter_t *filter, sighting_type_t type, uint64_t now_us);
-/** Another VM of this data centre has seen this. */
+/** Another VM of this region has seen this. */
 void sighting_take(registry_t *registry, const sighting_t *sighting, uint64_t now_us);
 const char *sighting_type_name(sighting_type_t type);
 
--- a/src/tasks/front_task.c
+++ b/src/tasks/front_task.c
@@ -212,7 +212,7 @@
 	arm_forwarder(task);
 }
 
-/* ---- what VMs of this data centre see of searchers ---- */
+/* ---- what VMs of this region see of searchers ---- */
 
 static void on_sighted(void *ctx, const sighting_t *sighting)
 {
--- a/src/tasks/supply_task.c
+++ b/src/tasks/supply_task.c
@@ -507,7 +507,7 @@
 		task->feeder = g_strdup(feeder->name);
 }
 
-/* All VMs of a data centre that turn to the store because one of them is gone would cost more calls
+/* All VMs of a region that turn to the store because one of them is gone would cost more calls
  * than the feed saved: the next feeder is asked first, unless all have failed in this round. */
 static bool seek_other(supply_task_t *task)
 {
--- a/src/tasks/supply_task.h
+++ b/src/tasks/supply_task.h
@@ -27,7 +27,7 @@
 	/** The store has come back from a copy; lists of it follow. @param watches whether this VM
 	 * hears it itself, and so does before those that are fed */
 	void (*restored)(void *ctx, bool watches);
-	/** Another VM of this data centre has seen this of a searcher. */
+	/** Another VM of this region has seen this of a searcher. */
 	void (*sighting)(void *ctx, const sighting_t *sighting);
 	/** The number of VMs may have changed. */
 	void (*members)(void *ctx);
@@ -40,7 +40,7 @@
 void supply_task_refresh(supply_task_t *task);
 /** Another VM knows a later configuration: read it now. */
 void supply_task_read_configuration(supply_task_t *task);
-/** Tell the VMs of this data centre, soon, if they are so many that it is of use. */
+/** Tell the VMs of this region, soon, if they are so many that it is of use. */
 void supply_task_tell(supply_task_t *task, const sighting_t *sighting);
 /** VMs registered, vm_t; empty until the first list. */
 const GPtrArray *supply_task_vms(const supply_task_t *task);
