The bound on cold searchers is in force with the version that names them

Cause, found by reading the diff: the bound was set with this VM's shares, a turn of the loop after the version.

--- a/src/core/forwarder.c
+++ b/src/core/forwarder.c
@@ -45,10 +45,33 @@
 	g_free(forwarder);
 }
 
+/*
+ * At once, and not with the shares of this VM: a VM that stood still reads a version that names new
+ * searchers, cold ones, and the requests that have waited, in one turn. Without the bound all of
+ * these would go to them.
+ */
+static void set_cold_bounds(const forwarder_t *forwarder)
+{
+	const routing_t *routing = forwarder->routing;
+	GHashTableIter iter;
+	gpointer service, value;
+
+	g_hash_table_iter_init(&iter, routing->services);
+	while (g_hash_table_iter_next(&iter, &service, &value)) {
+		const service_terms_t *terms = value;
+		pool_t *pool = registry_pool(forwarder->registry, service);
+
+		pool->cold = (cold_bound_t){.per_s = terms->cold_per_s,
+					    .gathered = !routing_is_single(routing, service)};
+		pool->cold_us = terms->cold_us;
+	}
+}
+
 void forwarder_set_routing(forwarder_t *forwarder, routing_t *routing)
 {
 	routing_unref(forwarder->routing);
 	forwarder->routing = routing;
+	set_cold_bounds(forwarder);
 }
 
 const routing_t *forwarder_routing(const forwarder_t *forwarder)
--- a/src/core/sharing.c
+++ b/src/core/sharing.c
@@ -50,15 +50,11 @@
 {
 	bool single = routing && routing_is_single(routing, pool->service);
 	const sharers_t *sharers = single ? &sharing->all : &sharing->gatherers;
-	service_terms_t terms =
-		routing ? routing_terms(routing, pool->service) : (service_terms_t){0};
-	uint32_t connections = terms.connections;
+	uint32_t connections = routing ? routing_terms(routing, pool->service).connections : 0;
 	uint32_t vms = sharers->counts.all;
 
 	if (!sharers->own)
 		connections = 0;
-	pool->cold = (cold_bound_t){.per_s = terms.cold_per_s, .gathered = !single};
-	pool->cold_us = terms.cold_us;
 	connection_share_set(pool, (uint32_t)(connections * sharers->part), &sharers->counts);
 	pool->bound.constant = vms ? sharing->constant * sharers->part / vms : 0;
 	return routing && sharers->own && vms;
--- a/tests/forward_test.c
+++ b/tests/forward_test.c
@@ -9,25 +9,19 @@
  *     routing VERSION             put the routes so far in force
  *     searcher ID SERVICE local|far [slots [born_ms]]
  *     drain ID, gone ID [born_ms] the store says so
- *     bears SERVICE PER_S COLD_MS   what its searchers are sent while cold, and for how long
- *     cold ID MS [SHARE]          by its entry; this VM may send it so many in a window
- *     evacuate DATA_CENTRE, reopen DATA_CENTRE   its operator says so
- *     unreadable ID               its entry in the store can't be read any more
- *     lost, back                  the store stops answering, or answers again
- *     list ID...                  the store's whole list
- *     restored                    the store has come back from a copy
- *     copied ID SERVICE local|far an entry as it was there some time ago
- *     room ID CONNECTIONS         this VM's share of the searcher's connections
- *     constant N                  this VM's part of the constant of the retry bound
- *     idle ID CONNECTIONS         this VM has so many connections to it that carry nothing
- *     told TYPE ID MS [born_ms]   another VM saw it answered, stuck or hung after so long
- *     tell                        from now on, print what other VMs would be told
- *     request ID HOST TARGET [patience_ms]
- *     leave ID                    the caller goes away
- *     at MS                       time passes up to then
- *     answer SEARCHER ID [BODY]   also: fail, refuse, replaced, unsent, cut
- *     breaks SEARCHER ID          its connection ends without an answer
- *     refuses SEARCHER            nobody listens at its port any more
+ *     bears SERVICE PER_S COLD_MS   what its searchers are sent while cold, and for how long; of
+ * the routing that is put together cold ID MS [SHARE]          by its entry; this VM may send it so
+ * many in a window evacuate DATA_CENTRE, reopen DATA_CENTRE   its operator says so unreadable ID
+ * its entry in the store can't be read any more lost, back                  the store stops
+ * answering, or answers again list ID...                  the store's whole list restored the store
+ * has come back from a copy copied ID SERVICE local|far an entry as it was there some time ago room
+ * ID CONNECTIONS         this VM's share of the searcher's connections constant N this VM's part of
+ * the constant of the retry bound idle ID CONNECTIONS         this VM has so many connections to it
+ * that carry nothing told TYPE ID MS [born_ms]   another VM saw it answered, stuck or hung after so
+ * long tell                        from now on, print what other VMs would be told request ID HOST
+ * TARGET [patience_ms] leave ID                    the caller goes away at MS time passes up to
+ * then answer SEARCHER ID [BODY]   also: fail, refuse, replaced, unsent, cut breaks SEARCHER ID its
+ * connection ends without an answer refuses SEARCHER            nobody listens at its port any more
  *     listens SEARCHER MS         it has accepted a connection begun at that time
  *     other TARGET STRIKES SERVICE [RENEWALS]   another VM tells of a request on host h
  *     release TARGET              the store knows no more of it
@@ -331,10 +325,10 @@
 static void do_bears(void *ctx, char **words)
 {
 	play_t *play = ctx;
-	pool_t *pool = registry_pool(play->registry, words[1]);
+	const service_terms_t terms = {.cold_per_s = g_ascii_strtod(words[2], NULL),
+				       .cold_us = strtoull(words[3], NULL, 10) * 1000};
 
-	pool->cold = (cold_bound_t){.per_s = g_ascii_strtod(words[2], NULL), .gathered = true};
-	pool->cold_us = strtoull(words[3], NULL, 10) * 1000;
+	routing_set_terms(play->routing, words[1], &terms);
 }
 
 static void do_cold(void *ctx, char **words)
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -22,6 +22,7 @@
 	'a VM counts before others know it|src/core/cold_share.c|s/define MEMBER_LEAST_US .*/define MEMBER_LEAST_US 0/'
 	'an old list of VMs is relied on|src/core/cold_share.c|s/define LIST_TRUSTED_US 15000000/define LIST_TRUSTED_US 15000000000ull/; s/define MEMBER_LEAST_US .*/define MEMBER_LEAST_US 30000000/'
 	'cold searchers get as much of each VM|src/core/cold_share.c|s/return most \/ members->vms->len;/return most;/'
+	'a version that names cold searchers sets no bound|src/core/forwarder.c|s/routing = routing;\n\tset_cold_bounds\(forwarder\);/routing = routing;\n\t(void)set_cold_bounds;/'
 	'all VMs send a cold searcher one|src/core/cold_share.c|s/return before < most;/return true;/'
 	'one that had gone comes back by a copy|src/core/registry.c|s/return start && start->gone &&/return 0 \&\& start->gone \&\&/'
 	'searchers that a copy lacks are gone at once|src/core/registry.c|s/(void registry_store_restored[^}]*)registry->lapse_end_us = now_us \+ LAPSE_US;/$1/'
