Calls to the store that fail say which, when and how; how old each kind is

store-lost and store-back of a late VM were 13 s apart with nothing in between, so a call that was given up after the return could not be told from one that was refused, or from an answer that was not taken. Now each failed call has a line (kind, list or watch, reason, how long it took), and metrics count failures by reason and give the age of each kind.

--- a/src/core/platform_result.h
+++ b/src/core/platform_result.h
@@ -16,8 +16,18 @@
 	PLATFORM_UNKNOWN,   /**< no answer: a write may or may not have taken effect */
 } platform_end_t;
 
+/** How far a call got, as its connection shows. */
+typedef enum platform_reach_t {
+	PLATFORM_REPLIED,
+	PLATFORM_NOT_SENT, /**< no connection, or none in time to write on */
+	PLATFORM_CUT,	   /**< the connection broke before the reply was whole */
+	PLATFORM_SILENT,   /**< given up: no whole reply in the time that it had */
+	PLATFORM_REACHES,
+} platform_reach_t;
+
 typedef struct platform_result_t {
 	platform_end_t end;
+	platform_reach_t reach;
 	uint64_t version;
 	json_t *value; /**< borrowed; NULL for none */
 	int status;    /**< as it was sent; 0 when no whole reply came */
--- a/src/queries/front_metrics.c
+++ b/src/queries/front_metrics.c
@@ -108,8 +108,14 @@
 {
 	put(out, "store_is_fed", NULL, NULL, supply_task_is_fed(supply));
 	put(out, "store_age_us", NULL, NULL, supply_task_age_us(supply));
+	for (uint32_t kind = 0; kind < supply_task_kinds(supply); kind++)
+		put(out, "store_kind_age_us", "kind", store_kind_name((store_kind_t)kind),
+		    supply_task_kind_age_us(supply, (store_kind_t)kind));
 	put(out, "store_calls_total", "kind", "read", store->fetches);
 	put(out, "store_calls_total", "kind", "write", store->writes);
+	for (int reach = PLATFORM_REPLIED + 1; reach < PLATFORM_REACHES; reach++)
+		put(out, "store_calls_failed_total", "reason",
+		    platform_reach_name((platform_reach_t)reach), store->reached[reach]);
 	put(out, "store_calls_unanswered_total", NULL, NULL, store->unknown);
 	put(out, "store_values_damaged_total", NULL, NULL, store->damaged);
 	put(out, "store_era", NULL, NULL, supply_task_era(supply));
--- a/src/tasks/follower.c
+++ b/src/tasks/follower.c
@@ -38,6 +38,7 @@
 	bool away;	/* the last call was not answered */
 	uint64_t since; /* revision up to which everything is known */
 	uint64_t heard_us;
+	uint64_t asked_us; /* when the call whose reply is awaited was sent */
 	uint32_t failures; /* in a row */
 	bool changed;	   /* the last watch brought changes */
 	uint32_t serial;   /* of the call whose reply is awaited */
@@ -58,8 +59,8 @@
 	if (answered == !follower->away)
 		return;
 	follower->away = !answered;
-	g_message("event=store-%s kind=%d since=%" G_GUINT64_FORMAT, answered ? "back" : "lost",
-		  follower->kind, follower->since);
+	g_message("event=store-%s kind=%s since=%" G_GUINT64_FORMAT, answered ? "back" : "lost",
+		  store_kind_name(follower->kind), follower->since);
 	if (answered)
 		follower->ops->back(follower->ctx);
 	else
@@ -122,8 +123,8 @@
 	store_page_t page = {0};
 
 	if (result->status == 410) {
-		g_message("event=store-history-gone kind=%d since=%" G_GUINT64_FORMAT,
-			  follower->kind, follower->since);
+		g_message("event=store-history-gone kind=%s since=%" G_GUINT64_FORMAT,
+			  store_kind_name(follower->kind), follower->since);
 		follow_again(&follower->follow);
 		start_list(follower);
 		return true;
@@ -143,6 +144,16 @@
 	return by_operator ? OPERATOR_GROUP_US : GROUP_US;
 }
 
+/* Beside store-lost and store-back: what was asked in between, when, and how it ended. */
+static void log_failure(const follower_t *follower, const platform_result_t *result)
+{
+	g_message("event=store-call-failed kind=%s call=%s reason=%s status=%d "
+		  "took_us=%" G_GUINT64_FORMAT " failures=%u",
+		  store_kind_name(follower->kind), follower->follow.lists ? "list" : "watch",
+		  platform_reach_name(result->reach), result->status,
+		  loop_now_us() - follower->asked_us, follower->failures);
+}
+
 /* After a failure, a random time that doubles up to a bound; else at once, or when the group is
  * over.
  */
@@ -171,6 +182,8 @@
 		return;
 	follower->changed = false;
 	answered = take_result(follower, result);
+	if (!answered)
+		log_failure(follower, result);
 	note_answer(follower, answered);
 	if (follow_next(&follower->follow) == FOLLOW_NOTHING)
 		return;
@@ -186,6 +199,7 @@
 		      : store_watch_target(follower->kind, follower->since, follower->wait_ms);
 	fetch_t *fetch = g_new(fetch_t, 1);
 
+	follower->asked_us = loop_now_us();
 	*fetch = (fetch_t){.follower = follower, .serial = ++follower->serial};
 	platform_task_fetch(follower->platform, target,
 			    lists ? LIST_TIMEOUT_US
--- a/src/tasks/platform_task.c
+++ b/src/tasks/platform_task.c
@@ -145,12 +145,33 @@
 	return false;
 }
 
+static platform_reach_t reach_of(const http_call_t *http)
+{
+	switch (http_call_end(http)) {
+	case HTTP_END_REPLIED:
+		return PLATFORM_REPLIED;
+	case HTTP_END_NOT_SENT:
+		return PLATFORM_NOT_SENT;
+	case HTTP_END_CANCELLED:
+		return PLATFORM_SILENT;
+	default:
+		return PLATFORM_CUT;
+	}
+}
+
+const char *platform_reach_name(platform_reach_t reach)
+{
+	static const char *const names[] = {"replied", "not-sent", "cut", "silent"};
+
+	return names[reach];
+}
+
 static void give_result(platform_call_t *call, const http_call_t *http)
 {
-	platform_result_t result = {.end = PLATFORM_UNKNOWN};
+	platform_result_t result = {.end = PLATFORM_UNKNOWN, .reach = reach_of(http)};
 	json_t *body = NULL;
 
-	if (http_call_end(http) == HTTP_END_REPLIED && is_current(call->task, http)) {
+	if (result.reach == PLATFORM_REPLIED && is_current(call->task, http)) {
 		const GString *text = http_call_reply(http);
 
 		body = read_body(call, text);
@@ -162,6 +183,7 @@
 		result.value = json_object_get(body, "value");
 	}
 	call->task->counters.unknown += result.end == PLATFORM_UNKNOWN;
+	call->task->counters.reached[result.reach]++;
 	call->done(call->ctx, &result);
 	json_decref(body);
 }
@@ -228,7 +250,8 @@
 		return;
 	}
 	if (task->pending.length >= PENDING_MOST) {
-		const platform_result_t result = {.end = PLATFORM_UNKNOWN};
+		const platform_result_t result = {.end = PLATFORM_UNKNOWN,
+						  .reach = PLATFORM_NOT_SENT};
 
 		call->done(call->ctx, &result);
 		call_free(call);
--- a/src/tasks/platform_task.h
+++ b/src/tasks/platform_task.h
@@ -14,11 +14,14 @@
 
 typedef struct platform_task_t platform_task_t;
 
+const char *platform_reach_name(platform_reach_t reach);
+
 /** Told once, from the loop. @p result and its value are borrowed. */
 typedef void (*platform_done_f)(void *ctx, const platform_result_t *result);
 
 typedef struct platform_counters_t {
 	uint64_t reads, writes, watches, fetches;
+	uint64_t reached[PLATFORM_REACHES];
 	uint64_t unknown;	 /**< calls without an answer, or with one of no use */
 	uint64_t damaged;	 /**< values in replies that are no JSON */
 	uint64_t outdated;	 /**< replies that the store gave before it came back from a copy */
--- a/src/tasks/supply_task.c
+++ b/src/tasks/supply_task.c
@@ -706,6 +706,16 @@
 	return now_us - oldest_us;
 }
 
+uint32_t supply_task_kinds(const supply_task_t *task)
+{
+	return task->kind_count;
+}
+
+uint64_t supply_task_kind_age_us(const supply_task_t *task, store_kind_t kind)
+{
+	return loop_now_us() - follower_heard_us(task->kinds[kind].follower);
+}
+
 bool supply_task_is_fed(const supply_task_t *task)
 {
 	return task->fed;
--- a/src/tasks/supply_task.h
+++ b/src/tasks/supply_task.h
@@ -48,6 +48,10 @@
 cold_members_t supply_task_cold_members(const supply_task_t *task);
 /** Since the store was last heard, by whoever watches it. */
 uint64_t supply_task_age_us(const supply_task_t *task);
+/** The kinds of objects that are supplied: 0 to this. */
+uint32_t supply_task_kinds(const supply_task_t *task);
+/** Since this VM itself last heard the store of one kind. */
+uint64_t supply_task_kind_age_us(const supply_task_t *task, store_kind_t kind);
 /** The store's era; 0 before any is heard of. */
 uint64_t supply_task_era(const supply_task_t *task);
 /** Whether another VM feeds this one. */
