--- a/standins/users_platform.c
+++ b/standins/users_platform.c
@@ -9,6 +9,9 @@
  * A request whose path holds "crash" ends each searcher that runs it: its connections break, its
  * port is closed, and it starts again a while later. "crash=shard-N" ends those of one shard only.
  *
+ * The store has two doors, each with an address of its own, so that it can turn some VMs away and
+ * serve the others: it may be busy there, or silent, when it takes calls and answers none of them.
+ *
  * The store may be brought back from a copy (copy, then restore): its era rises. What operators and
  * searchers wrote since is written again by the actions that wrote it.
  */
@@ -41,8 +44,32 @@
 	MANNER_CUT, /* closes the connection in place of an answer */
 } manner_t;
 
+/** What callers of the store meet at one of its addresses. */
+typedef enum door_state_t {
+	DOOR_OPEN,
+	DOOR_BUSY,   /* 503 */
+	DOOR_SILENT, /* takes calls, and answers none, later neither */
+	DOOR_RESET,  /* closes the connection in place of an answer */
+} door_state_t;
+
+typedef struct door_t {
+	struct users_t *users;
+	door_state_t state;
+	/* Silent until so long after the first call for the configuration that comes past this
+	 * time; 0: until it is told otherwise. */
+	uint64_t swallow_from_us;
+	loop_timer_t opens;
+} door_t;
+
+#define DOORS 2
+/* From the call that is swallowed last to the store's return. */
+#define SWALLOWED_US 50000
+
 typedef struct users_t {
 	loop_t *loop;
+	door_t doors[DOORS];
+	int side_port;	/* of the second door; 0: there is none */
+	int pad_routes; /* in each configuration to come */
 	int store_port, control_port, searchers_from, shards, work_ms, advertise, back_ms;
 	int cold_per_s;	     /* requests a second that a cold searcher bears; 0: any number */
 	GHashTable *posted;  /* id of a POST to how often it ran */
@@ -58,7 +85,6 @@
 	uint64_t era;
 	GHashTable *copy;	/* what the objects were when a copy was made; NULL: none was */
 	uint64_t copy_revision; /* and the revision */
-	bool down;
 } users_t;
 
 /** What became of a request that ends searchers. */
@@ -71,6 +97,7 @@
 
 typedef struct watch_t {
 	users_t *users;
+	door_t *door;
 	http_exchange_t *exchange;
 	char *kind;
 	uint64_t since;
@@ -202,8 +229,9 @@
 			     (json_int_t)users->revision));
 }
 
-static void watch(users_t *users, http_exchange_t *exchange, const char *kind)
+static void watch(door_t *door, http_exchange_t *exchange, const char *kind)
 {
+	users_t *users = door->users;
 	uint64_t since = strtoull(http_exchange_param(exchange, "watch"), NULL, 10);
 	const char *wait = http_exchange_param(exchange, "wait-ms");
 	watch_t *watch;
@@ -215,6 +243,7 @@
 	}
 	watch = g_new0(watch_t, 1);
 	watch->users = users;
+	watch->door = door;
 	watch->exchange = http_exchange_ref(exchange);
 	watch->kind = g_strdup(kind);
 	watch->since = since;
@@ -261,15 +290,71 @@
 	reply_json(exchange, exists ? 200 : 404, json_object());
 }
 
+static void open_door(void *ctx)
+{
+	((door_t *)ctx)->state = DOOR_OPEN;
+}
+
+/* Watches that wait are swallowed with what comes from now on. */
+static void swallow_watches(door_t *door)
+{
+	users_t *users = door->users;
+
+	for (guint i = users->watches->len; i-- > 0;) {
+		watch_t *watch = g_ptr_array_index(users->watches, i);
+
+		if (watch->door != door)
+			continue;
+		loop_timer_cancel(&watch->timer);
+		g_ptr_array_remove_index(users->watches, i);
+		g_free(watch->kind);
+		g_free(watch);
+	}
+}
+
+static void set_door(door_t *door, door_state_t state, uint64_t swallow_after_ms)
+{
+	loop_timer_cancel(&door->opens);
+	door->state = state;
+	door->swallow_from_us = swallow_after_ms ? loop_now_us() + swallow_after_ms * 1000 : 0;
+	if (state == DOOR_SILENT)
+		swallow_watches(door);
+}
+
+/* False when the door is closed to the call. */
+static bool pass_door(door_t *door, http_exchange_t *exchange)
+{
+	switch (door->state) {
+	case DOOR_OPEN:
+		return true;
+	case DOOR_BUSY:
+		http_exchange_reply(exchange, 503, NULL, "", 0);
+		break;
+	case DOOR_RESET:
+		http_exchange_cut(exchange);
+		break;
+	case DOOR_SILENT:
+		if (door->swallow_from_us && loop_now_us() >= door->swallow_from_us &&
+		    !door->opens.entry.place &&
+		    g_str_has_prefix(http_exchange_path(exchange), "/objects/config"))
+			loop_timer_set(door->users->loop, &door->opens, SWALLOWED_US);
+		break;
+	}
+	return false;
+}
+
 static void on_store(void *ctx, http_exchange_t *exchange)
 {
-	users_t *users = ctx;
+	door_t *door = ctx;
+	users_t *users = door->users;
 	g_auto(GStrv) path = g_strsplit(http_exchange_path(exchange), "/", 0);
 	guint parts = g_strv_length(path);
 
 	users->calls++;
-	if (users->down || parts < 3) {
-		http_exchange_reply(exchange, 503, NULL, "", 0);
+	if (!pass_door(door, exchange))
+		return;
+	if (parts < 3) {
+		http_exchange_reply(exchange, 404, NULL, "", 0);
 		return;
 	}
 	if (!http_exchange_param(exchange, "watch"))
@@ -279,7 +364,7 @@
 	else if (!g_str_equal(http_exchange_method(exchange), "GET"))
 		write_object(users, exchange, path[2], parts > 3 ? path[3] : NULL);
 	else if (http_exchange_param(exchange, "watch"))
-		watch(users, exchange, path[2]);
+		watch(door, exchange, path[2]);
 	else
 		list(users, exchange, path[2]);
 }
@@ -323,7 +408,7 @@
 
 static void on_store_gone(void *ctx, http_exchange_t *exchange)
 {
-	users_t *users = ctx;
+	users_t *users = ((door_t *)ctx)->users;
 
 	for (guint i = 0; i < users->watches->len; i++) {
 		watch_t *watch = g_ptr_array_index(users->watches, i);
@@ -594,6 +679,7 @@
 	json_t *home = route("home", "home.example", "/home/", "idempotent");
 	json_t *kept = route("kept", "home.example", "/kept/", "idempotent");
 	json_t *shards = json_array(), *services = json_array();
+	json_t *routes = json_pack("[o,o,o,o,o]", find, get, act, home, kept);
 
 	for (int i = 0; i < users->shards; i++) {
 		g_autofree char *name = g_strdup_printf("shard-%d", i);
@@ -606,6 +692,14 @@
 	json_array_append_new(services,
 			      json_pack("{s:s,s:i,s:i,s:i}", "name", "single", "max-connections",
 					25, "cold-start-s", 3, "cold-per-s", users->cold_per_s));
+	for (int i = 0; i < users->pad_routes; i++) {
+		g_autofree char *name = g_strdup_printf("pad-%d", i);
+		g_autofree char *prefix = g_strdup_printf("/pad/%d/", i);
+		json_t *padded = route(name, "pad.example", prefix, "idempotent");
+
+		json_object_set_new(padded, "service", json_string("single"));
+		json_array_append_new(routes, padded);
+	}
 	json_object_set_new(kept, "fanout-services", json_deep_copy(shards));
 	json_object_set_new(kept, "allowed-regions", json_pack("[s]", "two"));
 	json_object_set_new(home, "service", json_string("single"));
@@ -614,10 +708,9 @@
 	json_object_set_new(get, "service", json_string("single"));
 	json_object_set_new(act, "service", json_string("single"));
 	put(users, "config", "main",
-	    json_pack("{s:i,s:[o,o,o,o,o],s:o,s:{s:i,s:i,s:i,s:i}}", "version", version, "routes",
-		      find, get, act, home, kept, "services", services, "limits",
-		      "max-header-bytes", 4096, "max-body-bytes", 8192, "header-timeout-ms", 1000,
-		      "idle-timeout-ms", 5000));
+	    json_pack("{s:i,s:o,s:o,s:{s:i,s:i,s:i,s:i}}", "version", version, "routes", routes,
+		      "services", services, "limits", "max-header-bytes", 4096, "max-body-bytes",
+		      8192, "header-timeout-ms", 1000, "idle-timeout-ms", 5000));
 }
 
 /* ---- control ---- */
@@ -694,9 +787,20 @@
 		json_object_set_new(runs, searcher->id, json_integer((json_int_t)searcher->runs));
 		json_object_set_new(left, searcher->id, json_integer((json_int_t)searcher->left));
 	}
-	return json_pack("{s:I,s:o,s:o,s:o,s:o,s:I}", "pressed", (json_int_t)pressed, "runs", runs,
-			 "left", left, "posted", posted(users), "crashes", crashes_told(users),
-			 "store_calls", (json_int_t)users->calls);
+	return json_pack("{s:b,s:I,s:o,s:o,s:o,s:o,s:I}", "open",
+			 users->doors[0].state == DOOR_OPEN, "pressed", (json_int_t)pressed, "runs",
+			 runs, "left", left, "posted", posted(users), "crashes",
+			 crashes_told(users), "store_calls", (json_int_t)users->calls);
+}
+
+static door_state_t door_state_of(const char *name)
+{
+	static const char *const names[] = {"open", "busy", "silent", "reset"};
+
+	for (size_t i = 0; name && i < G_N_ELEMENTS(names); i++)
+		if (g_str_equal(name, names[i]))
+			return (door_state_t)i;
+	return DOOR_OPEN;
 }
 
 static void on_control(void *ctx, http_exchange_t *exchange)
@@ -721,7 +825,13 @@
 	else if (!g_strcmp0(action, "born"))
 		set_born(users);
 	else if (!g_strcmp0(action, "down"))
-		users->down = atoi(number) != 0;
+		set_door(&users->doors[0], atoi(number) ? DOOR_BUSY : DOOR_OPEN, 0);
+	else if (!g_strcmp0(action, "silent"))
+		set_door(&users->doors[0], DOOR_SILENT, strtoull(number, NULL, 10));
+	else if (!g_strcmp0(action, "side"))
+		set_door(&users->doors[1], door_state_of(id), 0);
+	else if (!g_strcmp0(action, "pad"))
+		users->pad_routes = atoi(number);
 	else if (!g_strcmp0(action, "forget"))
 		users->forgotten = users->revision + 1;
 	else if (!g_strcmp0(action, "evacuate"))
@@ -743,6 +853,7 @@
 
 static const struct argp_option options[] = {
 	{"store", 's', "PORT", 0, "the store's port", 0},
+	{"side", 'd', "PORT", 0, "the port of the store's second address", 0},
 	{"control", 'c', "PORT", 0, "the control address's port", 0},
 	{"searchers", 'f', "PORT", 0, "the first searcher's port", 0},
 	{"shards", 'n', "COUNT", 0, "shards of the route that gathers", 0},
@@ -759,7 +870,8 @@
 	int *const fields[] = {['s'] = &users->store_port,     ['c'] = &users->control_port,
 			       ['f'] = &users->searchers_from, ['n'] = &users->shards,
 			       ['w'] = &users->work_ms,	       ['a'] = &users->advertise,
-			       ['b'] = &users->back_ms,	       ['k'] = &users->cold_per_s};
+			       ['b'] = &users->back_ms,	       ['k'] = &users->cold_per_s,
+			       ['d'] = &users->side_port};
 
 	if (key <= 0 || (size_t)key >= G_N_ELEMENTS(fields) || !fields[key])
 		return ARGP_ERR_UNKNOWN;
@@ -801,6 +913,9 @@
 
 	argp_parse(&argp, argc, argv, 0, NULL, &users);
 	users.loop = loop_new();
+	for (int i = 0; i < DOORS; i++)
+		users.doors[i] = (door_t){.users = &users,
+					  .opens = {.fire = open_door, .ctx = &users.doors[i]}};
 	users.objects =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)json_decref);
 	users.history = g_ptr_array_new_with_free_func((GDestroyNotify)json_decref);
@@ -810,7 +925,10 @@
 	users.searchers = g_ptr_array_new();
 	if (users.shards > SHARDS_MOST ||
 	    !http_server_new(users.loop, "127.0.0.1", (uint16_t)users.store_port,
-			     &HTTP_SERVER_OWN_LIMITS(BODY_MOST_BYTES), &store, &users) ||
+			     &HTTP_SERVER_OWN_LIMITS(BODY_MOST_BYTES), &store, &users.doors[0]) ||
+	    (users.side_port &&
+	     !http_server_new(users.loop, "127.0.0.1", (uint16_t)users.side_port,
+			      &HTTP_SERVER_OWN_LIMITS(BODY_MOST_BYTES), &store, &users.doors[1])) ||
 	    !http_server_new(users.loop, "127.0.0.1", (uint16_t)users.control_port,
 			     &HTTP_SERVER_OWN_LIMITS(BODY_MOST_BYTES), &control, &users) ||
 	    !start_searchers(&users)) {
--- a/tests/front_lib.sh
+++ b/tests/front_lib.sh
@@ -1,8 +1,10 @@
 # Sourced by the system tests of a VM that forwards by routes: the stand-in for the users' platform and
 # daemons of their own, ended when the test ends.
 . tests/lib.sh
-STORE=$PORT_BASE CONTROL=$((PORT_BASE + 1)) SHARDS_FROM=$((PORT_BASE + 100)) FRONT_FROM=$((PORT_BASE + 300))
+STORE=$PORT_BASE CONTROL=$((PORT_BASE + 1)) STORE_SIDE=$((PORT_BASE + 2)) SHARDS_FROM=$((PORT_BASE + 100)) FRONT_FROM=$((PORT_BASE + 300))
 FRONT_PID=()
+# The address at which a VM meets the store, by its index, where that is not $STORE.
+STORE_OF=()
 
 # Does an action at the stand-in; prints its counts.
 users() { curl -s -m 5 "http://127.0.0.1:$CONTROL/do?action=$1&id=${2:-}&n=${3:-}"; }
@@ -23,7 +25,7 @@
 		metrics = 127.0.0.1:$((at + 2))
 		feed = 127.0.0.1:$((at + 3))
 		gather = 127.0.0.1:$((at + 4))
-		store = 127.0.0.1:$STORE
+		store = 127.0.0.1:${STORE_OF[$1]:-$STORE}
 		[regions]
 		here = one
 		there = two
@@ -51,7 +53,7 @@
 # The stand-in, and VMs 0..$1-1, all ready.
 fronts_start() {
 	local i
-	"$BUILD/standin-users-platform" --store "$STORE" --control "$CONTROL" --searchers "$SHARDS_FROM" \
+	"$BUILD/standin-users-platform" --store "$STORE" --side "$STORE_SIDE" --control "$CONTROL" --searchers "$SHARDS_FROM" \
 		${USERS_ARGS:-} >>"$RUN/users.log" 2>&1 &
 	PIDS+=($!)
 	wait_until users none
--- /dev/null
+++ b/tests/system/front_late_after_silence.sh
@@ -0,0 +1,31 @@
+# Callers are answered by an old configuration: a call that the store swallowed just before its return is waited for.
+. tests/front_lib.sh
+SETTLE_MS=5000 DUE_MS=3000
+fronts_start 2
+is_open() { [ "$(users none | jq .open)" = true ]; }
+all_have() {
+	local i
+	for ((i = 0; i < 2; i++)); do [ "$(metric configuration_version "$i")" = "$1" ] || return 1; done
+}
+now_ms() { date +%s%3N; }
+sleep_until_ms() { sleep "$(awk -v left=$(($1 - $(now_ms))) 'BEGIN {printf "%.3f", left > 0 ? left / 1000 : 0}')"; }
+version=1 rounds=0
+for away_ms in 6000 9000; do
+	version=$((version + 4)) rounds=$((rounds + 1))
+	users silent '' $away_ms >/dev/null
+	for ((i = 0; i < 300; i++)); do is_open && break || sleep 0.05; done
+	back=$(now_ms)
+	users configure '' $version >/dev/null
+	sleep_until_ms $((back + SETTLE_MS))
+	all_have $version || bad "$SETTLE_MS ms after a silence of $away_ms: $(metric configuration_version 0) $(metric configuration_version 1), not $version"
+	# Searchers are heard again as well: one that leaves now is known to leave when that is due.
+	users drain i-shard-0-there >/dev/null
+	drained=$(now_ms)
+	sleep_until_ms $((drained + DUE_MS))
+	for ((i = 0; i < 2; i++)); do
+		[ "$(metric 'store_kind_age_us{kind="searchers"}' "$i")" -lt $((DUE_MS * 1000)) ] || bad "VM $i has not heard of searchers since the store is back"
+		[ "$(grep -c 'event=searcher-draining ' "$RUN/front-$i.log")" -ge $rounds ] || bad "VM $i sends to a searcher that leaves"
+	done
+	users born >/dev/null # a start that leaves stays so
+	users ready i-shard-0-there >/dev/null
+done
