--- a/tests/system/front_late_after_silence.sh
+++ b/tests/system/front_late_after_silence.sh
@@ -8,7 +8,7 @@
 	for ((i = 0; i < 2; i++)); do [ "$(metric configuration_version "$i")" = "$1" ] || return 1; done
 }
 now_ms() { date +%s%3N; }
-sleep_until_ms() { sleep "$(awk -v left=$(($1 - $(now_ms))) 'BEGIN {printf "%.3f", left > 0 ? left / 1000 : 0}')"; }
+sleep_until_ms() { sleep "$(awk -v left=$(($1 - $(now_ms))) 'BEGIN {printf "%.3f", (left > 0 ? left : 0) / 1000}')"; }
 version=1 rounds=0
 for away_ms in 6000 9000; do
 	version=$((version + 4)) rounds=$((rounds + 1))
