Whom a VM hears the store from is one decision, bounded by the settings

Cause: each kind of objects was asked for by its own, with a watch of up to 4 s and 0.7 s of slack even while the store did not answer. One sent just before the return was given up 4.7 s later, the next came up to 1.5 s after that, and a watch that was answered said so only when something changed: the sum of the parts was over the settle time, and stood nowhere. Ruled out by the failed calls' log lines: an answer that was not taken, and kept connections that had gone silent.

Now core/hearing decides what is asked of the store and whom else to hear, without I/O; supply_task and follower carry it out. While the store does not answer, one kind is asked for, by a call that is answered at once and given up after 1.5 s; when it is heard, all others are asked for in the same moment. feed_timing derives watch, probe, pause, look and age from the settings' bounds. A connection to the store that was idle is not used again, since it may have gone silent.

Found by the new plays of an absent store in virtual time (hearing_test; five ways of being away, eight pairs of bounds, VMs alone, feeding and fed): a watch that followed a pause for grouping on a dead connection, 0.8 s over; looks of a fed VM that came later than the settle time where that equals the time for changes.

--- a/src/core/feed_message.h
+++ b/src/core/feed_message.h
@@ -30,12 +30,13 @@
 typedef struct feed_message_t {
 	feed_type_t type;
 	uint32_t kind;	  /**< of the objects; of a sighting its type; for news, unused */
-	const char *name; /**< of the object, the searcher of a sighting, or "" */
+	const char *name; /**< of the object; of the searcher of a sighting; of news, the VM that it
+			   * is heard from, or "" */
 	const char *text; /**< the object's content, that it had before its removal, too; of a
 			   * sighting which start of the searcher, in decimal; or "" */
 	uint64_t age_us;  /**< news: since the store was last heard, by whoever watches it;
 			   * sightings: since the sub-request was sent */
-	bool away;	  /**< news: the store does not answer */
+	bool away;	  /**< news: whoever says so can't be relied on to hear the store */
 	uint64_t era;	  /**< of the store that this is a word of; not of sightings */
 } feed_message_t;
 
--- a/src/net/http_pool.c
+++ b/src/net/http_pool.c
@@ -20,6 +20,7 @@
 	http_pool_t *pool;
 	http_conn_t *conn; /* NULL when there is none */
 	http_call_t *call; /* NULL when idle */
+	uint64_t idle_since_us;
 } lane_t;
 
 struct http_call_t {
@@ -57,6 +58,7 @@
 	call->ended = true;
 	call->end = end;
 	call->lane->call = NULL;
+	call->lane->idle_since_us = loop_now_us();
 	loop_post(call->lane->pool->loop, call_deliver, NULL, call);
 }
 
@@ -130,7 +132,9 @@
 
 static void open_lane(lane_t *lane, const http_request_t *request)
 {
-	bool stale = lane->conn && http_conn_is_stale(lane->conn, loop_now_us());
+	uint64_t now_us = loop_now_us();
+	bool idle = request->idle_most_us && now_us > lane->idle_since_us + request->idle_most_us;
+	bool stale = lane->conn && (idle || http_conn_is_stale(lane->conn, now_us));
 
 	if (lane->conn && (request->fresh_connection || stale)) {
 		http_conn_close(lane->conn);
--- a/src/net/http_pool.h
+++ b/src/net/http_pool.h
@@ -31,7 +31,9 @@
 	const char *body;    /**< NULL for none */
 	size_t body_bytes;
 	const char *kept_header; /**< of the reply, for http_call_header(); NULL: none */
-	bool fresh_connection;	 /**< do not reuse one: it could die silently under the request */
+	uint64_t idle_most_us; /**< a kept connection that was idle for longer is not used again: it
+				* may have gone silent; 0: any is */
+	bool fresh_connection; /**< do not reuse one: it could die silently under the request */
 	/** Called once, from the loop. The slot is free again once this is called. */
 	void (*finished)(void *ctx, http_call_t *call);
 	void *ctx;
--- a/src/settings.h
+++ b/src/settings.h
@@ -43,9 +43,10 @@
 	uint32_t retry_constant; /**< and so many more in a window */
 	uint32_t retry_window_s; /**< the window in which they are counted */
 	uint32_t apply_ms;	 /**< within which a change of the store is in force */
-	uint32_t settle_ms;	 /**< after which VMs whose connections were harmed keep to that */
-	uint32_t evacuate_ms;	 /**< within which an evacuation is in force; 0: there are none */
-	GHashTable *regions;	 /**< data centre to region */
+	uint32_t leave_ms; /**< within which a searcher that leaves gets nothing new; 0: as apply */
+	uint32_t settle_ms;   /**< after which VMs whose connections were harmed keep to that */
+	uint32_t evacuate_ms; /**< within which an evacuation is in force; 0: there are none */
+	GHashTable *regions;  /**< data centre to region */
 	char *log_level;
 	uint32_t hedge, choose_by_cost, adapt_limit; /**< policy switches, for baselines */
 } settings_t;
--- a/src/tasks/feed_server.c
+++ b/src/tasks/feed_server.c
@@ -13,7 +13,7 @@
 	uint32_t kinds;
 	GPtrArray *subscribers; /* subscriber_t */
 	GByteArray *frame;	/* being written */
-	feed_message_f heard;
+	const feed_server_ops_t *ops;
 	void *ctx;
 };
 
@@ -59,7 +59,7 @@
 		g_info("event=feed-message-ignored type=%d reason=not-for-feeders", message->type);
 		return;
 	}
-	server->heard(server->ctx, message);
+	server->ops->heard(server->ctx, message);
 	hand_on(server, subscriber, message);
 }
 
@@ -90,6 +90,8 @@
 	static const sock_ops_t ops = {.received = on_received, .ended = on_ended};
 	feed_server_t *server = ctx;
 	subscriber_t *subscriber = g_new0(subscriber_t, 1);
+	feed_message_t news = {.name = "", .text = ""};
+	bool greeted = server->ops->greet(server->ctx, &news);
 
 	subscriber->server = server;
 	subscriber->sock = sock;
@@ -97,17 +99,20 @@
 	g_ptr_array_add(server->subscribers, subscriber);
 	sock_set_ops(sock, &ops, subscriber);
 	g_byte_array_set_size(server->frame, 0);
-	for (uint32_t kind = 0; kind < server->kinds; kind++)
+	if (greeted)
+		feed_message_write(server->frame, &news);
+	/* One that can't be relied on is left at once; its lists would only hold up its link. */
+	for (uint32_t kind = 0; kind < server->kinds && !(greeted && news.away); kind++)
 		feed_book_write(server->books[kind], server->frame);
 	sock_write(sock, server->frame->data, server->frame->len);
 }
 
 feed_server_t *feed_server_new(loop_t *loop, const char *address, uint16_t port, uint32_t kinds,
-			       feed_message_f heard, void *ctx)
+			       const feed_server_ops_t *ops, void *ctx)
 {
 	feed_server_t *server = g_new0(feed_server_t, 1);
 
-	server->heard = heard;
+	server->ops = ops;
 	server->ctx = ctx;
 	server->kinds = kinds;
 	server->books = g_new0(feed_book_t *, kinds);
@@ -145,11 +150,3 @@
 	for (uint32_t kind = 0; kind < server->kinds; kind++)
 		feed_book_clear(server->books[kind]);
 }
-
-bool feed_server_is_known(const feed_server_t *server)
-{
-	for (uint32_t kind = 0; kind < server->kinds; kind++)
-		if (!feed_book_is_known(server->books[kind]))
-			return false;
-	return true;
-}
--- a/src/tasks/feed_server.h
+++ b/src/tasks/feed_server.h
@@ -10,13 +10,22 @@
 
 typedef struct feed_server_t feed_server_t;
 
+typedef struct feed_server_ops_t {
+	/** A subscriber tells a sighting; the others are told, too. */
+	feed_message_f heard;
+	/**
+	 * What a new subscriber is told first.
+	 * @return whether that is news, and @p news filled
+	 */
+	bool (*greet)(void *ctx, feed_message_t *news);
+} feed_server_ops_t;
+
 /**
  * NULL when the address can't be listened on.
  * @param kinds how many kinds of objects there are
- * @param heard called with sightings that subscribers tell; the others are told, too
  */
 feed_server_t *feed_server_new(loop_t *loop, const char *address, uint16_t port, uint32_t kinds,
-			       feed_message_f heard, void *ctx);
+			       const feed_server_ops_t *ops, void *ctx);
 /** Keep @p message, and send it to all subscribers. */
 void feed_server_tell(feed_server_t *server, const feed_message_t *message);
 /** Send whole frames to all subscribers. */
@@ -25,7 +34,5 @@
 uint32_t feed_server_subscribers(const feed_server_t *server);
 /** Forget what was told: this VM no longer knows it at first hand. */
 void feed_server_clear(feed_server_t *server);
-/** Whether a whole list of each kind was told. */
-bool feed_server_is_known(const feed_server_t *server);
 
 #endif
--- a/src/tasks/platform_task.c
+++ b/src/tasks/platform_task.c
@@ -4,6 +4,7 @@
  */
 #include "tasks/platform_task.h"
 
+#include "core/feed_timing.h"
 #include "core/json_salvage.h"
 #include "net/http_pool.h"
 #include "store.h"
@@ -217,6 +218,7 @@
 			       .path = call->path,
 			       .headers = call->body ? "Content-Type: application/json\r\n" : NULL,
 			       .kept_header = STORE_ERA_HEADER,
+			       .idle_most_us = FEED_IDLE_MS * 1000,
 			       .body = call->body,
 			       .body_bytes = call->body ? strlen(call->body) : 0,
 			       .finished = call_finished,
@@ -290,6 +292,13 @@
 				      .timeout_us = timeout_us});
 }
 
+void platform_task_abandon(platform_task_t *task, const void *ctx)
+{
+	for (int slot = 0; slot < CALL_SLOTS; slot++)
+		if (task->slots[slot] && task->slots[slot]->ctx == ctx)
+			http_call_cancel(task->slots[slot]->call);
+}
+
 void platform_task_send(platform_task_t *task, const char *method, const char *target,
 			const char *body, uint64_t timeout_us, platform_done_f done, void *ctx)
 {
--- a/src/tasks/platform_task.h
+++ b/src/tasks/platform_task.h
@@ -43,6 +43,8 @@
  */
 void platform_task_fetch(platform_task_t *task, const char *target, uint64_t timeout_us,
 			 platform_done_f done, void *ctx);
+/** Give the fetch with @p ctx up, and its connection; `done` follows. */
+void platform_task_abandon(platform_task_t *task, const void *ctx);
 /** As platform_task_fetch(), with another method and a JSON body. */
 void platform_task_send(platform_task_t *task, const char *method, const char *target,
 			const char *body, uint64_t timeout_us, platform_done_f done, void *ctx);
--- a/src/tasks/supply_task.c
+++ b/src/tasks/supply_task.c
@@ -5,6 +5,7 @@
 #include "tasks/supply_task.h"
 
 #include "core/feed_timing.h"
+#include "core/hearing.h"
 #include "tasks/feed_client.h"
 #include "tasks/feed_server.h"
 #include "tasks/follower.h"
@@ -14,19 +15,13 @@
 
 /* Three of these may be lost before a subscriber gives its feed up. */
 #define NEWS_PERIOD_US 500000
-/* After a feed failed, the store is watched for a while; random, so that VMs do not all move. */
-#define AGAIN_LEAST_US 3000000
-#define AGAIN_MOST_US 6000000
-/* A VM that starts first learns whom it may hear the store from: a read of the list of VMs, then a
- * connection within the data centre, a few ms each, or 0.7 s among the first of many VMs. Past this
- * it reads the store itself all the same. */
-#define START_MOST_US 1200000
-/* To ask the other feeders whether they hear the store: each says so within NEWS_PERIOD_US. */
-#define SEEK_US 1000000
-/* A look at the store: a slow one was seen to take 0.4 s for an answer. */
-#define LOOK_TIMEOUT_US 1500000
-/* Until then, VMs that start together with this one may not listen yet: asked again so soon. */
-#define START_AGAIN_US 100000
+/* Changes come in groups: searchers that start, leave or lapse together. Each wake-up of a watch is
+ * a priced call, so after one with changes the next waits; what happens meanwhile comes with it. A
+ * change is then known within a second. */
+#define GROUP_US 800000
+/* Of what operators write, which changes seldom: VMs that watch the configuration should know it at
+ * the same time, or callers are answered by the new and the old version by turns. */
+#define OPERATOR_GROUP_US 100000
 /* Sightings wait so long for others to go with them: a pause that is told lasts 150 ms more. */
 #define SIGHTINGS_GROUP_US 10000
 /* A VM in a data centre where much is slow sees some 30 odd answers a second; more is dropped. */
@@ -37,7 +32,7 @@
 /*
  * Nearly always there is nothing to hear of such requests, and each watch that ends is a priced
  * call. A store that can't be heard shows by the other kinds, which are watched more often; then
- * the list is read again.
+ * this one is asked for once more, too.
  */
 #define POISON_WATCH_MS 20000
 
@@ -46,49 +41,57 @@
 	supply_task_t *task;
 	store_kind_t kind;
 	follower_t *follower;
-	bool fed;   /* the feed has sent its list */
-	bool waits; /* to be followed once the store answers */
 } supply_kind_t;
 
 struct supply_task_t {
 	loop_t *loop;
 	const supply_ops_t *ops;
 	void *ctx;
-	GRand *rand;
 	member_task_t *members;
 	GHashTable *regions; /* data centre to region */
 	supply_kind_t kinds[FED_KINDS_MOST];
 	uint32_t kind_count;
+	hearing_t *hearing;
+	loop_timer_t hearing_timer;
 	feed_server_t *server;
-	feed_client_t *client; /* NULL without a feed */
-	char *feeder;	       /* name of the VM that feeds us; NULL without a feed */
-	uint32_t tries;	       /* feeds tried so far */
-	bool following;	       /* watches the store itself */
-	bool fed;	       /* a feeder has told all of it, and goes on telling */
-	bool feeds;	       /* keeps what it knows for VMs that ask */
-	bool away;	       /* the store can't be heard */
-	uint64_t fed_heard_us; /* when the feeder last heard the store */
+	bool sights; /* tells of searchers: the region has so many VMs that it is of use */
 	feed_timing_t timing;
-	loop_timer_t stale_timer; /* when the feed's news will be too old */
 	loop_timer_t news_timer;
-	loop_timer_t again_timer;
-	loop_timer_t start_timer;
-	loop_timer_t look_timer; /* when to see whether the store can be reached from here */
-	bool looking;
 	platform_task_t *platform;
 	GByteArray *sightings; /* frames that wait to be told */
 	loop_timer_t sightings_timer;
 };
 
-static void note_away(supply_task_t *task, bool away)
+/** A connection to a VM that tells of the store. */
+typedef struct supply_link_t {
+	supply_task_t *task;
+	hearing_link_t *link;
+	feed_client_t *client;
+} supply_link_t;
+
+static feed_client_t *client_of(const hearing_link_t *link)
 {
-	if (task->away == away)
-		return;
-	task->away = away;
-	if (away)
-		task->ops->lost(task->ctx);
+	return ((const supply_link_t *)link->data)->client;
+}
+
+/* After anything was told to it. */
+static void arm_hearing(supply_task_t *task)
+{
+	uint64_t next_us = hearing_next_us(task->hearing), now_us = loop_now_us();
+
+	if (next_us == TIMERS_NEVER)
+		loop_timer_cancel(&task->hearing_timer);
 	else
-		task->ops->back(task->ctx);
+		loop_timer_set(task->loop, &task->hearing_timer,
+			       next_us > now_us ? next_us - now_us : 0);
+}
+
+static void run_hearing(void *ctx)
+{
+	supply_task_t *task = ctx;
+
+	hearing_run(task->hearing, loop_now_us());
+	arm_hearing(task);
 }
 
 /* ---- what comes in, from wherever ---- */
@@ -100,7 +103,7 @@
 	char *text;
 	bool fits;
 
-	if (!task->feeds || !task->following)
+	if (!hearing_follows(task->hearing))
 		return;
 	text = object ? json_dumps(object->content, JSON_COMPACT | JSON_ENCODE_ANY) : NULL;
 	fits = text && feed_may_tell(strlen(text), feed_server_subscribers(task->server),
@@ -140,154 +143,29 @@
 	kind->task->ops->list_end(kind->task->ctx, kind->kind);
 }
 
-/* While the store is away it is tried for one kind; when that is read, for the others. */
-static void follow_rest(supply_task_t *task)
-{
-	for (uint32_t i = 0; i < task->kind_count; i++) {
-		supply_kind_t *kind = &task->kinds[i];
-
-		if (kind->waits && task->following)
-			follower_refresh(kind->follower, false);
-		kind->waits = false;
-	}
-}
-
-static void on_list_read(void *ctx)
+static void on_call_ended(void *ctx, hearing_end_t end)
 {
 	supply_kind_t *kind = ctx;
 
-	give_list_end(kind);
-	follow_rest(kind->task);
-}
-
-/* Whether the kind tells how old what is known is. */
-static bool is_watched_often(store_kind_t kind)
-{
-	return kind == STORE_SEARCHERS || kind == STORE_CONFIGURATION;
-}
-
-/* A watch that waits for long on a connection that went silent hears nothing of what came. */
-static void catch_up_on_rest(supply_task_t *task)
-{
-	if (!task->following)
-		return;
-	for (uint32_t i = 0; i < task->kind_count; i++)
-		if (!is_watched_often((store_kind_t)i))
-			follower_catch_up(task->kinds[i].follower);
-}
-
-static void on_lost(void *ctx)
-{
-	const supply_kind_t *kind = ctx;
-
-	if (is_watched_often(kind->kind))
-		note_away(kind->task, true);
-}
-
-static void on_back(void *ctx)
-{
-	const supply_kind_t *kind = ctx;
-
-	if (!is_watched_often(kind->kind))
-		return;
-	note_away(kind->task, false);
-	catch_up_on_rest(kind->task);
-}
-
-/* ---- following the store, or a feed ---- */
-
-static void follow_store(void *ctx)
-{
-	supply_task_t *task = ctx;
-
-	loop_timer_cancel(&task->start_timer);
-	if (task->following)
-		return;
-	task->following = true;
-	for (uint32_t i = 0; i < task->kind_count; i++)
-		task->kinds[i].waits = task->away && i != STORE_CONFIGURATION;
-	for (uint32_t i = 0; i < task->kind_count; i++)
-		if (!task->kinds[i].waits)
-			follower_refresh(task->kinds[i].follower, task->away);
-}
-
-static void stop_following(supply_task_t *task)
-{
-	task->following = false;
-	for (uint32_t i = 0; i < task->kind_count; i++)
-		follower_pause(task->kinds[i].follower);
-}
-
-static void drop_feed(supply_task_t *task)
-{
-	if (task->client)
-		feed_client_free(task->client);
-	task->client = NULL;
-	loop_timer_cancel(&task->look_timer);
-	loop_timer_cancel(&task->stale_timer);
-	g_free(task->feeder);
-	task->feeder = NULL;
-	task->fed = false;
-	for (uint32_t i = 0; i < task->kind_count; i++)
-		task->kinds[i].fed = false;
+	hearing_replied(kind->task->hearing, kind->kind, end, loop_now_us());
+	arm_hearing(kind->task);
 }
 
-static bool is_starting(const supply_task_t *task)
-{
-	return task->start_timer.entry.place != 0;
-}
+/* ---- asking the store ---- */
 
-static bool seek_other(supply_task_t *task);
-
-static uint64_t random_us(supply_task_t *task, uint64_t least_us, uint64_t most_us)
+static void on_ask(void *ctx, uint32_t kind, const hearing_call_t *call)
 {
-	return (uint64_t)g_rand_int_range(task->rand, (gint32)least_us, (gint32)most_us);
+	follower_ask(((supply_task_t *)ctx)->kinds[kind].follower, call);
 }
 
-static void close_feed(supply_task_t *task, const char *reason)
+static void on_cancel(void *ctx, uint32_t kind)
 {
-	g_message("event=feed-lost vm=%s reason=%s age_us=%" G_GUINT64_FORMAT, task->feeder, reason,
-		  supply_task_age_us(task));
-	drop_feed(task);
+	follower_cancel(((supply_task_t *)ctx)->kinds[kind].follower);
 }
 
-static void follow_for_a_while(supply_task_t *task)
+static void on_list_anew(void *ctx, uint32_t kind)
 {
-	follow_store(task);
-	loop_timer_set(task->loop, &task->again_timer,
-		       random_us(task, AGAIN_LEAST_US, AGAIN_MOST_US));
-}
-
-static void leave_feed(supply_task_t *task, const char *reason)
-{
-	if (!task->client)
-		return;
-	close_feed(task, reason);
-	task->tries++;
-	if (seek_other(task))
-		return;
-	if (is_starting(task))
-		loop_timer_set(task->loop, &task->again_timer, START_AGAIN_US);
-	else
-		follow_for_a_while(task);
-}
-
-static bool is_fed_whole(const supply_task_t *task)
-{
-	for (uint32_t i = 0; i < task->kind_count; i++)
-		if (!task->kinds[i].fed)
-			return false;
-	return true;
-}
-
-/*
- * A feeder that is cut off from the store goes on telling that nothing has changed. Its news grow
- * old meanwhile; past what they are on a sound feeder this VM reads the store itself, and a change
- * is in force in time. Seen without: an old configuration in use 3.7 s after the next was accepted.
- */
-static void on_stale(void *ctx)
-{
-	leave_feed(ctx, "news-old");
+	follower_list_anew(((supply_task_t *)ctx)->kinds[kind].follower);
 }
 
 /* What the look has read is in force at once; another feeder, or the store, tells the rest. */
@@ -305,83 +183,40 @@
 static void on_looked(void *ctx, const platform_result_t *result)
 {
 	supply_task_t *task = ctx;
+	bool reached = result->status == 200;
 
-	task->looking = false;
 	g_info("event=store-looked-at status=%d outcome=%s", result->status,
-	       result->status == 200 ? "reached" : "away");
-	if (!task->client || !task->away)
-		return;
-	if (result->status == 200) {
+	       reached ? "reached" : "away");
+	if (reached)
 		take_look(task, result);
-		note_away(task, false);
-		leave_feed(task, "store-reached");
-	} else {
-		loop_timer_set(
-			task->loop, &task->look_timer,
-			random_us(task, task->timing.look_least_us, task->timing.look_most_us));
-	}
+	hearing_looked(task->hearing, reached, loop_now_us());
+	arm_hearing(task);
 }
 
-static void look_at_store(void *ctx)
+static void on_look(void *ctx, uint64_t timeout_us)
 {
 	supply_task_t *task = ctx;
 	g_autofree char *target = store_list_target(STORE_CONFIGURATION, NULL);
 
-	if (task->looking || !task->client)
-		return;
-	task->looking = true;
-	platform_task_fetch(task->platform, target, LOOK_TIMEOUT_US, on_looked, task);
+	platform_task_fetch(task->platform, target, timeout_us, on_looked, task);
 }
 
-/* The first look comes before the news are too old: the store may have turned away only the feeder,
- * which then notices after its watch was in vain, when a change may be due in a second. */
-static uint64_t first_look_us(supply_task_t *task, uint64_t age_us)
-{
-	uint64_t most_us = task->timing.age_most_us;
-	uint64_t used_us = age_us + SEEK_US;
-	uint64_t left_us = most_us > used_us ? most_us - used_us : 0;
-
-	return random_us(task, 0, MIN(left_us, task->timing.look_most_us) + 1);
-}
+/* ---- whether the store is heard ---- */
 
-/* Of a feeder that is relied on. */
-static void note_doubt(supply_task_t *task, bool doubt, uint64_t age_us)
+static void on_lost(void *ctx)
 {
-	if (task->away == doubt)
-		return;
-	note_away(task, doubt);
-	if (doubt)
-		loop_timer_set(task->loop, &task->look_timer, first_look_us(task, age_us));
-	else
-		loop_timer_cancel(&task->look_timer);
+	supply_task_t *task = ctx;
+
+	g_message("event=store-lost age_us=%" G_GUINT64_FORMAT, supply_task_age_us(task));
+	task->ops->lost(task->ctx);
 }
 
-static void take_news(supply_task_t *task, const feed_message_t *message)
+static void on_back(void *ctx)
 {
-	feed_verdict_t verdict =
-		feed_judge(&task->timing, task->fed, message->away, message->age_us);
+	supply_task_t *task = ctx;
 
-	if (verdict == FEED_LEAVE) {
-		leave_feed(task, message->away ? "store-away" : "news-old");
-		return;
-	}
-	if (task->fed)
-		note_doubt(task, verdict == FEED_DOUBT, message->age_us);
-	task->fed_heard_us = loop_now_us() - message->age_us;
-	if (verdict == FEED_DOUBT)
-		loop_timer_cancel(&task->stale_timer);
-	else
-		loop_timer_set(task->loop, &task->stale_timer,
-			       task->timing.age_most_us - message->age_us);
-	if (task->fed || !is_fed_whole(task))
-		return;
-	task->fed = true;
-	loop_timer_cancel(&task->start_timer);
-	g_message("event=feed-taken vm=%s age_us=%" G_GUINT64_FORMAT, task->feeder,
-		  message->age_us);
-	stop_following(task);
-	feed_server_clear(task->server);
-	note_away(task, false);
+	g_message("event=store-back age_us=%" G_GUINT64_FORMAT, supply_task_age_us(task));
+	task->ops->back(task->ctx);
 }
 
 static void take_object(supply_kind_t *kind, const feed_message_t *message)
@@ -418,9 +253,10 @@
 static void send_sightings(void *ctx)
 {
 	supply_task_t *task = ctx;
+	const hearing_link_t *feed = hearing_feed(task->hearing);
 
-	if (task->fed)
-		feed_client_write(task->client, task->sightings);
+	if (feed)
+		feed_client_write(client_of(feed), task->sightings);
 	else
 		feed_server_write(task->server, task->sightings);
 	g_byte_array_set_size(task->sightings, 0);
@@ -437,112 +273,123 @@
 
 	snprintf(born, sizeof(born), "%" G_GUINT64_FORMAT, sighting->born_ms);
 
-	if (!task->feeds || task->sightings->len > SIGHTINGS_MOST_BYTES)
+	if (!task->sights || task->sightings->len > SIGHTINGS_MOST_BYTES)
 		return;
 	if (!task->sightings->len)
 		loop_timer_set(task->loop, &task->sightings_timer, SIGHTINGS_GROUP_US);
 	feed_message_write(task->sightings, &message);
 }
 
-/* The feed's list is taken while the store is still watched: both say the same, or nearly, and the
- * later of two reports about a searcher or a version wins wherever it comes from. */
-static void on_feed_message(void *ctx, const feed_message_t *message)
+/* ---- links to other VMs ---- */
+
+static void take_change(supply_kind_t *kind, hearing_link_t *link, const feed_message_t *message)
 {
-	supply_task_t *task = ctx;
-	supply_kind_t *kind = message->kind < task->kind_count ? &task->kinds[message->kind] : NULL;
+	supply_task_t *task = kind->task;
 
-	/* Of a feeder that has not heard yet that the store is another one: its next list will be
-	 * of this one, or its news grow too old. */
-	if (message->type != FEED_SIGHTING &&
-	    platform_task_take_era(task->platform, message->era) == STORE_ERA_OLDER)
-		return;
-	if (message->type == FEED_NEWS) {
-		take_news(task, message);
-		return;
-	}
-	if (message->type == FEED_SIGHTING) {
-		take_sighting(task, message);
-		return;
-	}
-	if (!kind)
-		return;
 	switch (message->type) {
 	case FEED_LIST_BEGIN:
 		give_list_begin(kind);
 		break;
 	case FEED_LIST_END:
 		give_list_end(kind);
-		kind->fed = true;
+		hearing_link_listed(task->hearing, link, kind->kind, loop_now_us());
 		break;
 	case FEED_CHANGED:
 		g_message("event=feed-announced kind=%s name=%s outcome=read-from-store",
 			  store_kind_name(kind->kind), message->name);
-		follower_read_once(kind->follower);
+		hearing_announced(task->hearing, kind->kind, loop_now_us());
 		break;
 	default:
 		take_object(kind, message);
 	}
 }
 
-static void on_feed_ended(void *ctx, const char *reason)
+static void take_news(supply_link_t *own, const feed_message_t *message)
 {
-	leave_feed(ctx, reason);
+	const hearing_news_t news = {
+		.away = message->away, .age_us = message->age_us, .from = message->name};
+
+	hearing_link_news(own->task->hearing, own->link, &news, loop_now_us());
 }
 
-static GPtrArray *feeders_of(const supply_task_t *task)
+/* The feed's list is taken while the store is still watched: both say the same, or nearly, and the
+ * later of two reports about a searcher or a version wins wherever it comes from. */
+static void on_feed_message(void *ctx, const feed_message_t *message)
 {
-	const vm_t *own = member_task_own(task->members);
+	supply_link_t *own = ctx;
+	supply_task_t *task = own->task;
 
-	const feed_vms_t all = {.vms = member_task_vms(task->members), .regions = task->regions};
+	/* Of a feeder that has not heard yet that the store is another one: its next list will be
+	 * of this one, or its news grow too old. */
+	if (message->type != FEED_SIGHTING &&
+	    platform_task_take_era(task->platform, message->era) == STORE_ERA_OLDER)
+		return;
+	if (message->type == FEED_NEWS)
+		take_news(own, message);
+	else if (message->type == FEED_SIGHTING)
+		take_sighting(task, message);
+	else if (message->kind < task->kind_count)
+		take_change(&task->kinds[message->kind], own->link, message);
+	arm_hearing(task);
+}
+
+static void on_feed_ended(void *ctx, const char *reason)
+{
+	supply_link_t *own = ctx;
+	supply_task_t *task = own->task;
 
-	return feed_choose(&all, own->name, own->data_centre);
+	hearing_link_ended(task->hearing, own->link, reason, loop_now_us());
+	arm_hearing(task);
 }
 
-static void take_feed(supply_task_t *task, const vm_t *feeder)
+static bool on_open(void *ctx, hearing_link_t *link)
 {
 	static const feed_client_ops_t ops = {.message = on_feed_message, .ended = on_feed_ended};
+	supply_task_t *task = ctx;
+	const vm_t *vm = vm_find(member_task_vms(task->members), link->vm);
+	supply_link_t *own = g_new0(supply_link_t, 1);
 
-	task->client = feed_client_new(task->loop, feeder->address, feeder->feed_port, &ops, task);
-	if (task->client)
-		task->feeder = g_strdup(feeder->name);
+	*own = (supply_link_t){.task = task, .link = link};
+	own->client =
+		vm ? feed_client_new(task->loop, vm->address, vm->feed_port, &ops, own) : NULL;
+	link->data = own;
+	if (!own->client)
+		g_free(own);
+	return own->client != NULL;
 }
 
-/* All VMs of a region that turn to the store because one of them is gone would cost more calls
- * than the feed saved: the next feeder is asked first, unless all have failed in this round. */
-static bool seek_other(supply_task_t *task)
+static void on_close(void *ctx, hearing_link_t *link, const char *reason)
 {
-	g_autoptr(GPtrArray) feeders = feeders_of(task);
+	supply_task_t *task = ctx;
+	supply_link_t *own = link->data;
 
-	if (!feeders->len || task->tries % feeders->len == 0)
-		return false;
-	take_feed(task, g_ptr_array_index(feeders, task->tries % feeders->len));
-	return task->client != NULL;
+	if (hearing_feed(task->hearing) == link)
+		g_message("event=feed-lost vm=%s reason=%s age_us=%" G_GUINT64_FORMAT, link->vm,
+			  reason, supply_task_age_us(task));
+	else
+		g_info("event=feed-not-taken vm=%s backup=%d reason=%s", link->vm, link->backup,
+		       reason);
+	feed_client_free(own->client);
+	g_free(own);
 }
 
-static void seek_feed(void *ctx)
+static void on_taken(void *ctx, const hearing_link_t *link)
 {
 	supply_task_t *task = ctx;
-	g_autoptr(GPtrArray) feeders = feeders_of(task);
 
-	if (!task->client && feeders->len)
-		take_feed(task, g_ptr_array_index(feeders, task->tries % feeders->len));
+	g_message("event=feed-taken vm=%s backup=%d age_us=%" G_GUINT64_FORMAT, link->vm,
+		  link->backup, supply_task_age_us(task));
+	feed_server_clear(task->server);
 }
 
-/* Before anything is followed or fed, this is all that is known of the store. A VM that starts
- * while the store is away tries it seldom for its lists, and must not wait for the next try once it
- * is back.
- */
+/* ---- the other VMs ---- */
+
 static void on_store_answered(void *ctx, bool answered)
 {
 	supply_task_t *task = ctx;
 
-	if (answered && task->following && task->away) {
-		note_away(task, false);
-		task->following = false;
-		follow_store(task);
-	} else if (answered || (!task->following && !task->fed)) {
-		note_away(task, !answered);
-	}
+	hearing_answered(task->hearing, answered, loop_now_us());
+	arm_hearing(task);
 }
 
 static void set_waits(supply_task_t *task, bool feeds_others)
@@ -555,81 +402,114 @@
 							   task->timing.evacuation_watch_ms};
 
 	for (uint32_t i = 0; i < task->kind_count; i++)
-		follower_set_wait(task->kinds[i].follower, waits_ms[i]);
+		hearing_set_wait(task->hearing, i, waits_ms[i]);
 }
 
 static void on_members(void *ctx)
 {
 	supply_task_t *task = ctx;
 	const vm_t *own = member_task_own(task->members);
-	g_autoptr(GPtrArray) feeders = feeders_of(task);
-
 	const feed_vms_t all = {.vms = member_task_vms(task->members), .regions = task->regions};
-
-	task->feeds = feed_is_used(&all, own->data_centre);
-	set_waits(task, task->feeds && !feeders->len);
-	if (!task->feeds)
-		feed_server_clear(task->server);
-	if (task->client && !feeders->len)
-		leave_feed(task, "chosen-to-watch");
-	else if (!task->again_timer.entry.place)
-		seek_feed(task);
-	if (!task->client)
-		follow_store(task);
+	g_autoptr(GPtrArray) feeders = feed_choose(&all, own->name, own->data_centre);
+	g_autoptr(GPtrArray) backups = g_ptr_array_new();
+
+	task->sights = feed_is_used(&all, own->data_centre);
+	set_waits(task, task->sights && !feeders->len);
+	hearing_set_vms(task->hearing, feeders, backups, task->sights && !feeders->len,
+			loop_now_us());
+	arm_hearing(task);
 	task->ops->members(task->ctx);
 }
 
-/*
- * A feeder whose news would be left for their age can't be relied on, and says so: then its
- * subscribers look for themselves, and stay. After an outage it hears one kind of objects again
- * before the other; saying that it heard the store, with the age of the other, made all subscribers
- * leave it in the moment of the store's return.
- */
-static bool is_unsure(const supply_task_t *task)
+/* ---- news ---- */
+
+static feed_message_t news_of(const supply_task_t *task)
 {
-	return task->away || !feed_server_is_known(task->server) ||
-	       supply_task_age_us(task) > task->timing.age_most_us;
+	const hearing_news_t news = hearing_news(task->hearing, loop_now_us());
+
+	return (feed_message_t){.type = FEED_NEWS,
+				.name = news.from,
+				.text = "",
+				.age_us = news.age_us,
+				.away = news.away,
+				.era = platform_task_era(task->platform)};
 }
 
 static void send_news(void *ctx)
 {
 	supply_task_t *task = ctx;
-	const feed_message_t message = {.type = FEED_NEWS,
-					.age_us = supply_task_age_us(task),
-					.away = is_unsure(task),
-					.era = platform_task_era(task->platform)};
+	const feed_message_t message = news_of(task);
 
 	feed_server_tell(task->server, &message);
 	loop_timer_set(task->loop, &task->news_timer, NEWS_PERIOD_US);
 }
 
+/* Before this VM has heard all at its start it has nothing to say. */
+static bool on_greet(void *ctx, feed_message_t *news)
+{
+	supply_task_t *task = ctx;
+
+	*news = news_of(task);
+	return hearing_is_known(task->hearing);
+}
+
 static void on_restored(void *ctx)
 {
 	supply_task_t *task = ctx;
 
-	task->ops->restored(task->ctx, task->following);
-	for (uint32_t i = 0; i < task->kind_count; i++)
-		follower_restored(task->kinds[i].follower);
+	task->ops->restored(task->ctx, hearing_follows(task->hearing));
+	hearing_restored(task->hearing, loop_now_us());
+	arm_hearing(task);
 	member_task_restored(task->members);
 }
 
 /* ---- start ---- */
 
-static void start_followers(supply_task_t *task, platform_task_t *platform)
+static void start_followers(supply_task_t *task)
 {
 	static const follower_ops_t ops = {.list_begin = give_list_begin,
 					   .object = give_object,
-					   .list_end = on_list_read,
-					   .lost = on_lost,
-					   .back = on_back};
+					   .list_end = give_list_end,
+					   .ended = on_call_ended};
 
 	for (uint32_t i = 0; i < task->kind_count; i++) {
 		supply_kind_t *kind = &task->kinds[i];
 
 		*kind = (supply_kind_t){.task = task, .kind = (store_kind_t)i};
-		kind->follower = follower_new(task->loop, platform, kind->kind, &ops, kind);
+		kind->follower = follower_new(task->platform, kind->kind, &ops, kind);
 	}
-	loop_timer_set(task->loop, &task->start_timer, START_MOST_US);
+}
+
+static void start_hearing(supply_task_t *task)
+{
+	static const hearing_ops_t ops = {.ask = on_ask,
+					  .cancel = on_cancel,
+					  .list_anew = on_list_anew,
+					  .look = on_look,
+					  .open = on_open,
+					  .close = on_close,
+					  .taken = on_taken,
+					  .lost = on_lost,
+					  .back = on_back};
+	static const hearing_kind_t kinds[FED_KINDS_MOST] = {
+		[STORE_SEARCHERS] = {.group_us = GROUP_US, .often = true},
+		[STORE_CONFIGURATION] = {.group_us = OPERATOR_GROUP_US, .often = true},
+		[STORE_POISON] = {.group_us = GROUP_US},
+		[STORE_EVACUATIONS] = {.group_us = OPERATOR_GROUP_US}};
+
+	task->hearing_timer = (loop_timer_t){.fire = run_hearing, .ctx = task};
+	task->hearing = hearing_new(&task->timing, kinds, task->kind_count, STORE_CONFIGURATION,
+				    &ops, task, g_random_int());
+	set_waits(task, false);
+	hearing_start(task->hearing, loop_now_us());
+	arm_hearing(task);
+}
+
+/* Whatever it is that changes. */
+static uint32_t change_due_ms(const settings_t *settings)
+{
+	return settings->leave_ms ? MIN(settings->apply_ms, settings->leave_ms)
+				  : settings->apply_ms;
 }
 
 supply_task_t *supply_task_new(loop_t *loop, const settings_t *settings, platform_task_t *platform,
@@ -637,32 +517,28 @@
 {
 	static const member_ops_t member_ops = {.changed = on_members,
 						.answered = on_store_answered};
+	static const feed_server_ops_t server_ops = {.heard = on_heard, .greet = on_greet};
 	supply_task_t *task = g_new0(supply_task_t, 1);
 	const endpoint_setting_t *feed = &settings->front_feed;
 
 	task->loop = loop;
 	task->ops = ops;
 	task->ctx = ctx;
-	task->rand = g_rand_new();
 	task->regions = g_hash_table_ref(settings->regions);
+	task->sights = true; /* until it is known that the region is small */
 	task->kind_count = settings->evacuate_ms ? FED_KINDS_MOST : STORE_EVACUATIONS;
-	task->feeds = true; /* until it is known that the data centre is small */
-	task->server =
-		feed_server_new(loop, feed->address, feed->port, task->kind_count, on_heard, task);
+	task->platform = platform;
+	task->timing = feed_timing_for(change_due_ms(settings), settings->settle_ms,
+				       settings->evacuate_ms);
+	task->server = feed_server_new(loop, feed->address, feed->port, task->kind_count,
+				       &server_ops, task);
 	if (!task->server)
 		return NULL;
 	task->news_timer = (loop_timer_t){.fire = send_news, .ctx = task};
-	task->again_timer = (loop_timer_t){.fire = seek_feed, .ctx = task};
 	task->sightings = g_byte_array_new();
 	task->sightings_timer = (loop_timer_t){.fire = send_sightings, .ctx = task};
-	task->start_timer = (loop_timer_t){.fire = follow_store, .ctx = task};
-	task->stale_timer = (loop_timer_t){.fire = on_stale, .ctx = task};
-	task->look_timer = (loop_timer_t){.fire = look_at_store, .ctx = task};
-	task->platform = platform;
-	task->timing =
-		feed_timing_for(settings->apply_ms, settings->settle_ms, settings->evacuate_ms);
-	start_followers(task, platform);
-	set_waits(task, false);
+	start_followers(task);
+	start_hearing(task);
 	platform_task_set_restored(platform, on_restored, task);
 	task->members = member_task_new(loop, platform, own_vm_new(settings), &member_ops, task);
 	loop_timer_set(loop, &task->news_timer, NEWS_PERIOD_US);
@@ -671,17 +547,14 @@
 
 void supply_task_refresh(supply_task_t *task)
 {
-	if (task->following) {
-		task->following = false;
-		follow_store(task);
-		return;
-	}
-	leave_feed(task, "refresh");
+	hearing_refresh(task->hearing, loop_now_us());
+	arm_hearing(task);
 }
 
 void supply_task_read_configuration(supply_task_t *task)
 {
-	follower_catch_up(task->kinds[STORE_CONFIGURATION].follower);
+	hearing_catch_up(task->hearing, STORE_CONFIGURATION, loop_now_us());
+	arm_hearing(task);
 }
 
 const GPtrArray *supply_task_vms(const supply_task_t *task)
@@ -696,14 +569,7 @@
 
 uint64_t supply_task_age_us(const supply_task_t *task)
 {
-	uint64_t now_us = loop_now_us(), oldest_us = now_us;
-
-	if (task->fed)
-		return now_us - task->fed_heard_us;
-	for (uint32_t i = 0; i < task->kind_count; i++)
-		if (is_watched_often((store_kind_t)i))
-			oldest_us = MIN(oldest_us, follower_heard_us(task->kinds[i].follower));
-	return now_us - oldest_us;
+	return hearing_age_us(task->hearing, loop_now_us());
 }
 
 uint32_t supply_task_kinds(const supply_task_t *task)
@@ -713,12 +579,12 @@
 
 uint64_t supply_task_kind_age_us(const supply_task_t *task, store_kind_t kind)
 {
-	return loop_now_us() - follower_heard_us(task->kinds[kind].follower);
+	return hearing_kind_age_us(task->hearing, kind, loop_now_us());
 }
 
 bool supply_task_is_fed(const supply_task_t *task)
 {
-	return task->fed;
+	return hearing_feed(task->hearing) != NULL;
 }
 
 uint64_t supply_task_era(const supply_task_t *task)
