A VM that the store turns away hears it from any other VM that does hear it

Cause: a VM had one way of hearing the store, by its place in the fleet. In regions of up to four VMs, and for those that watch for others, that was the store alone; all others had their two feeders. Nothing bounded how old what it knew might grow while other ways were open.

Now feed_choice names backups, all other VMs: those that watch first, near ones before far ones. A VM whose store and feeders fail asks them, three in a row and then after a pause; one that is fed itself says by whom. Looks at the store go on, and end it. The news of a backup may be as old as a watch that hears the store.

After: front_turned_away passed (busy, reset, silent, and with its neighbours started again). What got worse: in an outage of the whole store each VM opens up to three connections a second to other VMs (at most 60 in 20 s, by the test).

--- a/src/core/feed_choice.c
+++ b/src/core/feed_choice.c
@@ -118,27 +118,80 @@
 	}
 }
 
+/* All VMs agree on them. */
+static GPtrArray *watchers_of(const feed_vms_t *all, const char *region)
+{
+	GPtrArray *same = vms_of_region(all, region);
+	GPtrArray *chosen;
+
+	if (same->len <= WATCH_ALL_MOST)
+		return same;
+	sort(same, region, true);
+	chosen = spread_out(same, WATCHERS_LEAST + same->len / VMS_A_WATCHER);
+	g_ptr_array_unref(same);
+	return chosen;
+}
+
 GPtrArray *feed_choose(const feed_vms_t *all, const char *own_name, const char *data_centre)
 {
-	const char *region = region_of(all, data_centre);
-	g_autoptr(GPtrArray) same = vms_of_region(all, region);
 	g_autoptr(GPtrArray) chosen = NULL;
 	GPtrArray *ordered = g_ptr_array_new();
 
-	if (same->len <= WATCH_ALL_MOST)
+	if (!feed_is_used(all, data_centre))
 		return ordered;
-	/* All VMs agree on the watchers; each spreads itself over them by its own name, over those
-	 * of its data centre first. */
-	sort(same, region, true);
-	chosen = spread_out(same, WATCHERS_LEAST + same->len / VMS_A_WATCHER);
+	chosen = watchers_of(all, region_of(all, data_centre));
 	if (vm_find(chosen, own_name))
 		return ordered;
+	/* Each spreads itself over them by its own name, over those of its data centre first. */
 	sort(chosen, own_name, false);
 	append_where(ordered, chosen, data_centre, true);
 	append_where(ordered, chosen, data_centre, false);
 	return ordered;
 }
 
+static void append_new(GPtrArray *to, const GPtrArray *from, GHashTable *seen)
+{
+	for (guint i = 0; i < from->len; i++)
+		if (g_hash_table_add(seen, g_ptr_array_index(from, i)))
+			g_ptr_array_add(to, g_ptr_array_index(from, i));
+}
+
+static void append_watchers(GPtrArray *to, const feed_vms_t *all, const char *region,
+			    const char *own_name, GHashTable *seen)
+{
+	g_autoptr(GPtrArray) watchers = watchers_of(all, region);
+
+	sort(watchers, own_name, false);
+	append_new(to, watchers, seen);
+}
+
+/* Watchers hear it at first hand, those near by are asked first; of all others, one that is fed
+ * says by whom. */
+GPtrArray *feed_backups(const feed_vms_t *all, const char *own_name, const char *data_centre)
+{
+	g_autoptr(GHashTable) seen = g_hash_table_new(NULL, NULL);
+	g_autoptr(GHashTable) regions = g_hash_table_new(g_str_hash, g_str_equal);
+	g_autoptr(GPtrArray) others = g_ptr_array_new();
+	GPtrArray *ordered = g_ptr_array_new();
+	const vm_t *own = vm_find(all->vms, own_name);
+
+	if (own)
+		g_hash_table_add(seen, (gpointer)own);
+	g_hash_table_add(regions, (gpointer)region_of(all, data_centre));
+	append_watchers(ordered, all, region_of(all, data_centre), own_name, seen);
+	for (guint i = 0; i < all->vms->len; i++) {
+		const vm_t *vm = g_ptr_array_index(all->vms, i);
+		const char *region = region_of(all, vm->data_centre);
+
+		g_ptr_array_add(others, (gpointer)vm);
+		if (g_hash_table_add(regions, (gpointer)region))
+			append_watchers(ordered, all, region, own_name, seen);
+	}
+	sort(others, own_name, false);
+	append_new(ordered, others, seen);
+	return ordered;
+}
+
 bool feed_may_tell(size_t bytes, uint32_t subscribers, uint32_t link_mbps)
 {
 	uint64_t bits = (uint64_t)bytes * 8 * MAX(subscribers, 1);
--- a/src/core/feed_choice.h
+++ b/src/core/feed_choice.h
@@ -29,6 +29,12 @@
  */
 GPtrArray *feed_choose(const feed_vms_t *all, const char *own_name, const char *data_centre);
 
+/**
+ * The VMs that may know what the store holds when neither it nor those of feed_choose() can be
+ * heard, best first: all but this one. The result borrows.
+ */
+GPtrArray *feed_backups(const feed_vms_t *all, const char *own_name, const char *data_centre);
+
 /**
  * Whether an object of @p bytes is told, or only announced, to be read from the store.
  * @param subscribers that are told it
--- a/src/tasks/supply_task.c
+++ b/src/tasks/supply_task.c
@@ -411,7 +411,7 @@
 	const vm_t *own = member_task_own(task->members);
 	const feed_vms_t all = {.vms = member_task_vms(task->members), .regions = task->regions};
 	g_autoptr(GPtrArray) feeders = feed_choose(&all, own->name, own->data_centre);
-	g_autoptr(GPtrArray) backups = g_ptr_array_new();
+	g_autoptr(GPtrArray) backups = feed_backups(&all, own->name, own->data_centre);
 
 	task->sights = feed_is_used(&all, own->data_centre);
 	set_waits(task, task->sights && !feeders->len);
