What a VM can't read from the store, it asks of the VM that announced it

What callors saw: a VM that the store turned away was told that a large configuration had changed, and went on by the old one until the store let it in.

Cause: objects over 64 KB, or too large for a feeder's link to carry to all, are announced and not told, and whoever hears that reads the store. Nobody else could be asked for them, though the VM that announced it had just read it.

Now a feeder keeps the text of what it announces. A subscriber whose read failed asks for it by name (a message of its own, at most once in 5 s), and the feeder tells it to those that asked, one after the other, with a quarter of its link. What was told need not be read any more.

A feeder of an earlier version takes the question for garbage and closes the link: then the VM goes on as before.

--- a/src/core/feed_book.c
+++ b/src/core/feed_book.c
@@ -4,17 +4,40 @@
  */
 #include "core/feed_book.h"
 
+/** An object. */
+typedef struct page_t {
+	char *text;
+	bool announced; /* it is too large to be told to all */
+} page_t;
+
 struct feed_book_t {
 	uint32_t kind;
-	GHashTable *objects; /* name to text; NULL for one that is only announced */
+	GHashTable *objects; /* name to page_t */
 	GHashTable *listing; /* the list being taken in; NULL between lists */
 	bool known;
 	uint64_t era; /* of the store whose list it is */
 };
 
-static GHashTable *texts_new(void)
+static void page_free(void *data)
+{
+	page_t *page = data;
+
+	g_free(page->text);
+	g_free(page);
+}
+
+static GHashTable *pages_new(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, page_free);
+}
+
+static void put(GHashTable *objects, const feed_message_t *message)
 {
-	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	page_t *page = g_new(page_t, 1);
+
+	*page = (page_t){.text = g_strdup(message->text),
+			 .announced = message->type == FEED_CHANGED};
+	g_hash_table_insert(objects, g_strdup(message->name), page);
 }
 
 feed_book_t *feed_book_new(uint32_t kind)
@@ -22,7 +45,7 @@
 	feed_book_t *book = g_new0(feed_book_t, 1);
 
 	book->kind = kind;
-	book->objects = texts_new();
+	book->objects = pages_new();
 	return book;
 }
 
@@ -52,14 +75,12 @@
 	case FEED_LIST_BEGIN:
 		if (book->listing)
 			g_hash_table_unref(book->listing);
-		book->listing = texts_new();
+		book->listing = pages_new();
 		book->era = message->era;
 		break;
 	case FEED_OBJECT:
-		g_hash_table_insert(objects, g_strdup(message->name), g_strdup(message->text));
-		break;
 	case FEED_CHANGED:
-		g_hash_table_insert(objects, g_strdup(message->name), NULL);
+		put(objects, message);
 		break;
 	case FEED_REMOVED:
 		g_hash_table_remove(objects, message->name);
@@ -89,7 +110,7 @@
 void feed_book_write(const feed_book_t *book, GByteArray *out)
 {
 	GHashTableIter iter;
-	gpointer name, text;
+	gpointer name, value;
 
 	if (!book->known)
 		return;
@@ -97,13 +118,32 @@
 		out,
 		&(feed_message_t){.type = FEED_LIST_BEGIN, .kind = book->kind, .era = book->era});
 	g_hash_table_iter_init(&iter, book->objects);
-	while (g_hash_table_iter_next(&iter, &name, &text))
-		feed_message_write(out, &(feed_message_t){.type = text ? FEED_OBJECT : FEED_CHANGED,
-							  .kind = book->kind,
-							  .name = name,
-							  .text = text,
-							  .era = book->era});
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		const page_t *page = value;
+		bool announced = page->announced;
+
+		feed_message_write(out,
+				   &(feed_message_t){.type = announced ? FEED_CHANGED : FEED_OBJECT,
+						     .kind = book->kind,
+						     .name = name,
+						     .text = announced ? "" : page->text,
+						     .era = book->era});
+	}
 	feed_message_write(
 		out,
 		&(feed_message_t){.type = FEED_LIST_END, .kind = book->kind, .era = book->era});
 }
+
+bool feed_book_find(const feed_book_t *book, const char *name, feed_message_t *message)
+{
+	const page_t *page = g_hash_table_lookup(book->objects, name);
+
+	if (!page)
+		return false;
+	*message = (feed_message_t){.type = FEED_OBJECT,
+				    .kind = book->kind,
+				    .name = name,
+				    .text = page->text,
+				    .era = book->era};
+	return true;
+}
--- a/src/core/feed_book.h
+++ b/src/core/feed_book.h
@@ -17,6 +17,8 @@
 void feed_book_clear(feed_book_t *book);
 /** Whether a whole list was taken in. */
 bool feed_book_is_known(const feed_book_t *book);
+/** The whole object @p name as a message, which borrows; false when there is none. */
+bool feed_book_find(const feed_book_t *book, const char *name, feed_message_t *message);
 /** Append the whole list as messages; nothing before it is known. */
 void feed_book_write(const feed_book_t *book, GByteArray *out);
 
--- a/src/core/feed_choice.c
+++ b/src/core/feed_choice.c
@@ -21,6 +21,8 @@
 /* The feeder's requests wait while it writes to all. Announced instead, each subscriber has to read
  * the object from the store, a call each. */
 #define TELL_MOST_US 50000
+/* One part in so many of its link goes to objects that subscribers ask for, one after the other. */
+#define ASKED_SHARE 4
 /* A link that is not known is taken to be as slow as those of small VMs. */
 #define LINK_UNKNOWN_MBPS 14
 
@@ -192,6 +194,13 @@
 	return ordered;
 }
 
+uint64_t feed_pause_us(size_t bytes, uint32_t link_mbps)
+{
+	uint64_t bits = (uint64_t)bytes * 8;
+
+	return bits * ASKED_SHARE / (link_mbps ? link_mbps : LINK_UNKNOWN_MBPS);
+}
+
 bool feed_may_tell(size_t bytes, uint32_t subscribers, uint32_t link_mbps)
 {
 	uint64_t bits = (uint64_t)bytes * 8 * MAX(subscribers, 1);
--- a/src/core/feed_choice.h
+++ b/src/core/feed_choice.h
@@ -41,5 +41,7 @@
  * @param link_mbps of this VM's link; 0: not known
  */
 bool feed_may_tell(size_t bytes, uint32_t subscribers, uint32_t link_mbps);
+/** How long to wait after an object of @p bytes was told to one subscriber that asked for it. */
+uint64_t feed_pause_us(size_t bytes, uint32_t link_mbps);
 
 #endif
--- a/src/core/feed_message.h
+++ b/src/core/feed_message.h
@@ -18,11 +18,13 @@
 typedef enum feed_type_t {
 	FEED_LIST_BEGIN,
 	FEED_OBJECT,  /**< of the list, or changed */
-	FEED_CHANGED, /**< an object that is too large to be fed: read it from the store */
+	FEED_CHANGED, /**< an object that is too large to be told to all: read it from the store; it
+		       * has no text on the wire */
 	FEED_REMOVED, /**< an object is no more */
 	FEED_LIST_END,
 	FEED_NEWS,     /**< sent twice a second: how old the above is */
 	FEED_SIGHTING, /**< of a searcher; either way, and handed on to the other subscribers */
+	FEED_ASK,      /**< by a subscriber that can't read the store: tell it an object */
 	FEED_TYPES,
 } feed_type_t;
 
--- a/src/core/hearing.c
+++ b/src/core/hearing.c
@@ -252,6 +252,14 @@
 		set_away(hearing, true);
 }
 
+/* What was announced. */
+static void read_again(hearing_t *hearing, kind_t *kind, uint64_t now_us)
+{
+	set(hearing, &kind->next, now_us + retry_us(hearing, kind->failures));
+	if (hearing->feed)
+		hearing->ops->ask_link(hearing->ctx, hearing->feed, kind->number);
+}
+
 void hearing_replied(hearing_t *hearing, uint32_t number, hearing_end_t end, uint64_t now_us)
 {
 	kind_t *kind = &hearing->kinds[number];
@@ -262,7 +270,7 @@
 		if (hearing->follows)
 			note_failed(hearing, kind, end == HEARING_SILENT, now_us);
 		else
-			set(hearing, &kind->next, now_us + retry_us(hearing, kind->failures));
+			read_again(hearing, kind, now_us);
 		return;
 	}
 	kind->failures = 0;
@@ -330,6 +338,17 @@
 	list_after(kind, random_us(hearing, 0, RETRY_FIRST_US), now_us);
 }
 
+void hearing_told(hearing_t *hearing, uint32_t number)
+{
+	kind_t *kind = &hearing->kinds[number];
+
+	if (hearing->follows || !kind->follow.owed)
+		return;
+	follow_listed(&kind->follow);
+	kind->failures = 0;
+	drop_call(kind);
+}
+
 void hearing_catch_up(hearing_t *hearing, uint32_t number, uint64_t now_us)
 {
 	kind_t *kind = &hearing->kinds[number];
--- a/src/core/hearing.h
+++ b/src/core/hearing.h
@@ -72,6 +72,8 @@
 	bool (*open)(void *ctx, hearing_link_t *link);
 	/** Close and free what link->data holds; the link is freed after that. */
 	void (*close)(void *ctx, hearing_link_t *link, const char *reason);
+	/** What was announced of this kind can't be read from the store: ask @p link for it. */
+	void (*ask_link)(void *ctx, hearing_link_t *link, uint32_t kind);
 	/** All is heard from @p link from here on. */
 	void (*taken)(void *ctx, const hearing_link_t *link);
 	/** The store can't be heard by any way, or is heard again. */
@@ -109,6 +111,8 @@
 void hearing_looked(hearing_t *hearing, bool reached, uint64_t now_us);
 /** A feeder says that something of @p kind has changed, without what: read it. */
 void hearing_announced(hearing_t *hearing, uint32_t kind, uint64_t now_us);
+/** All that was announced of @p kind has been told since, and need not be read. */
+void hearing_told(hearing_t *hearing, uint32_t kind);
 /** Another VM is ahead of this one: read @p kind at once, unless that is under way. */
 void hearing_catch_up(hearing_t *hearing, uint32_t kind, uint64_t now_us);
 
--- a/src/tasks/feed_server.h
+++ b/src/tasks/feed_server.h
@@ -23,9 +23,10 @@
 /**
  * NULL when the address can't be listened on.
  * @param kinds how many kinds of objects there are
+ * @param link_mbps of this VM's link; 0: not known
  */
 feed_server_t *feed_server_new(loop_t *loop, const char *address, uint16_t port, uint32_t kinds,
-			       const feed_server_ops_t *ops, void *ctx);
+			       uint32_t link_mbps, const feed_server_ops_t *ops, void *ctx);
 /** Keep @p message, and send it to all subscribers. */
 void feed_server_tell(feed_server_t *server, const feed_message_t *message);
 /** Send whole frames to all subscribers. */
--- a/src/tasks/supply_task.c
+++ b/src/tasks/supply_task.c
@@ -22,6 +22,8 @@
 /* Of what operators write, which changes seldom: VMs that watch the configuration should know it at
  * the same time, or callers are answered by the new and the old version by turns. */
 #define OPERATOR_GROUP_US 100000
+/* A feeder tells large objects one after the other, to all that ask. */
+#define ASK_AGAIN_US 5000000
 /* Sightings wait so long for others to go with them: a pause that is told lasts 150 ms more. */
 #define SIGHTINGS_GROUP_US 10000
 /* A VM in a data centre where much is slow sees some 30 odd answers a second; more is dropped. */
@@ -36,11 +38,18 @@
  */
 #define POISON_WATCH_MS 20000
 
+/** An object that a feeder has announced. */
+typedef struct announced_t {
+	uint64_t asked_us; /* when a feeder was asked to tell it; 0: never */
+} announced_t;
+
 /** One kind of objects being followed. */
 typedef struct supply_kind_t {
 	supply_task_t *task;
 	store_kind_t kind;
 	follower_t *follower;
+	GHashTable *announced; /* names of objects that a feeder has announced and not told, to
+				* announced_t */
 } supply_kind_t;
 
 struct supply_task_t {
@@ -110,10 +119,12 @@
 				     member_task_own(task->members)->link_mbps);
 	if (type == FEED_OBJECT && text && !fits)
 		type = FEED_CHANGED;
+	if (type == FEED_REMOVED && !fits)
+		g_clear_pointer(&text, free);
 	message = (feed_message_t){.type = type,
 				   .kind = kind->kind,
 				   .name = object ? object->name : "",
-				   .text = fits ? text : "",
+				   .text = text ? text : "",
 				   .era = platform_task_era(task->platform)};
 	feed_server_tell(task->server, &message);
 	free(text);
@@ -147,6 +158,8 @@
 {
 	supply_kind_t *kind = ctx;
 
+	if (end == HEARING_LISTED)
+		g_hash_table_remove_all(kind->announced);
 	hearing_replied(kind->task->hearing, kind->kind, end, loop_now_us());
 	arm_hearing(kind->task);
 }
@@ -297,10 +310,15 @@
 	case FEED_CHANGED:
 		g_message("event=feed-announced kind=%s name=%s outcome=read-from-store",
 			  store_kind_name(kind->kind), message->name);
+		g_hash_table_insert(kind->announced, g_strdup(message->name),
+				    g_new0(announced_t, 1));
 		hearing_announced(task->hearing, kind->kind, loop_now_us());
 		break;
 	default:
 		take_object(kind, message);
+		g_hash_table_remove(kind->announced, message->name);
+		if (!g_hash_table_size(kind->announced))
+			hearing_told(task->hearing, kind->kind);
 	}
 }
 
@@ -373,6 +391,30 @@
 	g_free(own);
 }
 
+static void on_ask_link(void *ctx, hearing_link_t *link, uint32_t number)
+{
+	supply_task_t *task = ctx;
+	g_autoptr(GByteArray) frames = g_byte_array_new();
+	uint64_t now_us = loop_now_us();
+	GHashTableIter iter;
+	gpointer name, value;
+
+	g_hash_table_iter_init(&iter, task->kinds[number].announced);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		announced_t *announced = value;
+		const feed_message_t message = {
+			.type = FEED_ASK, .kind = number, .name = name, .text = ""};
+
+		if (announced->asked_us && now_us < announced->asked_us + ASK_AGAIN_US)
+			continue;
+		announced->asked_us = now_us;
+		g_message("event=feed-asked vm=%s kind=%s name=%s", link->vm,
+			  store_kind_name((store_kind_t)number), message.name);
+		feed_message_write(frames, &message);
+	}
+	feed_client_write(client_of(link), frames);
+}
+
 static void on_taken(void *ctx, const hearing_link_t *link)
 {
 	supply_task_t *task = ctx;
@@ -476,6 +518,7 @@
 		supply_kind_t *kind = &task->kinds[i];
 
 		*kind = (supply_kind_t){.task = task, .kind = (store_kind_t)i};
+		kind->announced = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 		kind->follower = follower_new(task->platform, kind->kind, &ops, kind);
 	}
 }
@@ -488,6 +531,7 @@
 					  .look = on_look,
 					  .open = on_open,
 					  .close = on_close,
+					  .ask_link = on_ask_link,
 					  .taken = on_taken,
 					  .lost = on_lost,
 					  .back = on_back};
@@ -531,7 +575,7 @@
 	task->timing = feed_timing_for(change_due_ms(settings), settings->settle_ms,
 				       settings->evacuate_ms);
 	task->server = feed_server_new(loop, feed->address, feed->port, task->kind_count,
-				       &server_ops, task);
+				       settings->link_mbps, &server_ops, task);
 	if (!task->server)
 		return NULL;
 	task->news_timer = (loop_timer_t){.fire = send_news, .ctx = task};
--- a/tests/hearing_test.c
+++ b/tests/hearing_test.c
@@ -60,6 +60,7 @@
 	uint64_t known[KINDS]; /* revision */
 	uint32_t asked;	       /* calls so far, looks too */
 	uint32_t links;	       /* opened so far */
+	uint32_t asked_links;  /* for what they have announced */
 	bool cut;	       /* from other VMs */
 	vm_t vm;
 	char name[8];
@@ -417,6 +418,12 @@
 	g_ptr_array_add(closed_links, hearing_link->data);
 }
 
+static void on_ask_link(void *ctx, hearing_link_t *link, uint32_t kind)
+{
+	(void)link;
+	((node_t *)ctx)->asked_links += kind == KIND_CONFIGURATION;
+}
+
 static void on_taken(void *ctx, const hearing_link_t *link)
 {
 	(void)ctx;
@@ -455,6 +462,7 @@
 					  .look = on_look,
 					  .open = on_open,
 					  .close = on_close,
+					  .ask_link = on_ask_link,
 					  .taken = on_taken,
 					  .lost = on_nothing,
 					  .back = on_nothing};
@@ -795,6 +803,29 @@
 	}
 }
 
+/* A VM that the store turns away can't read what its backup only announces: it asks the backup. */
+static void test_announced_change_is_read_from_a_store_that_refuses(void **state)
+{
+	static const bounds_t bounds = {3000, 5000};
+	const feed_timing_t timing = timing_of(&bounds);
+	sim_t *sim = sim_new(&timing, 4, 4, 1);
+	node_t *node = &sim->nodes[3];
+
+	(void)state;
+	introduce(sim, 4);
+	play_away(sim, BUSY, 8, START_US + 9000 * MS_US, 60000 * MS_US);
+	run_until(sim, START_US + 16000 * MS_US);
+	assert_non_null(hearing_feed(node->hearing));
+	hearing_announced(node->hearing, KIND_CONFIGURATION, sim->now_us);
+	run_until(sim, sim->now_us + 1000 * MS_US);
+	assert_in_range(node->asked_links, 1, 4);
+	hearing_told(node->hearing, KIND_CONFIGURATION);
+	node->asked_links = 0;
+	run_until(sim, sim->now_us + 5000 * MS_US);
+	assert_int_equal(node->asked_links, 0);
+	sim_free(sim);
+}
+
 /* Once the store is heard again nobody goes on by a backup, and fed VMs are fed as before. */
 static void test_backups_are_left_when_the_store_is_back(void **state)
 {
@@ -890,6 +921,7 @@
 		cmocka_unit_test(test_vms_that_are_turned_away_stay_behind),
 		cmocka_unit_test(test_one_vm_in_forty_hears_the_store),
 		cmocka_unit_test(test_an_outage_is_tried_without_end),
+		cmocka_unit_test(test_announced_change_is_read_from_a_store_that_refuses),
 		cmocka_unit_test(test_backups_are_left_when_the_store_is_back),
 		cmocka_unit_test(test_vm_that_hears_nobody_after_troubles),
 	};
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -6,6 +6,8 @@
 set -u
 cd "$(dirname "$0")/.."
 MUTANTS=(
+	'what can not be read from the store is not asked for|src/core/hearing.c|s/if \(hearing->feed\)\n\t\thearing->ops->ask_link/if (0)\n\t\thearing->ops->ask_link/'
+	'an announced object is told to all|src/core/feed_book.c|s/announced \? "" : page->text/page->text/'
 	'a swallowed call is waited for at a watch'"'"'s length|src/core/hearing.c|s/brief = list \|\| hearing->failing \|\| kind->failures;/brief = list;/'
 	'kinds that were put off are not asked for again|src/core/hearing.c|s/if \(kind->parked \|\|/if (0 \&\& (0 ||/; s/kind != heard\)\)\n/kind != heard)))\n/'
 	'what went silent with the store is waited for|src/core/hearing.c|s/kind->out \&\& \(hearing->silent \|\| !kind->setting.often\)/0/'
--- a/tests/parts_test.c
+++ b/tests/parts_test.c
@@ -579,6 +579,37 @@
 	g_string_free(read, TRUE);
 }
 
+/* A VM that can't read an announced object from the store asks for it: its feeder must have kept
+ * it. */
+static void test_announced_object_is_not_kept(void **state)
+{
+	feed_book_t *book = feed_book_new(1);
+	g_autoptr(GByteArray) bytes = g_byte_array_new();
+	g_autoptr(GString) read = g_string_new(NULL);
+	feed_message_t found;
+
+	(void)state;
+	feed_book_take(book, &(feed_message_t){.type = FEED_LIST_BEGIN, .kind = 1});
+	feed_book_take(book, &(feed_message_t){.type = FEED_CHANGED,
+					       .kind = 1,
+					       .name = "main",
+					       .text = "a large object"});
+	feed_book_take(book, &(feed_message_t){.type = FEED_LIST_END, .kind = 1});
+	feed_book_write(book, bytes);
+	for (size_t at = 0, used = 0; at < bytes->len; at += used)
+		assert_int_equal(feed_message_read(bytes->data + at, bytes->len - at, &used,
+						   write_down, read),
+				 FRAMING_ONE);
+	assert_string_equal(read->str, "0 1   0;2 1 main  0;4 1   0;");
+	assert_true(feed_book_find(book, "main", &found));
+	assert_int_equal(found.type, FEED_OBJECT);
+	assert_string_equal(found.text, "a large object");
+	assert_false(feed_book_find(book, "other", &found));
+	assert_true(feed_pause_us(550000, 14) > 4 * 300000);
+	assert_true(feed_pause_us(550000, 1000) < 20000);
+	feed_book_free(book);
+}
+
 /* Whatever a deployment asks, a VM that is fed by one that is cut off from the store reads the
  * store itself before a change is due, and one whose watch went silent does so before it is held to
  * that. While all is well neither happens. */
@@ -683,6 +714,7 @@
 		cmocka_unit_test(test_follow_ends),
 		cmocka_unit_test(test_store_era),
 		cmocka_unit_test(test_feed),
+		cmocka_unit_test(test_announced_object_is_not_kept),
 		cmocka_unit_test(test_feed_timing),
 		cmocka_unit_test(test_retry_after),
 		cmocka_unit_test(test_fingerprint_of_attempts),
