A read that a gatherer's word asked for is not given up for an object that a feed tells

Found on reading the change again: what ends an owed read must be the object that was announced, not any of its kind. Messages that are not for subscribers are said to be so and ignored.

--- a/spec/feed.pml
+++ b/spec/feed.pml
@@ -2,7 +2,7 @@
  * The feed: a VM that watches the store takes a feed, and may lose it again. The configuration is too
  * large to be told, so the feeder only announces that it has changed.
  *
- * Follows src/core/follow.c and src/tasks/supply_task.c. The feeder may end at any moment, and messages
+ * Follows src/core/follow.c and src/core/hearing_links.c. The feeder may end at any moment, and messages
  * may be late; a read of the list takes its time, and sees the store as it is at its end.
  *
  * Promise: once nothing more happens, the VM knows the configuration that the store has.
@@ -45,7 +45,7 @@
 
 proctype vm()
 {
-	bool following = true;            /* as supply_task keeps it */
+	bool following = true;            /* as hearing keeps it */
 	bool watches = true, lists = true, owed = false; /* as follow.c does */
 
 	do
--- a/src/tasks/feed_server.h
+++ b/src/tasks/feed_server.h
@@ -1,6 +1,6 @@
 /**
  * @file feed_server.h
- * Tells other VMs of this region what this one knows of the platform's store.
+ * Tells other VMs what this one knows of the platform's store.
  */
 #ifndef DS_FEED_SERVER_H
 #define DS_FEED_SERVER_H
--- a/src/tasks/supply_task.c
+++ b/src/tasks/supply_task.c
@@ -314,11 +314,16 @@
 				    g_new0(announced_t, 1));
 		hearing_announced(task->hearing, kind->kind, loop_now_us());
 		break;
-	default:
+	case FEED_OBJECT:
+	case FEED_REMOVED:
 		take_object(kind, message);
-		g_hash_table_remove(kind->announced, message->name);
-		if (!g_hash_table_size(kind->announced))
+		if (g_hash_table_remove(kind->announced, message->name) &&
+		    !g_hash_table_size(kind->announced))
 			hearing_told(task->hearing, kind->kind);
+		break;
+	default:
+		g_info("event=feed-message-ignored type=%d reason=not-for-subscribers",
+		       message->type);
 	}
 }
 
--- a/src/tasks/supply_task.h
+++ b/src/tasks/supply_task.h
@@ -3,8 +3,9 @@
  * Supplies a VM with what the platform's store holds: by watching it, or by hearing of it from
  * another VM that does. What is known is handed on to VMs that ask this one.
  *
- * Whoever feeds this VM may end, freeze or lose the store at any moment; then this VM watches the
- * store itself, from a whole list on, and later looks for somebody to feed it again.
+ * Whoever feeds this VM may end, freeze or lose the store at any moment, and the store may turn
+ * this VM away: whom it hears then, and what it asks, is core/hearing's to say. Here that is
+ * carried out.
  */
 #ifndef DS_SUPPLY_TASK_H
 #define DS_SUPPLY_TASK_H
--- a/src/tool/explain.c
+++ b/src/tool/explain.c
@@ -213,11 +213,12 @@
 /* What changed what the VM believes, or could do. */
 static bool is_of_vm(const log_line_t *line)
 {
-	static const char *const events[] = {"start",	   "stopped",	    "leaving",
-					     "woke",	   "paused",	    "reloaded",
-					     "store-lost", "store-back",    "store-history-gone",
-					     "feed-lost",  "feed-taken",    "configuration",
-					     "log-lost",   "gatherer-lost", "gatherer-silent"};
+	static const char *const events[] = {"start",	   "stopped",	     "leaving",
+					     "woke",	   "paused",	     "reloaded",
+					     "store-lost", "store-back",     "store-history-gone",
+					     "feed-lost",  "feed-taken",     "configuration",
+					     "feed-asked", "feed-announced", "store-call-failed",
+					     "log-lost",   "gatherer-lost",  "gatherer-silent"};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(events); i++)
 		if (is_event(line, events[i]))
