--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -162,9 +162,16 @@
 	for ((i = 0; i < ${#VMS[@]}; i++)); do wait_until vm_ready "$i" || return; done
 }
 
+# One that has ended may have left its id to a process of somebody else's.
+is_own() { [ "$(awk '{sub(/.*\) /, ""); print $2}' "/proc/$1/stat" 2>/dev/null)" = "$BASHPID" ]; }
+
 site_stop() {
 	local pid
-	for pid in "${PIDS[@]}"; do kill -CONT "$pid" 2>/dev/null; kill -KILL "$pid" 2>/dev/null; done
+	for pid in "${PIDS[@]}"; do
+		is_own "$pid" || continue
+		kill -CONT "$pid" 2>/dev/null
+		kill -KILL "$pid" 2>/dev/null
+	done
 	for pid in "${PIDS[@]}"; do wait "$pid" 2>/dev/null; done
 	PIDS=()
 }
