The soak's ports follow PORT_BASE; comments that told a measurement or an earlier design

A backup is a VM that watches the store, not any that hears of it: the header said the design of before. Behaviour is as it was.

--- a/src/core/hearing.h
+++ b/src/core/hearing.h
@@ -3,9 +3,9 @@
  * Whom a VM hears the platform's store from, and how old that may grow.
  *
  * There are three ways: this VM watches the store itself; a feeder that watches it tells of it
- * (feed_choice.h says who); or, when neither can be heard, a backup does: any other VM that hears
- * the store, at first hand or not. No way may keep another shut: what is known is bound to the
- * bounds of feed_timing.h, whichever way the store is away, and for whom.
+ * (feed_choice.h says who); or, when neither can be heard, a backup does: any other VM that watches
+ * the store, named perhaps by one that it feeds. No way may keep another shut: what is known is
+ * bound to the bounds of feed_timing.h, whichever way the store is away, and for whom.
  *
  * Time and randomness come in; calls to the store and links to other VMs go out by callbacks. None
  * of these may call back before it returns.
--- a/src/core/hearing_links.c
+++ b/src/core/hearing_links.c
@@ -9,8 +9,7 @@
 #define AGAIN_LEAST_US 3000000
 #define AGAIN_MOST_US 6000000
 /* A VM that starts first learns whom it may hear the store from: a read of the list of VMs, then a
- * connection within the region, a few ms each, or 0.7 s among the first of many VMs. Past this it
- * watches the store itself all the same. */
+ * connection within the region. Past this it watches the store itself all the same. */
 #define START_MOST_US 1200000
 /* Until then, VMs that start together with this one may not listen yet: asked again so soon. */
 #define START_AGAIN_US 100000
--- a/src/core/hearing_private.h
+++ b/src/core/hearing_private.h
@@ -74,8 +74,10 @@
 
 /** Set the timers' callbacks. */
 void hearing_links_init(hearing_t *hearing);
-/** Neither the store nor the feeder can be heard, or one is again. */
+/** Try the next backup, if neither the store nor the feeder can be heard and none is being tried.
+ */
 void hearing_seek_backup(hearing_t *hearing, uint64_t now_us);
+/** The store or the feeder is heard again. */
 void hearing_stop_seeking_backup(hearing_t *hearing);
 void hearing_close_backup_trial(hearing_t *hearing, const char *reason);
 void hearing_close_links(hearing_t *hearing);
--- a/tests/soak/run.sh
+++ b/tests/soak/run.sh
@@ -2,13 +2,13 @@
 # Soaks a range of seeds, WORKERS at once, and prints those that failed.   tests/soak/run.sh FROM TO [SECONDS]
 set -u
 cd "$(dirname "$0")/../.."
-from=$1 to=$2 each=${3:-8} workers=${WORKERS:-4}
+from=$1 to=$2 each=${3:-8} workers=${WORKERS:-4} ports=${PORT_BASE:-15000}
 out=$(mktemp -d)
 trap 'rm -rf "$out"' EXIT
 worker() {
 	local seed
 	for ((seed = from + $1; seed <= to; seed += workers)); do
-		PORT_BASE=$((15000 + 600 * $1)) timeout 120 tests/soak/front_soak.sh $seed "$each" >"$out/$seed" 2>&1 || echo "FAIL seed $seed: $(grep -v Killed "$out/$seed" | tail -n 2)"
+		PORT_BASE=$((ports + 600 * $1)) timeout 120 tests/soak/front_soak.sh $seed "$each" >"$out/$seed" 2>&1 || echo "FAIL seed $seed: $(grep -v Killed "$out/$seed" | tail -n 2)"
 	done
 }
 for ((w = 0; w < workers; w++)); do worker $w >"$out/worker.$w" & done
