--- a/src/log.c
+++ b/src/log.c
@@ -17,6 +17,8 @@
 #define FAILURES_BURST 300.0
 #define SUCCESSES_A_SECOND 6.0
 #define SUCCESSES_BURST 40.0
+#define DECISIONS_A_SECOND 10.0
+#define DECISIONS_BURST 200.0
 /* How often the number of lost lines is told, while lines are lost. */
 #define LOST_TOLD_US 5000000
 /* Kept for a reader that is slow; beyond it lines are lost. */
@@ -42,6 +44,9 @@
 static allowance_t successes = {
 	.a_second = SUCCESSES_A_SECOND, .burst = SUCCESSES_BURST, .left = SUCCESSES_BURST};
 
+static allowance_t decisions = {
+	.a_second = DECISIONS_A_SECOND, .burst = DECISIONS_BURST, .left = DECISIONS_BURST};
+
 static const char *level_name(GLogLevelFlags level)
 {
 	switch (level & G_LOG_LEVEL_MASK) {
@@ -100,27 +105,36 @@
 {
 	static gint64 told_us;
 	gint64 now_us = g_get_monotonic_time();
-	char text[96];
+	char text[128];
 
-	if ((!failures.lost && !successes.lost) || now_us < told_us + LOST_TOLD_US)
+	if ((!failures.lost && !successes.lost && !decisions.lost) ||
+	    now_us < told_us + LOST_TOLD_US)
 		return;
 	told_us = now_us;
 	g_snprintf(text, sizeof(text),
-		   "event=log-lost failures=%" G_GUINT64_FORMAT " successes=%" G_GUINT64_FORMAT,
-		   failures.lost, successes.lost);
+		   "event=log-lost failures=%" G_GUINT64_FORMAT " successes=%" G_GUINT64_FORMAT
+		   " decisions=%" G_GUINT64_FORMAT,
+		   failures.lost, successes.lost, decisions.lost);
 	failures.lost = 0;
 	successes.lost = 0;
+	decisions.lost = 0;
 	append_line(G_LOG_LEVEL_MESSAGE, text);
 }
 
+static allowance_t *allowance_of(const char *domain, GLogLevelFlags level)
+{
+	if (domain && g_str_equal(domain, LOG_DECISIONS))
+		return &decisions;
+	return level >= G_LOG_LEVEL_INFO ? &successes : &failures;
+}
+
 static void write_line(const char *domain, GLogLevelFlags level, const char *text, gpointer unused)
 {
-	(void)domain;
 	(void)unused;
 	level &= G_LOG_LEVEL_MASK;
 	if (level > shown)
 		return;
-	if (!take(level >= G_LOG_LEVEL_INFO ? &successes : &failures))
+	if (!take(allowance_of(domain, level)))
 		return;
 	append_lost();
 	append_line(level, text);
--- a/src/tasks/front_task.c
+++ b/src/tasks/front_task.c
@@ -7,6 +7,7 @@
 #include "core/retry_after.h"
 #include "core/sharing.h"
 #include "headers.h"
+#include "log.h"
 #include "queries/front_log.h"
 #include "queries/front_metrics.h"
 #include "tasks/gather_task.h"
@@ -254,8 +255,9 @@
 
 	(void)ctx;
 	fingerprint_write(news->fingerprint, text);
-	g_message("event=poison fingerprint=%s outcome=%s strikes=%u service=%s", text, what,
-		  news->strikes, news->service);
+	g_log(news->strikes > 1 ? LOG_DECISIONS : NULL, G_LOG_LEVEL_MESSAGE,
+	      "event=poison fingerprint=%s outcome=%s strikes=%u service=%s", text, what,
+	      news->strikes, news->service);
 }
 
 /* ---- answers ---- */
