A suspect is told all its caller's time, also while its shard is short

Callers saw the deployment's searchers end again and again: the one request that ends them was sent to 4 to 6 searchers after three had ended, where three are allowed (deadly on the nine VMs; BUDGET).

Cause, of a part of it: five of seven trials of the request ended 504 after 48 to 107 ms, although their callers waited for 480 to 800 ms more. After a wave of ends the shards are short, and a part of a short shard is told only the time to the target, past which the gather can do without it. A searcher that runs such a request needs 35 to 200 ms to end. Cut short before that, it ends nothing and shows nothing, so the next VM tries again.

A part that is sent alone because its request is suspect is told all that its caller has.

--- a/src/core/part.c
+++ b/src/core/part.c
@@ -239,15 +239,16 @@
 
 /*
  * A searcher works on a part until the time that it is told. Past the target a part of a short
- * shard is of no use, if the request has enough without it; the next one is.
+ * shard is of no use, if the request has enough without it; the next one is. A suspect that is cut
+ * short shows nothing: its searcher may have been about to end.
  */
 uint64_t sub_left_us(const sub_t *sub, uint64_t now_us)
 {
 	const forward_t *forward = sub->forward;
 	uint64_t left_us = forward_left_us(forward, now_us);
 
-	if (forward->partial_us <= now_us || !shedding_is_on(sub->pool, now_us) ||
-	    !shedding_is_allowed(forward))
+	if (forward->probe == &forward->parts[sub->part] || forward->partial_us <= now_us ||
+	    !shedding_is_on(sub->pool, now_us) || !shedding_is_allowed(forward))
 		return left_us;
 	return MIN(left_us, forward->partial_us - now_us);
 }
