A suspect that can't get enough parts is not sent to the next shard

Callers lose one searcher more for nothing. The part that was tried had nobody left, nor had the next one; with the third the gather was refused as having too few parts, and the sub-request that had just gone out ran on with nobody waiting: it may end its searcher, and its end is told late or not at all.

Before a part is sent alone, the request must still be able to get enough.

Elsewhere: parts that are not suspect go out together, so there is no next one.

--- a/src/core/forward.c
+++ b/src/core/forward.c
@@ -242,6 +242,13 @@
 			part_lose(&forward->parts[i]);
 }
 
+/* A searcher that is sent a request without hope of an answer may end for nothing. */
+static bool has_hope(const forward_t *forward)
+{
+	return !forward->route->gathers ||
+	       forward_has_enough(forward, forward->part_count - forward->lost);
+}
+
 static void probe(forward_t *forward, uint64_t now_us)
 {
 	poison_t *poison = forward->forwarder->poison;
@@ -249,7 +256,8 @@
 
 	if (!forward->may_probe)
 		forward->may_probe = poison_may_probe(poison, forward->request.fingerprint, now_us);
-	while (forward->may_probe && !forward->probe && (part = held_part(forward))) {
+	while (forward->may_probe && !forward->probe && has_hope(forward) &&
+	       (part = held_part(forward))) {
 		const candidates_t candidates = part_candidates(part);
 
 		if (placement_is_all_probed(&candidates))
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -68,6 +68,7 @@
 	'parts that a request needs wait behind others|src/core/part.c|s/if \(spare != shedding_is_allowed\(other->forward\)\)/if (0)/'
 	'searchers work on parts of a short shard past the target|src/core/part.c|s/!shedding_is_on\(sub->pool, now_us\) \|\|/1 ||/'
 	'a trial is cut short for its shard|src/core/part.c|s/forward->probe == &forward->parts\[sub->part\] \|\|/0 ||/'
+	'a request without hope is tried|src/core/forward.c|s/return !forward->route->gathers \|\|\s*forward_has/return 1 || forward_has/'
 	'searchers that refuse a share are asked like others|src/core/placement.c|s/cost_us \+= yield_lost\(&searcher->yield, now_us\) \* LOST_US;//'
 	'one that refuses a share is asked once only|src/core/part.c|s/if \(yield_lost\(&searcher->yield, now_us\) > REFUSES_A_SHARE &&/if (0 \&\&/'
 	'parts are left out in the order of the shards|src/core/forwarder.c|s/wait_us\(part, now_us\) > wait_us\(longest, now_us\)/0/'
