A suspect request is tried by one VM at a time, three ends refuse it, and a verdict ends

Callers saw two things.

Cause: nobody knew what other VMs had at a searcher, nor what they were trying. A verdict was renewed as long as the request came, and nothing could show it wrong.

A trial is claimed in the store, which creates each claim once (core/trial, poison_task). An end counts one strike, wherever; three refuse; trials are 1 s apart, more after those that show nothing. A refused request is tried once more after 10 s; if that ends a searcher, too, it stays refused.

The checks of front_world.c are as they were; one is new: who harms nobody is not put off for over 15 s. Scripts poison_single, poison_once, poison_shard and poison_kept_apart, and poison_test's strike that is told at once, held that the second end refuses. That is the wrong proof: it is what refused sound requests. They now go on to the third, and hold the refusal there; poison_long has the verdict that stays, with four. poison_copies: a second copy waits for the first one's outcome, where it was sent after 50 ms.

What got worse: one searcher more ends before a request is refused, and one 10 s after; a VM claims a trial with a write, and takes it back with another.

--- a/src/core/forward.c
+++ b/src/core/forward.c
@@ -24,8 +24,29 @@
 	}
 }
 
-void forward_free(forward_t *forward)
+/* Whether the sub-request that was sent alone is still out. */
+static bool has_probe_out(const forward_t *forward)
 {
+	return forward->probe && forward->probe->out && forward->probe->out->len;
+}
+
+static void end_turn(const forward_t *forward, uint64_t now_us)
+{
+	trial_end_t end = {.outcome = "not-sent", .searcher = ""};
+
+	if (has_probe_out(forward)) {
+		const sub_t *sub = g_ptr_array_index(forward->probe->out, 0);
+
+		end = (trial_end_t){
+			.ran = true, .outcome = "given-up", .searcher = sub->searcher->id};
+	}
+	poison_trial_over(forward->forwarder->poison, forward->request.fingerprint, &end, now_us);
+}
+
+void forward_free(forward_t *forward, uint64_t now_us)
+{
+	if (forward->has_turn)
+		end_turn(forward, now_us);
 	timers_cancel(&forward->forwarder->timers, &forward->timer);
 	for (uint32_t i = 0; i < forward->part_count; i++) {
 		part_t *part = &forward->parts[i];
@@ -53,7 +74,7 @@
 	latency_buckets_add(&forward->state->latency, now_us - forward->request.received_us);
 	forward_release(forward, UNNEEDED_US, now_us);
 	forwarder->ops->answer(forwarder->ctx, forward, answer);
-	forward_free(forward);
+	forward_free(forward, now_us);
 }
 
 static bool has_run_somewhere(const forward_t *forward)
@@ -83,6 +104,9 @@
 	else if (end == FORWARD_BLOCKED)
 		answer.retry_after_us = poison_note_refused(forward->forwarder->poison,
 							    forward->request.fingerprint, now_us);
+	else if (end == FORWARD_DEFERRED)
+		answer.retry_after_us = poison_retry_us(forward->forwarder->poison,
+							forward->request.fingerprint, now_us);
 	else if (end == FORWARD_TOO_LATE || end == FORWARD_FULL || end == FORWARD_REJECTED)
 		answer.retry_after_us = come_back_us(forward, LACK_ROOM, now_us);
 	forward_finish(forward, &answer, now_us);
@@ -194,6 +218,13 @@
 /* Whether searchers still listen that broke connections is known within a round trip; then parts
  * that were held back for it may go. */
 #define HELD_US 5000
+/* Most trials are over within this; by then their caller is better told when to come back. */
+#define HELD_MOST_US 300000
+/* A searcher that ends under a request does so within some 0.2 s, under load or cold later: one
+ * that is cut short by the caller's deadline before that has ended nothing and shows nothing. */
+#define TRIAL_LEAST_US 500000
+/* Where no caller waits for so long. */
+#define TRIAL_LEAST_SHARE 0.75
 
 static poison_verdict_t verdict_of(const forward_t *forward, uint64_t now_us)
 {
@@ -242,6 +273,38 @@
 			part_lose(&forward->parts[i]);
 }
 
+static bool has_time_for_trial(const forward_t *forward, uint64_t now_us)
+{
+	double least_us = MIN(TRIAL_LEAST_US, forward->state->patience_us * TRIAL_LEAST_SHARE);
+
+	return (double)forward_left_us(forward, now_us) >= least_us;
+}
+
+static void ask_turn(forward_t *forward, uint64_t now_us)
+{
+	trial_turn_t turn = poison_turn(forward->forwarder->poison, forward->request.fingerprint,
+					has_time_for_trial(forward, now_us), now_us);
+
+	forward->has_turn = turn == TRIAL_GO;
+	if (!forward->held_from_us)
+		forward->held_from_us = now_us;
+	if (turn == TRIAL_LATER ||
+	    (turn == TRIAL_WAIT && now_us >= forward->held_from_us + HELD_MOST_US))
+		forward->has_lost_turn = true;
+}
+
+/* One that was claimed is the only one of its attempt, whatever came of it. */
+void forward_probe_over(forward_t *forward, const trial_end_t *end, uint64_t now_us)
+{
+	poison_t *poison = forward->forwarder->poison;
+
+	forward->probe = NULL;
+	if (!end->ran || !poison_is_on_trial(poison, forward->request.fingerprint))
+		return;
+	forward->has_turn = false;
+	poison_trial_over(poison, forward->request.fingerprint, end, now_us);
+}
+
 /* A searcher that is sent a request without hope of an answer may end for nothing. */
 static bool has_hope(const forward_t *forward)
 {
@@ -251,17 +314,15 @@
 
 static void probe(forward_t *forward, uint64_t now_us)
 {
-	poison_t *poison = forward->forwarder->poison;
-	part_t *part;
+	part_t *part = held_part(forward);
+	const candidates_t candidates = part_candidates(part);
 
-	if (!forward->may_probe)
-		forward->may_probe = poison_may_probe(poison, forward->request.fingerprint, now_us);
-	while (forward->may_probe && !forward->probe && has_hope(forward) &&
+	if (forward->probe || placement_is_all_probed(&candidates))
+		return;
+	if (!forward->has_turn)
+		ask_turn(forward, now_us);
+	while (forward->has_turn && !forward->probe && has_hope(forward) &&
 	       (part = held_part(forward))) {
-		const candidates_t candidates = part_candidates(part);
-
-		if (placement_is_all_probed(&candidates))
-			return;
 		forward->probe = part;
 		part_go_on(part, now_us);
 	}
@@ -273,21 +334,37 @@
 		return;
 	if (!forward_is_careful(forward, now_us))
 		release_held(forward, now_us);
-	else if (verdict_of(forward, now_us) == POISON_BLOCKED)
+	else if (!forward->probe && verdict_of(forward, now_us) == POISON_BLOCKED)
 		forward_lose_held(forward);
 	else
 		probe(forward, now_us);
+	if (forward->has_lost_turn)
+		forward_lose_held(forward);
+}
+
+/* Why it is refused without having been sent, if searchers ended under it; else FORWARD_ENDS. */
+static forward_end_t suspect_end(const forward_t *forward, uint64_t now_us)
+{
+	if (has_run_somewhere(forward))
+		return FORWARD_ENDS;
+	if (verdict_of(forward, now_us) == POISON_BLOCKED)
+		return FORWARD_BLOCKED;
+	return forward->has_lost_turn ? FORWARD_DEFERRED : FORWARD_ENDS;
 }
 
 bool forward_go_on(forward_t *forward, uint64_t now_us)
 {
+	forward_end_t end;
+
 	if (forward_settle(forward, now_us))
 		return true;
-	if (verdict_of(forward, now_us) == POISON_BLOCKED && !has_run_somewhere(forward)) {
-		forward_refuse(forward, FORWARD_BLOCKED, now_us);
+	if (suspect_end(forward, now_us) == FORWARD_ENDS)
+		go_on_with_held(forward, now_us);
+	end = suspect_end(forward, now_us);
+	if (end != FORWARD_ENDS) {
+		forward_refuse(forward, end, now_us);
 		return true;
 	}
-	go_on_with_held(forward, now_us);
 	if (forward_settle(forward, now_us))
 		return true;
 	forward_arm(forward, now_us);
--- a/src/core/forward.h
+++ b/src/core/forward.h
@@ -111,6 +111,7 @@
 	FORWARD_FAILED,	     /**< it may have run; the answer is lost */
 	FORWARD_TIMEOUT,     /**< sent, and no answer in time */
 	FORWARD_BLOCKED,     /**< not sent: searchers have ended under it */
+	FORWARD_DEFERRED,    /**< not sent: it is suspect, and another attempt is on trial */
 	FORWARD_ENDS,
 } forward_end_t;
 
@@ -158,8 +159,10 @@
 	uint32_t part_count;
 	uint32_t answered;
 	uint32_t lost;
-	part_t *probe;	/**< the one that was sent alone because searchers ended under it */
-	bool may_probe; /**< its turn among the attempts at the same request has come */
+	part_t *probe;	       /**< the one that was sent alone because searchers ended under it */
+	bool has_turn;	       /**< its turn among the attempts at the same request has come */
+	bool has_lost_turn;    /**< and will not come while its caller waits */
+	uint64_t held_from_us; /**< since when it waits for its turn; 0: it did not have to */
 	bool finished;
 	void *owner;
 };
--- a/src/core/forward_end.c
+++ b/src/core/forward_end.c
@@ -13,6 +13,7 @@
 		[FORWARD_FULL] = "full",	 [FORWARD_REJECTED] = "rejected",
 		[FORWARD_TOO_FEW] = "too-few",	 [FORWARD_FAILED] = "failed",
 		[FORWARD_TIMEOUT] = "timeout",	 [FORWARD_BLOCKED] = "blocked",
+		[FORWARD_DEFERRED] = "deferred",
 	};
 
 	return names[end];
@@ -25,6 +26,7 @@
 		[FORWARD_NO_SEARCHER] = 503, [FORWARD_LEAVING] = 503,	[FORWARD_TOO_LATE] = 503,
 		[FORWARD_FULL] = 503,	     [FORWARD_REJECTED] = 503,	[FORWARD_TOO_FEW] = 502,
 		[FORWARD_FAILED] = 502,	     [FORWARD_TIMEOUT] = 504,	[FORWARD_BLOCKED] = 503,
+		[FORWARD_DEFERRED] = 503,
 	};
 
 	return statuses[end];
--- a/src/core/forward_private.h
+++ b/src/core/forward_private.h
@@ -70,6 +70,8 @@
 
 /** Whether searchers ended under the request, and none has answered this attempt at it. */
 bool forward_is_careful(const forward_t *forward, uint64_t now_us);
+/** The sub-request that was sent alone is over, as @p end says. */
+void forward_probe_over(forward_t *forward, const trial_end_t *end, uint64_t now_us);
 /** Give up the parts that are held back. */
 void forward_lose_held(forward_t *forward);
 /** Send one part that is held back, or all of them; then answer, or set the timer. True when the
@@ -85,7 +87,7 @@
 void forward_refuse(forward_t *forward, forward_end_t end, uint64_t now_us);
 /** Let go of what is out; it is cancelled after @p within_us. */
 void forward_release(forward_t *forward, uint64_t within_us, uint64_t now_us);
-void forward_free(forward_t *forward);
+void forward_free(forward_t *forward, uint64_t now_us);
 /** The request's timer. */
 void forward_tick(void *ctx, uint64_t now_us);
 
--- a/src/core/forwarder.c
+++ b/src/core/forwarder.c
@@ -176,7 +176,7 @@
 
 	switch (reply->end) {
 	case SUB_ANSWERED:
-		poison_note_answered(poison, sub->fingerprint, sub->pool->service);
+		poison_note_answered(poison, sub->fingerprint, sub->pool->service, now_us);
 		poison_note_alive(poison, sub->searcher, sub->sending.sent_us);
 		break;
 	case SUB_FAILED:
@@ -189,7 +189,7 @@
 	default:
 		if (reply->broken && !sub->served)
 			poison_note_lost(poison, sub->fingerprint, sub->searcher,
-					 sub->sending.sent_us, sub->alone, now_us);
+					 sub->sending.sent_us, now_us);
 	}
 }
 
@@ -518,6 +518,7 @@
 	forward->routing = routing_ref(forwarder->routing);
 	forward->route = route;
 	forward->state = state_of(forwarder, route);
+	route_state_note_patience(forward->state, request->patience_us);
 	forward->timer = (timer_entry_t){.fire = forward_tick, .ctx = forward};
 	forward->attempts_most = request->attempts_most
 					 ? MIN(request->attempts_most, route->attempts_most)
@@ -557,5 +558,5 @@
 	forwarder->counters.left++;
 	forward->finished = true;
 	forward_release(forward, LEFT_US, now_us);
-	forward_free(forward);
+	forward_free(forward, now_us);
 }
--- a/src/core/part.c
+++ b/src/core/part.c
@@ -348,7 +348,7 @@
 		forward_lose_held(part->forward);
 }
 
-static void part_failed(part_t *part, sub_reply_t *reply, uint64_t now_us)
+static void part_failed(part_t *part, const sub_t *sub, sub_reply_t *reply, uint64_t now_us)
 {
 	sub_end_t end = reply->end;
 	forward_t *forward = part->forward;
@@ -360,9 +360,14 @@
 	}
 	part->unknown = part->unknown || end == SUB_UNKNOWN;
 	part->last_end = end;
-	part_keep(part, reply);
 	if (forward->probe == part)
-		forward->probe = NULL;
+		forward_probe_over(
+			forward,
+			&(trial_end_t){.ran = !has_not_run(end),
+				       .outcome = reply->broken ? "broken" : sub_end_name(end),
+				       .searcher = sub->searcher->id},
+			now_us);
+	part_keep(part, reply);
 	if (part->out->len) /* another one is out: its end decides */
 		return;
 	if (forward_is_careful(forward, now_us))
@@ -373,12 +378,19 @@
 		part_wait(part, now_us);
 }
 
-static void part_answered(part_t *part, sub_reply_t *reply)
+static void part_answered(part_t *part, const sub_t *sub, sub_reply_t *reply, uint64_t now_us)
 {
+
 	sub_reply_free(part->reply);
 	part->reply = reply;
 	part->state = PART_ANSWERED;
 	part->forward->answered++;
+	if (part->forward->probe == part)
+		forward_probe_over(part->forward,
+				   &(trial_end_t){.ran = true,
+						  .outcome = "answered",
+						  .searcher = sub->searcher->id},
+				   now_us);
 	for (guint i = 0; i < part->out->len; i++)
 		((sub_t *)g_ptr_array_index(part->out, i))->served = true;
 }
@@ -401,9 +413,9 @@
 	if (part->state != PART_SENT)
 		sub_reply_free(reply);
 	else if (reply->end == SUB_ANSWERED)
-		part_answered(part, reply);
+		part_answered(part, sub, reply, now_us);
 	else
-		part_failed(part, reply, now_us);
+		part_failed(part, sub, reply, now_us);
 }
 
 void part_allow_more(part_t *part, uint64_t now_us)
--- a/src/core/poison.c
+++ b/src/core/poison.c
@@ -32,8 +32,22 @@
 #define BLOCK_US (30 * 60 * 1000000ull)
 /* All VMs forget at about the same time; the first one tells the store, and the others hear it. */
 #define FORGET_SPREAD_US 60000000
-/* Copies of one suspect on this VM: an answer takes some 10 ms, and clears all of them. */
+/* Copies of a request that lost a connection for a reason that is not known yet. */
 #define PROBE_GAP_US 50000
+/* How soon a refused request is tried once more: what ended searchers beside it is over by then,
+ * and those that ended are back. */
+#define PAROLE_US 10000000
+/* With so many trials over, those that showed nothing too, one more is as late as a block is long:
+ * each may have cost a searcher. */
+#define TRIALS_MOST 3
+/* What a VM may claim: a burst, and then steadily. With hundreds of suspects the store still has
+ * most of its writes for others. */
+#define CLAIM_BURST 4
+#define CLAIM_PERIOD_US 100000
+/* For so long a trial that is due waits for a caller with more time left. */
+#define SHORT_AFTER_US 3000000
+/* An attempt that finds another one on trial: most take less. */
+#define TRIAL_USUAL_US 250000
 /* Most first strikes are of requests that ran beside another, and their retries clear them within
  * some tens of ms: nothing is told of those. Well below the time within which VMs must agree. */
 #define TELL_DELAY_US 300000
@@ -53,7 +67,6 @@
 typedef struct loss_t {
 	searcher_t *searcher; /* referenced */
 	uint64_t sent_us, lost_us;
-	bool alone;   /* nothing else of this VM was out to it */
 	bool listens; /* something at its address does: its end is not likely, but possible */
 } loss_t;
 
@@ -72,8 +85,9 @@
 	char *service;	    /* of the searcher that ended last; NULL before the first strike */
 	uint64_t struck_us; /* the last strike, or when another VM's was heard of */
 	uint64_t held_us;   /* the last strike or renewal: keeping and blocking run from here */
-	uint64_t probe_us;  /* when it was last sent as a suspect; 0: never */
-	uint64_t tell_us;   /* when to tell; 0: nothing to tell, or the store is being told */
+	uint64_t probe_us;  /* when it was last sent with a loss unexplained; 0: never */
+	trial_t trial;
+	uint64_t tell_us; /* when to tell; 0: nothing to tell, or the store is being told */
 	uint64_t forget_us;
 	bool listed; /* in the list that is being read */
 	loss_t losses[LOSSES_MOST];
@@ -89,7 +103,8 @@
 	uint32_t losses;	      /* of all records */
 	served_t served[SERVED_MOST]; /* each in the place that its fingerprint gives it */
 	timers_t timers;
-	uint64_t tell_slot_us; /* up to when first strikes have used up their share of the store */
+	uint64_t tell_slot_us;	/* up to when first strikes have used up their share of the store */
+	uint64_t claim_slot_us; /* the same of claims */
 	poison_counters_t counters;
 };
 
@@ -145,6 +160,7 @@
 	return (poison_news_t){.fingerprint = record->fingerprint,
 			       .strikes = record->strikes,
 			       .renewals = record->renewals,
+			       .trials = record->trial.done,
 			       .service = record->service ? record->service : ""};
 }
 
@@ -157,11 +173,43 @@
 		poison->ops->changed(poison->ctx, &news, what);
 }
 
+static const char *why_tried(const record_t *record)
+{
+	if (record->trial.unclaimed)
+		return "store-silent";
+	return record->strikes >= POISON_STRIKES ? "refused" : "suspect";
+}
+
+static void say_trial(const record_t *record, const char *outcome, const char *searcher,
+		      uint64_t now_us)
+{
+	const poison_t *poison = record->poison;
+	const poison_trial_t trial = {.fingerprint = record->fingerprint,
+				      .number = record->trial.number,
+				      .strikes = record->strikes,
+				      .why = why_tried(record),
+				      .outcome = outcome,
+				      .searcher = searcher,
+				      .took_us = now_us - record->trial.since_us};
+
+	if (trial_is_counted(&record->trial) && poison->ops && poison->ops->trial)
+		poison->ops->trial(poison->ctx, &trial);
+}
+
 static void drop(record_t *record)
 {
 	g_hash_table_remove(record->poison->records, &record->fingerprint);
 }
 
+static void drop_claims(const record_t *record)
+{
+	const poison_t *poison = record->poison;
+	uint32_t claimed = MAX(record->trial.number, record->trial.done);
+
+	if (claimed && poison->ops && poison->ops->drop_claims)
+		poison->ops->drop_claims(poison->ctx, record->fingerprint, claimed);
+}
+
 static void forget(record_t *record, const char *why)
 {
 	const poison_t *poison = record->poison;
@@ -169,6 +217,7 @@
 	say(record, why);
 	if (record->stored && poison->ops)
 		poison->ops->forget(poison->ctx, record->fingerprint);
+	drop_claims(record);
 	drop(record);
 }
 
@@ -177,9 +226,16 @@
 	return !record->strikes && !record->loss_count;
 }
 
+/* Three ends may be chance, of a request that many ask for. One more is not. */
+static bool is_parole_due(const record_t *record, uint64_t now_us)
+{
+	return record->strikes == POISON_STRIKES && trial_is_due(&record->trial, now_us);
+}
+
 static bool is_blocked(const record_t *record, uint64_t now_us)
 {
-	return record->strikes >= POISON_STRIKES && now_us < record->held_us + BLOCK_US;
+	return record->strikes >= POISON_STRIKES && now_us < record->held_us + BLOCK_US &&
+	       !is_parole_due(record, now_us);
 }
 
 static uint64_t first_loss_us(const record_t *record)
@@ -260,6 +316,17 @@
 	g_free(record->service);
 	record->service = g_strdup(service);
 	hold(record, at_us);
+	if (strikes > 1)
+		trial_note_end(&record->trial, at_us);
+	if (strikes >= POISON_STRIKES)
+		trial_delay(&record->trial, at_us + PAROLE_US);
+}
+
+/* That a trial is over may be known before the end of its searcher, or after. */
+static void note_trials(record_t *record)
+{
+	if (record->strikes >= POISON_STRIKES && record->trial.done >= TRIALS_MOST)
+		trial_delay(&record->trial, record->struck_us + BLOCK_US);
 }
 
 static uint64_t next_tell_us(poison_t *poison, const record_t *record, uint64_t now_us)
@@ -275,13 +342,13 @@
 
 static void strike(record_t *record, const loss_t *loss, uint64_t now_us)
 {
-	uint32_t strikes = record->strikes && loss->alone ? POISON_STRIKES_ALONE : 1;
 	uint64_t gap_us = record->strikes == 1 ? STRIKE_GAP_US : 0;
 
 	if (record->strikes && loss->sent_us < record->struck_us + gap_us)
 		return;
 	record->poison->counters.strikes++;
-	set_strikes(record, record->strikes + strikes, loss->searcher->service, loss->lost_us);
+	set_strikes(record, record->strikes + 1, loss->searcher->service, loss->lost_us);
+	note_trials(record);
 	record->tell_us = next_tell_us(record->poison, record, now_us);
 	say(record, record->strikes >= POISON_STRIKES ? "blocked" : "suspected");
 }
@@ -334,7 +401,7 @@
 }
 
 void poison_note_lost(poison_t *poison, fingerprint_t fingerprint, searcher_t *searcher,
-		      uint64_t sent_us, bool alone, uint64_t now_us)
+		      uint64_t sent_us, uint64_t now_us)
 {
 	record_t *record;
 
@@ -342,10 +409,8 @@
 		return;
 	record = find_or_add(poison, fingerprint);
 	if (record->loss_count < LOSSES_MOST) {
-		record->losses[record->loss_count++] = (loss_t){.searcher = searcher_ref(searcher),
-								.sent_us = sent_us,
-								.lost_us = now_us,
-								.alone = alone};
+		record->losses[record->loss_count++] = (loss_t){
+			.searcher = searcher_ref(searcher), .sent_us = sent_us, .lost_us = now_us};
 		poison->losses++;
 	}
 	arm(record);
@@ -394,7 +459,8 @@
 }
 
 /* Answers of other services say nothing: a request may crash the searchers of one shard only. */
-void poison_note_answered(poison_t *poison, fingerprint_t fingerprint, const char *service)
+void poison_note_answered(poison_t *poison, fingerprint_t fingerprint, const char *service,
+			  uint64_t now_us)
 {
 	record_t *record = find(poison, fingerprint);
 
@@ -405,6 +471,7 @@
 			remove_loss(record, i);
 	if (record->strikes && g_str_equal(record->service, service)) {
 		poison->counters.cleared++;
+		say_trial(record, "answered", "", now_us);
 		forget(record, "cleared");
 	} else if (is_empty(record)) {
 		drop(record);
@@ -413,6 +480,11 @@
 
 /* ---- other VMs ---- */
 
+static bool knows_more(const record_t *record, const poison_news_t *news)
+{
+	return news->strikes < record->strikes || news->trials < record->trial.done;
+}
+
 void poison_take(poison_t *poison, const poison_news_t *news, uint64_t now_us)
 {
 	record_t *record = find_or_add(poison, news->fingerprint);
@@ -428,14 +500,17 @@
 		record->tell_us = 0;
 		set_strikes(record, news->strikes, news->service, now_us);
 		say(record, "told-by-other-vm");
-	} else if (news->strikes < record->strikes && !record->tell_us) {
-		record->tell_us = now_us;
+	} else if (knows_more(record, news)) {
+		if (!record->tell_us)
+			record->tell_us = now_us;
 	} else if (news->strikes == record->strikes && news->renewals == record->renewals) {
 		record->tell_us = 0; /* told by another VM */
 	} else if (news->renewals > record->renewals) {
 		record->renewals = news->renewals;
 		hold(record, now_us);
 	}
+	trial_heard(&record->trial, news->trials, now_us);
+	note_trials(record);
 	arm(record);
 }
 
@@ -583,18 +658,128 @@
 	return record ? record->service : NULL;
 }
 
-bool poison_may_probe(poison_t *poison, fingerprint_t fingerprint, uint64_t now_us)
-{
-	record_t *record = find(poison, fingerprint);
+/* ---- trials ---- */
 
-	if (!record)
-		return true;
+static bool may_probe(record_t *record, uint64_t now_us)
+{
 	if (record->probe_us && now_us < record->probe_us + PROBE_GAP_US)
 		return false;
 	record->probe_us = now_us;
 	return true;
 }
 
+/* Whether no other VM has heard of it: it was struck here, a moment ago. */
+static bool is_untold(const record_t *record)
+{
+	return !record->stored && record->strikes == 1 && record->tell_us;
+}
+
+static bool take_claim_slot(poison_t *poison, uint64_t now_us)
+{
+	uint64_t burst_us = CLAIM_BURST * CLAIM_PERIOD_US;
+	uint64_t slot_us = MAX(poison->claim_slot_us, now_us) + CLAIM_PERIOD_US;
+
+	if (slot_us > now_us + burst_us)
+		return false;
+	poison->claim_slot_us = slot_us;
+	return true;
+}
+
+static void claim(record_t *record, uint64_t now_us)
+{
+	poison_t *poison = record->poison;
+
+	trial_claim(&record->trial, now_us);
+	poison->counters.claims++;
+	if (poison->ops && poison->ops->claim)
+		poison->ops->claim(poison->ctx, record->fingerprint, record->trial.number);
+	else
+		trial_claimed(&record->trial, record->trial.number, CLAIM_GRANTED, now_us);
+}
+
+static void begin(record_t *record, uint64_t now_us)
+{
+	record->poison->counters.trials++;
+	say_trial(record, "begun", "", now_us);
+}
+
+/* All its callers may be in a hurry. */
+static bool is_long_due(const record_t *record, uint64_t now_us)
+{
+	return now_us >= MAX(record->trial.next_us, record->struck_us) + SHORT_AFTER_US;
+}
+
+trial_turn_t poison_turn(poison_t *poison, fingerprint_t fingerprint, bool has_time,
+			 uint64_t now_us)
+{
+	record_t *record = find(poison, fingerprint);
+	trial_turn_t turn;
+
+	if (!record)
+		return TRIAL_GO;
+	if (!record->strikes)
+		return may_probe(record, now_us) ? TRIAL_GO : TRIAL_WAIT;
+	if (is_untold(record) && trial_take_free(&record->trial))
+		return TRIAL_GO;
+	if (!has_time && !is_long_due(record, now_us))
+		return TRIAL_LATER;
+	turn = trial_turn(&record->trial, now_us);
+	if (turn == TRIAL_CLAIM && !take_claim_slot(poison, now_us))
+		return TRIAL_WAIT;
+	if (turn == TRIAL_CLAIM) {
+		claim(record, now_us);
+		turn = trial_turn(&record->trial, now_us);
+	}
+	if (turn == TRIAL_GO)
+		begin(record, now_us);
+	return turn;
+}
+
+void poison_claimed(poison_t *poison, fingerprint_t fingerprint, uint32_t number,
+		    claim_reply_t reply, uint64_t now_us)
+{
+	record_t *record = find(poison, fingerprint);
+
+	if (record)
+		trial_claimed(&record->trial, number, reply, now_us);
+	else if (reply == CLAIM_GRANTED && poison->ops && poison->ops->drop_claims)
+		poison->ops->drop_claims(poison->ctx, fingerprint, number); /* cleared meanwhile */
+}
+
+bool poison_is_on_trial(const poison_t *poison, fingerprint_t fingerprint)
+{
+	const record_t *record = find(poison, fingerprint);
+
+	return record && trial_is_counted(&record->trial);
+}
+
+void poison_trial_over(poison_t *poison, fingerprint_t fingerprint, const trial_end_t *end,
+		       uint64_t now_us)
+{
+	record_t *record = find(poison, fingerprint);
+	bool counted;
+
+	if (!record)
+		return;
+	counted = trial_is_counted(&record->trial);
+	say_trial(record, end->outcome, end->searcher, now_us);
+	trial_over(&record->trial, end->ran, now_us);
+	if (!counted || !end->ran)
+		return;
+	note_trials(record);
+	if (!record->tell_us)
+		record->tell_us = now_us;
+	arm(record);
+}
+
+uint64_t poison_retry_us(const poison_t *poison, fingerprint_t fingerprint, uint64_t now_us)
+{
+	const record_t *record = find(poison, fingerprint);
+	uint64_t next_us = record ? record->trial.next_us : 0;
+
+	return MAX(next_us > now_us ? next_us - now_us : 0, TRIAL_USUAL_US);
+}
+
 uint64_t poison_note_refused(poison_t *poison, fingerprint_t fingerprint, uint64_t now_us)
 {
 	record_t *record = find(poison, fingerprint);
@@ -607,6 +792,9 @@
 		hold(record, now_us);
 		arm(record);
 	}
+	if (record->strikes == POISON_STRIKES)
+		return MIN(poison_retry_us(poison, fingerprint, now_us),
+			   record->held_us + BLOCK_US - now_us);
 	return record->held_us + BLOCK_US - now_us;
 }
 
--- a/src/core/poison.h
+++ b/src/core/poison.h
@@ -4,11 +4,14 @@
  *
  * When a searcher's process ends, everything that it worked on loses its connection: the request
  * that did it, and whatever ran beside it. Each of them gets a strike and is suspect. A suspect is
- * sent to one searcher at a time, alone where that can be had, until a searcher of the service that
- * was lost answers: that clears it, for no searcher survives a request that crashes them. An end
- * under a suspect, a while after the one before, counts one strike more, or two if nothing else of
- * this VM was out to the searcher. With POISON_STRIKES it is refused for as long as it keeps
- * coming.
+ * tried at one searcher at a time, by one VM of all (trial.h), alone where that can be had, until a
+ * searcher of the service that was lost answers: that clears it, for no searcher survives a request
+ * that crashes them. An end under a suspect, a while after the one before, counts one strike more.
+ * An answer that is no success shows nothing: its run may have been cut short. With POISON_STRIKES
+ * it is refused.
+ *
+ * What is refused is tried once more after a while, as chance may have ended a searcher under it
+ * three times. If it ends one more, it is refused for as long as it keeps coming.
  *
  * All VMs share strikes through the platform's store. They are merged by their maximum, not their
  * sum: each VM counts on from what it knew when it sent, so copies of a request that are out at the
@@ -23,13 +26,13 @@
 #include "core/fingerprint.h"
 #include "core/searcher.h"
 #include "core/timers.h"
+#include "core/trial.h"
 
 /*
- * The first end may be any request's that ran there. A second one under a request that was alone at
- * one of several searchers, for some ms, is hardly chance; in company it takes a third.
+ * The first end may be any request's that ran there, and the second one chance, or another
+ * request's that was tried there by a VM that was cut off.
  */
 #define POISON_STRIKES 3
-#define POISON_STRIKES_ALONE 2
 /* Far more than are in flight when searchers end; with all of them a VM keeps 0.4 MB. */
 #define POISON_RECORDS_MOST 1024
 
@@ -46,9 +49,20 @@
 	fingerprint_t fingerprint;
 	uint32_t strikes;
 	uint32_t renewals;   /**< of its block, because it kept coming */
+	uint32_t trials;     /**< that are over */
 	const char *service; /**< whose searcher ended last; borrowed */
 } poison_news_t;
 
+/** For the log: a trial of a request is begun, or over. */
+typedef struct poison_trial_t {
+	fingerprint_t fingerprint;
+	uint32_t number, strikes;
+	const char *why;      /**< it is begun */
+	const char *outcome;  /**< "begun", or what it came to */
+	const char *searcher; /**< that it was sent to; "": to none yet */
+	uint64_t took_us;     /**< since it was granted */
+} poison_trial_t;
+
 typedef struct poison_ops_t {
 	/** Let the other VMs know; poison_told() follows with the outcome, never before the return.
 	 */
@@ -57,6 +71,12 @@
 	void (*forget)(void *ctx, fingerprint_t fingerprint);
 	/** For the log: @p what has become of it. */
 	void (*changed)(void *ctx, const poison_news_t *news, const char *what);
+	/** Claim the trial @p number; poison_claimed() must follow. NULL: there is nobody else. */
+	void (*claim)(void *ctx, fingerprint_t fingerprint, uint32_t number);
+	/** The claims up to @p number are of no use any more. May be NULL. */
+	void (*drop_claims)(void *ctx, fingerprint_t fingerprint, uint32_t number);
+	/** May be NULL. */
+	void (*trial)(void *ctx, const poison_trial_t *trial);
 } poison_ops_t;
 
 /** Counters, for metrics. */
@@ -65,6 +85,8 @@
 	uint64_t cleared; /**< suspects that a searcher answered here */
 	uint64_t told;	  /**< times that the store was told of one */
 	uint64_t dropped; /**< forgotten early, because there were too many */
+	uint64_t claims;  /**< of trials, by this VM */
+	uint64_t trials;  /**< begun by this VM after a claim */
 } poison_counters_t;
 
 /** @param ops may be NULL: nothing is told */
@@ -73,12 +95,9 @@
 
 /* ---- what this VM sees ---- */
 
-/**
- * A sub-request's connection ended without an answer.
- * @param alone nothing else of this VM was out to the searcher meanwhile
- */
+/** A sub-request's connection ended without an answer. */
 void poison_note_lost(poison_t *poison, fingerprint_t fingerprint, searcher_t *searcher,
-		      uint64_t sent_us, bool alone, uint64_t now_us);
+		      uint64_t sent_us, uint64_t now_us);
 /** Nobody listens at its port any more, or a newer start of it is known. */
 void poison_note_ended(poison_t *poison, const searcher_t *searcher, uint64_t now_us);
 /** It has answered what was sent to it at @p since_us. */
@@ -87,7 +106,8 @@
  * or a proxy before it. */
 void poison_note_listens(poison_t *poison, const searcher_t *searcher, uint64_t since_us);
 /** A searcher of @p service has answered it. */
-void poison_note_answered(poison_t *poison, fingerprint_t fingerprint, const char *service);
+void poison_note_answered(poison_t *poison, fingerprint_t fingerprint, const char *service,
+			  uint64_t now_us);
 /** It was answered whole: searchers of all its services survive it, for now. */
 void poison_note_served(poison_t *poison, fingerprint_t fingerprint, uint64_t now_us);
 
@@ -112,8 +132,30 @@
 poison_verdict_t poison_judge(const poison_t *poison, fingerprint_t fingerprint, uint64_t now_us);
 /** The service whose searcher ended last under a suspect, or NULL. */
 const char *poison_service(const poison_t *poison, fingerprint_t fingerprint);
-/** Whether a suspect may be sent to one more searcher now; if so, it counts as sent. */
-bool poison_may_probe(poison_t *poison, fingerprint_t fingerprint, uint64_t now_us);
+/**
+ * Whether an attempt at a suspect may be sent to one searcher now. After TRIAL_GO
+ * poison_trial_over() must follow.
+ * @param has_time enough is left of its caller's time for the outcome to show something
+ */
+trial_turn_t poison_turn(poison_t *poison, fingerprint_t fingerprint, bool has_time,
+			 uint64_t now_us);
+/** The store's word on a claim. */
+void poison_claimed(poison_t *poison, fingerprint_t fingerprint, uint32_t number,
+		    claim_reply_t reply, uint64_t now_us);
+/** Whether an attempt at it is out that was claimed. */
+bool poison_is_on_trial(const poison_t *poison, fingerprint_t fingerprint);
+/** How an attempt that had its turn has ended. */
+typedef struct trial_end_t {
+	bool ran;	      /**< a searcher may have run it */
+	const char *outcome;  /**< for the log */
+	const char *searcher; /**< that it was sent to; "": to none */
+} trial_end_t;
+
+/** The attempt that had its turn is over, and was not answered. */
+void poison_trial_over(poison_t *poison, fingerprint_t fingerprint, const trial_end_t *end,
+		       uint64_t now_us);
+/** How soon an attempt at a suspect that had no turn may come back. */
+uint64_t poison_retry_us(const poison_t *poison, fingerprint_t fingerprint, uint64_t now_us);
 /** It was refused; returns for how much longer it is, if it does not come again. */
 uint64_t poison_note_refused(poison_t *poison, fingerprint_t fingerprint, uint64_t now_us);
 
--- a/src/core/route_state.c
+++ b/src/core/route_state.c
@@ -9,6 +9,8 @@
 /* A lasting change of what a route's requests take is followed within a dozen of them. */
 #define RELATIVE_STEP 0.06
 #define RELATIVE_WHOLE 1000
+/* Callers that come back have less time left than at first, some of them one after the other. */
+#define PATIENCE_STEP 0.02
 /* Where a route begins: two answers in time, and it tells. */
 #define HUNG_FIRST 0.5
 /* More searchers than that are not dark or slow at once, unless a data centre is lost. */
@@ -44,6 +46,14 @@
 	quantile_add(&state->relative, (uint64_t)((double)took_us * RELATIVE_WHOLE / expected_us));
 }
 
+void route_state_note_patience(route_state_t *state, uint64_t patience_us)
+{
+	double less_us = state->patience_us - (double)patience_us;
+
+	if (patience_us)
+		state->patience_us -= less_us > 0 ? less_us * PATIENCE_STEP : less_us;
+}
+
 route_state_t *route_state_new(void)
 {
 	route_state_t *state = g_new0(route_state_t, 1);
--- a/src/queries/front_metrics.c
+++ b/src/queries/front_metrics.c
@@ -46,6 +46,8 @@
 	put(out, "poison_requests", "state", "refused", poison_blocked(poison, loop_now_us()));
 	put(out, "poison_strikes_total", NULL, NULL, counters->strikes);
 	put(out, "poison_cleared_total", NULL, NULL, counters->cleared);
+	put(out, "poison_claims_total", NULL, NULL, counters->claims);
+	put(out, "poison_trials_total", NULL, NULL, counters->trials);
 	put(out, "poison_told_total", NULL, NULL, counters->told);
 	put(out, "poison_dropped_total", NULL, NULL, counters->dropped);
 }
--- a/src/tasks/front_task.c
+++ b/src/tasks/front_task.c
@@ -260,6 +260,28 @@
 	      news->strikes, news->service);
 }
 
+static void on_poison_claim(void *ctx, fingerprint_t fingerprint, uint32_t number)
+{
+	poison_task_claim(((front_task_t *)ctx)->poison, fingerprint, number);
+}
+
+static void on_poison_drop_claims(void *ctx, fingerprint_t fingerprint, uint32_t number)
+{
+	poison_task_drop_claims(((front_task_t *)ctx)->poison, fingerprint, number);
+}
+
+static void on_poison_trial(void *ctx, const poison_trial_t *trial)
+{
+	char text[FINGERPRINT_TEXT_BYTES];
+
+	(void)ctx;
+	fingerprint_write(trial->fingerprint, text);
+	log_decision("event=poison-trial fingerprint=%s outcome=%s searcher=%s why=%s number=%u "
+		     "strikes=%u took_us=%" G_GUINT64_FORMAT,
+		     text, trial->outcome, trial->searcher, trial->why, trial->number,
+		     trial->strikes, trial->took_us);
+}
+
 /* ---- answers ---- */
 
 static hop_bytes_t bytes_of(const GString *text)
@@ -639,8 +661,12 @@
 
 front_task_t *front_task_new(loop_t *loop, const settings_t *settings, platform_task_t *platform)
 {
-	static const poison_ops_t poison_ops = {
-		.tell = on_poison_tell, .forget = on_poison_forget, .changed = on_poison_changed};
+	static const poison_ops_t poison_ops = {.tell = on_poison_tell,
+						.forget = on_poison_forget,
+						.changed = on_poison_changed,
+						.claim = on_poison_claim,
+						.drop_claims = on_poison_drop_claims,
+						.trial = on_poison_trial};
 	static const forwarder_ops_t forwarder_ops = {.send = on_send,
 						      .cancel = on_cancel,
 						      .answer = on_answer,
@@ -675,7 +701,7 @@
 	start_registry(task, settings);
 	task->links = link_task_new(loop, &link_ops, task);
 	task->forwarder = forwarder_new(&forwarder_ops, task, task->registry, g_random_int());
-	task->poison = poison_task_new(platform, forwarder_poison(task->forwarder));
+	task->poison = poison_task_new(platform, forwarder_poison(task->forwarder), task->vm_name);
 	start_reader(task);
 	task->gathers = gather_task_new(loop, own_vm_new(settings), &gather_ops, task);
 	task->forwarder_timer = (loop_timer_t){.fire = run_forwarder, .ctx = task};
--- a/src/tasks/poison_task.c
+++ b/src/tasks/poison_task.c
@@ -16,6 +16,7 @@
 struct poison_task_t {
 	platform_task_t *platform;
 	poison_t *poison;
+	const char *vm_name;
 };
 
 /** One call to the store. */
@@ -27,12 +28,20 @@
 	uint32_t tries;
 } poison_call_t;
 
-poison_task_t *poison_task_new(platform_task_t *platform, poison_t *poison)
+/** A claim that the store has not answered. */
+typedef struct claim_call_t {
+	poison_task_t *task;
+	fingerprint_t fingerprint;
+	uint32_t number;
+} claim_call_t;
+
+poison_task_t *poison_task_new(platform_task_t *platform, poison_t *poison, const char *vm_name)
 {
 	poison_task_t *task = g_new0(poison_task_t, 1);
 
 	task->platform = platform;
 	task->poison = poison;
+	task->vm_name = vm_name;
 	return task;
 }
 
@@ -115,6 +124,53 @@
 			   task);
 }
 
+/* ---- claims of trials ---- */
+
+static claim_reply_t claim_reply_of(int status)
+{
+	if (!status)
+		return CLAIM_UNKNOWN;
+	if (status / 100 == 2)
+		return CLAIM_GRANTED;
+	return status == STATUS_EXISTS ? CLAIM_TAKEN : CLAIM_REFUSED;
+}
+
+static void on_claimed(void *ctx, const platform_result_t *result)
+{
+	claim_call_t *call = ctx;
+
+	poison_claimed(call->task->poison, call->fingerprint, call->number,
+		       claim_reply_of(result->status), loop_now_us());
+	g_free(call);
+}
+
+void poison_task_claim(poison_task_t *task, fingerprint_t fingerprint, uint32_t number)
+{
+	g_autofree char *body = store_write_claim(fingerprint, number, task->vm_name);
+	g_autofree char *target = store_claim_target(fingerprint, 0);
+	claim_call_t *call = g_new(claim_call_t, 1);
+
+	*call = (claim_call_t){.task = task, .fingerprint = fingerprint, .number = number};
+	platform_task_send(task->platform, "POST", target, body, CALL_TIMEOUT_US, on_claimed, call);
+}
+
+/* A claim that stays holds up the next trial of that number for a while, and no more. */
+static void on_claim_dropped(void *ctx, const platform_result_t *result)
+{
+	(void)ctx;
+	(void)result;
+}
+
+void poison_task_drop_claims(poison_task_t *task, fingerprint_t fingerprint, uint32_t number)
+{
+	for (uint32_t i = 1; i <= number; i++) {
+		g_autofree char *target = store_claim_target(fingerprint, i);
+
+		platform_task_send(task->platform, "DELETE", target, NULL, CALL_TIMEOUT_US,
+				   on_claim_dropped, task);
+	}
+}
+
 /* ---- hearing ---- */
 
 void poison_task_take(poison_task_t *task, const store_object_t *object, uint64_t now_us)
--- a/src/tool/explain.c
+++ b/src/tool/explain.c
@@ -37,6 +37,8 @@
 	{"timeout", "may have run: sent, and no answer in time"},
 	{"blocked",
 	 "not run: searchers have ended under this request, and it is not sent any more"},
+	{"deferred", "not run: a searcher has ended under this request, and one attempt at a time "
+		     "is tried, on all VMs"},
 };
 
 /** The window of an explanation. */
@@ -139,7 +141,8 @@
 	for (guint i = 0; fingerprint && i < view->lines->len; i++) {
 		const log_line_t *line = g_ptr_array_index(view->lines, i);
 
-		if (is_event(line, "poison") && log_line_has(line, "fingerprint", fingerprint))
+		if ((is_event(line, "poison") || is_event(line, "poison-trial")) &&
+		    log_line_has(line, "fingerprint", fingerprint))
 			print_line(line);
 	}
 }
--- a/tests/front_world.h
+++ b/tests/front_world.h
@@ -52,6 +52,7 @@
 	char *id;
 	const route_t *route;
 	crasher_t *crasher; /**< NULL: the request does no harm */
+	fingerprint_t fingerprint;
 	forward_t *forward; /**< NULL once it is over */
 	uint64_t sent_us, patience_us;
 	uint64_t still_us; /**< how long the VM had stood still when it came */
@@ -65,12 +66,14 @@
 	uint64_t still_us; /**< how long the VM has stood still so far */
 	registry_t *registry;
 	forwarder_t *forwarder;
-	GPtrArray *fakes;	   /**< fake_t */
-	GPtrArray *played;	   /**< played_t */
-	GHashTable *crashers;	   /**< path to crasher_t; may be shared by several VMs */
-	GPtrArray *out;		   /**< pending_t: what searchers have been sent and not answered */
-	GHashTable *runs;	   /**< "REQUEST SERVICE" to how often it ran */
-	GHashTable *firsts;	   /**< "REQUEST SERVICE" of all that were sent once */
+	GPtrArray *fakes;     /**< fake_t */
+	GPtrArray *played;    /**< played_t */
+	GHashTable *crashers; /**< path to crasher_t; may be shared by several VMs */
+	GPtrArray *out;	      /**< pending_t: what searchers have been sent and not answered */
+	GHashTable *deferred; /**< fingerprint to when it was first put off, suspect and not sent
+				 since */
+	GHashTable *runs;     /**< "REQUEST SERVICE" to how often it ran */
+	GHashTable *firsts;   /**< "REQUEST SERVICE" of all that were sent once */
 	GArray *extras, *requests; /**< times of them, for the bound on extra sub-requests */
 	GRand *rand;
 	uint64_t version;
@@ -84,6 +87,12 @@
 	/** What the VM writes to the store of requests that crash searchers; NULL: there is none.
 	 * Without strikes it is to be removed. */
 	void (*stores)(void *ctx, struct front_world_t *world, const poison_news_t *news);
+	/** The VM claims a trial of such a request; NULL: it is granted at once. */
+	void (*claims)(void *ctx, struct front_world_t *world, fingerprint_t fingerprint,
+		       uint32_t number);
+	/** Its claims up to @p number are dropped. */
+	void (*drops_claims)(void *ctx, struct front_world_t *world, fingerprint_t fingerprint,
+			     uint32_t number);
 	uint64_t in_touch_us; /**< the bound on such requests counts from then on; 0: always */
 	void *ctx;
 } front_world_t;
