--- a/tests/hearing_test.c
+++ b/tests/hearing_test.c
@@ -648,6 +648,37 @@
 			}
 }
 
+/* The same on some VMs, again and again, and the change a while later: a call that is made anew
+ * after one silence goes silent in the next. */
+static void test_silent_connections_of_some_hide_a_change(void **state)
+{
+	static const vms_t some[] = {1, 2, 3, 0x16, 0x3e, ALL_VMS};
+	const uint32_t watchers = 2, gap_ms = 3300, times = 3;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(all_bounds); i++)
+		for (size_t j = 0; j < G_N_ELEMENTS(some); j++)
+			for (uint64_t at_ms = 9000; at_ms < 14000; at_ms += 503) {
+				const feed_timing_t timing = timing_of(&all_bounds[i]);
+				sim_t *sim = sim_new(&timing, 6, watchers, (uint32_t)at_ms);
+				uint64_t silent_us = 0;
+
+				introduce(sim, watchers);
+				run_until(sim, START_US + at_ms * MS_US);
+				for (uint32_t time = 0; time < times; time++) {
+					silent_us = sim->now_us;
+					silence_connections(sim, some[j]);
+					run_until(sim, sim->now_us + gap_ms * MS_US);
+				}
+				run_until(sim, silent_us + at_ms * 7 % 6000 * MS_US);
+				change_all(sim);
+				run_until(sim, MAX(silent_us + all_bounds[i].settle_ms * MS_US,
+						   sim->now_us + all_bounds[i].apply_ms * MS_US));
+				expect_known(sim, ALL_VMS, "silent connections of some", at_ms);
+				sim_free(sim);
+			}
+}
+
 /* VMs that reach the store are as late as a feeder that does not: their feeder says nothing new. */
 static void play_cut_feeders(const bounds_t *bounds, manner_t manner, uint32_t feeders,
 			     uint64_t at_ms)
@@ -918,6 +949,7 @@
 		cmocka_unit_test(test_change_behind_an_outage_is_late),
 		cmocka_unit_test(test_change_behind_an_outage_is_late_on_fed_vms),
 		cmocka_unit_test(test_silent_connections_hide_a_change),
+		cmocka_unit_test(test_silent_connections_of_some_hide_a_change),
 		cmocka_unit_test(test_feeder_that_is_cut_off_hides_a_change),
 		cmocka_unit_test(test_old_news_of_a_feeder_hide_a_change),
 		cmocka_unit_test(test_feeder_that_stands_still_hides_a_change),
