Tests and the demo end their processes without the shell's word on each

make demo ended with 0 and 47 lines 'Killed' on standard error, which a newcomer takes for failures: the shell reports each child that dies by a signal when it next looks.

--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -165,14 +165,17 @@
 # One that has ended may have left its id to a process of somebody else's.
 is_own() { [ "$(awk '{sub(/.*\) /, ""); print $2}' "/proc/$1/stat" 2>/dev/null)" = "$BASHPID" ]; }
 
+# Without the shell's own word on each that was killed: newcomers take it for a failure.
 site_stop() {
 	local pid
-	for pid in "${PIDS[@]}"; do
-		is_own "$pid" || continue
-		kill -CONT "$pid" 2>/dev/null
-		kill -KILL "$pid" 2>/dev/null
-	done
-	for pid in "${PIDS[@]}"; do wait "$pid" 2>/dev/null; done
+	{
+		for pid in "${PIDS[@]}"; do
+			is_own "$pid" || continue
+			kill -CONT "$pid"
+			kill -KILL "$pid"
+		done
+		for pid in "${PIDS[@]}"; do wait "$pid"; done
+	} 2>/dev/null
 	PIDS=()
 }
 
