Comments of trials, and the scripts' commands as a list

The header of forward_test.c had been reflowed into one block, in which a command could not be told from the next. A comment that told a measured time gives the reason instead.

--- a/src/core/forward.c
+++ b/src/core/forward.c
@@ -220,8 +220,8 @@
 #define HELD_US 5000
 /* Most trials are over within this; by then their caller is better told when to come back. */
 #define HELD_MOST_US 300000
-/* A searcher that ends under a request does so within some 0.2 s, under load or cold later: one
- * that is cut short by the caller's deadline before that has ended nothing and shows nothing. */
+/* What a trial needs of its caller's time: cut short by the deadline, it shows nothing, for its
+ * searcher may have been about to end. */
 #define TRIAL_LEAST_US 500000
 /* Where no caller waits for so long. */
 #define TRIAL_LEAST_SHARE 0.75
@@ -312,6 +312,7 @@
 	       forward_has_enough(forward, forward->part_count - forward->lost);
 }
 
+/* Send one held part alone, once it is this attempt's turn. */
 static void probe(forward_t *forward, uint64_t now_us)
 {
 	part_t *part = held_part(forward);
--- a/tests/forward_test.c
+++ b/tests/forward_test.c
@@ -4,32 +4,38 @@
  *
  * A script holds commands and, after "> ", the lines that they must print. Commands:
  *
- *     route NAME HOST PREFIX single|gather idempotent|once KEY=NUMBER... [region=NAME]...
- *           SERVICE[*WEIGHT]...
- *     routing VERSION             put the routes so far in force
- *     searcher ID SERVICE local|far [slots [born_ms]]
- *     drain ID, gone ID [born_ms] the store says so
- *     bears SERVICE PER_S COLD_MS   what its searchers are sent while cold, and for how long; of
- * the routing that is put together cold ID MS [SHARE]          by its entry; this VM may send it so
- * many in a window evacuate DATA_CENTRE, reopen DATA_CENTRE   its operator says so unreadable ID
- * its entry in the store can't be read any more lost, back                  the store stops
- * answering, or answers again list ID...                  the store's whole list restored the store
- * has come back from a copy copied ID SERVICE local|far an entry as it was there some time ago room
- * ID CONNECTIONS         this VM's share of the searcher's connections constant N this VM's part of
- * the constant of the retry bound idle ID CONNECTIONS         this VM has so many connections to it
- * that carry nothing told TYPE ID MS [born_ms]   another VM saw it answered, stuck or hung after so
- * long tell                        from now on, print what other VMs would be told request ID HOST
- * TARGET [patience_ms] leave ID                    the caller goes away at MS time passes up to
- * then answer SEARCHER ID [BODY]   also: fail, refuse, replaced, unsent, cut breaks SEARCHER ID its
- * connection ends without an answer refuses SEARCHER            nobody listens at its port any more
- *     listens SEARCHER MS         it has accepted a connection begun at that time
- *     other TARGET STRIKES SERVICE [RENEWALS [TRIALS]]   another VM tells of a request on host h
- *     release TARGET              the store knows no more of it
- *     stored TARGET STRIKES       the store has taken what was told
- *     claims                      from now on, trials are claimed, and printed
- *     claimed TARGET N granted|taken|refused|unknown   the store's answer to a claim
- *     poison                      print how many requests are remembered and refused
- *     many N SECONDS ID HOST TARGET   N requests, each answered at once by whom it is sent to
+ * - `route NAME HOST PREFIX single|gather idempotent|once KEY=NUMBER... [region=NAME]...
+ *   SERVICE[*WEIGHT]...`
+ * - `routing VERSION`: put the routes so far in force
+ * - `searcher ID SERVICE local|far [SLOTS [BORN_MS]]`: it is registered
+ * - `drain ID, gone ID [BORN_MS]`: the store says so
+ * - `bears SERVICE PER_S COLD_MS`: what its searchers are sent while cold, and for how long
+ * - `cold ID MS [SHARE]`: by its entry; this VM may send it SHARE in a window
+ * - `evacuate DATA_CENTRE, reopen DATA_CENTRE`: its operator says so
+ * - `unreadable ID`: its entry in the store can't be read any more
+ * - `lost, back`: the store stops answering, or answers again
+ * - `list ID...`: the store's whole list
+ * - `restored`: the store has come back from a copy
+ * - `copied ID SERVICE local|far`: an entry as it was there some time ago
+ * - `room ID CONNECTIONS`: this VM's share of the searcher's connections
+ * - `constant N`: this VM's part of the constant of the retry bound
+ * - `idle ID CONNECTIONS`: this VM has so many connections to it that carry nothing
+ * - `told TYPE ID MS [BORN_MS]`: another VM saw it answered, stuck or hung after so long
+ * - `tell`: from now on, print what other VMs would be told
+ * - `request ID HOST TARGET [PATIENCE_MS]`: a caller's attempt
+ * - `leave ID`: its caller goes away
+ * - `at MS`: time passes up to then
+ * - `answer SEARCHER ID [BODY]`: also: fail, refuse, replaced, unsent, cut
+ * - `breaks SEARCHER ID`: its connection ends without an answer
+ * - `refuses SEARCHER`: nobody listens at its port any more
+ * - `listens SEARCHER MS`: it has accepted a connection begun at that time
+ * - `other TARGET STRIKES SERVICE [RENEWALS [TRIALS]]`: another VM tells of a request on host h
+ * - `release TARGET`: the store knows no more of it
+ * - `stored TARGET STRIKES`: the store has taken what was told
+ * - `claims`: from now on, trials are claimed, and printed
+ * - `claimed TARGET N granted|taken|refused|unknown`: the store's answer to a claim
+ * - `poison`: print how many requests are remembered and refused
+ * - `many N SECONDS ID HOST TARGET`: N requests, each answered at once by whom it is sent to
  */
 #include "core/forward.h"
 #include "playbook.h"
