--- a/src/core/forward.c
+++ b/src/core/forward.c
@@ -24,29 +24,10 @@
 	}
 }
 
-/* Whether the sub-request that was sent alone is still out. */
-static bool has_probe_out(const forward_t *forward)
-{
-	return forward->probe && forward->probe->out && forward->probe->out->len;
-}
-
-static void end_turn(const forward_t *forward, uint64_t now_us)
-{
-	trial_end_t end = {.outcome = "not-sent", .searcher = ""};
-
-	if (has_probe_out(forward)) {
-		const sub_t *sub = g_ptr_array_index(forward->probe->out, 0);
-
-		end = (trial_end_t){
-			.ran = true, .outcome = "given-up", .searcher = sub->searcher->id};
-	}
-	poison_trial_over(forward->forwarder->poison, forward->request.fingerprint, &end, now_us);
-}
-
 void forward_free(forward_t *forward, uint64_t now_us)
 {
 	if (forward->has_turn)
-		end_turn(forward, now_us);
+		forward_end_turn(forward, now_us);
 	timers_cancel(&forward->forwarder->timers, &forward->timer);
 	for (uint32_t i = 0; i < forward->part_count; i++) {
 		part_t *part = &forward->parts[i];
@@ -77,7 +58,7 @@
 	forward_free(forward, now_us);
 }
 
-static bool has_run_somewhere(const forward_t *forward)
+bool forward_has_run_somewhere(const forward_t *forward)
 {
 	for (uint32_t i = 0; i < forward->part_count; i++) {
 		const part_t *part = &forward->parts[i];
@@ -158,7 +139,8 @@
 
 	if (!forward_has_enough(forward, forward->part_count - forward->lost)) {
 		forward_refuse(forward,
-			       has_run_somewhere(forward) ? FORWARD_TOO_FEW : FORWARD_NO_SEARCHER,
+			       forward_has_run_somewhere(forward) ? FORWARD_TOO_FEW
+								  : FORWARD_NO_SEARCHER,
 			       now_us);
 		return true;
 	}
@@ -213,145 +195,7 @@
 				       : single_settle(forward, now_us);
 }
 
-/* ---- suspect requests ---- */
-
-/* Whether searchers still listen that broke connections is known within a round trip; then parts
- * that were held back for it may go. */
-#define HELD_US 5000
-/* Most trials are over within this; by then their caller is better told when to come back. */
-#define HELD_MOST_US 300000
-/* What a trial needs of its caller's time: cut short by the deadline, it shows nothing, for its
- * searcher may have been about to end. */
-#define TRIAL_LEAST_US 500000
-/* Where no caller waits for so long. */
-#define TRIAL_LEAST_SHARE 0.75
-
-static poison_verdict_t verdict_of(const forward_t *forward, uint64_t now_us)
-{
-	return poison_judge(forward->forwarder->poison, forward->request.fingerprint, now_us);
-}
-
-/* A part that is in shows that searchers survive it, those of its shard at least: from there on the
- * request is like any other, and the record of its other shards stands. */
-bool forward_is_careful(const forward_t *forward, uint64_t now_us)
-{
-	return !forward->answered && verdict_of(forward, now_us) != POISON_CLEAR;
-}
-
-/* That of the shard whose searcher ended last, if it is one of them: an answer of another one would
- * say nothing. */
-static part_t *held_part(const forward_t *forward)
-{
-	const char *service =
-		poison_service(forward->forwarder->poison, forward->request.fingerprint);
-	part_t *held = NULL;
-
-	for (uint32_t i = 0; i < forward->part_count; i++) {
-		part_t *part = &forward->parts[i];
-
-		if (!part_is_held(part))
-			continue;
-		if (service && g_str_equal(part->pool->service, service))
-			return part;
-		if (!held)
-			held = part;
-	}
-	return held;
-}
-
-static void release_held(forward_t *forward, uint64_t now_us)
-{
-	for (uint32_t i = 0; i < forward->part_count; i++)
-		if (part_is_held(&forward->parts[i]))
-			part_go_on(&forward->parts[i], now_us);
-}
-
-void forward_lose_held(forward_t *forward)
-{
-	for (uint32_t i = 0; i < forward->part_count; i++)
-		if (part_is_held(&forward->parts[i]))
-			part_lose(&forward->parts[i]);
-}
-
-static bool has_time_for_trial(const forward_t *forward, uint64_t now_us)
-{
-	double least_us = MIN(TRIAL_LEAST_US, forward->state->patience_us * TRIAL_LEAST_SHARE);
-
-	return (double)forward_left_us(forward, now_us) >= least_us;
-}
-
-static void ask_turn(forward_t *forward, uint64_t now_us)
-{
-	trial_turn_t turn = poison_turn(forward->forwarder->poison, forward->request.fingerprint,
-					has_time_for_trial(forward, now_us), now_us);
-
-	forward->has_turn = turn == TRIAL_GO;
-	if (!forward->held_from_us)
-		forward->held_from_us = now_us;
-	if (turn == TRIAL_LATER ||
-	    (turn == TRIAL_WAIT && now_us >= forward->held_from_us + HELD_MOST_US))
-		forward->has_lost_turn = true;
-}
-
-/* One that was claimed is the only one of its attempt, whatever came of it. */
-void forward_probe_over(forward_t *forward, const trial_end_t *end, uint64_t now_us)
-{
-	poison_t *poison = forward->forwarder->poison;
-
-	forward->probe = NULL;
-	if (!end->ran || !poison_is_on_trial(poison, forward->request.fingerprint))
-		return;
-	forward->has_turn = false;
-	poison_trial_over(poison, forward->request.fingerprint, end, now_us);
-}
-
-/* A searcher that is sent a request without hope of an answer may end for nothing. */
-static bool has_hope(const forward_t *forward)
-{
-	return !forward->route->gathers ||
-	       forward_has_enough(forward, forward->part_count - forward->lost);
-}
-
-/* Send one held part alone, once it is this attempt's turn. */
-static void probe(forward_t *forward, uint64_t now_us)
-{
-	part_t *part = held_part(forward);
-	const candidates_t candidates = part_candidates(part);
-
-	if (forward->probe || placement_is_all_probed(&candidates))
-		return;
-	if (!forward->has_turn)
-		ask_turn(forward, now_us);
-	while (forward->has_turn && !forward->probe && has_hope(forward) &&
-	       (part = held_part(forward))) {
-		forward->probe = part;
-		part_go_on(part, now_us);
-	}
-}
-
-static void go_on_with_held(forward_t *forward, uint64_t now_us)
-{
-	if (!held_part(forward))
-		return;
-	if (!forward_is_careful(forward, now_us))
-		release_held(forward, now_us);
-	else if (!forward->probe && verdict_of(forward, now_us) == POISON_BLOCKED)
-		forward_lose_held(forward);
-	else
-		probe(forward, now_us);
-	if (forward->has_lost_turn)
-		forward_lose_held(forward);
-}
-
-/* Why it is refused without having been sent, if searchers ended under it; else FORWARD_ENDS. */
-static forward_end_t suspect_end(const forward_t *forward, uint64_t now_us)
-{
-	if (has_run_somewhere(forward))
-		return FORWARD_ENDS;
-	if (verdict_of(forward, now_us) == POISON_BLOCKED)
-		return FORWARD_BLOCKED;
-	return forward->has_lost_turn ? FORWARD_DEFERRED : FORWARD_ENDS;
-}
+/* ---- after each step ---- */
 
 bool forward_go_on(forward_t *forward, uint64_t now_us)
 {
@@ -359,9 +203,9 @@
 
 	if (forward_settle(forward, now_us))
 		return true;
-	if (suspect_end(forward, now_us) == FORWARD_ENDS)
-		go_on_with_held(forward, now_us);
-	end = suspect_end(forward, now_us);
+	if (forward_suspect_end(forward, now_us) == FORWARD_ENDS)
+		forward_go_on_with_held(forward, now_us);
+	end = forward_suspect_end(forward, now_us);
 	if (end != FORWARD_ENDS) {
 		forward_refuse(forward, end, now_us);
 		return true;
@@ -374,6 +218,10 @@
 
 /* ---- time ---- */
 
+/* Whether searchers still listen that broke connections is known within a round trip; then parts
+ * that were held back for it may go. */
+#define HELD_US 5000
+
 void forward_arm(forward_t *forward, uint64_t now_us)
 {
 	uint64_t next_us = forward->deadline_us;
@@ -397,7 +245,7 @@
 		gather_answer(forward, now_us);
 		return;
 	}
-	forward_refuse(forward, has_run_somewhere(forward) ? FORWARD_TIMEOUT : FORWARD_FULL,
+	forward_refuse(forward, forward_has_run_somewhere(forward) ? FORWARD_TIMEOUT : FORWARD_FULL,
 		       now_us);
 }
 
--- a/src/core/forward_private.h
+++ b/src/core/forward_private.h
@@ -1,9 +1,10 @@
 /**
  * @file forward_private.h
  * Shared by the parts of the forwarder: forwarder.c takes requests in, forward.c leads one to its
- * answer, part.c gets the answer of one service, sub.c is one sub-request, route_state.c what is
- * measured of a route. Each calls only what
- * stands after it in this list, but for part_* telling its request to settle.
+ * answer, forward_suspect.c holds back one that searchers have ended under, part.c gets the answer
+ * of one service, sub.c is one sub-request, route_state.c what is measured of a route. Each calls
+ * only what stands after it in this list, but for part_* telling its request to settle, and
+ * forward_has_* that any may ask.
  */
 #ifndef DS_FORWARD_PRIVATE_H
 #define DS_FORWARD_PRIVATE_H
@@ -74,6 +75,14 @@
 void forward_probe_over(forward_t *forward, const trial_end_t *end, uint64_t now_us);
 /** Give up the parts that are held back. */
 void forward_lose_held(forward_t *forward);
+/** Send one part that is held back, or all of them, or give them up. */
+void forward_go_on_with_held(forward_t *forward, uint64_t now_us);
+/** Why it is refused without having been sent, if searchers ended under it; else FORWARD_ENDS. */
+forward_end_t forward_suspect_end(const forward_t *forward, uint64_t now_us);
+/** It is over, and had its turn: another attempt may have it. */
+void forward_end_turn(const forward_t *forward, uint64_t now_us);
+/** Whether a searcher may have run some part of it. */
+bool forward_has_run_somewhere(const forward_t *forward);
 /** Send one part that is held back, or all of them; then answer, or set the timer. True when the
  * request is over, and freed. */
 bool forward_go_on(forward_t *forward, uint64_t now_us);
