Trials that found nobody count for nothing

A request that was refused wrongly would have stayed so for 30 min in place of 10 s. The VM that had claimed one kept it to itself besides, so the others took it for lost 4 s later.

A trial that did not run is over like any other, and the others are told; what is counted towards the bound is those that may have reached a searcher, in a field of its own.

What got worse: a write more for each trial that finds nobody, one a second while a suspect is asked for.

--- a/src/core/poison.c
+++ b/src/core/poison.c
@@ -27,8 +27,8 @@
 /* How soon a refused request is tried once more: what ended searchers beside it is over by then,
  * and those that ended are back. */
 #define PAROLE_US 10000000
-/* With so many trials over, those that showed nothing too, one more is as late as a block is long:
- * each may have cost a searcher. */
+/* After so many trials that reached a searcher one more is as late as a block is long, also if some
+ * of them showed nothing: each may have cost a searcher. */
 #define TRIALS_MOST 3
 
 static void remove_loss(record_t *record, uint32_t index)
@@ -84,6 +84,7 @@
 			       .strikes = record->strikes,
 			       .renewals = record->renewals,
 			       .trials = record->trial.done,
+			       .ran = record->trial.ran,
 			       .service = record->service ? record->service : ""};
 }
 
@@ -225,7 +226,7 @@
 /* That a trial is over may be known before the end of its searcher, or after. */
 void poison_note_trials(record_t *record)
 {
-	if (record->strikes >= POISON_STRIKES && record->trial.done >= TRIALS_MOST)
+	if (record->strikes >= POISON_STRIKES && record->trial.ran >= TRIALS_MOST)
 		trial_delay(&record->trial, record->struck_us + BLOCK_US);
 }
 
--- a/src/core/poison.h
+++ b/src/core/poison.h
@@ -50,6 +50,7 @@
 	uint32_t strikes;
 	uint32_t renewals;   /**< of its block, because it kept coming */
 	uint32_t trials;     /**< that are over */
+	uint32_t ran;	     /**< of those, the ones that may have reached a searcher */
 	const char *service; /**< whose searcher ended last; borrowed */
 } poison_news_t;
 
--- a/src/core/poison_share.c
+++ b/src/core/poison_share.c
@@ -73,7 +73,7 @@
 		record->renewals = news->renewals;
 		poison_record_hold(record, now_us);
 	}
-	trial_heard(&record->trial, news->trials, now_us);
+	trial_heard(&record->trial, news->trials, news->ran, now_us);
 	poison_note_trials(record);
 	poison_record_arm(record);
 }
--- a/src/core/poison_trials.c
+++ b/src/core/poison_trials.c
@@ -142,7 +142,7 @@
 	counted = trial_is_counted(&record->trial);
 	poison_say_trial(record, end->outcome, end->searcher, now_us);
 	trial_over(&record->trial, end->ran, now_us);
-	if (!counted || !end->ran)
+	if (!counted)
 		return;
 	poison_note_trials(record);
 	if (!record->tell_us)
--- a/src/core/trial.c
+++ b/src/core/trial.c
@@ -26,9 +26,10 @@
 	return (uint64_t)PAUSE_US << MIN(trial->inconclusive, PAUSE_DOUBLINGS_MOST);
 }
 
-static void finish(trial_t *trial)
+static void finish(trial_t *trial, bool ran)
 {
 	trial->done = trial->number;
+	trial->ran += ran;
 	trial->state = TRIAL_IDLE;
 	trial->unclaimed = false;
 }
@@ -50,8 +51,9 @@
 
 trial_turn_t trial_turn(trial_t *trial, uint64_t now_us)
 {
+	/* Whoever claimed it elsewhere may have begun it. */
 	if (has_lapsed(trial, now_us))
-		finish(trial);
+		finish(trial, trial->state == TRIAL_ELSEWHERE);
 	if (trial->state == TRIAL_CLAIMING && now_us >= trial->since_us + CLAIM_WAIT_US)
 		trial_claimed(trial, trial->number, CLAIM_UNKNOWN, now_us);
 	if (trial->state == TRIAL_GRANTED) {
@@ -115,13 +117,9 @@
 		trial->state = TRIAL_IDLE;
 		return;
 	}
-	if (!ran) {
-		trial->state = TRIAL_GRANTED;
-		return;
-	}
-	finish(trial);
+	finish(trial, ran);
 	trial_delay(trial, now_us + pause_us(trial));
-	trial->inconclusive++;
+	trial->inconclusive += ran;
 }
 
 void trial_note_end(trial_t *trial, uint64_t now_us)
@@ -130,8 +128,9 @@
 	trial_delay(trial, now_us + PAUSE_US);
 }
 
-void trial_heard(trial_t *trial, uint32_t done, uint64_t now_us)
+void trial_heard(trial_t *trial, uint32_t done, uint32_t ran, uint64_t now_us)
 {
+	trial->ran = MAX(trial->ran, ran);
 	if (done <= trial->done)
 		return;
 	trial->done = done;
--- a/src/core/trial.h
+++ b/src/core/trial.h
@@ -44,6 +44,7 @@
 typedef struct trial_t {
 	trial_state_t state;
 	uint32_t done;	       /**< the number of the last trial that is over, on any VM */
+	uint32_t ran;	       /**< of those, the ones that may have reached a searcher */
 	uint32_t number;       /**< the one that `state` speaks of; `done`: none was claimed */
 	uint32_t inconclusive; /**< those in a row that showed nothing */
 	bool unclaimed;	       /**< the store did not answer the claim in time */
@@ -71,8 +72,8 @@
 void trial_over(trial_t *trial, bool ran, uint64_t now_us);
 /** A searcher has ended under the request. */
 void trial_note_end(trial_t *trial, uint64_t now_us);
-/** Another VM says that the trial @p done is over. */
-void trial_heard(trial_t *trial, uint32_t done, uint64_t now_us);
+/** Another VM says that the trial @p done is over, and that @p ran may have reached a searcher. */
+void trial_heard(trial_t *trial, uint32_t done, uint32_t ran, uint64_t now_us);
 /** None is to begin before @p until_us. */
 void trial_delay(trial_t *trial, uint64_t until_us);
 
--- a/tests/forward_test.c
+++ b/tests/forward_test.c
@@ -29,7 +29,8 @@
  * - `breaks SEARCHER ID`: its connection ends without an answer
  * - `refuses SEARCHER`: nobody listens at its port any more
  * - `listens SEARCHER MS`: it has accepted a connection begun at that time
- * - `other TARGET STRIKES SERVICE [RENEWALS [TRIALS]]`: another VM tells of a request on host h
+ * - `other TARGET STRIKES SERVICE [RENEWALS [TRIALS [RAN]]]`: another VM tells of a request on host
+ * h
  * - `release TARGET`: the store knows no more of it
  * - `stored TARGET STRIKES`: the store has taken what was told
  * - `claims`: from now on, trials are claimed, and printed
@@ -127,8 +128,12 @@
 
 static void on_poison_tell(void *ctx, const poison_news_t *news)
 {
-	say(ctx, "store strikes=%u renewals=%u service=%s", news->strikes, news->renewals,
-	    news->service);
+	g_autofree char *trials =
+		news->trials ? g_strdup_printf(" trials=%u ran=%u", news->trials, news->ran)
+			     : g_strdup("");
+
+	say(ctx, "store strikes=%u renewals=%u service=%s%s", news->strikes, news->renewals,
+	    news->service, trials);
 }
 
 static void on_poison_forget(void *ctx, fingerprint_t fingerprint)
@@ -594,13 +599,15 @@
 
 static poison_news_t news_of_words(char **words)
 {
+	guint count = g_strv_length(words);
+
 	return (poison_news_t){
 		.fingerprint = fingerprint_of_target("h", words[1]),
 		.strikes = words[2] ? (uint32_t)atoi(words[2]) : 0,
 		.service = words[2] ? words[3] : NULL,
 		.renewals = words[2] && words[3] && words[4] ? (uint32_t)atoi(words[4]) : 0,
-		.trials = words[2] && words[3] && words[4] && words[5] ? (uint32_t)atoi(words[5])
-								       : 0};
+		.trials = count > 5 ? (uint32_t)atoi(words[5]) : 0,
+		.ran = count > 6 ? (uint32_t)atoi(words[6]) : 0};
 }
 
 static void do_other(void *ctx, char **words)
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -77,6 +77,8 @@
 	'two ends refuse a request|src/core/poison.c|s/set_strikes\(record, record->strikes \+ 1,/set_strikes(record, record->strikes + (record->strikes ? 2 : 1),/'
 	'a refused request is never tried again|src/core/poison.c|s/return record->strikes == POISON_STRIKES && trial/return 0 \&\& trial/'
 	'a refused request is tried again and again|src/core/poison.c|s/return record->strikes == POISON_STRIKES && trial/return trial/'
+	'trials that found nobody count as if they had cost a searcher|src/core/trial.c|s/trial->ran \+= ran;/trial->ran++;/'
+	'a trial that found nobody is taken for lost|src/core/poison_trials.c|s/if \(!counted\)\n\t\treturn;/if (!counted || !end->ran)\n\t\treturn;/'
 	'a late trial costs one searcher more|src/core/poison.c|s/define TRIALS_MOST 3/define TRIALS_MOST 300/'
 	'trials follow each other at once|src/core/trial.c|s/define PAUSE_US 1000000/define PAUSE_US 1000/'
 	'trials that show nothing go on at the same pace|src/core/trial.c|s/trial->inconclusive\+\+;/;/'
--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -496,8 +496,12 @@
 
 static void test_poison(void **state)
 {
-	const poison_news_t told = {
-		.fingerprint = 0xabc, .strikes = 2, .renewals = 3, .trials = 4, .service = "s-1"};
+	const poison_news_t told = {.fingerprint = 0xabc,
+				    .strikes = 2,
+				    .renewals = 3,
+				    .trials = 5,
+				    .ran = 4,
+				    .service = "s-1"};
 	g_autofree char *text = store_write_poison(&told);
 	json_t *json = json_loads(text, 0, NULL);
 	const json_t *meta = json_object_get(json, "meta");
@@ -512,7 +516,8 @@
 	assert_true(news.fingerprint == 0xabc);
 	assert_int_equal(news.strikes, 2);
 	assert_int_equal(news.renewals, 3);
-	assert_int_equal(news.trials, 4);
+	assert_int_equal(news.trials, 5);
+	assert_int_equal(news.ran, 4);
 	assert_string_equal(news.service, "s-1");
 	assert_true(store_read_poison(&removed, &news, &err));
 	assert_true(news.fingerprint == 0xabc);
