--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -81,7 +81,7 @@
 	'a trial that found nobody is taken for lost|src/core/poison_trials.c|s/if \(!counted\)\n\t\treturn;/if (!counted || !end->ran)\n\t\treturn;/'
 	'a late trial costs one searcher more|src/core/poison.c|s/define TRIALS_MOST 3/define TRIALS_MOST 300/'
 	'trials follow each other at once|src/core/trial.c|s/define PAUSE_US 1000000/define PAUSE_US 1000/'
-	'trials that show nothing go on at the same pace|src/core/trial.c|s/trial->inconclusive\+\+;/;/'
+	'trials that show nothing go on at the same pace|src/core/trial.c|s/trial->inconclusive \+= ran;/;/'
 	'a trial that was lost elsewhere holds up the others|src/core/trial.c|s/return trial->state == TRIAL_ELSEWHERE &&/return 0 \&\&/'
 	'a silent store keeps suspects waiting|src/core/trial.c|s/define CLAIM_WAIT_US 250000/define CLAIM_WAIT_US 250000000/'
 	'a grant is kept for good|src/core/trial.c|s/define GRANT_KEEP_US 1000000/define GRANT_KEEP_US 1000000000/'
