The safeguards' runner counts what each row wrote, not what the shell remembers of it

A shell keeps the status of a child that has ended only until another process has its id; 32,768 ids go round in minutes here. Each row leaves a file when it was missed, and the file is what counts: a row that nobody misses, a stale one and one that was killed fail the run as before (tried with one of each of the first two: 0 of 2, exit 1).

--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -241,14 +241,16 @@
 jobs=()
 for i in "${!MUTANTS[@]}"; do
 	case ${MUTANTS[$i]} in *${ONLY:-}*) ;; *) continue ;; esac
-	(try_mutant "${MUTANTS[$i]}" "$i" >"$SCRATCH/out.$i" 2>&1) &
+	(try_mutant "${MUTANTS[$i]}" "$i" >"$SCRATCH/out.$i" 2>&1 && touch "$SCRATCH/seen.$i") &
 	jobs[$i]=$!
 	# As many at once as there are processors, each to its end.
 	while [ "$(jobs -rp | wc -l)" -ge "$(nproc)" ]; do wait -n; done
 done
+wait
 bad=0
+# Not by what `wait` says of each: the shell forgets a child whose id another process has taken.
 for i in "${!jobs[@]}"; do
-	wait "${jobs[$i]}" || bad=$((bad + 1))
+	[ -e "$SCRATCH/seen.$i" ] || bad=$((bad + 1))
 	cat "$SCRATCH/out.$i"
 done
 echo "$((${#jobs[@]} - bad)) of ${#jobs[@]} safeguards are missed when taken out"
