Why an attempt at a suspect is refused is asked once a step, the cheap part first

After each reply a forwarded request asked twice whether any of its parts had run, before and after what is held back went on. The first answer changed nothing: what is refused gives its held parts up either way. And the parts were gone through before the record was looked up, of which there is none in nearly all steps.

--- a/src/core/forward.c
+++ b/src/core/forward.c
@@ -203,8 +203,7 @@
 
 	if (forward_settle(forward, now_us))
 		return true;
-	if (forward_suspect_end(forward, now_us) == FORWARD_ENDS)
-		forward_go_on_with_held(forward, now_us);
+	forward_go_on_with_held(forward, now_us);
 	end = forward_suspect_end(forward, now_us);
 	if (end != FORWARD_ENDS) {
 		forward_refuse(forward, end, now_us);
--- a/src/core/forward_suspect.c
+++ b/src/core/forward_suspect.c
@@ -132,11 +132,11 @@
 
 forward_end_t forward_suspect_end(const forward_t *forward, uint64_t now_us)
 {
-	if (forward_has_run_somewhere(forward))
+	bool blocked = verdict_of(forward, now_us) == POISON_BLOCKED;
+
+	if ((!blocked && !forward->has_lost_turn) || forward_has_run_somewhere(forward))
 		return FORWARD_ENDS;
-	if (verdict_of(forward, now_us) == POISON_BLOCKED)
-		return FORWARD_BLOCKED;
-	return forward->has_lost_turn ? FORWARD_DEFERRED : FORWARD_ENDS;
+	return blocked ? FORWARD_BLOCKED : FORWARD_DEFERRED;
 }
 
 /* Whether the sub-request that was sent alone is still out. */
