An attempt ends only the trial that it began

Callers of a suspect could have two attempts out at once, on one VM, each able to end a searcher. An attempt that may send something alone kept that right to its end and reported the end as its trial's, also where it had begun none (nothing was known of the request, or only a broken connection, when it was sent) or had long been answered. By then the trial was another attempt's, and a third one went out.

Found by reading. Scripts poison_turn_own and poison_turn_kept: before, the third request is sent while the second one is out; now it waits. A turn that is no trial is told as such (TRIAL_NONE), and a trial is over with its answer. 800 and 300 schedules pass.

--- a/src/core/forward.c
+++ b/src/core/forward.c
@@ -26,8 +26,8 @@
 
 void forward_free(forward_t *forward, uint64_t now_us)
 {
-	if (forward->has_turn)
-		forward_end_turn(forward, now_us);
+	if (forward->has_trial)
+		forward_end_trial(forward, now_us);
 	timers_cancel(&forward->forwarder->timers, &forward->timer);
 	for (uint32_t i = 0; i < forward->part_count; i++) {
 		part_t *part = &forward->parts[i];
--- a/src/core/forward.h
+++ b/src/core/forward.h
@@ -161,6 +161,7 @@
 	uint32_t lost;
 	part_t *probe;	       /**< the one that was sent alone because searchers ended under it */
 	bool has_turn;	       /**< its turn among the attempts at the same request has come */
+	bool has_trial;	       /**< and others wait until it is over */
 	bool has_lost_turn;    /**< and will not come while its caller waits */
 	uint64_t held_from_us; /**< since when it waits for its turn; 0: it did not have to */
 	bool finished;
--- a/src/core/forward_private.h
+++ b/src/core/forward_private.h
@@ -79,8 +79,8 @@
 void forward_go_on_with_held(forward_t *forward, uint64_t now_us);
 /** Why it is refused without having been sent, if searchers ended under it; else FORWARD_ENDS. */
 forward_end_t forward_suspect_end(const forward_t *forward, uint64_t now_us);
-/** It is over, and had its turn: another attempt may have it. */
-void forward_end_turn(const forward_t *forward, uint64_t now_us);
+/** It is over with its trial: another attempt may be tried. */
+void forward_end_trial(const forward_t *forward, uint64_t now_us);
 /** Whether a searcher may have run some part of it. */
 bool forward_has_run_somewhere(const forward_t *forward);
 /** Send one part that is held back, or all of them; then answer, or set the timer. True when the
--- a/src/core/forward_suspect.c
+++ b/src/core/forward_suspect.c
@@ -72,7 +72,8 @@
 	trial_turn_t turn = poison_turn(forward->forwarder->poison, forward->request.fingerprint,
 					has_time_for_trial(forward, now_us), now_us);
 
-	forward->has_turn = turn == TRIAL_GO;
+	forward->has_trial = turn == TRIAL_GO;
+	forward->has_turn = turn == TRIAL_GO || turn == TRIAL_NONE;
 	if (!forward->held_from_us)
 		forward->held_from_us = now_us;
 	if (turn == TRIAL_LATER ||
@@ -80,15 +81,19 @@
 		forward->has_lost_turn = true;
 }
 
-/* One that was claimed is the only one of its attempt, whatever came of it. */
+/*
+ * One that was claimed is the only one of its attempt, whatever came of it. One that was answered
+ * needs no other: kept to the attempt's end, its turn would end that of whoever has it by then.
+ */
 void forward_probe_over(forward_t *forward, const trial_end_t *end, uint64_t now_us)
 {
 	poison_t *poison = forward->forwarder->poison;
 
 	forward->probe = NULL;
-	if (!end->ran || !poison_is_on_trial(poison, forward->request.fingerprint))
+	if (!end->ran || !forward->has_trial ||
+	    (!forward->answered && !poison_is_on_trial(poison, forward->request.fingerprint)))
 		return;
-	forward->has_turn = false;
+	forward->has_turn = forward->has_trial = false;
 	poison_trial_over(poison, forward->request.fingerprint, end, now_us);
 }
 
@@ -145,7 +150,7 @@
 	return forward->probe && forward->probe->out && forward->probe->out->len;
 }
 
-void forward_end_turn(const forward_t *forward, uint64_t now_us)
+void forward_end_trial(const forward_t *forward, uint64_t now_us)
 {
 	trial_end_t end = {.outcome = "not-sent", .searcher = ""};
 
--- a/src/core/poison_trials.c
+++ b/src/core/poison_trials.c
@@ -94,9 +94,9 @@
 	trial_turn_t turn;
 
 	if (!record)
-		return TRIAL_GO;
+		return TRIAL_NONE;
 	if (!record->strikes)
-		return may_probe(record, now_us) ? TRIAL_GO : TRIAL_WAIT;
+		return may_probe(record, now_us) ? TRIAL_NONE : TRIAL_WAIT;
 	if (is_untold(record) && trial_take_free(&record->trial))
 		return TRIAL_GO;
 	if (!has_time && !is_long_due(record, now_us))
--- a/src/core/trial.h
+++ b/src/core/trial.h
@@ -19,6 +19,7 @@
 /** What an attempt at a suspect request may do now. */
 typedef enum trial_turn_t {
 	TRIAL_GO,    /**< be sent to one searcher; trial_over() must follow */
+	TRIAL_NONE,  /**< be sent to one searcher: it is no trial, or not yet */
 	TRIAL_WAIT,  /**< another attempt is being tried, here or elsewhere, or a claim is out */
 	TRIAL_LATER, /**< come back after a pause */
 	TRIAL_CLAIM, /**< the trial may be claimed: trial_claim() */
