--- a/tests/front_lib.sh
+++ b/tests/front_lib.sh
@@ -81,6 +81,13 @@
 status() { head -n 1 "$RUN/head" | cut -d' ' -f2; }
 header() { tr -d '\r' <"$RUN/head" | grep -i "^$1:" | head -n 1 | cut -d' ' -f2-; }
 metric() { curl -s -m 2 "http://127.0.0.1:$((FRONT_FROM + 10 * ${2:-0} + 2))/metrics" | grep -F "$1" | head -n 1 | awk '{print $2}'; }
+# Whether VMs 0..$2-1 have the configuration $1 in force.
+all_configured() { # version count
+	local i
+	for ((i = 0; i < $2; i++)); do [ "$(metric configuration_version "$i")" = "$1" ] || return 1; done
+}
+now_ms() { date +%s%3N; }
+sleep_until_ms() { sleep "$(awk -v left=$(($1 - $(now_ms))) 'BEGIN {printf "%.3f", (left > 0 ? left : 0) / 1000}')"; }
 # attempt VM HOST PATH [curl arguments]: one attempt of a caller, with an id of its own.
 ATTEMPTS=0 ATTEMPT=attempt
 attempt() {
--- a/tests/system/front_late_after_silence.sh
+++ b/tests/system/front_late_after_silence.sh
@@ -3,12 +3,6 @@
 SETTLE_MS=5000 DUE_MS=3000
 fronts_start 2
 is_open() { [ "$(users none | jq .open)" = true ]; }
-all_have() {
-	local i
-	for ((i = 0; i < 2; i++)); do [ "$(metric configuration_version "$i")" = "$1" ] || return 1; done
-}
-now_ms() { date +%s%3N; }
-sleep_until_ms() { sleep "$(awk -v left=$(($1 - $(now_ms))) 'BEGIN {printf "%.3f", (left > 0 ? left : 0) / 1000}')"; }
 version=1 rounds=0
 for away_ms in 6000 9000; do
 	version=$((version + 4)) rounds=$((rounds + 1))
@@ -17,7 +11,7 @@
 	back=$(now_ms)
 	users configure '' $version >/dev/null
 	sleep_until_ms $((back + SETTLE_MS))
-	all_have $version || bad "$SETTLE_MS ms after a silence of $away_ms: $(metric configuration_version 0) $(metric configuration_version 1), not $version"
+	all_configured $version 2 || bad "$SETTLE_MS ms after a silence of $away_ms: $(metric configuration_version 0) $(metric configuration_version 1), not $version"
 	# Searchers are heard again as well: one that leaves now is known to leave when that is due.
 	users drain i-shard-0-there >/dev/null
 	drained=$(now_ms)
--- a/tests/system/front_unanswered.sh
+++ b/tests/system/front_unanswered.sh
@@ -6,12 +6,6 @@
 PIDS+=($!)
 STORE_OF=("$DOOR" "$DOOR" "$STORE")
 fronts_start 3
-all_have() {
-	local i
-	for ((i = 0; i < 3; i++)); do [ "$(metric configuration_version "$i")" = "$1" ] || return 1; done
-}
-now_ms() { date +%s%3N; }
-sleep_until_ms() { sleep "$(awk -v left=$(($1 - $(now_ms))) 'BEGIN {printf "%.3f", (left > 0 ? left : 0) / 1000}')"; }
 later() { [ "$1" -gt "$2" ] && echo "$1" || echo "$2"; }
 version=1 rounds=0
 for change_after_ms in 0 1300 4500; do
@@ -22,7 +16,7 @@
 	users configure '' $version >/dev/null
 	users drain i-shard-0-there >/dev/null
 	sleep_until_ms "$(later $((silent + SETTLE_MS)) $(($(now_ms) + DUE_MS)))"
-	all_have $version ||
+	all_configured $version 3 ||
 		bad "changed $change_after_ms ms after the silence: $(for i in 0 1 2; do metric configuration_version $i; done | xargs), not $version"
 	for ((i = 0; i < 3; i++)); do
 		[ "$(grep -c 'event=searcher-draining ' "$RUN/front-$i.log")" -ge $rounds ] || bad "VM $i sends to a searcher that leaves"
