--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -69,7 +69,7 @@
 	'searchers work on parts of a short shard past the target|src/core/part.c|s/!shedding_is_on\(sub->pool, now_us\) \|\|/1 ||/'
 	'a trial that showed nothing is followed by the next searcher|src/core/forward_suspect.c|s/if \(!end->ran \|\| !forward->has_trial/if (1 || !forward->has_trial/'
 	'an attempt ends the trial of another that it never had|src/core/forward_suspect.c|s/forward->has_trial = turn == TRIAL_GO;/forward->has_trial = turn == TRIAL_GO || turn == TRIAL_NONE;/'
-	'an attempt that was answered keeps its trial|src/core/forward_suspect.c|s/!forward->answered && !poison_is_on_trial/!poison_is_on_trial/'
+	'an attempt that was answered keeps its trial|src/core/forward_suspect.c|s/!forward->answered && !has_claimed/!has_claimed/'
 	'a trial is cut short for its shard|src/core/part.c|s/forward->probe == &forward->parts\[sub->part\] \|\|/0 ||/'
 	'a request without hope is tried|src/core/forward_suspect.c|s/return !forward->route->gathers \|\|\s*forward_has/return 1 || forward_has/'
 	'an attempt with little time is a trial|src/core/forward_suspect.c|s/return \(double\)forward_left_us\(forward, now_us\) >= least_us;/return 1;/'
