Pauses between trials grow with those of all VMs that showed nothing

A suspect whose trials show nothing (its searchers answer 504 at each deadline, or break behind a proxy) was sent to a searcher about once a second for as long as it was asked for, in place of once in 8 s: each VM doubled its pause by its own trials alone, and nine VMs take turns. Found by reading; script poison_inconclusive_elsewhere: before, the fourth trial goes out 1.4 s after the third of other VMs, now after 4 s.

Since only trials strike after the first one, what VMs tell each other holds the number already: trials that ran, less the strikes beyond the first. It is worked out from these, with no field more, and a strike that is known late takes its trial out of it again.

What got worse: a sound suspect of a service that answers nothing but 504 waits up to 8 s for its next trial on any fleet, where several VMs tried it sooner.

--- a/src/core/poison.c
+++ b/src/core/poison.c
@@ -217,8 +217,9 @@
 	g_free(record->service);
 	record->service = g_strdup(service);
 	poison_record_hold(record, at_us);
+	/* The first strike needs no trial. */
 	if (strikes > 1)
-		trial_note_end(&record->trial, at_us);
+		trial_note_ends(&record->trial, strikes - 1, at_us);
 	if (strikes >= POISON_STRIKES)
 		trial_delay(&record->trial, at_us + PAROLE_US);
 }
--- a/src/core/trial.c
+++ b/src/core/trial.c
@@ -21,9 +21,13 @@
 #define PAUSE_US 1000000
 #define PAUSE_DOUBLINGS_MOST 3
 
+/* That the last one's searcher has ended may not be known yet. */
 static uint64_t pause_us(const trial_t *trial)
 {
-	return (uint64_t)PAUSE_US << MIN(trial->inconclusive, PAUSE_DOUBLINGS_MOST);
+	uint32_t explained = trial->ends + 1;
+	uint32_t inconclusive = trial->ran > explained ? trial->ran - explained : 0;
+
+	return (uint64_t)PAUSE_US << MIN(inconclusive, PAUSE_DOUBLINGS_MOST);
 }
 
 static void finish(trial_t *trial, bool ran)
@@ -119,13 +123,12 @@
 	}
 	finish(trial, ran);
 	trial_delay(trial, now_us + pause_us(trial));
-	trial->inconclusive += ran;
 }
 
-void trial_note_end(trial_t *trial, uint64_t now_us)
+void trial_note_ends(trial_t *trial, uint32_t ends, uint64_t at_us)
 {
-	trial->inconclusive = 0;
-	trial_delay(trial, now_us + PAUSE_US);
+	trial->ends = MAX(trial->ends, ends);
+	trial_delay(trial, at_us + PAUSE_US);
 }
 
 void trial_heard(trial_t *trial, uint32_t done, uint32_t ran, uint64_t now_us)
@@ -136,7 +139,7 @@
 	trial->done = done;
 	if (trial->number <= done && trial->state != TRIAL_OUT)
 		trial->state = TRIAL_IDLE;
-	trial_delay(trial, now_us + PAUSE_US);
+	trial_delay(trial, now_us + pause_us(trial));
 }
 
 void trial_delay(trial_t *trial, uint64_t until_us)
--- a/src/core/trial.h
+++ b/src/core/trial.h
@@ -47,7 +47,7 @@
 	uint32_t done;	       /**< the number of the last trial that is over, on any VM */
 	uint32_t ran;	       /**< of those, the ones that may have reached a searcher */
 	uint32_t number;       /**< the one that `state` speaks of; `done`: none was claimed */
-	uint32_t inconclusive; /**< those in a row that showed nothing */
+	uint32_t ends;	       /**< of those, the ones under which a searcher is known to have ended */
 	bool unclaimed;	       /**< the store did not answer the claim in time */
 	bool free_used;	       /**< see trial_take_free() */
 	uint64_t since_us;     /**< of the claim, or of hearing that another VM has it */
@@ -71,8 +71,8 @@
 bool trial_is_counted(const trial_t *trial);
 /** The one that was begun is over. @param ran it reached a searcher that may have run it */
 void trial_over(trial_t *trial, bool ran, uint64_t now_us);
-/** A searcher has ended under the request. */
-void trial_note_end(trial_t *trial, uint64_t now_us);
+/** Searchers have ended under @p ends trials, on all VMs, the last of them at @p at_us. */
+void trial_note_ends(trial_t *trial, uint32_t ends, uint64_t at_us);
 /** Another VM says that the trial @p done is over, and that @p ran may have reached a searcher. */
 void trial_heard(trial_t *trial, uint32_t done, uint32_t ran, uint64_t now_us);
 /** None is to begin before @p until_us. */
