--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -4,7 +4,12 @@
 PORT_BASE=${PORT_BASE:-12000}
 . scripts/site.sh
 trap 'site_stop; rm -rf "$RUN"' EXIT
-bad() { echo "WRONG: $*"; exit 1; }
+# A test that fails leaves its logs in KEEP_LOGS, if that names a folder.
+bad() {
+	echo "WRONG: $*"
+	[ -z "${KEEP_LOGS:-}" ] || { mkdir -p "$KEEP_LOGS" && cp -r "$RUN" "$KEEP_LOGS/"; }
+	exit 1
+}
 
 # The load tool's arguments that name every VM of the site.
 all_targets() {
