A connection made in place of an idle one counts as a new one

Whether a trial went out on a connection that was open before decides whether its end counts behind a proxy. A second try whose idle connection is older than it may be trusted, or that the searcher is about to close, makes a new one, and was noted as sent on a kept one: so a searcher that had ended behind a proxy that accepts could still count as crashed by the request. Its time to connect was measured as the searcher's slowness besides.

Link and core share the flag, whose meaning is as its comment says.

--- a/src/tasks/link_task.c
+++ b/src/tasks/link_task.c
@@ -270,7 +270,7 @@
 	return NULL;
 }
 
-static link_conn_t *pick_conn(link_t *link, const sub_t *sub)
+static link_conn_t *pick_conn(link_t *link, sub_t *sub)
 {
 	uint64_t now_us = loop_now_us();
 	link_conn_t *conn = idle_conn(link, now_us);
@@ -279,7 +279,10 @@
 		drop(conn);
 		conn = NULL;
 	}
-	return conn ? conn : open_conn(link);
+	if (conn)
+		return conn;
+	sub->connects = true;
+	return open_conn(link);
 }
 
 static void tell_unsent(void *self, void *message)
