A gather of which nothing is in is hedged at the last moment only

A request that crashes searchers ended 22 of 34 by one attempt: a first searcher of each shard, and the hedges' second ones, before the first end was known (35 to 130 ms after sending; hedges came after some 20 ms). Ten more ended under its caller's next attempt, and all gathers failed for four seconds.

Searchers do not pause all at once, so hedges of a gather of which nothing is in gain nothing: it is long itself, or does harm. They go out once a first part is in, and else at the last moment at which a second answer still comes within the target, as where all near searchers went silent. Gathers of one or two parts are hedged as before.

What got worse: where all near searchers go silent at once, the gathers that are out are hedged later.

--- a/src/core/part.c
+++ b/src/core/part.c
@@ -16,6 +16,8 @@
 #define HEDGE_LEAST_US 13000
 /* Room for a second answer that takes longer than expected. */
 #define HEDGE_LATE_TIMES 1.3
+/* So few searchers may pause at the same time. */
+#define HEDGE_ALONE_PARTS 3
 /* When the budget refuses, ask again after so long. */
 #define HEDGE_AGAIN_US 20000
 /* Refusals end a part only after so many: each is an arrival that the budget counts. */
@@ -255,6 +257,27 @@
 
 /* ---- hedges ---- */
 
+/*
+ * Searchers do not pause all at once: a gather of which nothing is in is long itself, or it crashes
+ * those that run it. Its hedges would gain nothing, or end as many searchers again before the first
+ * end is known. Where all near searchers went silent, they still come within the target.
+ */
+static bool tells_of_searchers(const forward_t *forward)
+{
+	return forward->answered || forward->part_count < HEDGE_ALONE_PARTS;
+}
+
+/* To connect costs the searcher a handshake, and late parts come in numbers. */
+static uint64_t hedge_at_us(part_t *part, const searcher_t *searcher, uint64_t late_us,
+			    uint64_t now_us)
+{
+	uint64_t due_us = hedge_due_us(part, now_us);
+
+	if (!tells_of_searchers(part->forward))
+		return MAX(due_us, late_us);
+	return searcher->idle ? MIN(due_us, late_us) : late_us;
+}
+
 void part_hedge(part_t *part, uint64_t now_us)
 {
 	const candidates_t candidates = part_candidates(part);
@@ -275,9 +298,8 @@
 		part->hedge_us = now_us + HEDGE_AGAIN_US;
 		return;
 	}
-	/* To connect costs the searcher a handshake, and late parts come in numbers. */
 	late_us = hedge_late_us(part->forward, placement_cost_us(searcher, part->pool, now_us));
-	due_us = searcher->idle ? MIN(hedge_due_us(part, now_us), late_us) : late_us;
+	due_us = hedge_at_us(part, searcher, late_us, now_us);
 	if (now_us < due_us)
 		part->hedge_us = due_us;
 	else if (retry_budget_take(&part->pool->budget, bound, RETRY_FOR_SPEED, now_us))
@@ -378,13 +400,26 @@
 		part_wait(part, now_us);
 }
 
-static void part_answered(part_t *part, const sub_t *sub, sub_reply_t *reply, uint64_t now_us)
+/* Hedges that waited for a first part to be in. */
+static void hedge_others(const part_t *answered, uint64_t now_us)
 {
+	forward_t *forward = answered->forward;
+
+	for (uint32_t i = 0; i < forward->part_count; i++) {
+		part_t *part = &forward->parts[i];
+
+		if (part->state == PART_SENT && part->hedge_us)
+			part->hedge_us = MIN(part->hedge_us, hedge_due_us(part, now_us));
+	}
+}
 
+static void part_answered(part_t *part, const sub_t *sub, sub_reply_t *reply, uint64_t now_us)
+{
 	sub_reply_free(part->reply);
 	part->reply = reply;
 	part->state = PART_ANSWERED;
-	part->forward->answered++;
+	if (!part->forward->answered++)
+		hedge_others(part, now_us);
 	if (part->forward->probe == part)
 		forward_probe_over(part->forward,
 				   &(trial_end_t){.ran = true,
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -50,6 +50,8 @@
 	'what runs beside such a request is refused with it|src/core/poison.c|s/record->strikes == 1 \? STRIKE_GAP_US : 0/0/'
 	'a suspect goes to all shards|src/core/forwarder.c|s/if \(!forward_is_careful\(forward, now_us\)\)\n\t\tstart_parts/if (1)\n\t\tstart_parts/'
 	'a suspect that lost its searcher asks the next|src/core/part.c|s/bool gives_up = reply->broken && forward->probe == part;/bool gives_up = false;/'
+	'a gather of which nothing is in is hedged like others|src/core/part.c|s/return forward->answered \|\| forward->part_count < HEDGE_ALONE_PARTS;/return true;/'
+	'hedges wait on once a first part is in|src/core/part.c|s/if \(!part->forward->answered\+\+\)\n\t\thedge_others\(part, now_us\);/part->forward->answered++;\n\t(void)hedge_others;/'
 	'a suspect is hedged|src/core/part.c|s/if \(forward_is_careful\(part->forward, now_us\)\) \{/if (0) {/'
 	'copies of a suspect go all at once|src/core/poison_trials.c|s/now_us < record->probe_us \+ PROBE_GAP_US/0/'
 	'an answer does not clear|src/core/poison.c|s/if \(record->strikes && g_str_equal\(record->service, service\)\) \{/if (0) {/'
