Three ends under an attempt that nothing answered are told the other VMs at once

The first strike is told 0.3 s after it, as most are of requests that stood beside and are cleared by then.

A request that three searchers have ended under while nothing answers it hardly stood beside another one. It is told at the third end. Two such at once, then one in 0.5 s: when a data centre is lost, requests beside it look the same (poison_test test_waves_are_told_slowly; no more in sum than before).

What got worse: beside the loss of all searchers that a gather asked, up to two writes more at once, of requests that are cleared soon after.

--- a/src/core/forwarder.c
+++ b/src/core/forwarder.c
@@ -173,8 +173,10 @@
 			  uint64_t now_us)
 {
 	poison_t *poison = forwarder->poison;
-	const poison_sending_t sending = {
-		.sent_us = sub->sending.sent_us, .on_trial = sub->on_trial, .kept = !sub->connects};
+	const poison_sending_t sending = {.sent_us = sub->sending.sent_us,
+					  .on_trial = sub->on_trial,
+					  .kept = !sub->connects,
+					  .answered = sub->forward && sub->forward->answered};
 
 	switch (reply->end) {
 	case SUB_ANSWERED:
--- a/src/core/poison.c
+++ b/src/core/poison.c
@@ -249,8 +249,11 @@
 
 static void strike(record_t *record, const loss_t *loss, uint64_t now_us)
 {
-	if (!counts(record, loss))
+	record->unanswered_ends += !loss->sending.answered;
+	if (!counts(record, loss)) {
+		poison_note_more_ends(record, now_us);
 		return;
+	}
 	record->poison->counters.strikes++;
 	poison_set_strikes(record, record->strikes + 1, loss->searcher->service, loss->lost_us);
 	poison_note_trials(record);
--- a/src/core/poison.h
+++ b/src/core/poison.h
@@ -101,6 +101,7 @@
 	uint64_t sent_us;
 	bool on_trial; /**< by a trial that was claimed */
 	bool kept;     /**< on a connection that was open before: its searcher was alive */
+	bool answered; /**< other parts of its attempt were, before it was lost */
 } poison_sending_t;
 
 /** A sub-request's connection ended without an answer. */
--- a/src/core/poison_private.h
+++ b/src/core/poison_private.h
@@ -43,7 +43,8 @@
 	uint64_t held_us;   /* the last strike or renewal: keeping and blocking run from here */
 	uint64_t probe_us;  /* when it was last sent with a loss unexplained; 0: never */
 	trial_t trial;
-	uint64_t tell_us; /* when to tell; 0: nothing to tell, or the store is being told */
+	uint64_t tell_us;	  /* when to tell; 0: nothing to tell, or the store is being told */
+	uint32_t unanswered_ends; /* searchers that ended under attempts that nothing answered */
 	uint64_t forget_us;
 	bool listed; /* in the list that is being read */
 	loss_t losses[LOSSES_MOST];
@@ -60,6 +61,7 @@
 	served_t served[SERVED_MOST]; /* each in the place that its fingerprint gives it */
 	timers_t timers;
 	uint64_t tell_slot_us;	/* up to when first strikes have used up their share of the store */
+	uint64_t hurry_slot_us; /* the same of those that are told at once */
 	uint64_t claim_slot_us; /* the same of claims */
 	poison_counters_t counters;
 };
@@ -84,6 +86,8 @@
 /** Whether it was answered whole here a moment ago. */
 bool poison_was_served(const poison_t *poison, fingerprint_t fingerprint, uint64_t now_us);
 
+/** One searcher more has ended under it, which is no strike more. */
+void poison_note_more_ends(record_t *record, uint64_t now_us);
 /** When to tell the other VMs of a strike. */
 uint64_t poison_next_tell_us(poison_t *poison, const record_t *record, uint64_t now_us);
 void poison_tell(record_t *record);
--- a/src/core/poison_share.c
+++ b/src/core/poison_share.c
@@ -11,6 +11,14 @@
  * their strikes must not flood the store. Later ones are rare, and told at once. */
 #define TELL_BURST 8
 #define TELL_PERIOD_US 500000
+/*
+ * A request that so many searchers end under while nothing answers it hardly ran beside another
+ * one. Its caller comes again at another VM within some tens of ms, and the searchers that are left
+ * would end there.
+ */
+#define ENDS_TOLD_AT_ONCE 3
+/* When a data centre is lost, requests beside it look the same. */
+#define HURRY_BURST 2
 /* After the store did not answer. */
 #define TELL_AGAIN_US 1000000
 
@@ -21,15 +29,33 @@
 
 /* ---- to the store ---- */
 
+static uint64_t take_slot(uint64_t *slot_us, uint64_t burst, uint64_t now_us)
+{
+	uint64_t burst_us = burst * TELL_PERIOD_US;
+
+	*slot_us = MAX(*slot_us, now_us) + TELL_PERIOD_US;
+	return *slot_us > burst_us ? *slot_us - burst_us : 0;
+}
+
+void poison_note_more_ends(record_t *record, uint64_t now_us)
+{
+	uint64_t at_us;
+
+	if (record->strikes != 1 || !record->tell_us ||
+	    record->unanswered_ends != ENDS_TOLD_AT_ONCE)
+		return;
+	at_us = take_slot(&record->poison->hurry_slot_us, HURRY_BURST, now_us);
+	record->tell_us = MIN(record->tell_us, MAX(at_us, now_us));
+}
+
 uint64_t poison_next_tell_us(poison_t *poison, const record_t *record, uint64_t now_us)
 {
-	uint64_t burst_us = TELL_BURST * TELL_PERIOD_US;
+	uint64_t at_us;
 
 	if (record->strikes > 1)
 		return now_us;
-	poison->tell_slot_us = MAX(poison->tell_slot_us, now_us) + TELL_PERIOD_US;
-	return MAX(now_us + TELL_DELAY_US,
-		   poison->tell_slot_us > burst_us ? poison->tell_slot_us - burst_us : 0);
+	at_us = take_slot(&poison->tell_slot_us, TELL_BURST, now_us);
+	return MAX(now_us + TELL_DELAY_US, at_us);
 }
 
 void poison_tell(record_t *record)
--- a/tests/poison_test.c
+++ b/tests/poison_test.c
@@ -167,6 +167,28 @@
 	poison_free(poison);
 }
 
+/* A data centre is lost, and a hundred gathers lose their searchers with nothing in: each looks
+ * like one that crashes them. The store is told of few at once, and of the rest like of other first
+ * strikes. */
+static void test_waves_are_told_slowly(void **state)
+{
+	told_t told = {0};
+	poison_t *poison = poison_new(&ops, &told, 1);
+
+	(void)state;
+	for (fingerprint_t i = 1; i <= 100; i++)
+		for (int end = 0; end < 3; end++)
+			strike(poison, i, START_US);
+	poison_run(poison, START_US + 1000);
+	assert_in_range(told.tells, 1, 3);
+	poison_run(poison, START_US + SECOND_US);
+	assert_in_range(told.tells, 8, 15);
+	for (uint32_t ms = 1000; ms < 60000; ms += 100)
+		poison_run(poison, START_US + ms * 1000ull);
+	assert_int_equal(told.tells, 100);
+	poison_free(poison);
+}
+
 /* The last strike refuses a request: the others must know within the settle time, whatever else is
  * told. */
 static void test_last_strike_is_told_at_once(void **state)
@@ -436,6 +458,7 @@
 		cmocka_unit_test(test_all_is_forgotten),
 		cmocka_unit_test(test_restored_store_is_told_again),
 		cmocka_unit_test(test_first_strikes_are_told_slowly),
+		cmocka_unit_test(test_waves_are_told_slowly),
 		cmocka_unit_test(test_last_strike_is_told_at_once),
 		cmocka_unit_test(test_store_does_not_answer),
 		cmocka_unit_test(test_cleared_while_told),
