What counts as proof against a request is a file of its own

poison.c (487 lines) kept the records, decided what a broken connection proves, and gave verdicts. The second is poison_losses.c now; three functions walked all losses at a searcher alike, and one does it for them.

--- a/src/core/poison.c
+++ b/src/core/poison.c
@@ -4,22 +4,6 @@
  */
 #include "core/poison_private.h"
 
-/* Whether a searcher that broke a connection still listens is known after a connect, 0.4 s at most;
- * one that starts again is registered a few seconds later. */
-#define LOSS_KEEP_US 10000000
-/*
- * Searchers that end under a request that is not suspect yet end within some tenths of a second of
- * each other, through its hedges and its caller's retry. A request beside it that is sent again at
- * once may meet the next of them: without this gap after the first strike it would be refused like
- * the one that did it. Later ones end one by one.
- */
-#define STRIKE_GAP_US 1000000
-/*
- * A request that many callers ask for is nearly always at some searcher when one ends, and would
- * soon be at two in a row. One that was answered whole a moment before has crashed none of them. If
- * it turns bad later, with another version of the searchers, that is seen so much later.
- */
-#define SERVED_KEEP_US 5000000
 /* A suspect that comes again within this is recognised. */
 #define SUSPECT_KEEP_US (10 * 60 * 1000000ull)
 /* All VMs forget at about the same time; the first one tells the store, and the others hear it. */
@@ -31,20 +15,12 @@
  * of them showed nothing: each may have cost a searcher. */
 #define TRIALS_MOST 3
 
-static void remove_loss(record_t *record, uint32_t index)
-{
-	searcher_unref(record->losses[index].searcher);
-	record->losses[index] = record->losses[--record->loss_count];
-	record->poison->losses--;
-}
-
 static void record_free(void *data)
 {
 	record_t *record = data;
 
 	timers_cancel(&record->poison->timers, &record->timer);
-	while (record->loss_count)
-		remove_loss(record, 0);
+	poison_losses_clear(record);
 	g_free(record->service);
 	g_free(record);
 }
@@ -122,7 +98,7 @@
 	poison_record_drop(record);
 }
 
-static bool is_empty(const record_t *record)
+bool poison_record_is_empty(const record_t *record)
 {
 	return !record->strikes && !record->loss_count;
 }
@@ -139,21 +115,11 @@
 	       !is_parole_due(record, now_us);
 }
 
-static uint64_t first_loss_us(const record_t *record)
-{
-	uint64_t first_us = record->losses[0].lost_us;
-
-	for (uint32_t i = 1; i < record->loss_count; i++)
-		first_us = MIN(first_us, record->losses[i].lost_us);
-	return first_us;
-}
-
 void poison_record_arm(record_t *record)
 {
 	uint64_t next_us = record->strikes ? record->forget_us : TIMERS_NEVER;
 
-	if (record->loss_count)
-		next_us = MIN(next_us, first_loss_us(record) + LOSS_KEEP_US);
+	next_us = MIN(next_us, poison_losses_next_us(record));
 	if (record->tell_us)
 		next_us = MIN(next_us, record->tell_us);
 	timers_set(&record->poison->timers, &record->timer, next_us);
@@ -231,176 +197,14 @@
 		trial_delay(&record->trial, record->struck_us + BLOCK_US);
 }
 
-/*
- * What was sent before the request was suspect may have been lost at several searchers, one after
- * the other, and be explained all at once: together they make it suspect, and no more. Behind a
- * proxy that accepts for a searcher that has ended, a new connection breaks under any trial.
- */
-static bool counts(const record_t *record, const loss_t *loss)
-{
-	uint64_t gap_us = record->strikes == 1 ? STRIKE_GAP_US : 0;
-
-	if (!record->strikes)
-		return true;
-	if (!loss->sending.on_trial || (loss->listens && !loss->sending.kept))
-		return false;
-	return loss->sending.sent_us >= record->struck_us + gap_us;
-}
-
-static void strike(record_t *record, const loss_t *loss, uint64_t now_us)
-{
-	record->unanswered_ends += !loss->sending.answered;
-	if (!counts(record, loss)) {
-		poison_note_more_ends(record, now_us);
-		return;
-	}
-	record->poison->counters.strikes++;
-	poison_set_strikes(record, record->strikes + 1, loss->searcher->service, loss->lost_us);
-	poison_note_trials(record);
-	record->tell_us = poison_next_tell_us(record->poison, record, now_us);
-	poison_say(record, record->strikes >= POISON_STRIKES ? "blocked" : "suspected");
-}
-
-/* One that something listened for after the loss has ended later, unless a newer start of it says
- * that it was a proxy that did. */
-static bool tells(const loss_t *loss)
-{
-	return !loss->listens || loss->searcher->state == SEARCHER_ENDED;
-}
-
-static void explain_losses(record_t *record, const searcher_t *searcher, uint64_t now_us)
-{
-	for (uint32_t i = record->loss_count; i-- > 0;) {
-		if (record->losses[i].searcher != searcher)
-			continue;
-		if (tells(&record->losses[i]))
-			strike(record, &record->losses[i], now_us);
-		remove_loss(record, i);
-	}
-	poison_record_arm(record);
-}
-
-void poison_note_ended(poison_t *poison, const searcher_t *searcher, uint64_t now_us)
-{
-	GHashTableIter iter;
-	gpointer record;
-
-	if (!poison->losses)
-		return;
-	g_hash_table_iter_init(&iter, poison->records);
-	while (g_hash_table_iter_next(&iter, NULL, &record)) {
-		explain_losses(record, searcher, now_us);
-		if (is_empty(record))
-			g_hash_table_iter_remove(&iter);
-	}
-}
-
-bool poison_was_served(const poison_t *poison, fingerprint_t fingerprint, uint64_t now_us)
-{
-	const served_t *served = &poison->served[fingerprint % SERVED_MOST];
-
-	return served->fingerprint == fingerprint && now_us < served->at_us + SERVED_KEEP_US;
-}
-
-void poison_note_served(poison_t *poison, fingerprint_t fingerprint, uint64_t now_us)
-{
-	poison->served[fingerprint % SERVED_MOST] =
-		(served_t){.fingerprint = fingerprint, .at_us = now_us};
-}
-
-void poison_note_lost(poison_t *poison, fingerprint_t fingerprint, searcher_t *searcher,
-		      const poison_sending_t *sending, uint64_t now_us)
-{
-	record_t *record;
-
-	if (!fingerprint || poison_was_served(poison, fingerprint, now_us))
-		return;
-	record = poison_record_add(poison, fingerprint);
-	if (record->loss_count < LOSSES_MOST) {
-		record->losses[record->loss_count++] = (loss_t){
-			.searcher = searcher_ref(searcher), .sending = *sending, .lost_us = now_us};
-		poison->losses++;
-	}
-	poison_record_arm(record);
-	if (searcher->state == SEARCHER_ENDED)
-		poison_note_ended(poison, searcher, now_us);
-}
-
-void poison_note_alive(poison_t *poison, const searcher_t *searcher, uint64_t since_us)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	if (!poison->losses)
-		return;
-	g_hash_table_iter_init(&iter, poison->records);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		record_t *record = value;
-
-		for (uint32_t i = record->loss_count; i-- > 0;)
-			if (record->losses[i].searcher == searcher &&
-			    record->losses[i].lost_us <= since_us)
-				remove_loss(record, i);
-		if (is_empty(record))
-			g_hash_table_iter_remove(&iter);
-	}
-}
-
-/* Where a proxy stands before the searchers, it accepts whether they live or not. What is lost then
- * makes no suspect, and counts all the same when a newer start of the searcher is known. */
-void poison_note_listens(poison_t *poison, const searcher_t *searcher, uint64_t since_us)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	if (!poison->losses)
-		return;
-	g_hash_table_iter_init(&iter, poison->records);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		record_t *record = value;
-
-		for (uint32_t i = 0; i < record->loss_count; i++)
-			if (record->losses[i].searcher == searcher &&
-			    record->losses[i].lost_us <= since_us)
-				record->losses[i].listens = true;
-	}
-}
-
-/* Answers of other services say nothing: a request may crash the searchers of one shard only. */
-void poison_note_answered(poison_t *poison, fingerprint_t fingerprint, const char *service,
-			  uint64_t now_us)
-{
-	record_t *record = poison_record_find(poison, fingerprint);
-
-	if (!record)
-		return;
-	for (uint32_t i = record->loss_count; i-- > 0;)
-		if (g_str_equal(record->losses[i].searcher->service, service))
-			remove_loss(record, i);
-	if (record->strikes && g_str_equal(record->service, service)) {
-		poison->counters.cleared++;
-		poison_say_trial(record, "answered", "", now_us);
-		poison_record_forget(record, "cleared");
-	} else if (is_empty(record)) {
-		poison_record_drop(record);
-	}
-}
-
 /* ---- time ---- */
 
-static void expire_losses(record_t *record, uint64_t now_us)
-{
-	for (uint32_t i = record->loss_count; i-- > 0;)
-		if (now_us >= record->losses[i].lost_us + LOSS_KEEP_US)
-			remove_loss(record, i);
-}
-
 static void on_timer(void *ctx, uint64_t now_us)
 {
 	record_t *record = ctx;
 
-	expire_losses(record, now_us);
-	if (is_empty(record)) {
+	poison_losses_expire(record, now_us);
+	if (poison_record_is_empty(record)) {
 		poison_record_drop(record);
 		return;
 	}
@@ -427,10 +231,7 @@
 
 static bool is_suspect(const record_t *record)
 {
-	for (uint32_t i = 0; i < record->loss_count; i++)
-		if (!record->losses[i].listens)
-			return true;
-	return record->strikes > 0;
+	return record->strikes > 0 || poison_losses_accuse(record);
 }
 
 poison_verdict_t poison_judge(const poison_t *poison, fingerprint_t fingerprint, uint64_t now_us)
--- a/src/core/poison_private.h
+++ b/src/core/poison_private.h
@@ -1,8 +1,8 @@
 /**
  * @file poison_private.h
  * Shared by the parts of what is remembered of requests that crash searchers: poison.c keeps the
- * records, counts strikes and gives verdicts, poison_share.c is what VMs tell each other,
- * poison_trials.c who may send a suspect to a searcher.
+ * records and gives verdicts, poison_losses.c decides what counts as a strike, poison_share.c is
+ * what VMs tell each other, poison_trials.c who may send a suspect to a searcher.
  */
 #ifndef DS_POISON_PRIVATE_H
 #define DS_POISON_PRIVATE_H
@@ -69,6 +69,8 @@
 /** The record of a request, or NULL. */
 record_t *poison_record_find(const poison_t *poison, fingerprint_t fingerprint);
 record_t *poison_record_add(poison_t *poison, fingerprint_t fingerprint);
+/** Whether nothing speaks against its request. */
+bool poison_record_is_empty(const record_t *record);
 /** Set the record's timer for what is next. */
 void poison_record_arm(record_t *record);
 /** Keep it, and refuse it if it is to be refused, from @p from_us on. */
@@ -86,6 +88,14 @@
 /** Whether it was answered whole here a moment ago. */
 bool poison_was_served(const poison_t *poison, fingerprint_t fingerprint, uint64_t now_us);
 
+void poison_losses_clear(record_t *record);
+/** Drop those that will not be explained any more. */
+void poison_losses_expire(record_t *record, uint64_t now_us);
+/** When the first of them is due to be dropped, or TIMERS_NEVER. */
+uint64_t poison_losses_next_us(const record_t *record);
+/** Whether one of them is at a searcher that has probably ended. */
+bool poison_losses_accuse(const record_t *record);
+
 /** One searcher more has ended under it, which is no strike more. */
 void poison_note_more_ends(record_t *record, uint64_t now_us);
 /** When to tell the other VMs of a strike. */
