--- a/src/core/trial.h
+++ b/src/core/trial.h
@@ -46,8 +46,8 @@
 	trial_state_t state;
 	uint32_t done;	   /**< the number of the last trial that is over, on any VM */
 	uint32_t ran;	   /**< of those, the ones that may have reached a searcher */
-	uint32_t number;   /**< the one that `state` speaks of; `done`: none was claimed */
 	uint32_t ends;	   /**< of those, the ones under which a searcher is known to have ended */
+	uint32_t number;   /**< the one that `state` speaks of; `done`: none was claimed */
 	bool unclaimed;	   /**< the store did not answer the claim in time */
 	bool free_used;	   /**< see trial_take_free() */
 	uint64_t since_us; /**< of the claim, or of hearing that another VM has it */
