The pace of calls to the store about suspects is worked out in one place

One function says when the next may go and one takes it; limits are as they were. A condition of hedges had the name of another one of sub.c, and is may_be_pauses() now.

--- a/src/core/part.c
+++ b/src/core/part.c
@@ -262,7 +262,7 @@
  * those that run it. Its hedges would gain nothing, or end as many searchers again before the first
  * end is known. Where all near searchers went silent, they still come within the target.
  */
-static bool tells_of_searchers(const forward_t *forward)
+static bool may_be_pauses(const forward_t *forward)
 {
 	return forward->answered || forward->part_count < HEDGE_ALONE_PARTS;
 }
@@ -273,7 +273,7 @@
 {
 	uint64_t due_us = hedge_due_us(part, now_us);
 
-	if (!tells_of_searchers(part->forward))
+	if (!may_be_pauses(part->forward))
 		return MAX(due_us, late_us);
 	return searcher->idle ? MIN(due_us, late_us) : late_us;
 }
--- a/src/core/poison_private.h
+++ b/src/core/poison_private.h
@@ -52,6 +52,12 @@
 	timer_entry_t timer;
 } record_t;
 
+/** How often something may go to the store. */
+typedef struct store_pace_t {
+	uint64_t burst; /**< at once */
+	uint64_t period_us;
+} store_pace_t;
+
 struct poison_t {
 	const poison_ops_t *ops;
 	void *ctx;
@@ -96,6 +102,11 @@
 /** Whether one of them is at a searcher that has probably ended. */
 bool poison_losses_accuse(const record_t *record);
 
+/** When the next call may go, if those before have used up the pace up to @p slot_us. */
+uint64_t poison_pace_next_us(const store_pace_t *pace, uint64_t slot_us, uint64_t now_us);
+/** It will go. */
+void poison_pace_take(const store_pace_t *pace, uint64_t *slot_us, uint64_t now_us);
+
 /** One searcher more has ended under it, which is no strike more. */
 void poison_note_more_ends(record_t *record, uint64_t now_us);
 /** When to tell the other VMs of a strike. */
--- a/src/core/poison_share.c
+++ b/src/core/poison_share.c
@@ -29,32 +29,48 @@
 
 /* ---- to the store ---- */
 
-static uint64_t take_slot(uint64_t *slot_us, uint64_t burst, uint64_t now_us)
+uint64_t poison_pace_next_us(const store_pace_t *pace, uint64_t slot_us, uint64_t now_us)
 {
-	uint64_t burst_us = burst * TELL_PERIOD_US;
+	uint64_t burst_us = pace->burst * pace->period_us;
+	uint64_t used_us = MAX(slot_us, now_us) + pace->period_us;
 
-	*slot_us = MAX(*slot_us, now_us) + TELL_PERIOD_US;
-	return *slot_us > burst_us ? *slot_us - burst_us : 0;
+	return used_us > burst_us ? used_us - burst_us : 0;
+}
+
+void poison_pace_take(const store_pace_t *pace, uint64_t *slot_us, uint64_t now_us)
+{
+	*slot_us = MAX(*slot_us, now_us) + pace->period_us;
+}
+
+/* Takes the next place, whenever it is. */
+static uint64_t take_place(const store_pace_t *pace, uint64_t *slot_us, uint64_t now_us)
+{
+	uint64_t at_us = poison_pace_next_us(pace, *slot_us, now_us);
+
+	poison_pace_take(pace, slot_us, now_us);
+	return at_us;
 }
 
 void poison_note_more_ends(record_t *record, uint64_t now_us)
 {
+	const store_pace_t pace = {HURRY_BURST, TELL_PERIOD_US};
 	uint64_t at_us;
 
 	if (record->strikes != 1 || !record->tell_us ||
 	    record->unanswered_ends != ENDS_TOLD_AT_ONCE)
 		return;
-	at_us = take_slot(&record->poison->hurry_slot_us, HURRY_BURST, now_us);
+	at_us = take_place(&pace, &record->poison->hurry_slot_us, now_us);
 	record->tell_us = MIN(record->tell_us, MAX(at_us, now_us));
 }
 
 uint64_t poison_next_tell_us(poison_t *poison, const record_t *record, uint64_t now_us)
 {
+	const store_pace_t pace = {TELL_BURST, TELL_PERIOD_US};
 	uint64_t at_us;
 
 	if (record->strikes > 1)
 		return now_us;
-	at_us = take_slot(&poison->tell_slot_us, TELL_BURST, now_us);
+	at_us = take_place(&pace, &poison->tell_slot_us, now_us);
 	return MAX(now_us + TELL_DELAY_US, at_us);
 }
 
--- a/src/core/poison_trials.c
+++ b/src/core/poison_trials.c
@@ -54,12 +54,11 @@
 
 static bool take_claim_slot(poison_t *poison, uint64_t now_us)
 {
-	uint64_t burst_us = CLAIM_BURST * CLAIM_PERIOD_US;
-	uint64_t slot_us = MAX(poison->claim_slot_us, now_us) + CLAIM_PERIOD_US;
+	const store_pace_t pace = {CLAIM_BURST, CLAIM_PERIOD_US};
 
-	if (slot_us > now_us + burst_us)
+	if (poison_pace_next_us(&pace, poison->claim_slot_us, now_us) > now_us)
 		return false;
-	poison->claim_slot_us = slot_us;
+	poison_pace_take(&pace, &poison->claim_slot_us, now_us);
 	return true;
 }
 
