Requests need an API key once the configuration has tenants

Cause: the product knew no tenants: the caller's key was forwarded to searchers, a request without a key or with one that was taken away ran, and no searcher was told the tenant.

The key and any tenant header of the caller are dropped; the VM sets the tenant's name for each sub-request. A hand-over carries the key, so that the gatherer decides by the one version that it gathers by. A VM that knows of a newer configuration answers 503 instead of 401 for an unknown key: callers retry then. A queued request keeps the version that it was admitted by. The tenant's rank replaces the route's, its regions add to the route's. Fingerprints include the key.

--- a/src/core/fingerprint.c
+++ b/src/core/fingerprint.c
@@ -40,7 +40,7 @@
 }
 
 /* Includes only the headers that identify the caller; others differ between attempts. */
-fingerprint_t fingerprint_of(const GString *head, const GString *body)
+fingerprint_t fingerprint_of(const GString *head, const GString *body, const char *key)
 {
 	const char *rest = line_end(head->str, head->str + head->len);
 	XXH3_state_t state;
@@ -49,6 +49,8 @@
 	XXH3_64bits_update(&state, head->str, (size_t)(rest - head->str));
 	add_header(&state, head, "Host");
 	add_header(&state, head, "Authorization");
+	if (key)
+		XXH3_64bits_update(&state, key, strlen(key) + 1);
 	XXH3_64bits_update(&state, body->str, body->len);
 	return MAX(XXH3_64bits_digest(&state), 1);
 }
--- a/src/core/forward.c
+++ b/src/core/forward.c
@@ -98,6 +98,18 @@
 	forward_finish(forward, &answer, now_us);
 }
 
+uint32_t forward_rank(const forward_t *forward)
+{
+	const tenant_t *tenant = forward->tenant;
+
+	return tenant && tenant->has_rank ? tenant->rank : forward->route->rank;
+}
+
+bool forward_is_bound(const forward_t *forward)
+{
+	return forward->route->regions || (forward->tenant && forward->tenant->regions);
+}
+
 /* ---- gathers ---- */
 
 bool forward_has_enough(const forward_t *forward, uint32_t parts)
--- a/src/core/forward.h
+++ b/src/core/forward.h
@@ -124,6 +124,7 @@
 	FORWARD_BLOCKED,  /**< not sent: searchers have crashed while running it */
 	FORWARD_DEFERRED, /**< not sent: the request is suspect, and another attempt at it is on
 			     trial */
+	FORWARD_UNAUTHORIZED, /**< it has no API key that the configuration holds */
 	FORWARD_OUTCOMES,
 } forward_outcome_t;
 
@@ -143,6 +144,7 @@
 	const char *id;
 	const char *host;
 	const char *target;
+	const char *key; /**< API key; NULL: none */
 	fingerprint_t fingerprint;
 	uint64_t received_us;
 	uint64_t patience_us;  /**< how long the caller waits; 0: not given */
@@ -164,6 +166,7 @@
 	forward_request_t request;
 	routing_t *routing; /**< the routing version that applies to the request until it is over */
 	const route_t *route;
+	const tenant_t *tenant; /**< NULL: none */
 	struct route_state_t *state;
 	uint32_t max_attempts; /**< how many searchers of a shard may run it */
 	uint64_t deadline_us;
--- a/src/core/forward_outcome.c
+++ b/src/core/forward_outcome.c
@@ -20,6 +20,7 @@
 		[FORWARD_TIMEOUT] = "timeout",
 		[FORWARD_BLOCKED] = "blocked",
 		[FORWARD_DEFERRED] = "deferred",
+		[FORWARD_UNAUTHORIZED] = "unauthorized",
 	};
 
 	return names[outcome];
@@ -34,7 +35,7 @@
 		[FORWARD_FULL] = 503,	       [FORWARD_REJECTED] = 503,
 		[FORWARD_TOO_FEW] = 502,       [FORWARD_FAILED] = 502,
 		[FORWARD_TIMEOUT] = 504,       [FORWARD_BLOCKED] = 503,
-		[FORWARD_DEFERRED] = 503,
+		[FORWARD_DEFERRED] = 503,      [FORWARD_UNAUTHORIZED] = 401,
 	};
 
 	return statuses[outcome];
--- a/src/core/forward_private.h
+++ b/src/core/forward_private.h
@@ -97,6 +97,10 @@
 bool forward_advance(forward_t *forward, uint64_t now_us);
 /** Answer the caller if it is time to. Returns true if the request is over; it is freed then. */
 bool forward_try_answer(forward_t *forward, uint64_t now_us);
+/** Its rank in queues: that of its tenant, if the tenant has one, else that of its route. */
+uint32_t forward_rank(const forward_t *forward);
+/** Whether it must stay in some regions. */
+bool forward_is_bound(const forward_t *forward);
 /** Whether @p parts answered parts are enough for a success. */
 bool forward_has_enough(const forward_t *forward, uint32_t parts);
 /** Set the timer to the next event: a deadline, a hedge, or a check of held parts. */
--- a/src/core/forwarder.c
+++ b/src/core/forwarder.c
@@ -320,7 +320,8 @@
 		searcher_t *searcher = part_choose(part, now_us);
 
 		next = item->next;
-		if (!searcher && !part->tried && !forward->route->regions && forward->probe != part)
+		if (!searcher && !part->tried && !forward_is_bound(forward) &&
+		    forward->probe != part)
 			break; /* this part may use any searcher, and none has a free connection:
 				* no other part will find one either */
 		if (!searcher)
@@ -516,6 +517,7 @@
 forward_t *forwarder_submit(forwarder_t *forwarder, const forward_request_t *request, void *owner,
 			    uint64_t now_us)
 {
+	const tenant_t *tenant;
 	const route_t *route;
 	forward_t *forward;
 
@@ -533,9 +535,14 @@
 		answer_unrouted(forwarder, request, owner, FORWARD_NO_ROUTE);
 		return NULL;
 	}
+	if (!routing_authorize(forwarder->routing, route, request->key, &tenant)) {
+		answer_unrouted(forwarder, request, owner, FORWARD_UNAUTHORIZED);
+		return NULL;
+	}
 	forward = g_new0(forward_t, 1);
 	forward->forwarder = forwarder;
 	forward->request = *request;
+	forward->tenant = tenant;
 	forward->owner = owner;
 	forward->routing = routing_ref(forwarder->routing);
 	forward->route = route;
--- a/src/core/hop_message.c
+++ b/src/core/hop_message.c
@@ -8,7 +8,9 @@
 
 /* In every message: its type and the request's serial number. */
 #define HEAD_FIELDS 2
-#define REQUEST_FIELDS 9
+#define REQUEST_FIELDS 10
+/* Earlier versions do not send the API key. */
+#define REQUEST_FIELDS_MIN 9
 #define ANSWER_FIELDS 6
 
 static void pack_bytes(msgpack_packer *packer, hop_bytes_t bytes)
@@ -28,6 +30,7 @@
 	pack_bytes(packer, request->target);
 	pack_bytes(packer, request->head);
 	pack_bytes(packer, request->body);
+	pack_bytes(packer, request->key);
 }
 
 static void pack_answer(msgpack_packer *packer, const hop_answer_t *answer)
@@ -40,6 +43,7 @@
 	pack_bytes(packer, answer->records);
 }
 
+/* Number of fields of a message as this version writes it. */
 static size_t fields_of(hop_type_t type)
 {
 	static const uint8_t extra[HOP_TYPES] = {[HOP_REQUEST] = REQUEST_FIELDS,
@@ -51,6 +55,12 @@
 	return HEAD_FIELDS + extra[type];
 }
 
+/* Number of fields of a message as an earlier version writes it. */
+static size_t min_fields_of(hop_type_t type)
+{
+	return type == HOP_REQUEST ? HEAD_FIELDS + REQUEST_FIELDS_MIN : fields_of(type);
+}
+
 void hop_message_write(GByteArray *out, const hop_message_t *message)
 {
 	msgpack_sbuffer buffer;
@@ -105,7 +115,8 @@
 	return (hop_bytes_t){.data = field->via.bin.ptr, .bytes = field->via.bin.size};
 }
 
-static void decode_request(fields_t *fields, hop_request_t *request)
+/* @p count: fields of the whole message */
+static void decode_request(fields_t *fields, uint32_t count, hop_request_t *request)
 {
 	request->version = decode_number(fields, UINT64_MAX);
 	request->elapsed_us = decode_number(fields, UINT64_MAX);
@@ -116,6 +127,8 @@
 	request->target = decode_bytes(fields);
 	request->head = decode_bytes(fields);
 	request->body = decode_bytes(fields);
+	if (count > HEAD_FIELDS + REQUEST_FIELDS_MIN)
+		request->key = decode_bytes(fields);
 }
 
 static void decode_answer(fields_t *fields, hop_answer_t *answer)
@@ -151,10 +164,10 @@
 	if (fields.valid && type >= HOP_TYPES)
 		return true;
 	message.type = (hop_type_t)type;
-	if (!fields.valid || array->size < fields_of(message.type))
+	if (!fields.valid || array->size < min_fields_of(message.type))
 		return false;
 	if (type == HOP_REQUEST)
-		decode_request(&fields, &message.request);
+		decode_request(&fields, array->size, &message.request);
 	else if (type == HOP_ANSWER)
 		decode_answer(&fields, &message.answer);
 	else if (type == HOP_REJECTED)
--- a/src/core/hop_message.h
+++ b/src/core/hop_message.h
@@ -66,6 +66,7 @@
 	hop_bytes_t id;	      /**< the caller's request ID */
 	hop_bytes_t host;
 	hop_bytes_t target;
+	hop_bytes_t key;  /**< the caller's API key; empty: none */
 	hop_bytes_t head; /**< sent to every searcher: request line and headers */
 	hop_bytes_t body;
 } hop_request_t;
--- a/src/core/part.c
+++ b/src/core/part.c
@@ -32,8 +32,10 @@
 
 candidates_t part_candidates(const part_t *part)
 {
-	return (candidates_t){
-		.pool = part->pool, .route = part->forward->route, .tried = part->tried};
+	return (candidates_t){.pool = part->pool,
+			      .route = part->forward->route,
+			      .tenant = part->forward->tenant,
+			      .tried = part->tried};
 }
 
 static bool is_possible(const part_t *part)
@@ -123,7 +125,7 @@
 
 	if (spare != shedding_is_allowed(other->forward))
 		return !spare;
-	return part->forward->route->rank < other->forward->route->rank;
+	return forward_rank(part->forward) < forward_rank(other->forward);
 }
 
 static void part_insert(part_t *part)
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -55,15 +55,21 @@
 	return pool->typical.value_us > 0 ? pool->typical.value_us : TYPICAL_DEFAULT_US;
 }
 
-/* Whether the operator and the route allow the searcher; capacity is not checked. */
-static bool is_eligible(const searcher_t *searcher, const route_t *route)
+static bool is_in_allowed_region(const candidates_t *candidates, const searcher_t *searcher)
 {
-	return searcher_is_usable(searcher) && (!route || route_allows(route, searcher->region));
+	return (!candidates->route || route_allows(candidates->route, searcher->region)) &&
+	       tenant_allows(candidates->tenant, searcher->region);
+}
+
+/* Whether the operator, the route and the tenant allow the searcher; capacity is not checked. */
+static bool is_eligible(const candidates_t *candidates, const searcher_t *searcher)
+{
+	return searcher_is_usable(searcher) && is_in_allowed_region(candidates, searcher);
 }
 
 static bool is_candidate(const candidates_t *candidates, const searcher_t *searcher)
 {
-	if (!is_eligible(searcher, candidates->route))
+	if (!is_eligible(candidates, searcher))
 		return false;
 	return !candidates->tried ||
 	       !g_ptr_array_find((GPtrArray *)candidates->tried, searcher, NULL);
@@ -141,7 +147,7 @@
 	for (guint i = 0; i < searchers->len; i++) {
 		const searcher_t *searcher = g_ptr_array_index(searchers, i);
 
-		if (is_eligible(searcher, candidates->route) &&
+		if (is_eligible(candidates, searcher) &&
 		    !is_cold_limited(searcher, candidates->pool, now_us))
 			sum += searcher->connections_max;
 	}
@@ -326,7 +332,7 @@
 
 		if (searcher->state != SEARCHER_READY)
 			continue;
-		if (candidates->route && !route_allows(candidates->route, searcher->region))
+		if (!is_in_allowed_region(candidates, searcher))
 			passed.elsewhere++;
 		else if (searcher->evacuated)
 			passed.evacuated++;
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -19,6 +19,7 @@
 typedef struct candidates_t {
 	const pool_t *pool;
 	const route_t *route;	/**< restricts the regions; NULL: no restriction */
+	const tenant_t *tenant; /**< the same */
 	const GPtrArray *tried; /**< searcher_t already tried, which are excluded; NULL: none */
 } candidates_t;
 
@@ -52,7 +53,7 @@
 bool placement_all_cold(const candidates_t *candidates, uint64_t now_us);
 /** Number of ready searchers of a service that a part was not sent to, by reason. */
 typedef struct passed_over_t {
-	uint32_t elsewhere; /**< in regions that the route does not allow */
+	uint32_t elsewhere; /**< in regions that the route or the tenant does not allow */
 	uint32_t evacuated;
 	uint32_t cold; /**< cold, and this VM has used up its share of their rate limit */
 } passed_over_t;
--- a/src/core/routing.c
+++ b/src/core/routing.c
@@ -19,8 +19,7 @@
 	g_free(route->host);
 	g_free(route->prefix);
 	g_array_unref(route->targets);
-	if (route->regions)
-		g_ptr_array_unref(route->regions);
+	region_list_free(route->regions);
 	g_free(route);
 }
 
@@ -52,6 +51,7 @@
 	g_hash_table_unref(routing->singles);
 	g_hash_table_unref(routing->services);
 	g_ptr_array_unref(routing->routes);
+	tenants_free(routing->tenants);
 	g_free(routing);
 }
 
@@ -74,22 +74,12 @@
 
 bool route_add_region(route_t *route, const char *region)
 {
-	if (!route->regions)
-		route->regions = g_ptr_array_new_with_free_func(g_free);
-	else if (route_allows(route, region))
-		return false;
-	g_ptr_array_add(route->regions, g_strdup(region));
-	return true;
+	return region_list_add(&route->regions, region);
 }
 
 bool route_allows(const route_t *route, const char *region)
 {
-	if (!route->regions)
-		return true;
-	for (guint i = 0; region && i < route->regions->len; i++)
-		if (g_str_equal(g_ptr_array_index(route->regions, i), region))
-			return true;
-	return false;
+	return region_list_allows(route->regions, region);
 }
 
 static bool is_region(GHashTable *regions, const char *name)
@@ -186,6 +176,13 @@
 	return NULL;
 }
 
+bool routing_authorize(const routing_t *routing, const route_t *route, const char *key,
+		       const tenant_t **tenant)
+{
+	*tenant = routing->tenants ? tenants_find_key(routing->tenants, key) : NULL;
+	return !routing->tenants || route->is_public || *tenant;
+}
+
 service_limits_t routing_service_limits(const routing_t *routing, const char *service)
 {
 	const service_limits_t *terms = g_hash_table_lookup(routing->services, service);
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -6,6 +6,8 @@
 #ifndef DS_ROUTING_H
 #define DS_ROUTING_H
 
+#include "core/tenants.h"
+
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -31,6 +33,7 @@
 	uint32_t top;	       /**< gathers: maximum number of records in the answer */
 	double min_coverage;   /**< gathers: the share of answered targets that makes a success */
 	GArray *targets;       /**< route_target_t */
+	bool is_public;	       /**< its requests need no API key */
 	GPtrArray *regions; /**< names of the regions its requests must stay in; NULL: any region */
 } route_t;
 
@@ -54,6 +57,7 @@
 	uint64_t version;
 	GPtrArray *routes;    /**< route_t */
 	GHashTable *services; /**< name to service_limits_t */
+	tenants_t *tenants;   /**< NULL: the configuration has none, and no request needs a key */
 	caller_limits_t limits;
 	GHashTable *by_host; /**< host to GPtrArray of route_t, longest prefix first */
 	GHashTable *singles; /**< services that some route sends to alone; the names are owned by
@@ -84,6 +88,13 @@
 
 /** The route of @p host with the longest prefix that matches the path of @p target, or NULL. */
 const route_t *routing_match(const routing_t *routing, const char *host, const char *target);
+/**
+ * Whether a request with @p key may use @p route.
+ * @param key NULL: it has none
+ * @param tenant set to the tenant that holds the key; NULL for none
+ */
+bool routing_authorize(const routing_t *routing, const route_t *route, const char *key,
+		       const tenant_t **tenant);
 /** Whether some route sends to @p service alone, and not to it as one of many shards. */
 bool routing_is_single(const routing_t *routing, const char *service);
 /** The minimum, over the services that are gathered, of the connections that a searcher takes; 0:
--- a/src/tasks/front_task.c
+++ b/src/tasks/front_task.c
@@ -157,7 +157,8 @@
 
 	(void)ctx;
 	g_string_append_len(out, head->str, (gssize)head->len);
-	headers_write_subrequest(out, sub->searcher, subrequest_time_left_us(sub, loop_now_us()));
+	headers_write_subrequest(out, sub->searcher, sub->forward->tenant,
+				 subrequest_time_left_us(sub, loop_now_us()));
 }
 
 static const GString *body_of(void *ctx, const subrequest_t *sub)
@@ -377,7 +378,8 @@
  * The route of a request that is gathered, otherwise NULL. NULL also for a request that this VM
  * refuses: it is refused here, not handed over.
  */
-static const route_t *gather_route(const front_task_t *task, const relay_t *relay)
+static const route_t *gather_route(const front_task_t *task, const relay_t *relay,
+				   const tenant_t **tenant)
 {
 	const routing_t *routing = forwarder_routing(task->forwarder);
 	const route_t *route;
@@ -386,13 +388,31 @@
 	    forwarder_is_blocked(task->forwarder, relay->request.fingerprint, loop_now_us()))
 		return NULL;
 	route = routing_match(routing, relay->request.host, relay->request.target);
-	return route && route->gathers ? route : NULL;
+	return route && route->gathers &&
+			       routing_authorize(routing, route, relay->request.key, tenant)
+		       ? route
+		       : NULL;
+}
+
+/* The key may be one that the newer configuration adds. A caller retries after a 503, but not after
+ * a 401. */
+static bool may_have_new_key(const front_task_t *task, const relay_t *relay)
+{
+	const routing_t *routing = forwarder_routing(task->forwarder);
+	const tenant_t *tenant;
+	const route_t *route;
+
+	if (!routing || !is_config_behind(task))
+		return false;
+	route = routing_match(routing, relay->request.host, relay->request.target);
+	return route && !routing_authorize(routing, route, relay->request.key, &tenant);
 }
 
 static void on_request(void *ctx, http_exchange_t *exchange)
 {
 	front_task_t *task = ctx;
 	const http_message_t *message = http_exchange_message(exchange);
+	const tenant_t *tenant = NULL;
 	const route_t *route;
 	relay_t *relay;
 
@@ -405,10 +425,15 @@
 	}
 	relay = relay_from_caller(exchange);
 	http_exchange_set_data(exchange, relay);
-	route = gather_route(task, relay);
+	if (may_have_new_key(task, relay)) {
+		reject_config_behind(task, relay);
+		return;
+	}
+	route = gather_route(task, relay, &tenant);
 	/* Gatherers are in this VM's region, which may not be the caller's. A request that must
 	 * stay in other regions is handed over to none of them. */
 	if (route && route_allows(route, own_region(task)) &&
+	    tenant_allows(tenant, own_region(task)) &&
 	    gather_task_hand_over(task->gathers, relay, route,
 				  forwarder_routing(task->forwarder)->version))
 		return;
--- a/src/tasks/hop_server.c
+++ b/src/tasks/hop_server.c
@@ -60,6 +60,7 @@
 	job->id = request->id.bytes ? text_of(request->id) : NULL;
 	job->host = text_of(request->host);
 	job->target = text_of(request->target);
+	job->key = request->key.bytes ? text_of(request->key) : NULL;
 	job->head = g_string_new_len(request->head.data, (gssize)request->head.bytes);
 	job->body = g_string_new_len(request->body.data, (gssize)request->body.bytes);
 	g_hash_table_insert(conn->jobs, &job->serial, job);
@@ -72,6 +73,7 @@
 	g_free(job->id);
 	g_free(job->host);
 	g_free(job->target);
+	g_free(job->key);
 	g_string_free(job->head, TRUE);
 	g_string_free(job->body, TRUE);
 	g_free(job);
--- a/src/tasks/hop_server.h
+++ b/src/tasks/hop_server.h
@@ -23,6 +23,7 @@
 	char *id;	      /**< the caller's request id; NULL for none */
 	char *host;
 	char *target;
+	char *key;     /**< the caller's API key; NULL for none */
 	GString *head; /**< sent to every searcher: request line and headers */
 	GString *body;
 	void *data; /**< for the gathering code, which sets it */
--- a/src/tasks/relay.c
+++ b/src/tasks/relay.c
@@ -17,9 +17,11 @@
 	relay->request = (forward_request_t){.id = headers.id,
 					     .host = headers.host,
 					     .target = http_message_target(message),
+					     .key = headers.key,
 					     .received_us = http_exchange_start_us(exchange),
 					     .patience_us = headers.patience_us};
-	relay->request.fingerprint = fingerprint_of(relay_head(relay), relay_body(relay));
+	relay->request.fingerprint =
+		fingerprint_of(relay_head(relay), relay_body(relay), headers.key);
 	return relay;
 }
 
@@ -30,14 +32,16 @@
 	relay_t *relay = g_new0(relay_t, 1);
 
 	relay->job = job;
-	relay->request = (forward_request_t){.id = job->id,
-					     .host = job->host,
-					     .target = job->target,
-					     .fingerprint = fingerprint_of(job->head, job->body),
-					     .received_us = job->received_us,
-					     .patience_us = job->patience_us,
-					     .max_attempts = 1,
-					     .is_resend = job->is_resend};
+	relay->request =
+		(forward_request_t){.id = job->id,
+				    .host = job->host,
+				    .target = job->target,
+				    .key = job->key,
+				    .fingerprint = fingerprint_of(job->head, job->body, job->key),
+				    .received_us = job->received_us,
+				    .patience_us = job->patience_us,
+				    .max_attempts = 1,
+				    .is_resend = job->is_resend};
 	return relay;
 }
 
@@ -79,6 +83,7 @@
 			       .id = bytes_of(relay->request.id),
 			       .host = bytes_of(relay->request.host),
 			       .target = bytes_of(relay->request.target),
+			       .key = bytes_of(relay->request.key),
 			       .head = {.data = head->str, .bytes = head->len},
 			       .body = {.data = body->str, .bytes = body->len}};
 }
--- a/standins/bench_core.c
+++ b/standins/bench_core.c
@@ -1,13 +1,14 @@
 /**
  * @file bench_core.c
- * Measures the CPU and memory cost of the engine by number of searchers. docs/CAPACITY.md is
- * computed from these slopes.
+ * Measures the CPU and memory cost of the engine by number of searchers, and that of finding an API
+ * key by number of keys. docs/CAPACITY.md is computed from these slopes.
  *
  * Runs the real engine without sockets; every sub-request is answered immediately. Prints one line
  * of JSON for each measurement.
  */
 #include "core/active_config.h"
 #include "core/engine.h"
+#include "core/tenants.h"
 
 #include <malloc.h>
 #include <stdio.h>
@@ -17,6 +18,7 @@
 
 #define GATHERS 2000
 #define ROUNDS 20
+#define KEY_LOOKUPS 1000000
 
 typedef struct bench_t {
 	engine_t *engine;
@@ -218,11 +220,35 @@
 	json_decref(source);
 }
 
+static void measure_keys(uint32_t count)
+{
+	tenants_t *tenants = tenants_new();
+	uint64_t memory_before = mallinfo2().uordblks, memory, from_ns, found = 0;
+	char(*keys)[24] = g_malloc(sizeof(*keys) * count);
+
+	for (uint32_t i = 0; i < count; i++) {
+		g_snprintf(keys[i], sizeof(keys[i]), "k%08x%08x", i * 2654435761u, i);
+		tenants_add_key(tenants, keys[i], tenants_add(tenants, keys[i]));
+	}
+	memory = mallinfo2().uordblks - memory_before - sizeof(*keys) * count;
+	from_ns = cpu_ns();
+	for (uint32_t i = 0; i < KEY_LOOKUPS; i++)
+		found += tenants_find_key(tenants, keys[i * 7919u % count]) != NULL;
+	printf("{\"keys\": %u, \"lookup_ns\": %.0f, \"found\": %.2f, \"bytes_per_tenant\": %.0f}\n",
+	       count, (double)(cpu_ns() - from_ns) / KEY_LOOKUPS, (double)found / KEY_LOOKUPS,
+	       (double)memory / count);
+	g_free(keys);
+	tenants_free(tenants);
+}
+
 int main(void)
 {
 	static const uint32_t sizes[] = {10, 55, 110, 330};
+	static const uint32_t key_counts[] = {10, 1000, 10000, 100000};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++)
 		measure(sizes[i]);
+	for (size_t i = 0; i < G_N_ELEMENTS(key_counts); i++)
+		measure_keys(key_counts[i]);
 	return 0;
 }
--- a/standins/users_platform.c
+++ b/standins/users_platform.c
@@ -15,6 +15,11 @@
  * and serve the others. An endpoint may be busy (503), silent (it accepts calls and answers none),
  * or reset connections.
  *
+ * Tenants are added by the action tenant (id: its name, n: its rate and burst; its API key is
+ * key-NAME), and lose their key by the action revoke; the next configure puts them in force. The
+ * counters show how many sub-requests reached searchers for each tenant (tenants), with no tenant
+ * (untenanted), and with a caller's API key (leaked).
+ *
  * The store may be restored from an older copy of its data (actions copy, then restore), which
  * raises its era. What operators and searchers wrote since the copy is written again by repeating
  * the control actions.
@@ -79,9 +84,12 @@
 	int cold_per_s;	       /* rate limit of a cold searcher, requests a second; 0: no limit */
 	GHashTable *post_runs; /* request id of a POST to how often it ran */
 	GHashTable *crashes;   /* path to crash_record_t */
-	GHashTable *objects;   /* "kind/name" to json_t */
-	GPtrArray *history;    /* json_t events, each with "rev" and "kind" */
-	GPtrArray *watches;    /* watch_t */
+	json_t *tenants;       /* name to tenant as in the configuration; empty: none */
+	json_t *tenant_runs;   /* name to how many sub-requests arrived for it */
+	uint64_t untenanted, leaked;
+	GHashTable *objects; /* "kind/name" to json_t */
+	GPtrArray *history;  /* json_t events, each with "rev" and "kind" */
+	GPtrArray *watches;  /* watch_t */
 	GPtrArray *searchers;
 	uint64_t revision;
 	uint64_t born_ms;	     /* when this program started */
@@ -541,6 +549,19 @@
 	return all;
 }
 
+static void count_tenant_run(users_platform_t *platform, http_exchange_t *exchange)
+{
+	const char *name = http_exchange_header(exchange, "Dogwoodsaddle-Tenant");
+	json_int_t runs;
+
+	platform->leaked += http_exchange_header(exchange, "Dogwoodsaddle-Credential") != NULL;
+	platform->untenanted += !name;
+	if (!name)
+		return;
+	runs = json_integer_value(json_object_get(platform->tenant_runs, name));
+	json_object_set_new(platform->tenant_runs, name, json_integer(runs + 1));
+}
+
 static void run(searcher_t *searcher, http_exchange_t *exchange)
 {
 	job_t *job = g_new0(job_t, 1);
@@ -548,6 +569,7 @@
 	searcher->runs++;
 	record_arrival(searcher, exchange);
 	count_post_run(searcher->platform, exchange);
+	count_tenant_run(searcher->platform, exchange);
 	job->searcher = searcher;
 	job->exchange = http_exchange_ref(exchange);
 	job->timer = (loop_timer_t){.fire = answer, .ctx = job};
@@ -681,6 +703,38 @@
 			 "min-coverage", 0.6);
 }
 
+static void set_tenant(users_platform_t *platform, const char *name, const char *rate)
+{
+	g_autofree char *key = g_strdup_printf("key-%s", name);
+
+	json_object_set_new(platform->tenants, name,
+			    json_pack("{s:s,s:[s],s:i,s:i,s:[]}", "name", name, "api-keys", key,
+				      "rate-per-s", atoi(rate), "burst", atoi(rate),
+				      "allowed-regions"));
+}
+
+static void revoke_key(users_platform_t *platform, const char *name)
+{
+	json_t *tenant = json_object_get(platform->tenants, name);
+
+	if (tenant)
+		json_object_set_new(tenant, "api-keys", json_array());
+}
+
+/* NULL when the configuration is to have no tenants. */
+static json_t *tenants_json(const users_platform_t *platform)
+{
+	json_t *all = json_array(), *tenant;
+	const char *name;
+
+	json_object_foreach (platform->tenants, name, tenant)
+		json_array_append_new(all, json_deep_copy(tenant));
+	if (json_array_size(all))
+		return all;
+	json_decref(all);
+	return NULL;
+}
+
 static void configure(users_platform_t *platform, int version)
 {
 	json_t *find = route("find", "find.example", "/find/", "idempotent");
@@ -688,8 +742,9 @@
 	json_t *act = route("act", "get.example", "/get/act/", "non_idempotent");
 	json_t *home = route("home", "home.example", "/home/", "idempotent");
 	json_t *kept = route("kept", "home.example", "/kept/", "idempotent");
+	json_t *open = route("open", "open.example", "/open/", "idempotent");
 	json_t *shards = json_array(), *services = json_array();
-	json_t *routes = json_pack("[o,o,o,o,o]", find, get, act, home, kept);
+	json_t *routes = json_pack("[o,o,o,o,o,o]", find, get, act, home, kept, open);
 
 	for (int i = 0; i < platform->shards; i++) {
 		g_autofree char *name = g_strdup_printf("shard-%d", i);
@@ -717,10 +772,13 @@
 	json_object_set_new(find, "fanout-services", shards);
 	json_object_set_new(get, "service", json_string("single"));
 	json_object_set_new(act, "service", json_string("single"));
+	json_object_set_new(open, "service", json_string("single"));
+	json_object_set_new(open, "public", json_true());
 	put(platform, "config", "main",
-	    json_pack("{s:i,s:o,s:o,s:{s:i,s:i,s:i,s:i}}", "version", version, "routes", routes,
-		      "services", services, "limits", "max-header-bytes", 4096, "max-body-bytes",
-		      8192, "header-timeout-ms", 1000, "idle-timeout-ms", 5000));
+	    json_pack("{s:i,s:o,s:o,s:o*,s:{s:i,s:i,s:i,s:i}}", "version", version, "routes",
+		      routes, "services", services, "tenants", tenants_json(platform), "limits",
+		      "max-header-bytes", 4096, "max-body-bytes", 8192, "header-timeout-ms", 1000,
+		      "idle-timeout-ms", 5000));
 }
 
 /* ---- control ---- */
@@ -798,11 +856,13 @@
 		json_object_set_new(disconnected, searcher->id,
 				    json_integer((json_int_t)searcher->disconnected));
 	}
-	return json_pack("{s:b,s:I,s:o,s:o,s:o,s:o,s:I}", "open",
+	return json_pack("{s:b,s:I,s:o,s:o,s:o,s:o,s:I,s:O,s:I,s:I}", "open",
 			 platform->endpoints[0].state == ENDPOINT_OPEN, "pressed",
 			 (json_int_t)overload_crashes, "runs", runs, "left", disconnected, "posted",
 			 post_runs_json(platform), "crashes", crash_records_json(platform),
-			 "store_calls", (json_int_t)platform->calls);
+			 "store_calls", (json_int_t)platform->calls, "tenants",
+			 platform->tenant_runs, "untenanted", (json_int_t)platform->untenanted,
+			 "leaked", (json_int_t)platform->leaked);
 }
 
 static endpoint_state_t endpoint_state_by_name(const char *name)
@@ -857,6 +917,10 @@
 		make_copy(platform);
 	else if (!g_strcmp0(action, "restore"))
 		restore_copy(platform);
+	else if (!g_strcmp0(action, "tenant"))
+		set_tenant(platform, id, number);
+	else if (!g_strcmp0(action, "revoke"))
+		revoke_key(platform, id);
 	else if (!g_strcmp0(action, "configure"))
 		configure(platform, atoi(number));
 	reply_json(exchange, 200, counters_json(platform));
@@ -942,6 +1006,8 @@
 	platform.post_runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	platform.crashes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	platform.searchers = g_ptr_array_new();
+	platform.tenants = json_object();
+	platform.tenant_runs = json_object();
 	if (platform.shards > SHARDS_MAX ||
 	    !http_server_new(platform.loop, "127.0.0.1", (uint16_t)platform.store_port,
 			     &HTTP_SERVER_INTERNAL_LIMITS(BODY_MAX_BYTES), &store,
--- a/tests/forward_test.c
+++ b/tests/forward_test.c
@@ -7,7 +7,8 @@
  *
  * - `route NAME HOST PREFIX single|gather idempotent|once KEY=NUMBER... [region=NAME]...
  *   SERVICE[*WEIGHT]...`
- * - `routing VERSION`: apply the routes given so far
+ * - `tenant NAME KEY [rank=N] [region=NAME]...`: the configuration has tenants, this one among them
+ * - `routing VERSION`: apply the routes and tenants given so far
  * - `searcher ID SERVICE local|far [SLOTS [BORN_MS]]`: a searcher registers
  * - `drain ID, gone ID [BORN_MS]`: the store reports that a searcher drains, or is gone
  * - `bears SERVICE PER_S COLD_MS`: requests per second that a searcher of the service can take
@@ -27,6 +28,7 @@
  *   hung after MS
  * - `tell`: from now on, print the observations that are shared with other VMs
  * - `request ID HOST TARGET [PATIENCE_MS]`: a caller sends a request and waits for PATIENCE_MS
+ * - `with KEY`: further requests carry this API key; `with -`: none
  * - `leave ID`: the caller of a request disconnects
  * - `at MS`: advance the clock to MS
  * - `answer SEARCHER ID [BODY]`: a sub-request ends; also: fail, refuse, replaced, unsent, cut
@@ -63,6 +65,7 @@
 	GPtrArray *subs;      /* subrequest_t in flight */
 	GHashTable *regions;
 	uint64_t changes; /* changes of entries in the store, so far */
+	char *key;	  /* API key of requests; NULL: none */
 	bool quiet;	  /* `many` prints nothing */
 	bool prints_observations;
 	bool claims; /* the script answers claims of trials; otherwise they are granted at once */
@@ -85,14 +88,15 @@
 
 static void on_send(void *ctx, subrequest_t *sub)
 {
-
+	const tenant_t *tenant = sub->forward->tenant;
 	fixture_t *fixture = ctx;
 
 	g_ptr_array_add(fixture->subs, sub);
 	sub->searcher->connections++;
-	print_line(fixture, "send %s part=%u %s to=%s left_ms=%" G_GUINT64_FORMAT,
+	print_line(fixture, "send %s part=%u %s to=%s left_ms=%" G_GUINT64_FORMAT "%s%s",
 		   sub->forward->request.id, sub->part, sub_purpose_name(sub->purpose),
-		   sub->searcher->id, subrequest_time_left_us(sub, fixture->now_us) / 1000);
+		   sub->searcher->id, subrequest_time_left_us(sub, fixture->now_us) / 1000,
+		   tenant ? " tenant=" : "", tenant ? tenant->name : "");
 }
 
 static void on_cancel(void *ctx, subrequest_t *sub)
@@ -250,6 +254,7 @@
 	registry_free(fixture->registry);
 	routing_unref(fixture->routing);
 	g_hash_table_unref(fixture->regions);
+	g_free(fixture->key);
 	g_free(fixture);
 }
 
@@ -260,6 +265,8 @@
 
 	if (g_str_has_prefix(word, "region="))
 		route_add_region(route, equals + 1);
+	else if (g_str_has_prefix(word, "public="))
+		route->is_public = value > 0;
 	else if (g_str_has_prefix(word, "timeout_ms="))
 		route->timeout_us = (uint64_t)value * 1000;
 	else if (g_str_has_prefix(word, "target_ms="))
@@ -301,6 +308,35 @@
 	}
 }
 
+static void do_tenant(void *ctx, char **words)
+{
+	fixture_t *fixture = ctx;
+	tenant_t *tenant;
+
+	if (!fixture->routing)
+		fixture->routing = routing_new(0);
+	if (!fixture->routing->tenants)
+		fixture->routing->tenants = tenants_new();
+	tenant = tenants_add(fixture->routing->tenants, words[1]);
+	tenants_add_key(fixture->routing->tenants, words[2], tenant);
+	for (char **word = words + 3; *word; word++) {
+		if (g_str_has_prefix(*word, "region="))
+			region_list_add(&tenant->regions, *word + strlen("region="));
+		else if (g_str_has_prefix(*word, "rank=")) {
+			tenant->has_rank = true;
+			tenant->rank = (uint32_t)atoi(*word + strlen("rank="));
+		}
+	}
+}
+
+static void do_with(void *ctx, char **words)
+{
+	fixture_t *fixture = ctx;
+
+	g_free(fixture->key);
+	fixture->key = g_str_equal(words[1], "-") ? NULL : g_strdup(words[1]);
+}
+
 static void do_routing(void *ctx, char **words)
 {
 	fixture_t *fixture = ctx;
@@ -484,7 +520,7 @@
 	g_autoptr(GString) body = g_string_new(NULL);
 
 	g_string_printf(head, "GET %s HTTP/1.1\r\nHost: %s\r\n", target, host);
-	return fingerprint_of(head, body);
+	return fingerprint_of(head, body, NULL);
 }
 
 static void submit(fixture_t *fixture, const char *id, const char *host, const char *target,
@@ -496,6 +532,7 @@
 		.id = key,
 		.host = host,
 		.target = target,
+		.key = fixture->key,
 		.fingerprint = fingerprint_of_target(host, target),
 		.received_us = fixture->now_us,
 		.patience_us = patience_ms ? strtoull(patience_ms, NULL, 10) * 1000 : 0};
@@ -709,6 +746,8 @@
 	{"idle", do_idle},
 	{"told", do_told},
 	{"tell", do_tell},
+	{"tenant", do_tenant},
+	{"with", do_with},
 	{"request", do_request},
 	{"leave", do_leave},
 	{"at", do_at},
--- a/tests/front_world.c
+++ b/tests/front_world.c
@@ -441,7 +441,7 @@
 	g_autoptr(GString) head = g_string_new(target);
 	g_autoptr(GString) body = g_string_new(NULL);
 
-	return fingerprint_of(head, body);
+	return fingerprint_of(head, body, NULL);
 }
 
 test_request_t *front_world_attempt(front_world_t *world, const char *route, const char *path,
--- a/tests/hop_message_test.c
+++ b/tests/hop_message_test.c
@@ -43,6 +43,7 @@
 	append_bytes(out, request->target);
 	append_bytes(out, request->head);
 	append_bytes(out, request->body);
+	append_bytes(out, request->key);
 	g_string_append_printf(out, " end=%d %u/%u %" G_GUINT64_FORMAT, answer->end,
 			       answer->missing, answer->parts, answer->retry_after_us);
 	append_bytes(out, answer->stamps);
@@ -62,6 +63,7 @@
 						  .id = bytes_of("id"),
 						  .host = bytes_of("h"),
 						  .target = bytes_of("/x/"),
+						  .key = bytes_of("k"),
 						  .head = bytes_of("GET /x/ HTTP/1.1\r\n"),
 						  .body = {.data = "a\0b", .bytes = 3}};
 	if (type == HOP_ANSWER)
@@ -143,6 +145,29 @@
 	msgpack_sbuffer_destroy(&buffer);
 }
 
+/* A taker of an earlier version sends no API key. */
+static void test_request_without_key(void **state)
+{
+	g_autoptr(GString) got = g_string_new(NULL);
+	msgpack_sbuffer buffer;
+	msgpack_packer packer;
+
+	(void)state;
+	msgpack_sbuffer_init(&buffer);
+	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+	msgpack_pack_array(&packer, 11);
+	msgpack_pack_uint8(&packer, HOP_REQUEST);
+	for (int i = 0; i < 5; i++)
+		msgpack_pack_uint8(&packer, 1);
+	for (int i = 0; i < 5; i++) {
+		msgpack_pack_bin(&packer, 1);
+		msgpack_pack_bin_body(&packer, "x", 1);
+	}
+	assert_int_equal(read_array(&buffer, got), FRAMING_COMPLETE);
+	assert_non_null(strstr(got->str, " x x x x x  end="));
+	msgpack_sbuffer_destroy(&buffer);
+}
+
 /* Invalid bytes are reported, so that the connection is closed, and no message is delivered from
  * them. */
 static void test_garbage(void **state)
@@ -173,6 +198,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_round_trip),
 		cmocka_unit_test(test_later_version),
+		cmocka_unit_test(test_request_without_key),
 		cmocka_unit_test(test_garbage),
 	};
 
--- a/tests/parts_test.c
+++ b/tests/parts_test.c
@@ -657,14 +657,50 @@
 	assert_int_equal(retry_after_us(MISSING_SEARCHERS, patient_us, true), 1280000);
 }
 
+/* ---- API keys ---- */
+
+/* Keys that share all but their last byte, as an operator's generator may make them. */
+static void test_keys_of_many_tenants(void **state)
+{
+	tenants_t *tenants = tenants_new();
+	char name[32], key[64];
+
+	(void)state;
+	for (int i = 0; i < 10000; i++) {
+		tenant_t *tenant;
+
+		g_snprintf(name, sizeof(name), "t%d", i);
+		g_snprintf(key, sizeof(key), "a-long-common-beginning-%05d", i);
+		tenant = tenants_add(tenants, name);
+		assert_true(tenant && tenants_add_key(tenants, key, tenant));
+		assert_false(tenants_add_key(tenants, key, tenant));
+		assert_null(tenants_add(tenants, name));
+	}
+	for (int i = 0; i < 10000; i += 37) {
+		g_snprintf(name, sizeof(name), "t%d", i);
+		g_snprintf(key, sizeof(key), "a-long-common-beginning-%05d", i);
+		assert_ptr_equal(tenants_find_key(tenants, key), tenants_find(tenants, name));
+	}
+	assert_null(tenants_find_key(tenants, "a-long-common-beginning-10000"));
+	assert_null(tenants_find_key(tenants, "a-long-common-beginning-0000"));
+	assert_null(tenants_find_key(tenants, ""));
+	assert_null(tenants_find_key(tenants, NULL));
+	tenants_free(tenants);
+}
+
 /* ---- fingerprints ---- */
 
-static fingerprint_t fingerprint_with(const char *head, const char *body)
+static fingerprint_t fingerprint_with_key(const char *head, const char *body, const char *key)
 {
 	g_autoptr(GString) head_text = g_string_new(head);
 	g_autoptr(GString) body_text = g_string_new(body);
 
-	return fingerprint_of(head_text, body_text);
+	return fingerprint_of(head_text, body_text, key);
+}
+
+static fingerprint_t fingerprint_with(const char *head, const char *body)
+{
+	return fingerprint_with_key(head, body, NULL);
 }
 
 /* Attempts at one request differ in their ids, in headers that their callers' libraries add, and in
@@ -684,6 +720,10 @@
 	assert_true(first != fingerprint_with("GET /a/1 HTTP/1.1\r\nHost: h\r\n"
 					      "Authorization: x\r\n",
 					      ""));
+	assert_true(fingerprint_with_key("GET / HTTP/1.1\r\n", "", "k") !=
+		    fingerprint_with_key("GET / HTTP/1.1\r\n", "k", NULL));
+	assert_true(fingerprint_with_key("GET / HTTP/1.1\r\n", "", "k") !=
+		    fingerprint_with_key("GET / HTTP/1.1\r\n", "", "l"));
 	fingerprint_with("", "");
 }
 
@@ -710,6 +750,7 @@
 		cmocka_unit_test(test_shares_of_many),
 		cmocka_unit_test(test_shares_of_few),
 		cmocka_unit_test(test_placement),
+		cmocka_unit_test(test_keys_of_many_tenants),
 		cmocka_unit_test(test_evacuation_watch),
 		cmocka_unit_test(test_evacuations),
 		cmocka_unit_test(test_feed_of_region),
--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -23,8 +23,8 @@
 	return message;
 }
 
-/* All headers are forwarded unchanged, except hop-by-hop headers and the headers that are replaced.
- */
+/* All headers are forwarded unchanged, except hop-by-hop headers, the API key and the headers that
+ * are replaced. */
 static void test_request_head(void **state)
 {
 	http_message_t *message =
@@ -33,8 +33,11 @@
 			   "Connection: keep-alive, x-hop\r\nX-Hop: 3\r\nTE: trailers\r\n"
 			   "Dogwoodsaddle-Request-Id: id\r\n"
 			   "Dogwoodsaddle-Request-Deadline: 800\r\n"
+			   "Dogwoodsaddle-Credential: secret\r\n"
+			   "dogwoodsaddle-tenant: forged\r\n"
 			   "Dogwoodsaddle-Expected-Instance: other\r\n\r\n");
 	const searcher_t searcher = {.id = "i-1"};
+	const tenant_t tenant = {.name = "t1"};
 	caller_headers_t headers;
 	GString *head = g_string_new(NULL);
 
@@ -43,16 +46,37 @@
 	assert_string_equal(headers.id, "id");
 	assert_string_equal(headers.host, "h");
 	assert_int_equal(headers.patience_us, 800000);
+	assert_string_equal(headers.key, "secret");
 	headers_write_common(head, message);
-	headers_write_subrequest(head, &searcher, 750900);
+	headers_write_subrequest(head, &searcher, &tenant, 750900);
 	assert_string_equal(head->str, "GET /a/?q=1 HTTP/1.1\r\nHost: h\r\nX-Own: 1\r\nX-Own: 2\r\n"
 				       "Dogwoodsaddle-Request-Id: id\r\n"
+				       "Dogwoodsaddle-Tenant: t1\r\n"
 				       "Dogwoodsaddle-Request-Deadline: 750\r\n"
 				       "Dogwoodsaddle-Expected-Instance: i-1\r\n\r\n");
 	g_string_free(head, TRUE);
 	http_message_free(message);
 }
 
+/* Two keys in one request: which of them another program would have used can't be known. */
+static void test_key_named_twice(void **state)
+{
+	http_message_t *message =
+		message_of(HTTP_MESSAGE_REQUEST, "GET / HTTP/1.1\r\nHost: h\r\n"
+						 "Dogwoodsaddle-Credential: one\r\n"
+						 "dogwoodsaddle-credential: two\r\n\r\n");
+	GString *head = g_string_new(NULL);
+	caller_headers_t headers;
+
+	(void)state;
+	headers_read_caller(message, &headers);
+	assert_null(headers.key);
+	headers_write_common(head, message);
+	assert_string_equal(head->str, "GET / HTTP/1.1\r\nHost: h\r\n");
+	g_string_free(head, TRUE);
+	http_message_free(message);
+}
+
 typedef struct reply_case_t {
 	const char *what;
 	const char *text;
@@ -193,6 +217,93 @@
 	json_decref(json);
 }
 
+#define TENANTS(list) "{\"version\":1,\"routes\":[],\"tenants\":" list "}"
+
+static void test_tenants(void **state)
+{
+	json_t *json = json_loads(TENANTS("[{\"name\":\"t1\",\"api-keys\":[\"k1\",\"k2\"],"
+					  "\"priority\":3,\"rate-per-s\":4.5,\"burst\":6,"
+					  "\"allowed-regions\":[\"south\"]},"
+					  "{\"name\":\"t2\",\"api-keys\":[]}]"),
+				  0, NULL);
+	const route_t open = {.is_public = true}, closed = {0};
+	const tenant_t *tenant;
+	err_t err = {0};
+	routing_t *routing = store_read_routing(json, &err);
+
+	(void)state;
+	assert_non_null(routing);
+	assert_true(routing_authorize(routing, &closed, "k2", &tenant));
+	assert_string_equal(tenant->name, "t1");
+	assert_true(tenant->has_rank && tenant->rank == 3);
+	assert_true(tenant->rate_per_s == 4.5 && tenant->burst == 6);
+	assert_true(tenant_allows(tenant, "south"));
+	assert_false(tenant_allows(tenant, "west") || tenant_allows(tenant, NULL));
+	assert_true(routing_authorize(routing, &open, "k1", &tenant) && tenant);
+	assert_true(routing_authorize(routing, &open, NULL, &tenant) && !tenant);
+	assert_true(routing_authorize(routing, &open, "k3", &tenant) && !tenant);
+	assert_false(routing_authorize(routing, &closed, "k3", &tenant));
+	assert_false(routing_authorize(routing, &closed, "k", &tenant));
+	assert_false(routing_authorize(routing, &closed, "", &tenant));
+	assert_false(routing_authorize(routing, &closed, NULL, &tenant));
+	tenant = tenants_find(routing->tenants, "t2");
+	assert_true(tenant && !tenant->has_rank && tenant->rate_per_s == 0);
+	assert_true(tenant_allows(tenant, "west"));
+	routing_unref(routing);
+	json_decref(json);
+}
+
+/* Without tenants in the configuration no request needs a key, and none has a tenant. */
+static void test_no_tenants(void **state)
+{
+	json_t *json = json_loads("{\"version\":1,\"routes\":[]}", 0, NULL);
+	const route_t route = {0};
+	const tenant_t *tenant;
+	err_t err = {0};
+	routing_t *routing = store_read_routing(json, &err);
+
+	(void)state;
+	assert_true(routing_authorize(routing, &route, "k", &tenant));
+	assert_null(tenant);
+	routing_unref(routing);
+	json_decref(json);
+}
+
+/* The error names the tenant, so that an operator finds it among thousands; it holds no key. */
+static void test_invalid_tenants(void **state)
+{
+	static const struct {
+		const char *text, *error;
+	} cases[] = {
+		{TENANTS("{}"), "tenants is no list"},
+		{TENANTS("[{\"api-keys\":[\"k\"]}]"), "a tenant has no name"},
+		{TENANTS("[{\"name\":\"a b\"}]"), "a tenant has no name"},
+		{TENANTS("[{\"name\":\"t\"},{\"name\":\"t\"}]"), "tenant t is named twice"},
+		{TENANTS("[{\"name\":\"t\",\"api-keys\":\"k\"}]"), "tenant t: api-keys"},
+		{TENANTS("[{\"name\":\"t\",\"api-keys\":[\"secret\",7]}]"),
+		 "tenant t: API key 2 is no text"},
+		{TENANTS("[{\"name\":\"a\",\"api-keys\":[\"secret\"]},"
+			 "{\"name\":\"t\",\"api-keys\":[\"secret\"]}]"),
+		 "tenant t: API key 1 is held already"},
+		{TENANTS("[{\"name\":\"t\",\"rate-per-s\":-1}]"), "tenant t: rate-per-s"},
+		{TENANTS("[{\"name\":\"t\",\"burst\":\"9\"}]"), "tenant t: burst"},
+		{TENANTS("[{\"name\":\"t\",\"priority\":-1}]"), "tenant t: priority"},
+		{TENANTS("[{\"name\":\"t\",\"allowed-regions\":[7]}]"), "tenant t: allowed region"},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		json_t *json = json_loads(cases[i].text, 0, NULL);
+		err_t err = {0};
+
+		assert_non_null(json);
+		assert_null(store_read_routing(json, &err));
+		if (!strstr(err.text, cases[i].error) || strstr(err.text, "secret"))
+			fail_msg("%s: %s", cases[i].text, err.text);
+		json_decref(json);
+	}
+}
+
 #define ROUTE_IN(regions)                                                                          \
 	"{\"version\":1,\"routes\":[{\"name\":\"n\",\"host\":\"h\",\"path-prefix\":\"/\","         \
 	"\"service\":\"s\",\"allowed-regions\":" regions "}]}"
@@ -609,6 +720,10 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_request_head),
+		cmocka_unit_test(test_key_named_twice),
+		cmocka_unit_test(test_tenants),
+		cmocka_unit_test(test_no_tenants),
+		cmocka_unit_test(test_invalid_tenants),
 		cmocka_unit_test(test_replies),
 		cmocka_unit_test(test_loads),
 		cmocka_unit_test(test_routing),
