--- a/src/core/gatherer_choice.c
+++ b/src/core/gatherer_choice.c
@@ -26,6 +26,26 @@
 	return g_hash_table_lookup((GHashTable *)fleet->regions, data_centre);
 }
 
+bool fleet_is_in_region(const fleet_t *fleet, const vm_t *vm, const char *region)
+{
+	return !g_strcmp0(region_of(fleet, vm->data_centre), region);
+}
+
+GPtrArray *fleet_regions(const fleet_t *fleet)
+{
+	g_autoptr(GHashTable) seen = g_hash_table_new(g_str_hash, g_str_equal);
+	GPtrArray *regions = g_ptr_array_new();
+
+	for (guint i = 0; i < fleet->vms->len; i++) {
+		const vm_t *vm = g_ptr_array_index(fleet->vms, i);
+		const char *region = region_of(fleet, vm->data_centre);
+
+		if (region && g_hash_table_add(seen, (gpointer)region))
+			g_ptr_array_add(regions, (gpointer)region);
+	}
+	return regions;
+}
+
 static gint compare_part_time(gconstpointer a, gconstpointer b)
 {
 	double first_us = vm_part_us(*(vm_t *const *)a);
@@ -48,15 +68,12 @@
 }
 
 /* Number of VMs in the region, including those that cannot gather for others. */
-static guint count_of_region(const fleet_t *fleet, const char *region)
+static guint count_in_region(const fleet_t *fleet, const char *region)
 {
 	guint count = 0;
 
-	for (guint i = 0; i < fleet->vms->len; i++) {
-		const vm_t *vm = g_ptr_array_index(fleet->vms, i);
-
-		count += g_strcmp0(region_of(fleet, vm->data_centre), region) == 0;
-	}
+	for (guint i = 0; i < fleet->vms->len; i++)
+		count += fleet_is_in_region(fleet, g_ptr_array_index(fleet->vms, i), region);
 	return count;
 }
 
@@ -67,7 +84,7 @@
 	for (guint i = 0; i < fleet->vms->len; i++) {
 		vm_t *vm = g_ptr_array_index(fleet->vms, i);
 
-		if (vm->gather_port && !g_strcmp0(region_of(fleet, vm->data_centre), region))
+		if (vm->gather_port && fleet_is_in_region(fleet, vm, region))
 			g_ptr_array_add(candidates, vm);
 	}
 	return candidates;
@@ -93,7 +110,7 @@
 static guint gatherers_max_in_region(const fleet_t *fleet, const char *region)
 {
 	double max = fleet->connections * GATHERER_CONNECTIONS_SHARE / CONNECTIONS_PER_GATHERER;
-	double share = (double)count_of_region(fleet, region) / MAX(fleet->vms->len, 1);
+	double share = (double)count_in_region(fleet, region) / MAX(fleet->vms->len, 1);
 
 	if (!fleet->connections)
 		return fleet->vms->len;
@@ -116,17 +133,12 @@
 
 GPtrArray *gatherers_in_fleet(const fleet_t *fleet)
 {
-	g_autoptr(GHashTable) seen = g_hash_table_new(g_str_hash, g_str_equal);
+	g_autoptr(GPtrArray) regions = fleet_regions(fleet);
 	GPtrArray *all = g_ptr_array_new();
 
-	for (guint i = 0; i < fleet->vms->len; i++) {
-		const vm_t *vm = g_ptr_array_index(fleet->vms, i);
-		const char *region = region_of(fleet, vm->data_centre);
-
-		if (!region || !g_hash_table_add(seen, (gpointer)region))
-			continue;
-		g_ptr_array_extend_and_steal(all, gatherers_in_region(fleet, region));
-	}
+	for (guint i = 0; i < regions->len; i++)
+		g_ptr_array_extend_and_steal(
+			all, gatherers_in_region(fleet, g_ptr_array_index(regions, i)));
 	return all;
 }
 
--- a/src/core/gatherer_choice.h
+++ b/src/core/gatherer_choice.h
@@ -23,6 +23,10 @@
 				    * 0: not known */
 } fleet_t;
 
+/** Whether @p vm is in @p region. */
+bool fleet_is_in_region(const fleet_t *fleet, const vm_t *vm, const char *region);
+/** The regions that have VMs, in the order of the list of VMs; the names are borrowed. */
+GPtrArray *fleet_regions(const fleet_t *fleet);
 /** The gatherers of @p region; the result borrows from the fleet. */
 GPtrArray *gatherers_in_region(const fleet_t *fleet, const char *region);
 /** The gatherers of all regions; the result borrows from the fleet. */
--- a/src/core/hop_message.c
+++ b/src/core/hop_message.c
@@ -12,6 +12,8 @@
 /* Earlier versions do not send the API key. */
 #define REQUEST_FIELDS_MIN 9
 #define ANSWER_FIELDS 6
+#define SHARE_FIELDS 4
+#define QUOTA_FIELDS 4
 
 static void pack_bytes(msgpack_packer *packer, hop_bytes_t bytes)
 {
@@ -43,6 +45,27 @@
 	pack_bytes(packer, answer->records);
 }
 
+static void pack_share(msgpack_packer *packer, const hop_quota_share_t *share)
+{
+	pack_bytes(packer, share->vm);
+	msgpack_pack_uint64(packer, share->accrued_us);
+	msgpack_pack_uint32(packer, share->vms);
+	msgpack_pack_uint32(packer, share->pools);
+}
+
+static void pack_quota(msgpack_packer *packer, const hop_quota_t *quota)
+{
+	pack_bytes(packer, quota->tenant);
+	msgpack_pack_uint32(packer, quota->count);
+	msgpack_pack_uint8(packer, quota->spare);
+	msgpack_pack_uint64(packer, quota->retry_after_us);
+}
+
+static bool is_quota(uint64_t type)
+{
+	return type == HOP_QUOTA_ASK || type == HOP_QUOTA_GRANT || type == HOP_QUOTA_RETURN;
+}
+
 /* Number of fields of a message as this version writes it. */
 static size_t fields_of(hop_type_t type)
 {
@@ -50,7 +73,11 @@
 						 [HOP_ANSWER] = ANSWER_FIELDS,
 						 [HOP_ACCEPTED] = 1,
 						 [HOP_REJECTED] = 1,
-						 [HOP_GRANT] = 1};
+						 [HOP_GRANT] = 1,
+						 [HOP_QUOTA_SHARE] = SHARE_FIELDS,
+						 [HOP_QUOTA_ASK] = QUOTA_FIELDS,
+						 [HOP_QUOTA_GRANT] = QUOTA_FIELDS,
+						 [HOP_QUOTA_RETURN] = QUOTA_FIELDS};
 
 	return HEAD_FIELDS + extra[type];
 }
@@ -81,6 +108,10 @@
 		msgpack_pack_uint32(&packer, message->more_attempts);
 	else if (message->type == HOP_ACCEPTED)
 		msgpack_pack_uint64(&packer, message->version);
+	else if (message->type == HOP_QUOTA_SHARE)
+		pack_share(&packer, &message->share);
+	else if (is_quota(message->type))
+		pack_quota(&packer, &message->quota);
 	framing_append(out, buffer.data, buffer.size);
 	msgpack_sbuffer_destroy(&buffer);
 }
@@ -141,6 +172,22 @@
 	answer->records = decode_bytes(fields);
 }
 
+static void decode_share(fields_t *fields, hop_quota_share_t *share)
+{
+	share->vm = decode_bytes(fields);
+	share->accrued_us = decode_number(fields, UINT64_MAX);
+	share->vms = (uint32_t)decode_number(fields, UINT32_MAX);
+	share->pools = (uint32_t)decode_number(fields, UINT32_MAX);
+}
+
+static void decode_quota(fields_t *fields, hop_quota_t *quota)
+{
+	quota->tenant = decode_bytes(fields);
+	quota->count = (uint32_t)decode_number(fields, UINT32_MAX);
+	quota->spare = decode_number(fields, 1);
+	quota->retry_after_us = decode_number(fields, UINT64_MAX);
+}
+
 /* An unknown reason also means that nothing ran. */
 static hop_reason_t decode_reason(fields_t *fields)
 {
@@ -176,6 +223,10 @@
 		message.more_attempts = (uint32_t)decode_number(&fields, UINT32_MAX);
 	else if (type == HOP_ACCEPTED)
 		message.version = decode_number(&fields, UINT64_MAX);
+	else if (type == HOP_QUOTA_SHARE)
+		decode_share(&fields, &message.share);
+	else if (is_quota(type))
+		decode_quota(&fields, &message.quota);
 	if (fields.valid)
 		handler(ctx, &message);
 	return fields.valid;
--- a/src/core/hop_message.h
+++ b/src/core/hop_message.h
@@ -9,6 +9,13 @@
  *     taker     HOP_GRANT     additional sub-requests per shard, to use if needed
  *     gatherer  HOP_ANSWER    the outcome
  *
+ * The same connections carry tokens of the tenants' quotas (quota.h), between a VM and a pool:
+ *
+ *     VM    HOP_QUOTA_SHARE   the share of all quotas that the VM has accrued
+ *     VM    HOP_QUOTA_ASK     a token for a request, or spare tokens for another pool
+ *     pool  HOP_QUOTA_GRANT   the tokens, or none
+ *     VM    HOP_QUOTA_RETURN  tokens of requests that were not run
+ *
  * Instead of accepting a request a gatherer replies HOP_REJECTED: nothing of it ran. The taker
  * sends HOP_CANCEL when the answer is no longer needed.
  *
@@ -35,6 +42,10 @@
 	HOP_ANSWER,
 	HOP_LEAVING, /**< the gatherer is about to stop: it accepts no new requests and finishes
 		      * those it has */
+	HOP_QUOTA_SHARE,
+	HOP_QUOTA_ASK,
+	HOP_QUOTA_GRANT,
+	HOP_QUOTA_RETURN,
 	HOP_TYPES,
 } hop_type_t;
 
@@ -80,6 +91,22 @@
 	hop_bytes_t records;
 } hop_answer_t;
 
+/** A VM's share of all quotas. */
+typedef struct hop_quota_share_t {
+	hop_bytes_t vm; /**< name of the sender */
+	uint64_t accrued_us;
+	uint32_t vms, pools;
+} hop_quota_share_t;
+
+/** Tokens of a tenant. */
+typedef struct hop_quota_t {
+	hop_bytes_t tenant;
+	uint32_t count;
+	bool spare;		 /**< HOP_QUOTA_ASK: only what the pool can do without */
+	uint64_t retry_after_us; /**< HOP_QUOTA_GRANT of none: when there will be one; 0: not known
+				  */
+} hop_quota_t;
+
 /** One message; its type determines which fields are valid. */
 typedef struct hop_message_t {
 	hop_type_t type;
@@ -88,6 +115,8 @@
 	hop_answer_t answer;
 	hop_reason_t reason;
 	uint32_t more_attempts; /**< HOP_GRANT: additional sub-requests per shard */
+	hop_quota_share_t share;
+	hop_quota_t quota;
 	uint64_t version; /**< HOP_ACCEPTED: version of the configuration that the gatherer uses */
 } hop_message_t;
 
--- a/tests/hop_message_test.c
+++ b/tests/hop_message_test.c
@@ -48,6 +48,12 @@
 			       answer->missing, answer->parts, answer->retry_after_us);
 	append_bytes(out, answer->stamps);
 	append_bytes(out, answer->records);
+	append_bytes(out, message->share.vm);
+	append_bytes(out, message->quota.tenant);
+	g_string_append_printf(out, " %" G_GUINT64_FORMAT " %u %u %u %d %" G_GUINT64_FORMAT,
+			       message->share.accrued_us, message->share.vms, message->share.pools,
+			       message->quota.count, message->quota.spare,
+			       message->quota.retry_after_us);
 	g_string_append_c(out, ';');
 }
 
@@ -77,6 +83,14 @@
 		message.reason = HOP_BUSY;
 	if (type == HOP_GRANT)
 		message.more_attempts = 2;
+	if (type == HOP_QUOTA_SHARE)
+		message.share = (hop_quota_share_t){
+			.vm = bytes_of("vm"), .accrued_us = 500000, .vms = 75, .pools = 2};
+	if (type == HOP_QUOTA_ASK || type == HOP_QUOTA_GRANT || type == HOP_QUOTA_RETURN)
+		message.quota = (hop_quota_t){.tenant = bytes_of("t"),
+					      .count = 3,
+					      .spare = true,
+					      .retry_after_us = 70000};
 	if (type == HOP_ACCEPTED)
 		message.version = 21;
 	return message;
