A request of a tenant with a quota needs a token before it is accepted

Cause: tenants' quotas were not kept: a tenant could send as much as it liked.

Change: quota_task links to the region's pools and asks for a token once the key is known; without one the caller gets 429 and when there will be a token, or 503 when no pool answers. A request that was not run gives its token back. Without quotas in the configuration there is no link, no message and no wait.

--- a/src/core/forward.h
+++ b/src/core/forward.h
@@ -125,6 +125,8 @@
 	FORWARD_DEFERRED, /**< not sent: the request is suspect, and another attempt at it is on
 			     trial */
 	FORWARD_UNAUTHORIZED, /**< it has no API key that the configuration holds */
+	FORWARD_OVER_QUOTA,   /**< not sent: its tenant's quota is used up */
+	FORWARD_NO_QUOTA,     /**< not sent: whether its tenant's quota is used up is not known */
 	FORWARD_OUTCOMES,
 } forward_outcome_t;
 
@@ -271,6 +273,8 @@
 void forwarder_visit_latency(const forwarder_t *forwarder, forwarder_latency_f visit, void *ctx);
 const char *part_state_name(part_state_t state);
 const char *forward_outcome_name(forward_outcome_t outcome);
+/** Whether a searcher may have run a request of this outcome. */
+bool forward_outcome_may_have_run(forward_outcome_t outcome);
 /** HTTP status of an answer that does not come from a searcher. */
 int forward_outcome_status(forward_outcome_t outcome);
 
--- a/src/core/forward_outcome.c
+++ b/src/core/forward_outcome.c
@@ -21,6 +21,8 @@
 		[FORWARD_BLOCKED] = "blocked",
 		[FORWARD_DEFERRED] = "deferred",
 		[FORWARD_UNAUTHORIZED] = "unauthorized",
+		[FORWARD_OVER_QUOTA] = "over-quota",
+		[FORWARD_NO_QUOTA] = "no-quota",
 	};
 
 	return names[outcome];
@@ -36,7 +38,15 @@
 		[FORWARD_TOO_FEW] = 502,       [FORWARD_FAILED] = 502,
 		[FORWARD_TIMEOUT] = 504,       [FORWARD_BLOCKED] = 503,
 		[FORWARD_DEFERRED] = 503,      [FORWARD_UNAUTHORIZED] = 401,
+		[FORWARD_OVER_QUOTA] = 429,    [FORWARD_NO_QUOTA] = 503,
 	};
 
 	return statuses[outcome];
 }
+
+/* The other outcomes promise their callers that the request did not run. */
+bool forward_outcome_may_have_run(forward_outcome_t outcome)
+{
+	return outcome == FORWARD_ANSWERED || outcome == FORWARD_TOO_FEW ||
+	       outcome == FORWARD_FAILED || outcome == FORWARD_TIMEOUT;
+}
--- a/src/queries/front_log.c
+++ b/src/queries/front_log.c
@@ -103,6 +103,16 @@
 	g_log(NULL, complete ? G_LOG_LEVEL_INFO : G_LOG_LEVEL_MESSAGE, "%s", line->str);
 }
 
+void front_log_refused(const forward_request_t *request, forward_outcome_t outcome,
+		       const char *tenant, uint64_t retry_after_us)
+{
+	g_message("event=answer request=%s outcome=%s status=%d took_us=%" G_GUINT64_FORMAT
+		  " tenant=%s retry_after_us=%" G_GUINT64_FORMAT,
+		  request->id ? request->id : "", forward_outcome_name(outcome),
+		  forward_outcome_status(outcome), loop_now_us() - request->received_us, tenant,
+		  retry_after_us);
+}
+
 /* Appends the load that the searcher last reported before this reply, and the age of that report.
  */
 static void append_load(GString *line, const reported_load_t *load)
--- a/src/queries/front_log.h
+++ b/src/queries/front_log.h
@@ -19,5 +19,11 @@
 /** Log the answer to a request that was handed over to a gatherer. */
 void front_log_gathered(const forward_request_t *request, const handover_t *handover,
 			const forward_answer_t *answer, uint64_t store_age_us);
+/**
+ * Log a request that got no token of its tenant's quota.
+ * @param retry_after_us 0: not known
+ */
+void front_log_refused(const forward_request_t *request, forward_outcome_t outcome,
+		       const char *tenant, uint64_t retry_after_us);
 
 #endif
--- a/src/queries/front_metrics.c
+++ b/src/queries/front_metrics.c
@@ -162,6 +162,29 @@
 	put_metric(out, "gathers_for_others", NULL, NULL, gathers_for_others);
 }
 
+static void put_quotas(GString *out, const quota_task_t *quotas, GHashTable *tenants)
+{
+	const quota_counters_t *counters = quota_task_counters(quotas);
+	GHashTableIter iter;
+	gpointer name, value;
+
+	put_metric(out, "quota_asks_total", NULL, NULL, counters->asked);
+	put_metric(out, "quota_asks_unanswered_total", NULL, NULL, counters->unanswered);
+	put_metric(out, "quota_tokens_returned_total", NULL, NULL, counters->returned);
+	put_metric(out, "quota_tokens_transferred_total", NULL, NULL, counters->transferred);
+	put_metric(out, "quota_unreachable_total", NULL, NULL, counters->unreachable);
+	put_metric(out, "quota_pool_share_percent", NULL, NULL,
+		   (uint64_t)(quota_task_own_fraction(quotas) * 100));
+	g_hash_table_iter_init(&iter, tenants);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		const tenant_counts_t *counts = value;
+
+		put_metric(out, "tenant_requests_admitted_total", "tenant", name, counts->admitted);
+		put_metric(out, "tenant_requests_over_quota_total", "tenant", name,
+			   counts->over_quota);
+	}
+}
+
 GString *front_metrics_write(const front_metrics_sources_t *sources)
 {
 	GString *out = g_string_sized_new(4096);
@@ -184,6 +207,7 @@
 	put_poison(out, forwarder_poison(sources->forwarder));
 	put_handovers(out, sources->handovers, sources->gathers_for_others);
 	put_links(out, sources->links);
+	put_quotas(out, sources->quotas, sources->tenants);
 	forwarder_visit_latency(sources->forwarder, put_route_latency, out);
 	put_services(out, sources->registry);
 	return out;
--- a/src/queries/front_metrics.h
+++ b/src/queries/front_metrics.h
@@ -7,8 +7,10 @@
 
 #include "core/forward.h"
 #include "core/handover.h"
+#include "core/tenant_counters.h"
 #include "tasks/link_task.h"
 #include "tasks/platform_task.h"
+#include "tasks/quota_task.h"
 #include "tasks/store_reader.h"
 #include "tasks/store_sync_task.h"
 
@@ -23,6 +25,8 @@
 	uint32_t
 		gathers_for_others; /**< open requests that other VMs have handed over to this VM */
 	store_reader_counters_t reader;
+	const quota_task_t *quotas;
+	GHashTable *tenants; /**< see core/tenant_counters.h */
 } front_metrics_sources_t;
 
 /** @return text that the caller frees */
--- a/src/settings.h
+++ b/src/settings.h
@@ -43,6 +43,9 @@
 				  * of all VMs together */
 	uint32_t retry_constant; /**< further such sub-requests per window, beyond the ratio */
 	uint32_t retry_window_s; /**< window in which sub-requests are counted */
+	uint32_t quota_window_s; /**< span over which tenants' quotas are counted */
+	double quota_overage;	 /**< share of a window's quota that may be admitted beyond it */
+	uint32_t quota_slack;	 /**< further requests that may be, at any rate */
 	uint32_t apply_ms;	 /**< a change in the store is in force within this time */
 	uint32_t leave_ms; /**< a draining searcher gets nothing new after this time; 0: apply_ms */
 	uint32_t settle_ms;   /**< once their connections were disturbed, VMs keep these times again
--- a/src/tasks/front_task.c
+++ b/src/tasks/front_task.c
@@ -6,6 +6,7 @@
 
 #include "core/retry_after.h"
 #include "core/sharing.h"
+#include "core/tenant_counters.h"
 #include "headers.h"
 #include "log.h"
 #include "queries/front_log.h"
@@ -15,6 +16,7 @@
 #include "tasks/link_task.h"
 #include "tasks/own_vm.h"
 #include "tasks/poison_task.h"
+#include "tasks/quota_task.h"
 #include "tasks/relay.h"
 #include "tasks/store_reader.h"
 #include "tasks/store_sync_task.h"
@@ -41,6 +43,8 @@
 	link_task_t *links;
 	gather_task_t *gathers; /* requests handed over to other VMs */
 	hop_server_t *hops;	/* requests handed over by other VMs */
+	quota_task_t *quotas;
+	GHashTable *tenant_counters; /* see core/tenant_counters.h */
 	store_sync_task_t *store_sync;
 	poison_task_t *poison;
 	platform_task_t *platform;
@@ -79,6 +83,11 @@
 	arm_forwarder(task);
 }
 
+static const char *own_region(const front_task_t *task)
+{
+	return g_hash_table_lookup(task->regions, task->data_centre);
+}
+
 /* ---- connections to searchers ---- */
 
 static void set_pool_shares(front_task_t *task, pool_t *pool, const cold_members_t *members)
@@ -104,6 +113,7 @@
 
 	task->fleet_changed = false;
 	gather_task_set_fleet(task->gathers, &fleet);
+	quota_task_set_fleet(task->quotas, &fleet, own_region(task));
 	sharing_clear(&task->sharing);
 	sharing_update(&task->sharing, &fleet, task->vm_name, task->retry_constant);
 }
@@ -286,6 +296,13 @@
 
 /* ---- answers ---- */
 
+/* A token of a request that was not run goes to the next request of its tenant. */
+static void give_back_token(front_task_t *task, const relay_t *relay, forward_outcome_t outcome)
+{
+	if (relay->charged && !forward_outcome_may_have_run(outcome))
+		quota_task_give_back(task->quotas, relay->charged);
+}
+
 static hop_bytes_t bytes_of(const GString *text)
 {
 	return text ? (hop_bytes_t){.data = text->str, .bytes = text->len} : (hop_bytes_t){0};
@@ -312,6 +329,7 @@
 
 	front_log_answer(relay->request.id, forward, answer, status,
 			 store_sync_task_age_us(task->store_sync));
+	give_back_token(task, relay, answer->outcome);
 	if (relay->job)
 		answer_taker(task, relay->job, answer);
 	else
@@ -351,6 +369,7 @@
 
 	g_message("event=answer request=%s outcome=not-ready reason=configuration-behind",
 		  relay->request.id ? relay->request.id : "");
+	give_back_token(task, relay, answer.outcome);
 	relay_answer_caller(relay, &answer);
 	relay_free(relay);
 }
@@ -369,11 +388,6 @@
 		submit(ctx, relay);
 }
 
-static const char *own_region(const front_task_t *task)
-{
-	return g_hash_table_lookup(task->regions, task->data_centre);
-}
-
 /*
  * The route of a request that is gathered, otherwise NULL. NULL also for a request that this VM
  * refuses: it is refused here, not handed over.
@@ -408,12 +422,93 @@
 	return route && !routing_authorize(routing, route, relay->request.key, &tenant);
 }
 
+/* Gatherers are in this VM's region, which may not be the caller's. A request that must stay in
+ * other regions is handed over to none of them. */
+static void route_request(front_task_t *task, relay_t *relay)
+{
+	const tenant_t *tenant = NULL;
+	const route_t *route = gather_route(task, relay, &tenant);
+
+	if (route && route_allows(route, own_region(task)) &&
+	    tenant_allows(tenant, own_region(task)) &&
+	    gather_task_hand_over(task->gathers, relay, route,
+				  forwarder_routing(task->forwarder)->version))
+		return;
+	if (route)
+		on_gather_here(task, relay);
+	else
+		submit(task, relay);
+}
+
+/* ---- quotas of tenants ---- */
+
+/* The tenant that a token is needed from. NULL if it has no quota, or if the request will be
+ * refused for another reason. */
+static const tenant_t *limited_tenant(const front_task_t *task, const relay_t *relay)
+{
+	const routing_t *routing = forwarder_routing(task->forwarder);
+	const tenant_t *tenant = NULL;
+	const route_t *route;
+
+	if (task->stopped_accepting || !routing || !registry_is_ready(task->registry) ||
+	    forwarder_is_blocked(task->forwarder, relay->request.fingerprint, loop_now_us()))
+		return NULL;
+	route = routing_match(routing, relay->request.host, relay->request.target);
+	if (!route || !routing_authorize(routing, route, relay->request.key, &tenant))
+		return NULL;
+	return tenant && tenant->rate_per_s > 0 ? tenant : NULL;
+}
+
+static void refuse_without_token(relay_t *relay, quota_verdict_t verdict, uint64_t retry_after_us)
+{
+	const forward_answer_t answer = {.outcome = verdict == QUOTA_EXCEEDED ? FORWARD_OVER_QUOTA
+									      : FORWARD_NO_QUOTA,
+					 .retry_after_us = retry_after_us};
+
+	front_log_refused(&relay->request, answer.outcome, relay->charged, retry_after_us);
+	relay_answer_caller(relay, &answer);
+	relay_free(relay);
+}
+
+static void on_quota_decided(void *ctx, void *owner, quota_verdict_t verdict,
+			     uint64_t retry_after_us)
+{
+	front_task_t *task = ctx;
+	relay_t *relay = owner;
+	tenant_counts_t *counts = tenant_counters_of(task->tenant_counters, relay->charged);
+
+	relay->quota_ask = NULL;
+	counts->admitted += verdict == QUOTA_GRANTED;
+	counts->over_quota += verdict == QUOTA_EXCEEDED;
+	if (verdict == QUOTA_GRANTED)
+		route_request(task, relay);
+	else
+		refuse_without_token(relay, verdict, retry_after_us);
+}
+
+/* The relay may be over before the return. */
+static void ask_for_token(front_task_t *task, relay_t *relay, const tenant_t *tenant)
+{
+	quota_ask_t *ask;
+
+	relay->charged = g_strdup(tenant->name);
+	ask = quota_task_ask(task->quotas, tenant, relay);
+	if (ask)
+		relay->quota_ask = ask;
+}
+
+static bool on_quota_message(void *ctx, const hop_message_t *message, hop_message_t *reply)
+{
+	return quota_task_serve(((front_task_t *)ctx)->quotas, message, reply);
+}
+
+/* ---- callers ---- */
+
 static void on_request(void *ctx, http_exchange_t *exchange)
 {
 	front_task_t *task = ctx;
 	const http_message_t *message = http_exchange_message(exchange);
-	const tenant_t *tenant = NULL;
-	const route_t *route;
+	const tenant_t *tenant;
 	relay_t *relay;
 
 	if (!task->stopped_accepting)
@@ -429,18 +524,11 @@
 		reject_config_behind(task, relay);
 		return;
 	}
-	route = gather_route(task, relay, &tenant);
-	/* Gatherers are in this VM's region, which may not be the caller's. A request that must
-	 * stay in other regions is handed over to none of them. */
-	if (route && route_allows(route, own_region(task)) &&
-	    tenant_allows(tenant, own_region(task)) &&
-	    gather_task_hand_over(task->gathers, relay, route,
-				  forwarder_routing(task->forwarder)->version))
-		return;
-	if (route)
-		on_gather_here(task, relay);
+	tenant = limited_tenant(task, relay);
+	if (tenant)
+		ask_for_token(task, relay, tenant);
 	else
-		submit(task, relay);
+		route_request(task, relay);
 }
 
 static void on_disconnected(void *ctx, http_exchange_t *exchange)
@@ -451,7 +539,9 @@
 	if (!relay)
 		return;
 	g_info("event=caller-left request=%s", relay->request.id ? relay->request.id : "");
-	if (relay->handover)
+	if (relay->quota_ask)
+		quota_task_abandon(task->quotas, relay->quota_ask);
+	else if (relay->handover)
 		gather_task_abandon(task->gathers, relay);
 	else
 		forwarder_abandon(task->forwarder, relay->forward, loop_now_us());
@@ -478,6 +568,7 @@
 
 	front_log_gathered(&relay->request, relay->handover, &forward_answer,
 			   store_sync_task_age_us(task->store_sync));
+	give_back_token(task, relay, forward_answer.outcome);
 	relay_answer_caller(relay, &forward_answer);
 	relay_free(relay);
 }
@@ -569,6 +660,7 @@
 					     .idle_us = routing->limits.idle_us};
 
 	http_server_set_limits(task->callers, &limits);
+	quota_task_set_routing(task->quotas, routing);
 	fleet_changed(task);
 }
 
@@ -635,7 +727,9 @@
 						 .store = platform_task_counters(task->platform),
 						 .handovers = gather_task_handovers(task->gathers),
 						 .gathers_for_others = hop_server_open(task->hops),
-						 .reader = store_reader_counters(task->reader)};
+						 .reader = store_reader_counters(task->reader),
+						 .quotas = task->quotas,
+						 .tenants = task->tenant_counters};
 	g_autoptr(GString) text = front_metrics_write(&sources);
 
 	http_exchange_reply(exchange, 200, "text/plain; version=0.0.4", text->str, text->len);
@@ -653,6 +747,7 @@
 						 .version = hop_version,
 						 .gather = hop_gather,
 						 .grant = hop_grant,
+						 .quota = on_quota_message,
 						 .abandoned = hop_abandoned};
 	const endpoint_setting_t *gather = &settings->front_gather;
 	const endpoint_setting_t *front = &settings->front_callers;
@@ -737,6 +832,8 @@
 	task->forwarder = forwarder_new(&forwarder_ops, task, task->registry, g_random_int());
 	task->poison = poison_task_new(platform, forwarder_poison(task->forwarder), task->vm_name);
 	start_reader(task);
+	task->quotas = quota_task_new(loop, settings, on_quota_decided, task);
+	task->tenant_counters = tenant_counters_new();
 	task->gathers = gather_task_new(loop, own_vm_new(settings), &gather_ops, task);
 	task->forwarder_timer = (loop_timer_t){.fire = run_forwarder, .ctx = task};
 	task->shares_timer = (loop_timer_t){.fire = set_shares, .ctx = task};
--- a/src/tasks/hop_server.c
+++ b/src/tasks/hop_server.c
@@ -154,6 +154,7 @@
 	hop_conn_t *conn = ctx;
 	hop_server_t *server = conn->server;
 	hop_job_t *job = g_hash_table_lookup(conn->jobs, &message->serial);
+	hop_message_t reply;
 
 	switch (message->type) {
 	case HOP_PING:
@@ -172,6 +173,12 @@
 		if (job && !g_ptr_array_find(server->pending, job, NULL))
 			server->ops->grant(server->ctx, job, message->more_attempts);
 		return;
+	case HOP_QUOTA_SHARE:
+	case HOP_QUOTA_ASK:
+	case HOP_QUOTA_RETURN:
+		if (server->ops->quota(server->ctx, message, &reply))
+			write_to(conn, &reply);
+		return;
 	default:
 		g_info("event=handover-ignored type=%d reason=not-for-gatherers", message->type);
 	}
--- a/src/tasks/hop_server.h
+++ b/src/tasks/hop_server.h
@@ -38,6 +38,8 @@
 	void (*gather)(void *ctx, hop_job_t *job);
 	/** @p count more searchers of each shard may run @p job. */
 	void (*grant)(void *ctx, hop_job_t *job, uint32_t count);
+	/** A message to this VM's quota pool. Returns whether @p reply is to be sent. */
+	bool (*quota)(void *ctx, const hop_message_t *message, hop_message_t *reply);
 	/** No one waits for @p job any more; it is freed after the return. */
 	void (*abandoned)(void *ctx, hop_job_t *job);
 } hop_server_ops_t;
--- a/src/tasks/relay.c
+++ b/src/tasks/relay.c
@@ -49,6 +49,7 @@
 {
 	if (relay->head)
 		g_string_free(relay->head, TRUE);
+	g_free(relay->charged);
 	if (relay->exchange)
 		http_exchange_unref(relay->exchange);
 	g_free(relay);
--- a/src/tasks/relay.h
+++ b/src/tasks/relay.h
@@ -7,6 +7,7 @@
 #define DS_RELAY_H
 
 #include "core/handover.h"
+#include "core/quota.h"
 #include "headers.h"
 #include "tasks/hop_server.h"
 
@@ -16,6 +17,8 @@
 	forward_request_t request; /**< its texts are borrowed from the exchange or the job */
 	forward_t *forward;	   /**< set while this VM sends sub-requests */
 	handover_t *handover;	   /**< set while another VM gathers the request */
+	quota_ask_t *quota_ask;	   /**< set while it waits for a token of its tenant's quota */
+	char *charged;		   /**< tenant whose quota a token was taken of; NULL: none */
 	uint64_t version;	   /**< configuration version that it was handed over by */
 	GString *head;		   /**< created by the first call of relay_head() */
 } relay_t;
--- a/tests/front_lib.sh
+++ b/tests/front_lib.sh
@@ -32,6 +32,7 @@
 		[retries]
 		ratio = 0.2
 		constant = 50
+		$([ -z "${QUOTA_SLACK:-}" ] || printf '[quotas]\nslack = %d\n' "$QUOTA_SLACK")
 		$([ -z "${EVACUATE_MS:-}" ] || printf '[store]\nevacuate_ms = %d\n' "$EVACUATE_MS")
 		[log]
 		level = ${LOG_LEVEL:-info}
