Numbers of the settings file may have decimals

Change: a number that stands for a bound is rounded towards the value that keeps the bound; ports, cores and switches must still be whole. The overage of quotas may exceed 1.

--- a/src/settings.c
+++ b/src/settings.c
@@ -28,6 +28,13 @@
 	USE_FRONT, /**< daemons in forwarding mode */
 } setting_use_t;
 
+/** How a number that is not whole is read: towards the value that keeps the bound it stands for. */
+typedef enum setting_rounding_t {
+	ROUND_NOT, /**< refused */
+	ROUND_DOWN,
+	ROUND_UP,
+} setting_rounding_t;
+
 /** A known key of the file. */
 typedef struct setting_t {
 	const char *group;
@@ -36,7 +43,8 @@
 	size_t offset;
 	const char *fallback; /* default value; NULL when the key is required */
 	setting_use_t use;
-	uint32_t min, max; /* of a number */
+	uint32_t min, max; /* of a number; of a ratio only the maximum, 0: 1 */
+	setting_rounding_t rounding;
 } setting_t;
 
 #define FRONT_GROUP "front"
@@ -52,7 +60,8 @@
 	 .offset = AT(link_mbps),
 	 .fallback = "0",
 	 .min = 0,
-	 .max = 1000000},
+	 .max = 1000000,
+	 .rounding = ROUND_UP},
 	{.group = "vm",
 	 .key = "cores",
 	 .type = SETTING_NUMBER,
@@ -131,21 +140,24 @@
 	 .offset = AT(drain_ms),
 	 .fallback = "3000",
 	 .min = 0,
-	 .max = 600000},
+	 .max = 600000,
+	 .rounding = ROUND_UP},
 	{.group = "stop",
 	 .key = "quiet_ms",
 	 .type = SETTING_NUMBER,
 	 .offset = AT(quiet_ms),
 	 .fallback = "500",
 	 .min = 0,
-	 .max = 60000},
+	 .max = 60000,
+	 .rounding = ROUND_UP},
 	{.group = "stop",
 	 .key = "grace_s",
 	 .type = SETTING_NUMBER,
 	 .offset = AT(grace_s),
 	 .fallback = "600",
 	 .min = 1,
-	 .max = 3600},
+	 .max = 3600,
+	 .rounding = ROUND_DOWN},
 	{.group = "front",
 	 .key = "callers",
 	 .type = SETTING_ENDPOINT,
@@ -190,7 +202,8 @@
 	 .fallback = "0",
 	 .use = USE_FRONT,
 	 .min = 0,
-	 .max = 1000000},
+	 .max = 1000000,
+	 .rounding = ROUND_DOWN},
 	{.group = "retries",
 	 .key = "window_s",
 	 .type = SETTING_NUMBER,
@@ -198,7 +211,8 @@
 	 .fallback = "10",
 	 .use = USE_FRONT,
 	 .min = 1,
-	 .max = 3600},
+	 .max = 3600,
+	 .rounding = ROUND_UP},
 	{.group = "quotas",
 	 .key = "window_s",
 	 .type = SETTING_NUMBER,
@@ -206,13 +220,15 @@
 	 .fallback = "5",
 	 .use = USE_FRONT,
 	 .min = 1,
-	 .max = 3600},
+	 .max = 3600,
+	 .rounding = ROUND_DOWN},
 	{.group = "quotas",
 	 .key = "overage",
 	 .type = SETTING_RATIO,
 	 .offset = AT(quota_overage),
 	 .fallback = "0.1",
-	 .use = USE_FRONT},
+	 .use = USE_FRONT,
+	 .max = 100},
 	{.group = "quotas",
 	 .key = "slack",
 	 .type = SETTING_NUMBER,
@@ -220,7 +236,8 @@
 	 .fallback = "0",
 	 .use = USE_FRONT,
 	 .min = 0,
-	 .max = 1000000},
+	 .max = 1000000,
+	 .rounding = ROUND_DOWN},
 	{.group = "store",
 	 .key = "apply_ms",
 	 .type = SETTING_NUMBER,
@@ -228,7 +245,8 @@
 	 .fallback = "3000",
 	 .use = USE_FRONT,
 	 .min = 100,
-	 .max = 3600000},
+	 .max = 3600000,
+	 .rounding = ROUND_DOWN},
 	{.group = "store",
 	 .key = "leave_ms",
 	 .type = SETTING_NUMBER,
@@ -236,7 +254,8 @@
 	 .fallback = "0",
 	 .use = USE_FRONT,
 	 .min = 0,
-	 .max = 3600000},
+	 .max = 3600000,
+	 .rounding = ROUND_DOWN},
 	{.group = "store",
 	 .key = "settle_ms",
 	 .type = SETTING_NUMBER,
@@ -244,7 +263,8 @@
 	 .fallback = "5000",
 	 .use = USE_FRONT,
 	 .min = 100,
-	 .max = 3600000},
+	 .max = 3600000,
+	 .rounding = ROUND_DOWN},
 	{.group = "store",
 	 .key = "evacuate_ms",
 	 .type = SETTING_NUMBER,
@@ -252,7 +272,8 @@
 	 .fallback = "0",
 	 .use = USE_FRONT,
 	 .min = 0,
-	 .max = 3600000},
+	 .max = 3600000,
+	 .rounding = ROUND_DOWN},
 	{.group = "log",
 	 .key = "level",
 	 .type = SETTING_LEVEL,
@@ -352,7 +373,8 @@
 		if (!find_setting(*group, NULL)) {
 			add_error(reader, *group, NULL,
 				  "unknown section; known are vm, listen, platform, operators, "
-				  "peers, front, regions, retries, stop, log and policy");
+				  "peers, front, regions, retries, quotas, store, stop, log and "
+				  "policy");
 			continue;
 		}
 		for (char **key = keys; key && *key; key++)
@@ -399,19 +421,29 @@
 	}
 }
 
+static double rounded(double number, setting_rounding_t rounding)
+{
+	if (rounding == ROUND_DOWN)
+		return floor(number);
+	return rounding == ROUND_UP ? ceil(number) : number;
+}
+
 static void read_number_setting(reader_t *reader, const setting_t *setting, const char *text,
 				uint32_t *out)
 {
 	char *end;
 	double number = g_ascii_strtod(text, &end);
 
+	if (end != text && !*end)
+		number = rounded(number, setting->rounding);
 	/* "14.0" is a whole number too, because some writers always write the decimal point. */
 	if (end != text && !*end && number == floor(number) && number >= setting->min &&
 	    number <= setting->max)
 		*out = (uint32_t)number;
 	else
 		add_error(reader, setting->group, setting->key,
-			  "must be a whole number from %u to %u, not \"%s\"", setting->min,
+			  "must be a %snumber from %u to %u, not \"%s\"",
+			  setting->rounding == ROUND_NOT ? "whole " : "", setting->min,
 			  setting->max, text);
 }
 
@@ -438,12 +470,13 @@
 static void read_ratio_setting(reader_t *reader, const setting_t *setting, const char *text,
 			       double *out)
 {
+	uint32_t max = MAX(setting->max, 1);
 	char *end;
 
 	*out = g_ascii_strtod(text, &end);
-	if (end == text || *end || !(*out >= 0 && *out <= 1))
+	if (end == text || *end || !(*out >= 0 && *out <= max))
 		add_error(reader, setting->group, setting->key,
-			  "must be a number from 0 to 1, not \"%s\"", text);
+			  "must be a number from 0 to %u, not \"%s\"", max, text);
 }
 
 static bool is_used(const setting_t *setting, const settings_t *settings)
