--- a/src/tool/explain.c
+++ b/src/tool/explain.c
@@ -41,6 +41,13 @@
 	 "not run: searchers have ended under this request, and it is not sent any more"},
 	{"deferred", "not run: a searcher has ended under this request, and only one attempt at a "
 		     "time is sent, over all VMs"},
+	{"unauthorized",
+	 "not run: the route needs an API key, and that configuration version holds "
+	 "none like the caller's"},
+	{"over-quota",
+	 "not run: its tenant's quota, which holds for all VMs together, was used up"},
+	{"no-quota",
+	 "not run: no VM that pools quotas answered, and this VM's own share was used up"},
 };
 
 /** A request that is being explained. */
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -24,9 +24,21 @@
 	'a backup feed is kept after the store recovers|src/core/store_sync_links.c|s/if \(link->backup\)\n\t\tcheck_store_later\(sync, now_us\);//'
 	'a backup candidate keeps feeders from being tried|src/core/store_sync_links.c|s/close_feed\(sync, reason\);\n\tstore_sync_close_backup_candidate\(sync, reason\);/close_feed(sync, reason);/'
 	'backups are tried without a pause|src/core/store_sync_links.c|s/if \(sync->backups_in_round >= BACKUPS_PER_ROUND\)/if (0)/'
-	'requests leave the regions that their route allows|src/core/placement.c|s/\(!route \|\| route_allows\(route, searcher->region\)\)/1/'
-	'a part that is bound to a region blocks the queue|src/core/forwarder.c|s/ && !forward->route->regions//'
-	'a route bound to no region goes anywhere|src/core/routing.c|s/if \(!route->regions\)\n\t\treturn true;/return true;/'
+	'requests leave the regions that their route allows|src/core/placement.c|s/\(!candidates->route \|\| route_allows\(candidates->route, searcher->region\)\)/1/'
+	'a part that is bound to a region blocks the queue|src/core/forwarder.c|s/ && !forward_is_bound\(forward\)//'
+	'a route bound to no region goes anywhere|src/core/region_list.c|s/if \(!list\)\n\t\treturn true;/return true;/'
+	'a request without a valid API key runs|src/core/routing.c|s/return !routing->tenants \|\| route->is_public \|\| \*tenant;/return true;/'
+	'requests leave the regions that their tenant allows|src/core/placement.c|s/tenant_allows\(candidates->tenant, searcher->region\)/1/'
+	'the rank of a tenant does not count|src/core/forward.c|s/tenant && tenant->has_rank \? tenant->rank : //'
+	'requests of two tenants have one fingerprint|src/core/fingerprint.c|s/if \(key\)/if (0)/'
+	'a long absence of a VM adds tokens|src/core/quota_pool.c|s/MIN\(share->accrued_us, QUOTA_ACCRUED_MAX_US\)/share->accrued_us/'
+	'a pool keeps the capacity of VMs that have left|src/core/quota_pool.c|s/return \(\(member_t \*\)value\)->until_us < \*\(uint64_t \*\)now_us;/return FALSE;/'
+	'a pool holds more tokens than its capacity|src/core/quota_pool.c|s/bucket->tokens = MIN\(bucket->tokens, capacity\);/;/'
+	'a pool gives all of its tokens to other pools|src/core/quota_pool.c|s/define SPARE_SHARE 0.5/define SPARE_SHARE 0/'
+	'pools hold more tokens than the tolerance allows|src/core/quota_pool.c|s/define TOLERANCE_USED_SHARE 0.9/define TOLERANCE_USED_SHARE 2.5/'
+	'a VM that was added accrues before others know of it|src/core/quota.c|s/is_first_list \? now_us : now_us \+ quota->listed_after_us/now_us/'
+	'tokens that come too late are lost|src/core/quota.c|s/if \(grant->count\)\n\t\treturn_to/if (0)\n\t\treturn_to/'
+	'pools that run low ask no other pool|src/core/quota.c|s/if \(quota->own_place == NOT_LISTED \|\|/if (1 ||/'
 	'an evacuated data centre is sent work|src/core/searcher.c|s/ && !searcher->evacuated//'
 	'searchers that register in an evacuated data centre are sent work|src/core/registry.c|s/searcher->evacuated = g_hash_table_contains\(registry->evacuated, entry->data_centre\);//'
 	'an evacuation that a restored store lacks is dropped|src/core/evacuation.c|s/name && now_us < evacuations->restore_grace_end_us/0/'
@@ -196,10 +208,10 @@
 LIBS="$(pkg-config --libs glib-2.0 jansson libxxhash msgpack) -lcmocka -lm"
 
 # Test programs in the order in which they are tried, and what each is linked with besides src/core.
-TESTS="forward_test poison_test store_sync_test handover_test fleet_test parts_test message_test gossip_test script_test load_test random_test front_random_test front_fleet_test"
+TESTS="forward_test poison_test store_sync_test handover_test fleet_test parts_test message_test gossip_test script_test load_test random_test front_random_test front_fleet_test quota_test"
 declare -A SEEN_BY=(
 	[forward_test]='the forwarding scripts' [store_sync_test]='the store sync tests'
-	[handover_test]='the hand-over scripts'
+	[handover_test]='the hand-over scripts' [quota_test]='the tests of quotas'
 	[fleet_test]='the fleet tests' [parts_test]='the unit tests of small modules' [message_test]='the HTTP message tests'
 	[load_test]='the load scenarios' [poison_test]='the tests of poison records'
 	[front_random_test]='the random schedules of forwarding' [front_fleet_test]='the random schedules of several VMs'
--- a/tests/quota_test.c
+++ b/tests/quota_test.c
@@ -605,6 +605,108 @@
 	quota_pool_free(pool);
 }
 
+typedef struct sent_t {
+	hop_message_t last;
+	guint count;
+	quota_verdict_t verdict;
+	guint decided;
+} sent_t;
+
+static void record_sent(void *ctx, const char *vm, const hop_message_t *message)
+{
+	sent_t *sent = ctx;
+
+	assert_string_equal(vm, "pool");
+	sent->last = *message;
+	sent->count++;
+}
+
+static void record_decided(void *ctx, void *owner, quota_verdict_t verdict, uint64_t retry_after_us)
+{
+	sent_t *sent = ctx;
+
+	(void)owner;
+	(void)retry_after_us;
+	sent->verdict = verdict;
+	sent->decided++;
+}
+
+static const quota_ops_t recording = {.send = record_sent, .decided = record_decided};
+
+/* Until the others know of a VM that was added, they share all of the quotas among themselves; one
+ * that starts again is known. */
+static void test_added_vm(void **state)
+{
+	g_autoptr(GPtrArray) none = g_ptr_array_new();
+	quota_vms_t vms = {.count = 4, .pools = none, .others = none};
+	tenants_t *tenants = tenants_new();
+
+	(void)state;
+	for (int again = 0; again < 2; again++) {
+		quota_t *quota = quota_new(&tolerance, "new", LISTED_AFTER_US, &recording, NULL, 1);
+		uint64_t now_us = START_US;
+
+		quota_set_tenants(quota, tenants);
+		vms.is_listed = again;
+		quota_set_vms(quota, &vms, now_us);
+		vms.is_listed = true;
+		quota_set_vms(quota, &vms, now_us += SECOND_US);
+		for (; now_us < START_US + LISTED_AFTER_US; now_us += SECOND_US / 10)
+			quota_run(quota, now_us);
+		assert_int_equal(quota_own_fraction(quota, now_us) > 0, again);
+		for (; now_us < START_US + 2 * LISTED_AFTER_US; now_us += SECOND_US / 10)
+			quota_run(quota, now_us);
+		assert_true(quota_own_fraction(quota, now_us) == 0.25);
+		quota_free(quota);
+	}
+	tenants_free(tenants);
+}
+
+/* A pool does not answer in time, or its answer comes after the caller has left: the token of the
+ * late answer goes back to it. */
+static void test_late_grant(void **state)
+{
+	g_autoptr(GPtrArray) pools = g_ptr_array_new();
+	g_autoptr(GPtrArray) none = g_ptr_array_new();
+	const quota_vms_t vms = {.count = 2, .is_listed = true, .pools = pools, .others = none};
+	tenants_t *tenants = tenants_new();
+	tenant_t *tenant = tenants_add(tenants, "t");
+	sent_t sent = {0};
+	quota_t *quota = quota_new(&tolerance, "vm", LISTED_AFTER_US, &recording, &sent, 1);
+	hop_message_t grant;
+
+	(void)state;
+	tenant->rate_per_s = 1;
+	g_ptr_array_add(pools, "pool");
+	quota_set_tenants(quota, tenants);
+	quota_set_vms(quota, &vms, START_US);
+	/* Without a link there is nobody to ask. */
+	assert_null(quota_ask(quota, tenant, NULL, START_US));
+	assert_int_equal(sent.verdict, QUOTA_UNREACHABLE);
+	quota_set_linked(quota, "pool", true);
+	for (int left = 0; left < 2; left++) {
+		quota_ask_t *ask = quota_ask(quota, tenant, NULL, START_US);
+		guint decided = sent.decided;
+
+		assert_non_null(ask);
+		assert_int_equal(sent.last.type, HOP_QUOTA_ASK);
+		grant = sent.last;
+		grant.type = HOP_QUOTA_GRANT;
+		if (left)
+			quota_abandon(ask);
+		else
+			quota_run(quota, START_US + SECOND_US / 10);
+		assert_int_equal(sent.decided, decided + !left);
+		quota_receive_grant(quota, "pool", &grant, START_US + SECOND_US / 10);
+		assert_int_equal(sent.last.type, HOP_QUOTA_RETURN);
+		assert_int_equal(sent.last.quota.count, 1);
+		assert_int_equal(sent.decided, decided + !left);
+	}
+	assert_int_equal(sent.verdict, QUOTA_UNREACHABLE);
+	quota_free(quota);
+	tenants_free(tenants);
+}
+
 typedef struct size_case_t {
 	guint vms, tenants;
 	double per_s;
@@ -821,7 +923,8 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_pool),	    cmocka_unit_test(test_lowered),
-		cmocka_unit_test(test_spare),	    cmocka_unit_test(test_usual_demand),
+		cmocka_unit_test(test_spare),	    cmocka_unit_test(test_added_vm),
+		cmocka_unit_test(test_late_grant),  cmocka_unit_test(test_usual_demand),
 		cmocka_unit_test(test_hot_tenants), cmocka_unit_test(test_all_cut_off),
 		cmocka_unit_test(test_pools_lost),  cmocka_unit_test(test_one_pool_lost),
 		cmocka_unit_test(test_most_killed), cmocka_unit_test(test_lists_differ),
