Quota pools start with some tokens, promise each token once, and share faster

Change: a pool starts with 0.3 of the tolerance for the VMs that join it, and holds 0.7 of it in place of 0.9; Retry-After counts the tokens already promised; a pool that is less than half full asks for all that it can hold, ten times a second at most, and others give down to a quarter.

--- a/src/core/quota.c
+++ b/src/core/quota.c
@@ -15,7 +15,7 @@
 /* Pools that are asked for one request: the tenant's first one, and one in reserve. */
 #define POOLS_ASKED_MAX 2
 /* Pause after all pools were asked for spare tokens. */
-#define TRANSFER_PAUSE_US 250000
+#define TRANSFER_PAUSE_US 100000
 /* Time for a pool of another region to answer. */
 #define TRANSFER_TIMEOUT_US 200000
 
@@ -430,9 +430,9 @@
 	return taken;
 }
 
-static uint64_t own_wait_us(quota_t *quota, const tenant_t *tenant, uint64_t now_us)
+static uint64_t promise_own_us(quota_t *quota, const tenant_t *tenant, uint64_t now_us)
 {
-	uint64_t wait_us = quota_pool_wait_us(quota->pool, tenant, now_us);
+	uint64_t wait_us = quota_pool_promise_us(quota->pool, tenant, now_us);
 
 	return wait_us == UINT64_MAX ? 0 : wait_us;
 }
@@ -513,7 +513,7 @@
 	if (take_own(quota, tenant, now_us))
 		return true;
 	if (quota->is_pool)
-		note_refused(ask, own_wait_us(quota, tenant, now_us));
+		note_refused(ask, promise_own_us(quota, tenant, now_us));
 	return false;
 }
 
@@ -642,7 +642,7 @@
 	}
 	grant->count = take_own(quota, tenant, now_us);
 	if (!grant->count)
-		grant->retry_after_us = own_wait_us(quota, tenant, now_us);
+		grant->retry_after_us = promise_own_us(quota, tenant, now_us);
 }
 
 static void serve_share(quota_t *quota, const hop_quota_share_t *from, uint64_t now_us)
--- a/src/core/quota_pool.c
+++ b/src/core/quota_pool.c
@@ -7,12 +7,17 @@
 #include <math.h>
 
 /* The part of the tolerance that pools hold as tokens. They make up for tokens that lie in a pool
- * where no request comes; the rest is for VMs whose lists of VMs differ for a moment. */
-#define TOLERANCE_USED_SHARE 0.9
+ * where no request comes. */
+#define TOLERANCE_HELD_SHARE 0.7
+/* The part that pools have to begin with: one that starts does not know what was spent before, and
+ * a small tenant would wait for seconds for its first token. */
+#define TOLERANCE_START_SHARE 0.3
 /* How long the fraction of a pool is used before it is computed again from its members. */
 #define FRACTION_MAX_AGE_US 100000
-/* Above this part of its capacity a pool has tokens to spare for others. */
-#define SPARE_SHARE 0.5
+/* Below the first part of its capacity a pool that takes requests asks others for tokens; they give
+ * what they have above the second part. */
+#define LOW_SHARE 0.5
+#define KEPT_SHARE 0.25
 
 /** A VM that hands shares over to this pool. */
 typedef struct member_t {
@@ -22,6 +27,8 @@
 
 typedef struct bucket_t {
 	double tokens;
+	double started;	 /* the fraction of the pool for which it had tokens to begin with */
+	uint64_t due_us; /* until when the tokens to come are promised to refused requests */
 	double received; /* quota_pool_t.received when it was last filled */
 } bucket_t;
 
@@ -51,16 +58,22 @@
 	g_free(pool);
 }
 
+static double tolerated(const quota_tolerance_t *tolerance, const tenant_t *tenant)
+{
+	double window_s = (double)tolerance->window_us / 1e6;
+
+	return tolerance->overage * (tenant->rate_per_s * window_s + tenant->burst) +
+	       tolerance->slack;
+}
+
 /* In any window the pools admit the tokens that they hold at its beginning, those that VMs have
  * accrued and not handed over, and those that accrue during the window. */
 double quota_capacity(const quota_tolerance_t *tolerance, const tenant_t *tenant)
 {
-	double window_s = (double)tolerance->window_us / 1e6;
-	double quota = tenant->rate_per_s * window_s + tenant->burst;
-	double beyond = tolerance->overage * quota + tolerance->slack;
 	double accrued = tenant->rate_per_s * QUOTA_ACCRUED_MAX_US / 1e6;
+	double held = TOLERANCE_HELD_SHARE * tolerated(tolerance, tenant);
 
-	return MAX(tenant->burst + TOLERANCE_USED_SHARE * beyond - accrued, 1);
+	return MAX(tenant->burst + held - accrued, 1);
 }
 
 static gboolean has_left(gpointer name, gpointer value, gpointer now_us)
@@ -108,6 +121,17 @@
 	return quota_capacity(&pool->tolerance, tenant) * quota_pool_fraction(pool, now_us);
 }
 
+/* Tokens to begin with, for the part of all VMs that has joined the pool since the last time. */
+static void fill_start(quota_pool_t *pool, const tenant_t *tenant, bucket_t *bucket)
+{
+	double joined = pool->fraction - bucket->started;
+
+	if (joined <= 0)
+		return;
+	bucket->tokens += TOLERANCE_START_SHARE * tolerated(&pool->tolerance, tenant) * joined;
+	bucket->started = pool->fraction;
+}
+
 /* A bucket that is asked for the first time holds what was received since the start. */
 static bucket_t *fill(quota_pool_t *pool, const tenant_t *tenant, double capacity)
 {
@@ -117,6 +141,7 @@
 		bucket = g_new0(bucket_t, 1);
 		g_hash_table_insert(pool->buckets, g_strdup(tenant->name), bucket);
 	}
+	fill_start(pool, tenant, bucket);
 	bucket->tokens += tenant->rate_per_s * (pool->received - bucket->received);
 	bucket->tokens = MIN(bucket->tokens, capacity);
 	bucket->received = pool->received;
@@ -138,7 +163,7 @@
 {
 	double capacity = capacity_of(pool, tenant, now_us);
 	bucket_t *bucket = fill(pool, tenant, capacity);
-	double spare = floor(bucket->tokens - SPARE_SHARE * capacity);
+	double spare = floor(bucket->tokens - KEPT_SHARE * capacity);
 
 	if (spare < 1)
 		return 0;
@@ -158,22 +183,24 @@
 uint32_t quota_pool_lacks(quota_pool_t *pool, const tenant_t *tenant, uint64_t now_us)
 {
 	double capacity = capacity_of(pool, tenant, now_us);
-	double lacks = SPARE_SHARE * capacity - fill(pool, tenant, capacity)->tokens;
+	double tokens = fill(pool, tenant, capacity)->tokens;
 
-	return lacks >= 1 ? (uint32_t)lacks : 0;
+	return tokens < LOW_SHARE * capacity ? (uint32_t)(capacity - tokens) : 0;
 }
 
-uint64_t quota_pool_wait_us(quota_pool_t *pool, const tenant_t *tenant, uint64_t now_us)
+uint64_t quota_pool_promise_us(quota_pool_t *pool, const tenant_t *tenant, uint64_t now_us)
 {
 	double fraction = quota_pool_fraction(pool, now_us);
 	double capacity = quota_capacity(&pool->tolerance, tenant) * fraction;
-	double missing = 1 - fill(pool, tenant, capacity)->tokens;
+	bucket_t *bucket = fill(pool, tenant, capacity);
+	double per_s = tenant->rate_per_s * fraction;
 
-	if (missing <= 0)
-		return 0;
 	if (fraction <= 0 || capacity < 1)
 		return UINT64_MAX;
-	return (uint64_t)(missing / (tenant->rate_per_s * fraction) * 1e6) + QUOTA_PERIOD_US / 2;
+	if (bucket->due_us < now_us)
+		bucket->due_us = now_us - (uint64_t)(MAX(bucket->tokens, 0) / per_s * 1e6);
+	bucket->due_us += (uint64_t)(1 / per_s * 1e6);
+	return MAX(bucket->due_us, now_us) - now_us + QUOTA_PERIOD_US / 2;
 }
 
 static gboolean is_gone(gpointer name, gpointer bucket, gpointer tenants)
--- a/src/core/quota_pool.h
+++ b/src/core/quota_pool.h
@@ -51,10 +51,13 @@
 /** Add tokens of a request that was not run, or of another pool. What the pool can't hold is lost.
  */
 void quota_pool_put(quota_pool_t *pool, const tenant_t *tenant, uint32_t count, uint64_t now_us);
-/** Tokens that the pool lacks before it has some to spare; 0: it lacks none. */
+/** Tokens that the pool could take if it is less than half full; 0: it is not. */
 uint32_t quota_pool_lacks(quota_pool_t *pool, const tenant_t *tenant, uint64_t now_us);
-/** Time until the pool has a token for @p tenant, if nobody else takes it; UINT64_MAX: never. */
-uint64_t quota_pool_wait_us(quota_pool_t *pool, const tenant_t *tenant, uint64_t now_us);
+/**
+ * Promise a token to a request that got none.
+ * @return when it will be there, from now on, after those promised before; UINT64_MAX: never
+ */
+uint64_t quota_pool_promise_us(quota_pool_t *pool, const tenant_t *tenant, uint64_t now_us);
 /** Forget the tokens of tenants that are not among @p tenants; NULL: of all. */
 void quota_pool_retain(quota_pool_t *pool, const tenants_t *tenants);
 /** The part of all quotas that the pool receives now, 0 to 1. */
