A VM keeps connections to a few searchers of a service, not to all

Change: warm_set chooses three near searchers of each service by a hash of both names; a connection to each is opened once, and again only while this VM uses the service. Others are connected to by use.

--- a/src/core/part.c
+++ b/src/core/part.c
@@ -87,6 +87,7 @@
 	subrequest_t *sub = subrequest_new(part, searcher, purpose, now_us);
 
 	placement_record_send(part->pool, searcher, now_us);
+	part->pool->last_sent_us = now_us;
 	if (!part->tried) {
 		part->tried = g_ptr_array_new_with_free_func((GDestroyNotify)searcher_unref);
 		part->in_flight = g_ptr_array_new();
--- a/src/core/registry.h
+++ b/src/core/registry.h
@@ -32,6 +32,7 @@
 	cold_limit_t cold;	    /**< rate limit on sub-requests to cold searchers */
 	uint64_t cold_us;	    /**< assumed cold time of a searcher after its data centre's
 				     * evacuation has ended */
+	uint64_t last_sent_us;	    /**< when this VM last sent a sub-request to it; 0: never */
 	uint64_t last_exhausted_us; /**< when a part last found no capacity; 0: never */
 } pool_t;
 
--- a/src/core/searcher.h
+++ b/src/core/searcher.h
@@ -85,6 +85,8 @@
 	uint32_t connections;	  /**< all connections of this VM, including those being opened */
 	uint32_t connections_max; /**< this VM's share of the connections that the searcher accepts
 				   */
+	bool is_warm;		  /**< chosen to be connected to ahead of need, see warm_set.h */
+	bool was_warmed;	  /**< a connection was opened ahead of need */
 	void *link;		  /**< the connections; set by the task that owns them */
 } searcher_t;
 
--- a/src/tasks/front_task.c
+++ b/src/tasks/front_task.c
@@ -7,6 +7,7 @@
 #include "core/retry_after.h"
 #include "core/sharing.h"
 #include "core/tenant_counters.h"
+#include "core/warm_set.h"
 #include "headers.h"
 #include "log.h"
 #include "queries/front_log.h"
@@ -94,12 +95,18 @@
 {
 	const routing_t *routing = forwarder_routing(task->forwarder);
 	bool warms = sharing_apply(&task->sharing, pool, routing);
+	uint64_t now_us = loop_now_us();
 
-	sharing_apply_cold(&task->sharing, members, pool, loop_now_us());
+	sharing_apply_cold(&task->sharing, members, pool, now_us);
 	if (!warms)
 		return;
-	for (guint i = 0; i < pool->searchers->len; i++)
-		link_task_warm(task->links, g_ptr_array_index(pool->searchers, i));
+	warm_set_choose(pool, task->vm_name);
+	for (guint i = 0; i < pool->searchers->len; i++) {
+		searcher_t *searcher = g_ptr_array_index(pool->searchers, i);
+
+		if (warm_set_is_due(pool, searcher, now_us))
+			link_task_warm(task->links, searcher);
+	}
 }
 
 /* Choosing the gatherers ranks every VM, so it is not done on each change of a searcher. */
--- a/src/tasks/link_task.c
+++ b/src/tasks/link_task.c
@@ -381,13 +381,11 @@
 		close_conn(g_ptr_array_index(idle, i));
 }
 
-/* Spares the first request the handshake. Far searchers are left out: first attempts do not go to
- * them, and idle connections kept for second attempts would crowd out those of nearby VMs. */
+/* Spares the first request the handshake. */
 void link_task_warm(link_task_t *task, searcher_t *searcher)
 {
-	if (searcher_is_usable(searcher) && !searcher->connections &&
-	    searcher->distance != DISTANCE_FAR)
-		open_conn(link_of(task, searcher));
+	searcher->was_warmed = true;
+	open_conn(link_of(task, searcher));
 }
 
 void link_task_searcher_changed(link_task_t *task, searcher_t *searcher)
--- a/src/tasks/link_task.h
+++ b/src/tasks/link_task.h
@@ -38,7 +38,7 @@
 void link_task_send(link_task_t *task, subrequest_t *sub);
 /** Close the connection of @p sub; `ended` is not called for it. */
 void link_task_cancel(link_task_t *task, subrequest_t *sub);
-/** Open a first connection to @p searcher ahead of need, if there is none. */
+/** Open a connection to @p searcher ahead of need. */
 void link_task_warm(link_task_t *task, searcher_t *searcher);
 /** The searcher's state has changed: requests may wait for it, or its connections be useless. */
 void link_task_searcher_changed(link_task_t *task, searcher_t *searcher);
--- a/tests/fleet_test.c
+++ b/tests/fleet_test.c
@@ -9,6 +9,7 @@
 
 #include "core/cold_share.h"
 #include "core/sharing.h"
+#include "core/warm_set.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -170,6 +171,109 @@
 	site_end(&site);
 }
 
+/* ---- connections opened ahead of need ---- */
+
+#define SHARDS 90
+#define REPLICAS 45
+#define SINGLE_REPLICAS 90
+
+/** The searchers of one service, and how many VMs connect to each ahead of need. */
+typedef struct warmed_t {
+	pool_t pool;
+	uint32_t counts[SINGLE_REPLICAS];
+} warmed_t;
+
+static void warmed_start(warmed_t *warmed, const char *service, guint searchers)
+{
+	*warmed = (warmed_t){
+		.pool.searchers = g_ptr_array_new_with_free_func((GDestroyNotify)searcher_unref)};
+	for (guint i = 0; i < searchers; i++) {
+		g_autofree char *id = g_strdup_printf("%s-%u", service, i);
+		const searcher_entry_t entry = {.id = id,
+						.service = (char *)service,
+						.address = "127.0.0.1",
+						.port = 1,
+						.data_centre = (char *)centres[i % 5],
+						.slots = 7};
+
+		g_ptr_array_add(warmed->pool.searchers, searcher_new(&entry, 0, NULL, 0));
+	}
+}
+
+/* Counts the connections that @p vm opens after @p now_us without having used the service. */
+static uint32_t warm(warmed_t *warmed, const vm_t *vm, uint64_t now_us)
+{
+	uint32_t opened = 0;
+
+	for (guint i = 0; i < warmed->pool.searchers->len; i++) {
+		searcher_t *searcher = g_ptr_array_index(warmed->pool.searchers, i);
+
+		searcher->was_warmed = false;
+		if (g_str_equal(searcher->data_centre, vm->data_centre))
+			searcher->distance = DISTANCE_LOCAL;
+		else if (searcher->data_centre[0] == vm->data_centre[0])
+			searcher->distance = DISTANCE_REGION;
+		else
+			searcher->distance = DISTANCE_FAR;
+	}
+	/* Searchers close connections that are not used; the VM looks again each few seconds. */
+	for (int look = 0; look < 5; look++) {
+		warm_set_choose(&warmed->pool, vm->name);
+		for (guint i = 0; i < warmed->pool.searchers->len; i++) {
+			searcher_t *searcher = g_ptr_array_index(warmed->pool.searchers, i);
+
+			if (!warm_set_is_due(&warmed->pool, searcher, now_us))
+				continue;
+			searcher->was_warmed = true;
+			warmed->counts[i]++;
+			opened++;
+		}
+	}
+	return opened;
+}
+
+/* With connections of every VM to every searcher, a start costs VMs x searchers of them, most of
+ * which are closed unused, and searchers reset those beyond their limit. */
+static void test_warm_sets(void **state)
+{
+	static const uint32_t sizes[] = {100, 1000, 2000};
+	/* What the users want of a fleet of 1,000 VMs in a day, in proportion. */
+	const double connections_per_vm = 50;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		g_autoptr(GPtrArray) gatherers = NULL;
+		warmed_t shard, single;
+		uint64_t opened = 0;
+		uint32_t most = 0;
+		site_t site;
+
+		site_start(&site);
+		fill(&site, sizes[i], 4);
+		gatherers = gatherers_in_fleet(&site.fleet);
+		warmed_start(&shard, "shard", REPLICAS);
+		warmed_start(&single, "single", SINGLE_REPLICAS);
+		for (guint j = 0; j < gatherers->len; j++)
+			opened += SHARDS * warm(&shard, g_ptr_array_index(gatherers, j), 1);
+		for (guint j = 0; j < site.vms->len; j++)
+			opened += 2 * warm(&single, g_ptr_array_index(site.vms, j), 1);
+		for (guint j = 0; j < REPLICAS; j++)
+			most = MAX(most, shard.counts[j]);
+		print_message("%u VMs: %" G_GUINT64_FORMAT " connections ahead of need, at most %u "
+			      "to a searcher of a shard\n",
+			      site.vms->len, opened, most);
+		assert_true(opened <= connections_per_vm * MAX(site.vms->len, 1000));
+		assert_true(most <= SEARCHER_CONNECTIONS / 4);
+		/* Once the VM has used the service, its connections are opened again. */
+		single.pool.last_sent_us = 1;
+		assert_int_equal(warm(&single, g_ptr_array_index(site.vms, 0), 2),
+				 5 * WARM_SET_SIZE);
+		g_ptr_array_unref(shard.pool.searchers);
+		g_ptr_array_unref(single.pool.searchers);
+		site_end(&site);
+	}
+}
+
 /** The share of the fleet's limits that one VM computes for itself. */
 typedef struct vm_share_t {
 	uint32_t connections; /* to one searcher */
@@ -502,6 +606,7 @@
 		cmocka_unit_test(test_gatherers_min),
 		cmocka_unit_test(test_earlier_versions),
 		cmocka_unit_test(test_stable),
+		cmocka_unit_test(test_warm_sets),
 		cmocka_unit_test(test_sums),
 		cmocka_unit_test(test_sums_of_thousands),
 		cmocka_unit_test(test_connections_ahead),
