--- a/src/core/feed_message.h
+++ b/src/core/feed_message.h
@@ -28,14 +28,10 @@
 	FEED_TYPES,
 } feed_type_t;
 
-/* Kind of a status: the sender is unreliable because it reads the lists for the first time. */
-#define FEED_STATUS_STARTING 1
-
 /** One message; its texts are borrowed. */
 typedef struct feed_message_t {
 	feed_type_t type;
-	uint32_t kind;	  /**< kind of the objects; observation: its type; status: 0, or
-			   * FEED_STATUS_STARTING */
+	uint32_t kind;	  /**< kind of the objects; observation: its type; status: unused */
 	const char *name; /**< object: its name; observation: the searcher; status: the VM that
 			   * feeds the sender, or "" */
 	const char *text; /**< object: its content, after a removal the last one; observation:
--- a/src/core/store_sync.c
+++ b/src/core/store_sync.c
@@ -331,8 +331,6 @@
 
 	return (store_sync_status_t){.unreliable = sync->feed || sync->unreachable || old ||
 						   !store_sync_has_data(sync),
-				     .starting = sync->is_feeder && sync->watches &&
-						 !sync->failing && !store_sync_has_data(sync),
 				     .age_us = age_us,
 				     .from = fed ? sync->feed->vm : ""};
 }
--- a/src/core/store_sync.h
+++ b/src/core/store_sync.h
@@ -34,14 +34,12 @@
 	bool status_ok;		 /**< its last status was acceptable */
 	uint32_t lists_done;	 /**< kinds whose whole list it has sent, one bit each */
 	uint64_t last_answer_us; /**< when the store last answered, by its last status */
-	uint64_t received_us;	 /**< when it last sent anything; 0: nothing yet */
 	void *data;		 /**< belongs to the open and close callbacks */
 } store_sync_link_t;
 
 /** The feed status that this VM sends to its subscribers. */
 typedef struct store_sync_status_t {
 	bool unreliable;  /**< this VM can't be relied on as a feeder */
-	bool starting;	  /**< because it is still reading the lists for the first time */
 	uint64_t age_us;  /**< since the store last answered the VM that watches it */
 	const char *from; /**< the VM that feeds this VM, or "" */
 } store_sync_status_t;
@@ -124,8 +122,6 @@
 /** Another VM has newer data: read @p kind at once, unless a read is under way. */
 void store_sync_catch_up(store_sync_t *sync, uint32_t kind, uint64_t now_us);
 
-/** @p link has sent something, whatever it was. */
-void store_sync_link_received(store_sync_link_t *link, uint64_t now_us);
 /** @p link has sent its whole list of @p kind. */
 void store_sync_link_listed(store_sync_t *sync, store_sync_link_t *link, uint32_t kind,
 			    uint64_t now_us);
--- a/src/core/store_sync_links.c
+++ b/src/core/store_sync_links.c
@@ -9,8 +9,7 @@
 #define FEEDER_RETRY_MIN_US 3000000
 #define FEEDER_RETRY_MAX_US 6000000
 /* A VM that starts first finds its feeders: it reads the list of VMs, then connects to one within
- * the region. If it has no feed, and none has sent anything for this time, it watches the store
- * itself. */
+ * the region. If it has no feed after this time it watches the store itself. */
 #define START_TIMEOUT_US 1200000
 /* Until then, VMs that start together with this one may not listen yet: retry interval. */
 #define START_RETRY_US 100000
@@ -341,11 +340,6 @@
 		switch_to_candidate(sync, now_us);
 }
 
-void store_sync_link_received(store_sync_link_t *link, uint64_t now_us)
-{
-	link->received_us = now_us;
-}
-
 void store_sync_link_listed(store_sync_t *sync, store_sync_link_t *link, uint32_t kind,
 			    uint64_t now_us)
 {
@@ -353,19 +347,10 @@
 	switch_if_complete(sync, link, now_us);
 }
 
-/* Whether a feeder that starts together with this VM is worth waiting for. */
-static bool may_wait_for(const store_sync_t *sync, const store_sync_link_t *link,
-			 const store_sync_status_t *status)
-{
-	return status->starting && !link->backup && store_sync_timer_is_set(&sync->start_timer);
-}
-
 static void evaluate_candidate(store_sync_t *sync, store_sync_link_t *link,
 			       const store_sync_status_t *status, uint64_t now_us)
 {
 	store_sync_cancel_timer(sync, &sync->candidate_timer);
-	if (may_wait_for(sync, link, status))
-		return;
 	if (feed_evaluate(&sync->timing, link->backup, false, status->unreliable, status->age_us) ==
 	    FEED_KEEP) {
 		link->status_ok = true;
@@ -462,20 +447,9 @@
 	store_sync_set_timer(sync, &sync->start_timer, now_us + START_TIMEOUT_US);
 }
 
-/*
- * In a large fleet the lists take seconds to read and to send on. If all VMs that start together
- * gave up on their feeders meanwhile, each would read the lists of the whole fleet from the store.
- */
 static void on_start_over(void *ctx, uint64_t now_us)
 {
-	store_sync_t *sync = ctx;
-	const store_sync_link_t *link = sync->candidate;
-
-	if (link && !link->backup && now_us < link->received_us + START_TIMEOUT_US)
-		store_sync_set_timer(sync, &sync->start_timer,
-				     link->received_us + START_TIMEOUT_US);
-	else
-		store_sync_watch_store(sync, now_us);
+	store_sync_watch_store(ctx, now_us);
 }
 
 void store_sync_links_init(store_sync_t *sync)
--- a/src/tasks/feed_server.c
+++ b/src/tasks/feed_server.c
@@ -32,7 +32,6 @@
 	feed_server_t *server;
 	sock_t *sock;
 	framing_reader_t *reader;
-	uint32_t listed; /* kinds whose list it has, or gets from its begin on; one bit each */
 } subscriber_t;
 
 /** A subscriber's request for an object that it can't read from the store. */
@@ -183,17 +182,6 @@
 	subscriber_free(ctx);
 }
 
-/* Appends the whole list of @p kind, if there is one, to the frame for @p subscriber. */
-static void write_list(subscriber_t *subscriber, uint32_t kind)
-{
-	feed_server_t *server = subscriber->server;
-
-	if (!feed_cache_is_complete(server->caches[kind]))
-		return;
-	feed_cache_write(server->caches[kind], server->frame);
-	subscriber->listed |= 1u << kind;
-}
-
 static void on_accepted(void *ctx, sock_t *sock)
 {
 	static const sock_ops_t ops = {.received = on_received, .ended = on_ended};
@@ -215,7 +203,7 @@
 	 * would only occupy the network link.
 	 */
 	for (uint32_t kind = 0; kind < server->kinds && !(has_status && status.unreliable); kind++)
-		write_list(subscriber, kind);
+		feed_cache_write(server->caches[kind], server->frame);
 	sock_write(sock, server->frame->data, server->frame->len);
 }
 
@@ -243,52 +231,15 @@
 	return NULL;
 }
 
-/* A subscriber that connected while a list was being read has missed its begin. It gets the whole
- * list once that is read, and nothing of it before: it would take a part for the whole. */
-static void relay_change(feed_server_t *server, const feed_message_t *message)
-{
-	uint32_t bit = 1u << message->kind;
-
-	g_byte_array_set_size(server->frame, 0);
-	feed_message_write(server->frame, message);
-	for (guint i = 0; i < server->subscribers->len; i++) {
-		subscriber_t *subscriber = g_ptr_array_index(server->subscribers, i);
-
-		if (message->type == FEED_LIST_BEGIN)
-			subscriber->listed |= bit;
-		if (subscriber->listed & bit)
-			sock_write(subscriber->sock, server->frame->data, server->frame->len);
-	}
-}
-
-static void complete_lists(feed_server_t *server, uint32_t kind)
-{
-	for (guint i = 0; i < server->subscribers->len; i++) {
-		subscriber_t *subscriber = g_ptr_array_index(server->subscribers, i);
-
-		if (subscriber->listed & 1u << kind)
-			continue;
-		g_byte_array_set_size(server->frame, 0);
-		write_list(subscriber, kind);
-		sock_write(subscriber->sock, server->frame->data, server->frame->len);
-	}
-}
-
 void feed_server_publish(feed_server_t *server, const feed_message_t *message)
 {
 	feed_message_t sent = *message;
 
-	if (message->type >= FEED_STATUS || message->kind >= server->kinds) {
-		relay_message(server, NULL, message);
-		return;
-	}
-	feed_cache_apply(server->caches[message->kind], message);
+	if (message->type < FEED_STATUS && message->kind < server->kinds)
+		feed_cache_apply(server->caches[message->kind], message);
 	if (message->type == FEED_ANNOUNCED)
 		sent.text = "";
-	if (server->subscribers->len)
-		relay_change(server, &sent);
-	if (message->type == FEED_LIST_END)
-		complete_lists(server, message->kind);
+	relay_message(server, NULL, &sent);
 }
 
 void feed_server_write(feed_server_t *server, const GByteArray *frames)
--- a/src/tasks/store_sync_task.c
+++ b/src/tasks/store_sync_task.c
@@ -339,7 +339,6 @@
 static void receive_feed_status(feed_connection_t *connection, const feed_message_t *message)
 {
 	const store_sync_status_t status = {.unreliable = message->unreliable,
-					    .starting = message->kind == FEED_STATUS_STARTING,
 					    .age_us = message->age_us,
 					    .from = message->name};
 
@@ -361,7 +360,6 @@
 	if (message->type != FEED_OBSERVATION &&
 	    platform_task_observe_era(task->platform, message->era) == STORE_ERA_OLDER)
 		return;
-	store_sync_link_received(connection->link, loop_now_us());
 	if (message->type == FEED_STATUS)
 		receive_feed_status(connection, message);
 	else if (message->type == FEED_OBSERVATION)
@@ -491,7 +489,6 @@
 	const store_sync_status_t status = store_sync_status(task->store_sync, loop_now_us());
 
 	return (feed_message_t){.type = FEED_STATUS,
-				.kind = status.starting ? FEED_STATUS_STARTING : 0,
 				.name = status.from,
 				.text = "",
 				.age_us = status.age_us,
@@ -508,13 +505,13 @@
 	loop_timer_set(task->loop, &task->status_timer, FEED_STATUS_PERIOD_US);
 }
 
-/* A VM that has not read all objects after its start has nothing to say but that it reads them. */
+/* A VM that has not read all objects after its start has no status to send. */
 static bool on_get_feed_status(void *ctx, feed_message_t *status)
 {
 	store_sync_task_t *task = ctx;
 
 	*status = current_feed_status(task);
-	return status->kind == FEED_STATUS_STARTING || store_sync_has_data(task->store_sync);
+	return store_sync_has_data(task->store_sync);
 }
 
 static void on_restored(void *ctx)
