A VM that has no list of searchers yet asks for a token, too

Cause: limited_tenant() took a VM without its list for one that refuses every request; but a request over many shards is handed over to a gatherer all the same, and ran without a token.

Change: the condition is gone; a request that is refused then gives its token back. quota_test frees the callers that still wait at its end (the sanitizers' leak check failed).

No test of its own: it takes a VM that has a configuration and no list.

--- a/src/tasks/front_task.c
+++ b/src/tasks/front_task.c
@@ -457,7 +457,7 @@
 	const tenant_t *tenant = NULL;
 	const route_t *route;
 
-	if (task->stopped_accepting || !routing || !registry_is_ready(task->registry) ||
+	if (task->stopped_accepting || !routing ||
 	    forwarder_is_blocked(task->forwarder, relay->request.fingerprint, loop_now_us()))
 		return NULL;
 	route = routing_match(routing, relay->request.host, relay->request.target);
--- a/tests/quota_test.c
+++ b/tests/quota_test.c
@@ -81,7 +81,8 @@
 	GArray *loads; /* load_t */
 	double demand_factor;
 	uint64_t messages;
-	uint32_t requests, waited;
+	GPtrArray *asked; /* caller_t */
+	uint32_t requests;
 	uint64_t waited_us;
 };
 
@@ -208,7 +209,6 @@
 	else
 		caller->load->owed_refused += caller->is_owed;
 	world->waited_us += world->now_us - caller->asked_us;
-	g_free(caller);
 }
 
 static void request(world_t *world, load_t *load)
@@ -226,6 +226,7 @@
 	if (!node->quota)
 		return;
 	caller = g_new0(caller_t, 1);
+	g_ptr_array_add(world->asked, caller);
 	caller->load = load;
 	caller->world = world;
 	caller->asked_us = world->now_us;
@@ -377,6 +378,7 @@
 	world->callers = world->nodes;
 	world->vms = g_ptr_array_new();
 	world->packets = g_sequence_new(packet_free);
+	world->asked = g_ptr_array_new_with_free_func(g_free);
 	world->tenants = tenants_new();
 	world->loads = g_array_new(FALSE, FALSE, sizeof(load_t));
 	add_loads(world, tenants, per_s);
@@ -407,6 +409,7 @@
 	g_ptr_array_unref(world->nodes);
 	g_ptr_array_unref(world->vms);
 	g_sequence_free(world->packets);
+	g_ptr_array_unref(world->asked);
 	tenants_free(world->tenants);
 	g_array_unref(world->loads);
 	g_hash_table_unref(world->regions);
