A pool that has no configuration yet grants no tokens

Cause: a VM that starts accepts links before it has read the configuration.

Change: without a configuration there is no token; the asking VM goes on to the other pool.

--- a/src/core/quota.c
+++ b/src/core/quota.c
@@ -631,6 +631,9 @@
 static void serve_ask(quota_t *quota, const tenant_t *tenant, const hop_quota_t *ask,
 		      hop_quota_t *grant, uint64_t now_us)
 {
+	/* A VM that has just started accepts links before it has the configuration. */
+	if (!quota->tenants)
+		return;
 	/* This VM has another version of the configuration, by which nothing limits the tenant. */
 	if (!tenant || !tenant->rate_per_s) {
 		grant->count = !ask->spare;
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -40,6 +40,7 @@
 	'refused requests are all promised the same token|src/core/quota_pool.c|s/bucket->due_us \+= /bucket->due_us = now_us + /'
 	'a VM that was added accrues before others know of it|src/core/quota.c|s/is_first_list \? now_us : now_us \+ quota->listed_after_us/now_us/'
 	'tokens that come too late are lost|src/core/quota.c|s/if \(grant->count\)\n\t\treturn_to/if (0)\n\t\treturn_to/'
+	'a pool without a configuration admits every request|src/core/quota.c|s/if \(!quota->tenants\)\n\t\treturn;//'
 	'pools that run low ask no other pool|src/core/quota.c|s/if \(quota->own_place == NOT_LISTED \|\|/if (1 ||/'
 	'an evacuated data centre is sent work|src/core/searcher.c|s/ && !searcher->evacuated//'
 	'searchers that register in an evacuated data centre are sent work|src/core/registry.c|s/searcher->evacuated = g_hash_table_contains\(registry->evacuated, entry->data_centre\);//'
--- a/tests/quota_test.c
+++ b/tests/quota_test.c
@@ -33,6 +33,8 @@
 #define FAR_US 12000
 /* Until a VM gives up a link that has gone silent. */
 #define SILENCE_US 1500000
+/* Until a VM that starts has read the configuration; it accepts links before. */
+#define CONFIGURED_AFTER_US 300000
 #define LISTED_AFTER_US (5 * SECOND_US)
 /* Share of the requests within the quota that may be refused while all VMs reach each other. */
 #define REFUSED_SHARE_MAX 0.005
@@ -51,7 +53,8 @@
 	bool may_pool;
 	guint group; /* VMs of different groups do not reach each other */
 	uint64_t frozen_until_us;
-	const GPtrArray *list; /* the VMs that it knows, vm_t */
+	uint64_t configured_us; /* when it has read the configuration */
+	const GPtrArray *list;	/* the VMs that it knows, vm_t */
 } node_t;
 
 typedef struct packet_t {
@@ -211,6 +214,13 @@
 	world->waited_us += world->now_us - caller->asked_us;
 }
 
+static bool serves(const node_t *node)
+{
+	uint64_t now_us = node->world->now_us;
+
+	return node->quota && node->frozen_until_us <= now_us && node->configured_us < now_us;
+}
+
 static void request(world_t *world, load_t *load)
 {
 	node_t *node;
@@ -220,10 +230,10 @@
 		node = g_ptr_array_index(
 			world->callers,
 			(guint)g_rand_int_range(world->rand, 0, (gint32)world->callers->len));
-		if (node->quota && node->frozen_until_us <= world->now_us)
+		if (serves(node))
 			break;
 	}
-	if (!node->quota)
+	if (!serves(node))
 		return;
 	caller = g_new0(caller_t, 1);
 	g_ptr_array_add(world->asked, caller);
@@ -307,7 +317,7 @@
 
 	node->quota = quota_new(&tolerance, node->vm->name, LISTED_AFTER_US, &ops, node,
 				g_rand_int(world->rand));
-	quota_set_tenants(node->quota, world->tenants);
+	node->configured_us = world->now_us + CONFIGURED_AFTER_US;
 	set_list(node, node->list);
 }
 
@@ -422,8 +432,11 @@
 	for (guint i = 0; i < world->nodes->len; i++) {
 		node_t *node = g_ptr_array_index(world->nodes, i);
 
-		if (node->quota && node->frozen_until_us <= world->now_us &&
-		    quota_next_us(node->quota) <= world->now_us)
+		if (!node->quota || node->frozen_until_us > world->now_us)
+			continue;
+		if (node->configured_us <= world->now_us)
+			quota_set_tenants(node->quota, world->tenants);
+		if (quota_next_us(node->quota) <= world->now_us)
 			quota_run(node->quota, world->now_us);
 	}
 }
@@ -729,6 +742,28 @@
 	tenants_free(tenants);
 }
 
+/* A VM that has just started accepts links before it has the configuration. Without it the VM knows
+ * no quota, and must not admit what it does not limit; with another version it may. */
+static void test_pool_without_configuration(void **state)
+{
+	const hop_message_t ask = {.type = HOP_QUOTA_ASK,
+				   .serial = 1,
+				   .quota = {.tenant = {.data = "t", .bytes = 1}, .count = 1}};
+	quota_t *quota = quota_new(&tolerance, "pool", LISTED_AFTER_US, &recording, NULL, 1);
+	tenants_t *tenants = tenants_new();
+	hop_message_t reply;
+
+	(void)state;
+	assert_true(quota_serve(quota, &ask, &reply, START_US));
+	assert_int_equal(reply.type, HOP_QUOTA_GRANT);
+	assert_int_equal(reply.quota.count, 0);
+	quota_set_tenants(quota, tenants);
+	assert_true(quota_serve(quota, &ask, &reply, START_US));
+	assert_int_equal(reply.quota.count, 1);
+	quota_free(quota);
+	tenants_free(tenants);
+}
+
 typedef struct size_case_t {
 	guint vms, tenants;
 	double per_s;
@@ -987,6 +1022,7 @@
 		cmocka_unit_test(test_spare),
 		cmocka_unit_test(test_added_vm),
 		cmocka_unit_test(test_late_grant),
+		cmocka_unit_test(test_pool_without_configuration),
 		cmocka_unit_test(test_usual_demand),
 		cmocka_unit_test(test_hot_tenants),
 		cmocka_unit_test(test_all_cut_off),
