Safeguards: a row follows the code; the test of a pool's start ends without its guard

tests/mutants.sh: 'urgent parts get no priority' matched nothing since the rank became that of the tenant. quota_test: without bucket->started take_all() did not end, and a time-out does not count as a failure; it takes 1,000 tokens at most.

--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -171,7 +171,7 @@
 	'an old list makes a draining searcher ready|src/core/registry.c|s/if \(!entry->draining \|\| searcher->state != SEARCHER_READY\)\n\t\treturn false;\n\tsearcher->state = SEARCHER_DRAINING/searcher->state = entry->draining ? SEARCHER_DRAINING : SEARCHER_READY/'
 	'callers that disconnected keep searchers at work|src/core/forwarder.c|s/forward_release\(forward, ABANDONED_CANCEL_US, now_us\)/forward_release(forward, 600000, now_us)/'
 	'parts wait for searchers that are gone|src/core/forwarder.c|s/\tlose_without_candidates\(pool, now_us\);//'
-	'urgent parts get no priority in the queue|src/core/part.c|s/return part->forward->route->rank < other->forward->route->rank;/return false;/'
+	'urgent parts get no priority in the queue|src/core/part.c|s/return forward_rank\(part->forward\) < forward_rank\(other->forward\);/return false;/'
 	'the end of a chunk is not checked|src/net/http_message.c|s/if \(!scan_chunk_byte\(chunks, data\[i\]\)\)/if (0)/'
 	'a folded header is accepted|src/net/http_message.c|s/return !folded;/return true;/'
 	'all requests are admitted in order of arrival|src/core/gate.c|s/\+\+gate->pick_count % FAIR_PICK_INTERVAL/0/'
--- a/tests/quota_test.c
+++ b/tests/quota_test.c
@@ -541,11 +541,14 @@
 	quota_pool_add(pool, &share, now_us);
 }
 
+/* More tokens than any pool of these tests has. */
+#define TAKEN_MAX 1000
+
 static guint take_all(quota_pool_t *pool, const tenant_t *tenant, uint64_t now_us)
 {
 	guint taken = 0;
 
-	while (quota_pool_take(pool, tenant, now_us))
+	while (taken < TAKEN_MAX && quota_pool_take(pool, tenant, now_us))
 		taken++;
 	return taken;
 }
