quota: this VM is one of the pools; a transfer survives that the others leave

Cause, found by reading: a transfer that was under way when the list of pools became empty divided by zero; a promise of a token stood for callers that never came back, so Retry-After stayed too long after a tenant had been hot; and this VM as a pool was a case of its own in five places.

Change: this VM is an entry of the list of pools; ask_next() is one loop; a promise ends once tokens are left over; the list's length bounds a transfer.

--- a/src/core/quota.c
+++ b/src/core/quota.c
@@ -19,14 +19,12 @@
 /* Time for a pool of another region to answer. */
 #define TRANSFER_TIMEOUT_US 200000
 
-#define NOT_LISTED G_MAXUINT
-
-/** Another VM that may pool quotas. */
+/** A VM that may pool quotas, this one among them. */
 typedef struct quota_peer_t {
 	char *vm;
 	bool is_near; /* in this VM's region */
-	bool is_used; /* of this region's, one of the first that are linked */
-	bool linked;
+	bool is_used; /* one of the first of this region that can be reached */
+	bool linked;  /* it can be reached; always set for this VM */
 } quota_peer_t;
 
 struct quota_ask_t {
@@ -35,8 +33,7 @@
 	char *tenant;
 	const quota_peer_t *asked[POOLS_ASKED_MAX];
 	uint32_t asked_count;
-	bool own_tried; /* this VM's own pool had no token */
-	bool refused;	/* a pool has answered that it has no token */
+	bool refused; /* a pool has answered that it has no token */
 	uint64_t retry_after_us;
 	timer_entry_t timer;
 	void *owner;
@@ -58,10 +55,9 @@
 	char *own_name;
 	quota_pool_t *pool;
 	const tenants_t *tenants;
-	GPtrArray *peers; /* quota_peer_t */
+	GPtrArray *peers;  /* quota_peer_t: those of this region first, best first */
+	quota_peer_t *own; /* this VM, if it is one of them; NULL */
 	uint32_t vms;
-	guint own_place; /* of this VM among the pools of its region, or NOT_LISTED */
-	bool is_pool;	 /* this VM is one of the pools in use of its region */
 	uint64_t listed_after_us;
 	uint64_t accrued_from_us; /* 0: this VM accrues nothing yet */
 	guint next_pool;	  /* the place in the rotation of pools */
@@ -111,7 +107,6 @@
 	quota->own_name = g_strdup(own_name);
 	quota->pool = quota_pool_new(tolerance);
 	quota->peers = g_ptr_array_new_with_free_func(peer_free);
-	quota->own_place = NOT_LISTED;
 	quota->listed_after_us = listed_after_us;
 	timers_init(&quota->timers);
 	quota->period = (timer_entry_t){.fire = run_period, .ctx = quota};
@@ -150,34 +145,32 @@
 	return NULL;
 }
 
-/* Moves the peer of this name from @p old to the list, or adds a new one. */
-static void list_peer(quota_t *quota, GPtrArray *old, const char *name, bool near)
+/* Takes the peer of this name out of @p old; returns a new one if it is not there. */
+static quota_peer_t *reuse_peer(GPtrArray *old, const char *name)
 {
-	quota_peer_t *peer = NULL;
-
-	for (guint i = 0; i < old->len && !peer; i++) {
-		quota_peer_t *each = g_ptr_array_index(old, i);
+	quota_peer_t *peer;
 
-		if (g_str_equal(each->vm, name))
-			peer = g_ptr_array_steal_index(old, i);
-	}
-	if (!peer) {
-		peer = g_new0(quota_peer_t, 1);
-		peer->vm = g_strdup(name);
+	for (guint i = 0; i < old->len; i++) {
+		peer = g_ptr_array_index(old, i);
+		if (g_str_equal(peer->vm, name))
+			return g_ptr_array_steal_index(old, i);
 	}
-	peer->is_near = near;
-	g_ptr_array_add(quota->peers, peer);
+	peer = g_new0(quota_peer_t, 1);
+	peer->vm = g_strdup(name);
+	return peer;
 }
 
 static void list_peers(quota_t *quota, GPtrArray *old, const GPtrArray *names, bool near)
 {
 	for (guint i = 0; i < names->len; i++) {
-		const char *name = g_ptr_array_index(names, i);
+		quota_peer_t *peer = reuse_peer(old, g_ptr_array_index(names, i));
 
-		if (!g_str_equal(name, quota->own_name))
-			list_peer(quota, old, name, near);
-		else
-			quota->own_place = quota->peers->len;
+		peer->is_near = near;
+		g_ptr_array_add(quota->peers, peer);
+		if (!g_str_equal(peer->vm, quota->own_name))
+			continue;
+		quota->own = peer;
+		peer->linked = true;
 	}
 }
 
@@ -196,22 +189,13 @@
 	}
 }
 
-/* The pools in use are the first of the region that are linked, this VM among them. */
 static void choose_pools(quota_t *quota)
 {
 	guint used = 0;
 
-	quota->is_pool = false;
-	for (guint i = 0; i <= quota->peers->len; i++) {
-		quota_peer_t *peer;
+	for (guint i = 0; i < quota->peers->len; i++) {
+		quota_peer_t *peer = g_ptr_array_index(quota->peers, i);
 
-		if (i == quota->own_place && used < QUOTA_POOLS_PER_REGION) {
-			quota->is_pool = true;
-			used++;
-		}
-		if (i == quota->peers->len)
-			return;
-		peer = g_ptr_array_index(quota->peers, i);
 		peer->is_used = peer->is_near && peer->linked && used < QUOTA_POOLS_PER_REGION;
 		used += peer->is_used;
 	}
@@ -237,10 +221,10 @@
 	old = quota->peers;
 	start_accruing(quota, vms, now_us);
 	quota->vms = vms->count;
-	quota->own_place = NOT_LISTED;
+	quota->own = NULL;
 	quota->peers = g_ptr_array_new_with_free_func(peer_free);
 	list_peers(quota, old, vms->pools, true);
-	if (quota->own_place != NOT_LISTED)
+	if (quota->own)
 		list_peers(quota, old, vms->others, false);
 	for (guint i = 0; i < old->len; i++)
 		forget_asked(quota, g_ptr_array_index(old, i));
@@ -260,7 +244,7 @@
 {
 	quota_peer_t *peer = find_peer(quota, vm);
 
-	if (!peer)
+	if (!peer || peer == quota->own)
 		return;
 	peer->linked = linked;
 	choose_pools(quota);
@@ -280,53 +264,52 @@
 
 static guint count_used(const quota_t *quota)
 {
-	guint count = quota->is_pool;
+	guint count = 0;
 
 	for (guint i = 0; i < quota->peers->len; i++)
 		count += ((quota_peer_t *)g_ptr_array_index(quota->peers, i))->is_used;
 	return count;
 }
 
-/* The next pool of this region in the rotation that is linked, or NULL: this VM's own. */
+/* The next pool in use in the rotation; NULL: none can be reached. */
 static const quota_peer_t *next_pool(quota_t *quota)
 {
-	guint places = quota->peers->len + quota->is_pool;
-
-	for (guint i = 0; i < places; i++) {
-		guint at = quota->next_pool++ % places;
-		const quota_peer_t *peer;
+	for (guint i = 0; i < quota->peers->len; i++) {
+		guint at = quota->next_pool++ % quota->peers->len;
+		const quota_peer_t *peer = g_ptr_array_index(quota->peers, at);
 
-		if (at == quota->peers->len)
-			return NULL;
-		peer = g_ptr_array_index(quota->peers, at);
 		if (peer->is_used)
 			return peer;
 	}
 	return NULL;
 }
 
+static void send_share(quota_t *quota, const quota_peer_t *peer, const quota_share_t *share)
+{
+	const hop_message_t message = {.type = HOP_QUOTA_SHARE,
+				       .share = {.vm = bytes_of(share->vm),
+						 .accrued_us = share->accrued_us,
+						 .vms = share->vms,
+						 .pools = share->pools}};
+
+	quota->ops->send(quota->ctx, peer->vm, &message);
+}
+
+/* A VM that reaches no pool keeps its share to itself. */
 static void hand_over_share(quota_t *quota, uint64_t now_us)
 {
 	uint64_t accrued_us = now_us - quota->accrued_from_us;
 	const quota_peer_t *peer = next_pool(quota);
-	quota_share_t share = {.vm = quota->own_name,
-			       .accrued_us = MIN(accrued_us, QUOTA_ACCRUED_MAX_US),
-			       .vms = quota->vms,
-			       .pools = MAX(count_used(quota), 1)};
-	hop_message_t message = {.type = HOP_QUOTA_SHARE};
+	const quota_share_t share = {.vm = quota->own_name,
+				     .accrued_us = MIN(accrued_us, QUOTA_ACCRUED_MAX_US),
+				     .vms = quota->vms,
+				     .pools = MAX(count_used(quota), 1)};
 
 	quota->accrued_from_us = now_us;
-	if (!peer) {
-		if (!quota->is_pool)
-			share.pools = 1;
+	if (peer && peer != quota->own)
+		send_share(quota, peer, &share);
+	else
 		quota_pool_add(quota->pool, &share, now_us);
-		return;
-	}
-	message.share = (hop_quota_share_t){.vm = bytes_of(share.vm),
-					    .accrued_us = share.accrued_us,
-					    .vms = share.vms,
-					    .pools = share.pools};
-	quota->ops->send(quota->ctx, peer->vm, &message);
 }
 
 static void run_period(void *ctx, uint64_t now_us)
@@ -340,6 +323,22 @@
 
 /* ---- spare tokens for this VM's pool ---- */
 
+static void ask_for_spare(transfer_t *transfer, const quota_peer_t *peer, uint32_t count,
+			  uint64_t now_us)
+{
+	quota_t *quota = transfer->quota;
+	const hop_message_t message = {
+		.type = HOP_QUOTA_ASK,
+		.serial = ++quota->last_serial,
+		.quota = {.tenant = bytes_of(transfer->tenant), .count = count, .spare = true}};
+
+	transfer->serial = message.serial;
+	timers_set(&quota->timers, &transfer->timer, now_us + TRANSFER_TIMEOUT_US);
+	quota->ops->send(quota->ctx, peer->vm, &message);
+}
+
+/* Asks the next pool while tokens are lacking; after the last one, ends the transfer with a pause.
+ */
 static void transfer_next(transfer_t *transfer, uint64_t now_us)
 {
 	quota_t *quota = transfer->quota;
@@ -347,21 +346,16 @@
 	uint32_t lacks = tenant ? quota_pool_lacks(quota->pool, tenant, now_us) : 0;
 
 	transfer->serial = 0;
+	/* The list of pools may have become shorter meanwhile. */
+	transfer->left = MIN(transfer->left, quota->peers->len);
 	while (lacks && transfer->left) {
 		const quota_peer_t *peer =
 			g_ptr_array_index(quota->peers, transfer->next++ % quota->peers->len);
-		const hop_message_t message = {.type = HOP_QUOTA_ASK,
-					       .serial = quota->last_serial + 1,
-					       .quota = {.tenant = bytes_of(transfer->tenant),
-							 .count = lacks,
-							 .spare = true}};
 
 		transfer->left--;
-		if (!peer->linked)
+		if (!peer->linked || peer == quota->own)
 			continue;
-		transfer->serial = ++quota->last_serial;
-		timers_set(&quota->timers, &transfer->timer, now_us + TRANSFER_TIMEOUT_US);
-		quota->ops->send(quota->ctx, peer->vm, &message);
+		ask_for_spare(transfer, peer, lacks, now_us);
 		return;
 	}
 	timers_set(&quota->timers, &transfer->timer, now_us + TRANSFER_PAUSE_US);
@@ -382,8 +376,7 @@
 {
 	transfer_t *transfer;
 
-	if (quota->own_place == NOT_LISTED || !quota->peers->len ||
-	    g_hash_table_contains(quota->transfers, tenant->name) ||
+	if (!quota->own || g_hash_table_contains(quota->transfers, tenant->name) ||
 	    !quota_pool_lacks(quota->pool, tenant, now_us))
 		return;
 	transfer = g_new0(transfer_t, 1);
@@ -468,82 +461,64 @@
 	return false;
 }
 
-/* The pool of this region that is first for the tenant, of those that were not asked yet. NULL:
- * there is none, or it is this VM's own, as @p is_own says. */
-static const quota_peer_t *best_pool(const quota_ask_t *ask, bool *is_own)
+/* The pool in use that comes first for the tenant. Those that @p ask has asked already are left
+ * out; NULL: none has. Returns NULL if there is none left. */
+static const quota_peer_t *first_pool(const quota_t *quota, const char *tenant,
+				      const quota_ask_t *ask)
 {
-	const quota_t *quota = ask->quota;
-	const quota_peer_t *best = NULL;
-	uint64_t best_rank = 0;
+	const quota_peer_t *first = NULL;
+	uint64_t first_rank = 0;
 
-	*is_own = quota->is_pool && !ask->own_tried;
-	if (*is_own)
-		best_rank = rank_of(quota->own_name, ask->tenant);
 	for (guint i = 0; i < quota->peers->len; i++) {
 		const quota_peer_t *peer = g_ptr_array_index(quota->peers, i);
-		uint64_t rank = rank_of(peer->vm, ask->tenant);
+		uint64_t rank = rank_of(peer->vm, tenant);
 
-		if (!peer->is_used || was_asked(ask, peer) || rank <= best_rank)
+		if (!peer->is_used || (ask && was_asked(ask, peer)) ||
+		    (first && rank <= first_rank))
 			continue;
-		best = peer;
-		best_rank = rank;
-		*is_own = false;
+		first = peer;
+		first_rank = rank;
 	}
-	return best;
+	return first;
 }
 
-static void ask_pool(quota_ask_t *ask, const quota_peer_t *peer, uint64_t now_us)
+static void ask_peer(quota_ask_t *ask, const quota_peer_t *peer, uint64_t now_us)
 {
 	quota_t *quota = ask->quota;
 	const hop_message_t message = {.type = HOP_QUOTA_ASK,
 				       .serial = ask->serial,
 				       .quota = {.tenant = bytes_of(ask->tenant), .count = 1}};
 
-	ask->asked[ask->asked_count++] = peer;
 	quota->counters.asked++;
 	timers_set(&quota->timers, &ask->timer, now_us + ASK_TIMEOUT_US);
 	quota->ops->send(quota->ctx, peer->vm, &message);
 }
 
-static bool try_own(quota_ask_t *ask, const tenant_t *tenant, uint64_t now_us)
-{
-	quota_t *quota = ask->quota;
-
-	ask->own_tried = true;
-	if (take_own(quota, tenant, now_us))
-		return true;
-	if (quota->is_pool)
-		note_refused(ask, promise_own_us(quota, tenant, now_us));
-	return false;
-}
-
-/* Asks the next pool, or decides. Returns false if it was decided; the ask is freed then. */
+/* Asks the pools that were not asked yet, one after the other. Returns false once that is decided;
+ * the ask is freed then. */
 static bool ask_next(quota_ask_t *ask, uint64_t now_us)
 {
-	const tenant_t *tenant = find_tenant(ask->quota, ask->tenant);
-	const quota_peer_t *peer;
-	bool is_own;
-
+	quota_t *quota = ask->quota;
+	const tenant_t *tenant = find_tenant(quota, ask->tenant);
+	const quota_peer_t *pool;
 	/* The tenant has no quota any more, or is gone: another check refuses its requests then. */
-	if (!tenant || !tenant->rate_per_s) {
-		decide(ask, QUOTA_GRANTED);
-		return false;
-	}
-	peer = best_pool(ask, &is_own);
-	if (is_own && try_own(ask, tenant, now_us)) {
-		decide(ask, QUOTA_GRANTED);
-		return false;
-	}
-	if (is_own)
-		peer = best_pool(ask, &is_own);
-	if (peer && ask->asked_count < POOLS_ASKED_MAX) {
-		ask_pool(ask, peer, now_us);
-		return true;
+	bool granted = !tenant || !tenant->rate_per_s;
+
+	while (!granted && ask->asked_count < POOLS_ASKED_MAX &&
+	       (pool = first_pool(quota, ask->tenant, ask))) {
+		ask->asked[ask->asked_count++] = pool;
+		if (pool != quota->own) {
+			ask_peer(ask, pool, now_us);
+			return true;
+		}
+		granted = take_own(quota, tenant, now_us);
+		if (!granted)
+			note_refused(ask, promise_own_us(quota, tenant, now_us));
 	}
-	if (!ask->own_tried && try_own(ask, tenant, now_us))
-		decide(ask, QUOTA_GRANTED);
-	else
-		decide(ask, ask->refused ? QUOTA_EXCEEDED : QUOTA_UNREACHABLE);
+	/* What this VM has accrued while it reached no pool. */
+	if (!granted && !(quota->own && quota->own->is_used))
+		granted = quota_pool_take(quota->pool, tenant, now_us);
+	decide(ask, granted ? QUOTA_GRANTED : ask->refused ? QUOTA_EXCEEDED : QUOTA_UNREACHABLE);
 	return false;
 }
 
@@ -583,29 +558,20 @@
 
 void quota_give_back(quota_t *quota, const char *name, uint64_t now_us)
 {
-	quota_ask_t where = {.quota = quota, .tenant = (char *)name};
 	const tenant_t *tenant = find_tenant(quota, name);
-	const quota_peer_t *peer;
-	bool is_own;
+	const quota_peer_t *pool = first_pool(quota, name, NULL);
 
 	if (!tenant)
 		return;
 	quota->counters.returned++;
-	peer = best_pool(&where, &is_own);
-	if (peer)
-		return_to(quota, peer->vm, bytes_of(name), 1);
+	if (pool && pool != quota->own)
+		return_to(quota, pool->vm, bytes_of(name), 1);
 	else
 		quota_pool_put(quota->pool, tenant, 1, now_us);
 }
 
 /* ---- messages ---- */
 
-static void grant_unexpected(quota_t *quota, const char *vm, const hop_quota_t *grant)
-{
-	if (grant->count)
-		return_to(quota, vm, grant->tenant, grant->count);
-}
-
 void quota_receive_grant(quota_t *quota, const char *vm, const hop_message_t *message,
 			 uint64_t now_us)
 {
@@ -616,8 +582,9 @@
 		end_transfer(transfer, message->quota.count, now_us);
 		return;
 	}
-	if (!ask) {
-		grant_unexpected(quota, vm, &message->quota);
+	if (!ask) { /* it was decided without this pool, or its caller has left */
+		if (message->quota.count)
+			return_to(quota, vm, message->quota.tenant, message->quota.count);
 		return;
 	}
 	if (message->quota.count) {
--- a/src/core/quota_pool.c
+++ b/src/core/quota_pool.c
@@ -67,7 +67,8 @@
 }
 
 /* In any window the pools admit the tokens that they hold at its beginning, those that VMs have
- * accrued and not handed over, and those that accrue during the window. */
+ * accrued and not handed over, those that accrue during the window, and those of pools that start
+ * in it. */
 double quota_capacity(const quota_tolerance_t *tolerance, const tenant_t *tenant)
 {
 	double accrued = tenant->rate_per_s * QUOTA_ACCRUED_MAX_US / 1e6;
@@ -155,6 +156,9 @@
 	if (bucket->tokens < 1)
 		return false;
 	bucket->tokens--;
+	/* Tokens are left over: those who were promised one have had it, or do not come back. */
+	if (bucket->tokens >= 1)
+		bucket->due_us = 0;
 	return true;
 }
 
--- a/tests/quota_test.c
+++ b/tests/quota_test.c
@@ -574,6 +574,13 @@
 	for (int i = 0; i < 20; i++)
 		add_share(pool, 500000, now_us += SECOND_US / 2);
 	assert_int_equal(take_all(pool, &modest, now_us), (int)quota_capacity(&strict, &modest));
+	/* Promises that nobody came back for end once tokens are left over. */
+	for (int i = 0; i < 100; i++)
+		quota_pool_promise_us(pool, &modest, now_us);
+	for (int i = 0; i < 4; i++)
+		add_share(pool, 500000, now_us += SECOND_US / 2);
+	assert_true(take_all(pool, &modest, now_us) > 1);
+	assert_true(quota_pool_promise_us(pool, &modest, now_us) <= SECOND_US);
 	/* A long absence is not made up for. */
 	add_share(pool, 60 * SECOND_US, now_us += SECOND_US / 2);
 	assert_int_equal(take_all(pool, &modest, now_us), 1);
@@ -745,6 +752,41 @@
 	tenants_free(tenants);
 }
 
+/* The other pools leave the list while this one waits for spare tokens of one of them. */
+static void test_pools_leave(void **state)
+{
+	g_autoptr(GPtrArray) pools = g_ptr_array_new();
+	g_autoptr(GPtrArray) none = g_ptr_array_new();
+	const quota_vms_t vms = {.count = 2, .is_listed = true, .pools = pools, .others = none};
+	const quota_vms_t alone = {.count = 1, .is_listed = true, .pools = none, .others = none};
+	tenants_t *tenants = tenants_new();
+	tenant_t *tenant = tenants_add(tenants, "t");
+	const hop_message_t ask = {.type = HOP_QUOTA_ASK,
+				   .quota = {.tenant = {.data = "t", .bytes = 1}, .count = 1}};
+	sent_t sent = {0};
+	quota_t *quota = quota_new(&tolerance, "vm", LISTED_AFTER_US, &recording, &sent, 1);
+	uint64_t now_us = START_US;
+	hop_message_t reply;
+
+	(void)state;
+	tenant->rate_per_s = 10;
+	tenant->burst = 10;
+	g_ptr_array_add(pools, "vm");
+	g_ptr_array_add(pools, "pool");
+	quota_set_tenants(quota, tenants);
+	quota_set_vms(quota, &vms, now_us);
+	quota_set_linked(quota, "pool", true);
+	for (; now_us < START_US + 3 * SECOND_US; now_us += SECOND_US / 10)
+		quota_run(quota, now_us);
+	for (int i = 0; i < TAKEN_MAX && !sent.last.quota.spare; i++)
+		quota_serve(quota, &ask, &reply, now_us);
+	assert_true(sent.last.quota.spare);
+	quota_set_vms(quota, &alone, now_us);
+	quota_run(quota, now_us + SECOND_US);
+	quota_free(quota);
+	tenants_free(tenants);
+}
+
 /* A VM that has just started accepts links before it has the configuration. Without it the VM knows
  * no quota, and must not admit what it does not limit; with another version it may. */
 static void test_pool_without_configuration(void **state)
@@ -784,7 +826,6 @@
 		run(world, LEAD_US);
 		world->demand_factor = 1;
 		run(world, 20 * SECOND_US);
-		report(world, "usual");
 		assert_true(refused_share(world) <= REFUSED_SHARE_MAX);
 		check_bound(world, "usual");
 	}
@@ -896,7 +937,6 @@
 	for (guint i = 0; i < pools->len; i += QUOTA_POOLS_PER_REGION)
 		stop(g_ptr_array_index(pools, i));
 	run(world, 10 * SECOND_US);
-	report(world, "with a loss");
 	assert_true(refused_share(world) <= 0.02);
 	check_bound(world, "one pool lost");
 }
@@ -1011,7 +1051,6 @@
 	world->callers = near;
 	world->demand_factor = 1;
 	run(world, 15 * SECOND_US);
-	report(world, "with a loss");
 	assert_true(refused_share(world) <= 0.02);
 	check_bound(world, "one region");
 }
@@ -1026,6 +1065,7 @@
 		cmocka_unit_test(test_added_vm),
 		cmocka_unit_test(test_late_grant),
 		cmocka_unit_test(test_pool_without_configuration),
+		cmocka_unit_test(test_pools_leave),
 		cmocka_unit_test(test_usual_demand),
 		cmocka_unit_test(test_hot_tenants),
 		cmocka_unit_test(test_all_cut_off),
