--- a/tests/quota_test.c
+++ b/tests/quota_test.c
@@ -54,7 +54,8 @@
 	guint group; /* VMs of different groups do not reach each other */
 	uint64_t frozen_until_us;
 	uint64_t configured_us; /* when it has read the configuration */
-	const GPtrArray *list;	/* the VMs that it knows, vm_t */
+	bool is_configured;
+	const GPtrArray *list; /* the VMs that it knows, vm_t */
 } node_t;
 
 typedef struct packet_t {
@@ -218,7 +219,7 @@
 {
 	uint64_t now_us = node->world->now_us;
 
-	return node->quota && node->frozen_until_us <= now_us && node->configured_us < now_us;
+	return node->quota && node->frozen_until_us <= now_us && node->is_configured;
 }
 
 static void request(world_t *world, load_t *load)
@@ -318,6 +319,7 @@
 	node->quota = quota_new(&tolerance, node->vm->name, LISTED_AFTER_US, &ops, node,
 				g_rand_int(world->rand));
 	node->configured_us = world->now_us + CONFIGURED_AFTER_US;
+	node->is_configured = false;
 	set_list(node, node->list);
 }
 
@@ -434,8 +436,10 @@
 
 		if (!node->quota || node->frozen_until_us > world->now_us)
 			continue;
-		if (node->configured_us <= world->now_us)
+		if (!node->is_configured && node->configured_us <= world->now_us) {
+			node->is_configured = true;
 			quota_set_tenants(node->quota, world->tenants);
+		}
 		if (quota_next_us(node->quota) <= world->now_us)
 			quota_run(node->quota, world->now_us);
 	}
