--- a/src/settings.c
+++ b/src/settings.c
@@ -43,7 +43,7 @@
 	size_t offset;
 	const char *fallback; /* default value; NULL when the key is required */
 	setting_use_t use;
-	uint32_t min, max; /* of a number; of a ratio only the maximum, 0: 1 */
+	uint32_t min, max; /* of a number or ratio */
 	setting_rounding_t rounding;
 } setting_t;
 
@@ -73,7 +73,8 @@
 	 .key = "core_share",
 	 .type = SETTING_RATIO,
 	 .offset = AT(core_share),
-	 .fallback = "1"},
+	 .fallback = "1",
+	 .max = 1},
 	{.group = "listen",
 	 .use = USE_OWN,
 	 .key = "address",
@@ -194,7 +195,8 @@
 	 .type = SETTING_RATIO,
 	 .offset = AT(retry_ratio),
 	 .fallback = "0.1",
-	 .use = USE_FRONT},
+	 .use = USE_FRONT,
+	 .max = 1},
 	{.group = "retries",
 	 .key = "constant",
 	 .type = SETTING_NUMBER,
@@ -470,13 +472,13 @@
 static void read_ratio_setting(reader_t *reader, const setting_t *setting, const char *text,
 			       double *out)
 {
-	uint32_t max = MAX(setting->max, 1);
 	char *end;
 
 	*out = g_ascii_strtod(text, &end);
-	if (end == text || *end || !(*out >= 0 && *out <= max))
+	if (end == text || *end || !(*out >= setting->min && *out <= setting->max))
 		add_error(reader, setting->group, setting->key,
-			  "must be a number from 0 to %u, not \"%s\"", max, text);
+			  "must be a number from %u to %u, not \"%s\"", setting->min, setting->max,
+			  text);
 }
 
 static bool is_used(const setting_t *setting, const settings_t *settings)
