--- a/src/core/tenant_counters.h
+++ b/src/core/tenant_counters.h
@@ -11,8 +11,8 @@
 
 /* Tenants counted by name: the first ones with a request. */
 #define TENANTS_NAMED_MAX 100
-/* Name under which the others are counted; not a name that a tenant is likely to have. */
-#define TENANTS_OTHER "(other)"
+/* The others are counted under this name. No tenant has it: a tenant's name holds no space. */
+#define TENANTS_OTHER "other tenants"
 
 typedef struct tenant_counts_t {
 	uint64_t admitted;
--- a/src/queries/front_metrics.c
+++ b/src/queries/front_metrics.c
@@ -4,15 +4,25 @@
  */
 #include "queries/front_metrics.h"
 
+/* Names that operators choose may hold quotes. */
+static void put_label(GString *out, const char *label, const char *value)
+{
+	g_string_append_printf(out, "{%s=\"", label);
+	for (const char *c = value; *c; c++) {
+		if (*c == '"' || *c == '\\')
+			g_string_append_c(out, '\\');
+		g_string_append_c(out, *c);
+	}
+	g_string_append(out, "\"}");
+}
+
 static void put_metric(GString *out, const char *name, const char *label, const char *value,
 		       uint64_t count)
 {
+	g_string_append_printf(out, "dogwoodsaddle_%s", name);
 	if (label)
-		g_string_append_printf(out, "dogwoodsaddle_%s{%s=\"%s\"} %" G_GUINT64_FORMAT "\n",
-				       name, label, value, count);
-	else
-		g_string_append_printf(out, "dogwoodsaddle_%s %" G_GUINT64_FORMAT "\n", name,
-				       count);
+		put_label(out, label, value);
+	g_string_append_printf(out, " %" G_GUINT64_FORMAT "\n", count);
 }
 
 static void put_requests(GString *out, const forwarder_t *forwarder)
@@ -173,8 +183,8 @@
 	put_metric(out, "quota_tokens_returned_total", NULL, NULL, counters->returned);
 	put_metric(out, "quota_tokens_transferred_total", NULL, NULL, counters->transferred);
 	put_metric(out, "quota_unreachable_total", NULL, NULL, counters->unreachable);
-	put_metric(out, "quota_pool_share_percent", NULL, NULL,
-		   (uint64_t)(quota_task_own_fraction(quotas) * 100));
+	put_metric(out, "quota_pool_share_ppm", NULL, NULL,
+		   (uint64_t)(quota_task_own_fraction(quotas) * 1e6));
 	g_hash_table_iter_init(&iter, tenants);
 	while (g_hash_table_iter_next(&iter, &name, &value)) {
 		const tenant_counts_t *counts = value;
--- a/src/tasks/quota_link.c
+++ b/src/tasks/quota_link.c
@@ -26,6 +26,8 @@
 	if (link->linked == linked)
 		return;
 	link->linked = linked;
+	if (linked)
+		g_message("event=quota-pool-linked vm=%s", link->vm->name);
 	link->ops->linked(link->ctx, link, linked);
 }
 
--- a/tests/system/front_quota.sh
+++ b/tests/system/front_quota.sh
@@ -47,7 +47,7 @@
 done
 
 # The tenant goes on, and the VMs that pool the quotas are killed: never more than the quota.
-pools=$(for ((vm = 0; vm < VMS; vm++)); do [ "$(metric quota_pool_share_percent $vm)" -gt 0 ] && echo $vm; done)
+pools=$(for ((vm = 0; vm < VMS; vm++)); do [ "$(metric quota_pool_share_ppm $vm)" -gt 0 ] && echo $vm; done)
 [ "$(echo "$pools" | wc -w)" = 2 ] || fail "pools: $pools"
 sleep 5
 before=$(ran small) until=$(($(now_ms) + 4500))
