--- a/src/core/quota.c
+++ b/src/core/quota.c
@@ -461,8 +461,8 @@
 	return false;
 }
 
-/* The pool in use that comes first for the tenant. Those that @p ask has asked already are left
- * out; NULL: none has. Returns NULL if there is none left. */
+/* The tenant's first pool in use that @p ask has not asked yet; NULL: none is left. Without @p ask,
+ * the first of all. */
 static const quota_peer_t *first_pool(const quota_t *quota, const char *tenant,
 				      const quota_ask_t *ask)
 {
@@ -502,7 +502,7 @@
 	const tenant_t *tenant = find_tenant(quota, ask->tenant);
 	const quota_peer_t *pool;
 	/* The tenant has no quota any more, or is gone: another check refuses its requests then. */
-	bool granted = !tenant || !tenant->rate_per_s;
+	bool granted = !tenant_has_quota(tenant);
 
 	while (!granted && ask->asked_count < POOLS_ASKED_MAX &&
 	       (pool = first_pool(quota, ask->tenant, ask))) {
@@ -602,7 +602,7 @@
 	if (!quota->tenants)
 		return;
 	/* This VM has another version of the configuration, by which nothing limits the tenant. */
-	if (!tenant || !tenant->rate_per_s) {
+	if (!tenant_has_quota(tenant)) {
 		grant->count = !ask->spare;
 		return;
 	}
--- a/src/core/tenants.c
+++ b/src/core/tenants.c
@@ -13,6 +13,11 @@
 	GHashTable *by_key;
 };
 
+bool tenant_has_quota(const tenant_t *tenant)
+{
+	return tenant && tenant->rate_per_s > 0;
+}
+
 bool tenant_allows(const tenant_t *tenant, const char *region)
 {
 	return !tenant || region_list_allows(tenant->regions, region);
--- a/src/core/tenants.h
+++ b/src/core/tenants.h
@@ -18,6 +18,8 @@
 	GPtrArray *regions; /**< names of the regions its requests must stay in; NULL: any region */
 } tenant_t;
 
+/** Whether each request of the tenant needs a token of its quota; a NULL tenant has none. */
+bool tenant_has_quota(const tenant_t *tenant);
 /** Whether the tenant's requests may be sent to @p region; a NULL tenant binds none. */
 bool tenant_allows(const tenant_t *tenant, const char *region);
 
--- a/src/tasks/quota_task.c
+++ b/src/tasks/quota_task.c
@@ -126,7 +126,7 @@
 		routing && routing->tenants ? tenants_all(routing->tenants) : NULL;
 
 	for (guint i = 0; tenants && i < tenants->len; i++)
-		if (((const tenant_t *)g_ptr_array_index(tenants, i))->rate_per_s > 0)
+		if (tenant_has_quota(g_ptr_array_index(tenants, i)))
 			return true;
 	return false;
 }
@@ -149,25 +149,34 @@
 	return names;
 }
 
+/* Only a pool asks those of other regions, for tokens that they can spare. */
+static GPtrArray *vms_to_link(const quota_task_t *task, GPtrArray *near, GPtrArray *elsewhere)
+{
+	GPtrArray *vms = g_ptr_array_new();
+
+	if (!has_quotas(task->routing))
+		return vms;
+	g_ptr_array_extend(vms, near, NULL, NULL);
+	if (vm_find(near, task->own_name))
+		g_ptr_array_extend(vms, elsewhere, NULL, NULL);
+	return vms;
+}
+
 void quota_task_set_fleet(quota_task_t *task, const fleet_t *fleet, const char *own_region)
 {
 	g_autoptr(GPtrArray) near = quota_pools_in_region(fleet, own_region);
 	g_autoptr(GPtrArray) elsewhere = quota_pools_elsewhere(fleet, own_region);
 	g_autoptr(GPtrArray) near_names = names_of(near);
 	g_autoptr(GPtrArray) elsewhere_names = names_of(elsewhere);
+	g_autoptr(GPtrArray) links = NULL;
 	const quota_vms_t vms = {.count = fleet->vms->len,
 				 .is_listed = vm_find(fleet->vms, task->own_name) != NULL,
 				 .pools = near_names,
 				 .others = elsewhere_names};
 
 	quota_set_vms(task->quota, &vms, loop_now_us());
-	if (!has_quotas(task->routing)) {
-		g_ptr_array_set_size(near, 0);
-	} else if (vm_find(near, task->own_name)) {
-		for (guint i = 0; i < elsewhere->len; i++)
-			g_ptr_array_add(near, g_ptr_array_index(elsewhere, i));
-	}
-	link_to(task, near);
+	links = vms_to_link(task, near, elsewhere);
+	link_to(task, links);
 	on_check_timer(task);
 	arm(task);
 }
