front_task: requests are in a file of their own; one lookup of a route and a tenant

front_task.c held sockets, the store's data and each request's course in 900 lines. front_requests.c now has the requests. The forwarder's checks of a request (is there a route, a valid key, a verdict against it) were repeated in the task; forwarder_look_up() is one for both, and a script tests that it does not need a list of searchers: a VM without one hands requests over, and their token is charged there. Two rows of the safeguards. The ablation of connections ahead of need follows the code to core/warm_set.

--- a/src/core/forward.h
+++ b/src/core/forward.h
@@ -248,8 +248,21 @@
 				uint64_t since_us);
 /** The records of requests that searchers crashed on. */
 poison_t *forwarder_poison(const forwarder_t *forwarder);
-/** Whether a request would be refused because searchers crash on it. */
-bool forwarder_is_blocked(const forwarder_t *forwarder, fingerprint_t fingerprint, uint64_t now_us);
+/** What the configuration in force says of a request. */
+typedef struct forward_access_t {
+	const route_t *route;
+	const tenant_t *tenant; /**< that holds its API key; NULL: none */
+} forward_access_t;
+/**
+ * Look up the route and the tenant of @p request. A VM without a list of searchers answers this
+ * too: it refuses the request itself, but may hand it over to a VM that has one.
+ * @return false if the request is refused whatever searchers there are: there is no configuration,
+ * route or valid API key, this VM is shutting down, or searchers crash on the request
+ */
+bool forwarder_look_up(const forwarder_t *forwarder, const forward_request_t *request,
+		       uint64_t now_us, forward_access_t *access);
+/** Whether @p request has a route, but no API key that the configuration in force holds. */
+bool forwarder_lacks_key(const forwarder_t *forwarder, const forward_request_t *request);
 /** Another VM of this region has shared an observation of a searcher. */
 void forwarder_take_observation(forwarder_t *forwarder, const observation_t *observation,
 				uint64_t now_us);
--- a/src/core/forwarder.c
+++ b/src/core/forwarder.c
@@ -219,9 +219,28 @@
 	return forwarder->poison;
 }
 
-bool forwarder_is_blocked(const forwarder_t *forwarder, fingerprint_t fingerprint, uint64_t now_us)
+static const route_t *route_of(const forwarder_t *forwarder, const forward_request_t *request)
 {
-	return poison_check(forwarder->poison, fingerprint, now_us) == POISON_BLOCKED;
+	return forwarder->routing
+		       ? routing_match(forwarder->routing, request->host, request->target)
+		       : NULL;
+}
+
+bool forwarder_look_up(const forwarder_t *forwarder, const forward_request_t *request,
+		       uint64_t now_us, forward_access_t *access)
+{
+	*access = (forward_access_t){.route = route_of(forwarder, request)};
+	return access->route && !forwarder->shutting_down &&
+	       poison_check(forwarder->poison, request->fingerprint, now_us) != POISON_BLOCKED &&
+	       routing_authorize(forwarder->routing, access->route, request->key, &access->tenant);
+}
+
+bool forwarder_lacks_key(const forwarder_t *forwarder, const forward_request_t *request)
+{
+	const route_t *route = route_of(forwarder, request);
+	const tenant_t *tenant;
+
+	return route && !routing_authorize(forwarder->routing, route, request->key, &tenant);
 }
 
 /* A reply from another searcher at the same address carries that one's load. */
--- a/src/tasks/front_task.c
+++ b/src/tasks/front_task.c
@@ -2,70 +2,30 @@
  * @file front_task.c
  * See front_task.h.
  */
-#include "tasks/front_task.h"
+#include "tasks/front_private.h"
 
-#include "core/retry_after.h"
-#include "core/sharing.h"
 #include "core/tenant_counters.h"
 #include "core/warm_set.h"
 #include "headers.h"
 #include "log.h"
 #include "queries/front_log.h"
 #include "queries/front_metrics.h"
-#include "tasks/gather_task.h"
-#include "tasks/hop_server.h"
-#include "tasks/link_task.h"
 #include "tasks/own_vm.h"
-#include "tasks/poison_task.h"
-#include "tasks/quota_task.h"
 #include "tasks/relay.h"
-#include "tasks/store_reader.h"
-#include "tasks/store_sync_task.h"
 
 #include <string.h>
 
 /* Connection shares that were reduced after a refusal by a searcher are restored this often. */
 #define SHARES_PERIOD_US 5000000
-/* A handed-over request that has waited longer than this for the event loop is rejected, so that
- * the taker can use another gatherer: the request's target may be a tenth of a second. */
-#define MAX_QUEUE_DELAY_US 60000
 /* In force until a configuration has been read. */
 #define INITIAL_LIMITS                                                                             \
 	((http_server_limits_t){.message = {.head_bytes = 16384, .body_bytes = 1u << 20},          \
 				.receive_us = 5000000,                                             \
 				.idle_us = 60000000})
 
-struct front_task_t {
-	loop_t *loop;
-	http_server_t *callers;
-	forwarder_t *forwarder;
-	registry_t *registry;
-	store_reader_t *reader;
-	link_task_t *links;
-	gather_task_t *gathers; /* requests handed over to other VMs */
-	hop_server_t *hops;	/* requests handed over by other VMs */
-	quota_task_t *quotas;
-	GHashTable *tenant_counters; /* see core/tenant_counters.h */
-	store_sync_task_t *store_sync;
-	poison_task_t *poison;
-	platform_task_t *platform;
-	loop_timer_t forwarder_timer;
-	loop_timer_t shares_timer;
-	sharing_t sharing;  /* this VM's shares, from the last known VMs and configuration */
-	bool fleet_changed; /* `sharing` must be recomputed */
-	uint64_t last_request_us;
-	double retry_ratio;
-	uint32_t retry_constant;
-	char *vm_name;
-	char *data_centre;
-	GHashTable *regions; /* data centre to region */
-	bool draining;
-	bool stopped_accepting;
-};
-
 /* ---- time ---- */
 
-static void arm_forwarder(front_task_t *task)
+void front_arm_forwarder(front_task_t *task)
 {
 	uint64_t next_us = forwarder_next_us(task->forwarder), now_us = loop_now_us();
 
@@ -81,10 +41,10 @@
 	front_task_t *task = ctx;
 
 	forwarder_run(task->forwarder, loop_now_us());
-	arm_forwarder(task);
+	front_arm_forwarder(task);
 }
 
-static const char *own_region(const front_task_t *task)
+const char *front_own_region(const front_task_t *task)
 {
 	return g_hash_table_lookup(task->regions, task->data_centre);
 }
@@ -120,7 +80,7 @@
 
 	task->fleet_changed = false;
 	gather_task_set_fleet(task->gathers, &fleet);
-	quota_task_set_fleet(task->quotas, &fleet, own_region(task));
+	quota_task_set_fleet(task->quotas, &fleet, front_own_region(task));
 	sharing_clear(&task->sharing);
 	sharing_update(&task->sharing, &fleet, task->vm_name, task->retry_constant);
 }
@@ -208,7 +168,7 @@
 
 	front_log_subrequest(sub, reply);
 	forwarder_subrequest_ended(task->forwarder, sub, reply, loop_now_us());
-	arm_forwarder(task);
+	front_arm_forwarder(task);
 }
 
 static void on_connection_refused(void *ctx, searcher_t *searcher)
@@ -216,7 +176,7 @@
 	front_task_t *task = ctx;
 
 	forwarder_searcher_ended(task->forwarder, searcher, loop_now_us());
-	arm_forwarder(task);
+	front_arm_forwarder(task);
 }
 
 static void on_connected(void *ctx, searcher_t *searcher, uint64_t since_us)
@@ -229,7 +189,7 @@
 	front_task_t *task = ctx;
 
 	forwarder_dispatch_waiting(task->forwarder, service, loop_now_us());
-	arm_forwarder(task);
+	front_arm_forwarder(task);
 }
 
 /* ---- observations of searchers, shared with the VMs of this region ---- */
@@ -301,361 +261,6 @@
 		     trial->strikes, trial->took_us);
 }
 
-/* ---- answers ---- */
-
-/* A token of a request that was not run goes to the next request of its tenant. */
-static void give_back_token(front_task_t *task, const relay_t *relay, forward_outcome_t outcome)
-{
-	if (relay->charged && !forward_outcome_may_have_run(outcome))
-		quota_task_give_back(task->quotas, relay->charged);
-}
-
-static hop_bytes_t bytes_of(const GString *text)
-{
-	return text ? (hop_bytes_t){.data = text->str, .bytes = text->len} : (hop_bytes_t){0};
-}
-
-static void answer_taker(front_task_t *task, hop_job_t *job, const forward_answer_t *answer)
-{
-	const hop_answer_t hop_answer = {.end = answer->outcome,
-					 .parts = answer->parts,
-					 .missing = answer->missing,
-					 .retry_after_us = answer->retry_after_us,
-					 .stamps = bytes_of(answer->stamps),
-					 .records = bytes_of(answer->records)};
-
-	hop_server_answer(task->hops, job, &hop_answer);
-}
-
-static void on_answer(void *ctx, forward_t *forward, const forward_answer_t *answer)
-{
-	front_task_t *task = ctx;
-	relay_t *relay = forward->owner;
-	int status =
-		answer->reply ? answer->reply->status : forward_outcome_status(answer->outcome);
-
-	front_log_answer(relay->request.id, forward, answer, status,
-			 store_sync_task_age_us(task->store_sync));
-	give_back_token(task, relay, answer->outcome);
-	if (relay->job)
-		answer_taker(task, relay->job, answer);
-	else
-		relay_answer_caller(relay, answer);
-	relay_free(relay);
-}
-
-/* ---- requests of callers ---- */
-
-static void reply_bad_request(http_exchange_t *exchange, const char *reason)
-{
-	g_info("event=request-refused status=400 reason=\"%s\"", reason);
-	http_exchange_reply(exchange, 400, "text/plain", reason, strlen(reason));
-}
-
-static void submit(front_task_t *task, relay_t *relay)
-{
-	forward_t *forward =
-		forwarder_submit(task->forwarder, &relay->request, relay, loop_now_us());
-
-	if (forward) /* otherwise on_answer() was called already and freed the relay */
-		relay->forward = forward;
-	arm_forwarder(task);
-}
-
-/*
- * A gatherer uses a newer configuration than this VM. Served by the older one, a caller that has
- * seen a change in force could get an answer as if the change had been reverted. This VM is reading
- * the new version already, which takes a few tenths of a second.
- */
-static void reject_config_behind(front_task_t *task, relay_t *relay)
-{
-	const forward_answer_t answer = {
-		.outcome = FORWARD_NOT_READY,
-		.retry_after_us = retry_after_us(MISSING_STATE, relay->request.patience_us,
-						 registry_is_store_unreachable(task->registry))};
-
-	g_message("event=answer request=%s outcome=not-ready reason=configuration-behind",
-		  relay->request.id ? relay->request.id : "");
-	give_back_token(task, relay, answer.outcome);
-	relay_answer_caller(relay, &answer);
-	relay_free(relay);
-}
-
-static bool is_config_behind(const front_task_t *task)
-{
-	return forwarder_routing(task->forwarder)->version <
-	       handovers_version(gather_task_handovers(task->gathers));
-}
-
-static void on_gather_here(void *ctx, relay_t *relay)
-{
-	if (is_config_behind(ctx))
-		reject_config_behind(ctx, relay);
-	else
-		submit(ctx, relay);
-}
-
-/*
- * The route of a request that is gathered, otherwise NULL. NULL also for a request that this VM
- * refuses: it is refused here, not handed over.
- */
-static const route_t *gather_route(const front_task_t *task, const relay_t *relay,
-				   const tenant_t **tenant)
-{
-	const routing_t *routing = forwarder_routing(task->forwarder);
-	const route_t *route;
-
-	if (task->stopped_accepting || !routing ||
-	    forwarder_is_blocked(task->forwarder, relay->request.fingerprint, loop_now_us()))
-		return NULL;
-	route = routing_match(routing, relay->request.host, relay->request.target);
-	return route && route->gathers &&
-			       routing_authorize(routing, route, relay->request.key, tenant)
-		       ? route
-		       : NULL;
-}
-
-/* The key may be one that the newer configuration adds. A caller retries after a 503, but not after
- * a 401. */
-static bool may_have_new_key(const front_task_t *task, const relay_t *relay)
-{
-	const routing_t *routing = forwarder_routing(task->forwarder);
-	const tenant_t *tenant;
-	const route_t *route;
-
-	if (!routing || !is_config_behind(task))
-		return false;
-	route = routing_match(routing, relay->request.host, relay->request.target);
-	return route && !routing_authorize(routing, route, relay->request.key, &tenant);
-}
-
-/* Gatherers are in this VM's region, which may not be the caller's. A request that must stay in
- * other regions is handed over to none of them. */
-static void route_request(front_task_t *task, relay_t *relay)
-{
-	const tenant_t *tenant = NULL;
-	const route_t *route = gather_route(task, relay, &tenant);
-
-	if (route && route_allows(route, own_region(task)) &&
-	    tenant_allows(tenant, own_region(task)) &&
-	    gather_task_hand_over(task->gathers, relay, route,
-				  forwarder_routing(task->forwarder)->version))
-		return;
-	if (route)
-		on_gather_here(task, relay);
-	else
-		submit(task, relay);
-}
-
-/* ---- quotas of tenants ---- */
-
-/* The tenant that a token is needed from. NULL if it has no quota, or if the request will be
- * refused for another reason. */
-static const tenant_t *limited_tenant(const front_task_t *task, const relay_t *relay)
-{
-	const routing_t *routing = forwarder_routing(task->forwarder);
-	const tenant_t *tenant = NULL;
-	const route_t *route;
-
-	if (task->stopped_accepting || !routing ||
-	    forwarder_is_blocked(task->forwarder, relay->request.fingerprint, loop_now_us()))
-		return NULL;
-	route = routing_match(routing, relay->request.host, relay->request.target);
-	if (!route || !routing_authorize(routing, route, relay->request.key, &tenant))
-		return NULL;
-	return tenant && tenant->rate_per_s > 0 ? tenant : NULL;
-}
-
-static void refuse_without_token(relay_t *relay, quota_verdict_t verdict, uint64_t retry_after_us)
-{
-	const forward_answer_t answer = {.outcome = verdict == QUOTA_EXCEEDED ? FORWARD_OVER_QUOTA
-									      : FORWARD_NO_QUOTA,
-					 .retry_after_us = retry_after_us};
-
-	front_log_refused(&relay->request, answer.outcome, relay->charged, retry_after_us);
-	relay_answer_caller(relay, &answer);
-	relay_free(relay);
-}
-
-static void on_quota_decided(void *ctx, void *owner, quota_verdict_t verdict,
-			     uint64_t retry_after_us)
-{
-	front_task_t *task = ctx;
-	relay_t *relay = owner;
-	tenant_counts_t *counts = tenant_counters_of(task->tenant_counters, relay->charged);
-
-	relay->quota_ask = NULL;
-	counts->admitted += verdict == QUOTA_GRANTED;
-	counts->over_quota += verdict == QUOTA_EXCEEDED;
-	if (verdict == QUOTA_GRANTED)
-		route_request(task, relay);
-	else
-		refuse_without_token(relay, verdict, retry_after_us);
-}
-
-/* The relay may be over before the return. */
-static void ask_for_token(front_task_t *task, relay_t *relay, const tenant_t *tenant)
-{
-	quota_ask_t *ask;
-
-	relay->charged = g_strdup(tenant->name);
-	ask = quota_task_ask(task->quotas, tenant, relay);
-	if (ask)
-		relay->quota_ask = ask;
-}
-
-static bool on_quota_message(void *ctx, const hop_message_t *message, hop_message_t *reply)
-{
-	return quota_task_serve(((front_task_t *)ctx)->quotas, message, reply);
-}
-
-/* ---- callers ---- */
-
-static void on_request(void *ctx, http_exchange_t *exchange)
-{
-	front_task_t *task = ctx;
-	const http_message_t *message = http_exchange_message(exchange);
-	const tenant_t *tenant;
-	relay_t *relay;
-
-	if (!task->stopped_accepting)
-		task->last_request_us = loop_now_us();
-	if (*http_message_target(message) != '/' ||
-	    http_message_header_occurrences(message, "Host") != 1) {
-		reply_bad_request(exchange, "a path and one Host are required");
-		return;
-	}
-	relay = relay_from_caller(exchange);
-	http_exchange_set_data(exchange, relay);
-	if (may_have_new_key(task, relay)) {
-		reject_config_behind(task, relay);
-		return;
-	}
-	tenant = limited_tenant(task, relay);
-	if (tenant)
-		ask_for_token(task, relay, tenant);
-	else
-		route_request(task, relay);
-}
-
-static void on_disconnected(void *ctx, http_exchange_t *exchange)
-{
-	front_task_t *task = ctx;
-	relay_t *relay = http_exchange_data(exchange);
-
-	if (!relay)
-		return;
-	g_info("event=caller-left request=%s", relay->request.id ? relay->request.id : "");
-	if (relay->quota_ask)
-		quota_task_abandon(task->quotas, relay->quota_ask);
-	else if (relay->handover)
-		gather_task_abandon(task->gathers, relay);
-	else
-		forwarder_abandon(task->forwarder, relay->forward, loop_now_us());
-	relay_free(relay);
-	arm_forwarder(task);
-}
-
-/* ---- gathers handed over to other VMs ---- */
-
-static void on_gathered(void *ctx, relay_t *relay, const hop_answer_t *answer)
-{
-	front_task_t *task = ctx;
-	g_autoptr(GString) stamps =
-		g_string_new_len(answer->stamps.data, (gssize)answer->stamps.bytes);
-	g_autoptr(GString) records =
-		g_string_new_len(answer->records.data, (gssize)answer->records.bytes);
-	bool answered = answer->end == FORWARD_ANSWERED;
-	const forward_answer_t forward_answer = {.outcome = answer->end,
-						 .stamps = answered ? stamps : NULL,
-						 .records = answered ? records : NULL,
-						 .parts = answer->parts,
-						 .missing = answer->missing,
-						 .retry_after_us = answer->retry_after_us};
-
-	front_log_gathered(&relay->request, relay->handover, &forward_answer,
-			   store_sync_task_age_us(task->store_sync));
-	give_back_token(task, relay, forward_answer.outcome);
-	relay_answer_caller(relay, &forward_answer);
-	relay_free(relay);
-}
-
-static void on_newer_version(void *ctx, uint64_t version)
-{
-	front_task_t *task = ctx;
-	const routing_t *routing = forwarder_routing(task->forwarder);
-
-	if (routing && routing->version < version)
-		store_sync_task_read_configuration(task->store_sync);
-}
-
-/* ---- gathers handed over by other VMs ---- */
-
-/* A configuration older than the one that the request was routed by is not used: the request would
- * be served as if a change that is in force had never been made. */
-static bool hop_accepts(void *ctx, const hop_job_t *job, hop_reason_t *reason)
-{
-	front_task_t *task = ctx;
-	const routing_t *routing = forwarder_routing(task->forwarder);
-	const route_t *route;
-
-	if (!routing || !registry_is_ready(task->registry)) {
-		*reason = HOP_NOT_READY;
-		return false;
-	}
-	if (task->stopped_accepting) {
-		*reason = HOP_STOPPING;
-		return false;
-	}
-	if (routing->version < job->version) {
-		store_sync_task_read_configuration(task->store_sync);
-		*reason = HOP_OLDER_CONFIG;
-		return false;
-	}
-	route = routing_match(routing, job->host, job->target);
-	if (!route || !route->gathers || !route_allows(route, own_region(task))) {
-		*reason = HOP_NOT_GATHERED;
-		return false;
-	}
-	*reason = HOP_BUSY;
-	return loop_now_us() < job->arrived_us + MAX_QUEUE_DELAY_US;
-}
-
-static uint64_t hop_version(void *ctx)
-{
-	return forwarder_routing(((front_task_t *)ctx)->forwarder)->version;
-}
-
-static void hop_gather(void *ctx, hop_job_t *job)
-{
-	relay_t *relay = relay_from_vm(job);
-
-	job->data = relay;
-	submit(ctx, relay);
-}
-
-static void hop_grant(void *ctx, hop_job_t *job, uint32_t count)
-{
-	front_task_t *task = ctx;
-	const relay_t *relay = job->data;
-
-	if (!relay->forward)
-		return;
-	forward_allow_attempts(relay->forward, count, loop_now_us());
-	arm_forwarder(task);
-}
-
-static void hop_abandoned(void *ctx, hop_job_t *job)
-{
-	front_task_t *task = ctx;
-	relay_t *relay = job->data;
-
-	g_info("event=taker-left request=%s", job->id ? job->id : "");
-	forwarder_abandon(task->forwarder, relay->forward, loop_now_us());
-	relay_free(relay);
-	arm_forwarder(task);
-}
-
 /* ---- changes in the store ---- */
 
 static void on_configured(void *ctx, const routing_t *routing)
@@ -681,7 +286,7 @@
 	front_task_t *task = ctx;
 
 	store_reader_apply(task->reader, kind, object);
-	arm_forwarder(task);
+	front_arm_forwarder(task);
 }
 
 static void on_list_end(void *ctx, store_kind_t kind)
@@ -704,7 +309,7 @@
 	front_task_t *task = ctx;
 
 	store_reader_store_restored(task->reader, watches);
-	arm_forwarder(task);
+	front_arm_forwarder(task);
 }
 
 static void on_members(void *ctx)
@@ -746,24 +351,17 @@
 
 static bool listen_all(front_task_t *task, const settings_t *settings)
 {
-	static const http_server_ops_t caller_ops = {.request = on_request,
-						     .disconnected = on_disconnected};
 	static const http_server_ops_t ready_ops = {.request = on_ready_request};
 	static const http_server_ops_t metrics_ops = {.request = on_metrics_request};
-	static const hop_server_ops_t hop_ops = {.accepts = hop_accepts,
-						 .version = hop_version,
-						 .gather = hop_gather,
-						 .grant = hop_grant,
-						 .quota = on_quota_message,
-						 .abandoned = hop_abandoned};
 	const endpoint_setting_t *gather = &settings->front_gather;
 	const endpoint_setting_t *front = &settings->front_callers;
 	const endpoint_setting_t *ready = &settings->front_ready;
 	const endpoint_setting_t *metrics = &settings->front_metrics;
 
 	task->callers = http_server_new(task->loop, front->address, front->port, &INITIAL_LIMITS,
-					&caller_ops, task);
-	task->hops = hop_server_new(task->loop, gather->address, gather->port, &hop_ops, task);
+					&front_caller_ops, task);
+	task->hops =
+		hop_server_new(task->loop, gather->address, gather->port, &front_hop_ops, task);
 	return task->callers && task->hops &&
 	       http_server_new(task->loop, ready->address, ready->port,
 			       &HTTP_SERVER_INTERNAL_LIMITS(0), &ready_ops, task) &&
@@ -804,7 +402,7 @@
 						.trial = on_poison_trial};
 	static const forwarder_ops_t forwarder_ops = {.send = on_send,
 						      .cancel = on_cancel,
-						      .answer = on_answer,
+						      .answer = front_on_answer,
 						      .observed = on_observed,
 						      .poison = &poison_ops};
 	static const link_task_ops_t link_ops = {.write_head = write_head,
@@ -822,9 +420,6 @@
 							     .restored = on_store_restored,
 							     .observation = on_observation_received,
 							     .members = on_members};
-	static const gather_ops_t gather_ops = {.answer = on_gathered,
-						.gather_here = on_gather_here,
-						.newer_version = on_newer_version};
 	front_task_t *task = g_new0(front_task_t, 1);
 
 	task->loop = loop;
@@ -839,9 +434,9 @@
 	task->forwarder = forwarder_new(&forwarder_ops, task, task->registry, g_random_int());
 	task->poison = poison_task_new(platform, forwarder_poison(task->forwarder), task->vm_name);
 	start_reader(task);
-	task->quotas = quota_task_new(loop, settings, on_quota_decided, task);
+	task->quotas = quota_task_new(loop, settings, front_on_quota_decided, task);
 	task->tenant_counters = tenant_counters_new();
-	task->gathers = gather_task_new(loop, own_vm_new(settings), &gather_ops, task);
+	task->gathers = gather_task_new(loop, own_vm_new(settings), &front_gather_ops, task);
 	task->forwarder_timer = (loop_timer_t){.fire = run_forwarder, .ctx = task};
 	task->shares_timer = (loop_timer_t){.fire = set_shares, .ctx = task};
 	task->fleet_changed = true;
--- a/tests/forward_test.c
+++ b/tests/forward_test.c
@@ -7,7 +7,8 @@
  *
  * - `route NAME HOST PREFIX single|gather idempotent|once KEY=NUMBER... [region=NAME]...
  *   SERVICE[*WEIGHT]...`
- * - `tenant NAME KEY [rank=N] [region=NAME]...`: the configuration has tenants, this one among them
+ * - `tenant NAME KEY [rank=N] [rate=N] [region=NAME]...`: the configuration has tenants, this one
+ *   among them
  * - `routing VERSION`: apply the routes and tenants given so far
  * - `searcher ID SERVICE local|far [SLOTS [BORN_MS]]`: a searcher registers
  * - `drain ID, gone ID [BORN_MS]`: the store reports that a searcher drains, or is gone
@@ -29,6 +30,7 @@
  * - `tell`: from now on, print the observations that are shared with other VMs
  * - `request ID HOST TARGET [PATIENCE_MS]`: a caller sends a request and waits for PATIENCE_MS
  * - `with KEY`: further requests carry this API key; `with -`: none
+ * - `access HOST TARGET`: print what the configuration in force says of a request
  * - `leave ID`: the caller of a request disconnects
  * - `at MS`: advance the clock to MS
  * - `answer SEARCHER ID [BODY]`: a sub-request ends; also: fail, refuse, replaced, unsent, cut
@@ -325,6 +327,8 @@
 		else if (g_str_has_prefix(*word, "rank=")) {
 			tenant->has_rank = true;
 			tenant->rank = (uint32_t)atoi(*word + strlen("rank="));
+		} else if (g_str_has_prefix(*word, "rate=")) {
+			tenant->rate_per_s = g_ascii_strtod(*word + strlen("rate="), NULL);
 		}
 	}
 }
@@ -544,6 +548,23 @@
 		g_hash_table_insert(fixture->forwards, g_strdup(id), forward);
 }
 
+static void do_access(void *ctx, char **words)
+{
+	fixture_t *fixture = ctx;
+	const forward_request_t request = {
+		.host = words[1], .target = words[2], .key = fixture->key};
+	forward_access_t access;
+
+	if (!forwarder_look_up(fixture->forwarder, &request, fixture->now_us, &access))
+		print_line(fixture, "access refused%s",
+			   forwarder_lacks_key(fixture->forwarder, &request) ? " lacks-key" : "");
+	else
+		print_line(fixture, "access route=%s%s%s%s", access.route->name,
+			   access.tenant ? " tenant=" : "",
+			   access.tenant ? access.tenant->name : "",
+			   tenant_has_quota(access.tenant) ? " quota" : "");
+}
+
 static void do_request(void *ctx, char **words)
 {
 	fixture_t *fixture = ctx;
@@ -749,6 +770,7 @@
 	{"tenant", do_tenant},
 	{"with", do_with},
 	{"request", do_request},
+	{"access", do_access},
 	{"leave", do_leave},
 	{"at", do_at},
 	{"answer", do_end},
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -28,6 +28,8 @@
 	'a part that is bound to a region blocks the queue|src/core/forwarder.c|s/ && !forward_is_bound\(forward\)//'
 	'a route bound to no region goes anywhere|src/core/region_list.c|s/if \(!list\)\n\t\treturn true;/return true;/'
 	'a request without a valid API key runs|src/core/routing.c|s/return !routing->tenants \|\| route->is_public \|\| \*tenant;/return true;/'
+	'the tenant of a request is not known without a list of searchers|src/core/forwarder.c|s/return access->route && !forwarder->shutting_down/return access->route \&\& registry_is_ready(forwarder->registry) \&\& !forwarder->shutting_down/'
+	'a caller without a route is told that its key may be new|src/core/forwarder.c|s/return route && !routing_authorize/return !route || !routing_authorize/'
 	'requests leave the regions that their tenant allows|src/core/placement.c|s/tenant_allows\(candidates->tenant, searcher->region\)/1/'
 	'the rank of a tenant does not count|src/core/forward.c|s/tenant && tenant->has_rank \? tenant->rank : //'
 	'requests of two tenants have one fingerprint|src/core/fingerprint.c|s/if \(key\)/if (0)/'
@@ -205,7 +207,7 @@
 	'measured latency does not decay|src/core/placement.c|s/exp2\(-age_us \/ LATENCY_HALF_LIFE_US\)/exp2(0 * age_us)/'
 	'a part that would wait past its deadline is not refused|src/core/part.c|s/else if \(part_would_miss_deadline\(part, now_us\)\)/else if (0)/'
 	'far connections are shared equally by all VMs|src/core/connection_share.c|s/bool spread = each < MIN_CONNECTIONS_EACH \&\&/bool spread = 0 \&\&/'
-	'connections to searchers are not opened ahead of need|src/tasks/link_task.c|s/if \(searcher_is_usable\(searcher\) \&\& !searcher->connections \&\&/if (0 \&\&/'
+	'connections to searchers are not opened ahead of need|src/core/warm_set.c|s/if \(!searcher->is_warm \|\| searcher->connections\)/if (1)/'
 )
 SCRATCH=$(mktemp -d)
 trap 'rm -rf "$SCRATCH"' EXIT
