VMs that start wait for a feeder that sends its lists

Cause: a VM without a feed 1.2 s after its start read the lists of the whole fleet from the store. That time holds only while lists are read and sent on within it: with 21 pages of searchers they take longer, and VMs x pages are read. A feeder that was still reading reported itself as unreliable and was rejected ten times a second. A subscriber that connected while a list was read received only the rest of it and its end, and could take that for the list.

Change: a feeder has no status until it has read its lists, sends a new subscriber what it has of an unfinished list, and its status as soon as the last list ends. A VM that starts waits as long as its feeder sends parts of lists that it has not finished; statuses and repeated lists do not prolong it.

Measured (store_sync_test): pages of lists read at the start of 100, 1,000 and 2,000 VMs with lists of 60 pages: 720, 4,860 and 9,360, all by the 4, 27 and 52 watchers.

--- a/src/core/feed_cache.c
+++ b/src/core/feed_cache.c
@@ -107,17 +107,15 @@
 	return cache->complete;
 }
 
-void feed_cache_write(const feed_cache_t *cache, GByteArray *out)
+static void write_objects(const feed_cache_t *cache, GHashTable *objects, GByteArray *out)
 {
 	GHashTableIter iter;
 	gpointer name, value;
 
-	if (!cache->complete)
-		return;
 	feed_message_write(
 		out,
 		&(feed_message_t){.type = FEED_LIST_BEGIN, .kind = cache->kind, .era = cache->era});
-	g_hash_table_iter_init(&iter, cache->objects);
+	g_hash_table_iter_init(&iter, objects);
 	while (g_hash_table_iter_next(&iter, &name, &value)) {
 		const cached_object_t *object = value;
 		bool announced = object->announced;
@@ -129,9 +127,18 @@
 					       .text = announced ? "" : object->text,
 					       .era = cache->era});
 	}
-	feed_message_write(
-		out,
-		&(feed_message_t){.type = FEED_LIST_END, .kind = cache->kind, .era = cache->era});
+}
+
+void feed_cache_write(const feed_cache_t *cache, GByteArray *out)
+{
+	if (cache->complete) {
+		write_objects(cache, cache->objects, out);
+		feed_message_write(out, &(feed_message_t){.type = FEED_LIST_END,
+							  .kind = cache->kind,
+							  .era = cache->era});
+	}
+	if (cache->listing)
+		write_objects(cache, cache->listing, out);
 }
 
 bool feed_cache_find(const feed_cache_t *cache, const char *name, feed_message_t *message)
--- a/src/core/feed_cache.h
+++ b/src/core/feed_cache.h
@@ -19,7 +19,11 @@
 bool feed_cache_is_complete(const feed_cache_t *cache);
 /** Get the object @p name, whole, as a message that borrows its texts; false when there is none. */
 bool feed_cache_find(const feed_cache_t *cache, const char *name, feed_message_t *message);
-/** Append the whole list as messages; nothing while the list is incomplete. */
+/**
+ * Append what a new subscriber has to receive before the messages that follow: the whole list, if
+ * it is complete, and the beginning of the list that is being received. Without that beginning the
+ * subscriber would take the rest for the whole list.
+ */
 void feed_cache_write(const feed_cache_t *cache, GByteArray *out);
 
 #endif
--- a/src/core/store_sync.c
+++ b/src/core/store_sync.c
@@ -313,6 +313,11 @@
 	return true;
 }
 
+bool store_sync_is_starting(const store_sync_t *sync)
+{
+	return sync->is_feeder && sync->watches && !sync->failing && !store_sync_has_data(sync);
+}
+
 /*
  * A feeder reports itself as unreliable while its data is older than subscribers accept. Its
  * subscribers then check the store themselves and keep the feed. This matters after an outage, when
--- a/src/core/store_sync.h
+++ b/src/core/store_sync.h
@@ -34,6 +34,8 @@
 	bool status_ok;		 /**< its last status was acceptable */
 	uint32_t lists_done;	 /**< kinds whose whole list it has sent, one bit each */
 	uint64_t last_answer_us; /**< when the store last answered, by its last status */
+	uint64_t progress_us;	 /**< when it last sent a part of a list that it has not sent
+				  * whole; 0: never */
 	void *data;		 /**< belongs to the open and close callbacks */
 } store_sync_link_t;
 
@@ -122,6 +124,8 @@
 /** Another VM has newer data: read @p kind at once, unless a read is under way. */
 void store_sync_catch_up(store_sync_t *sync, uint32_t kind, uint64_t now_us);
 
+/** @p link has sent an object of @p kind, or the beginning of its list. */
+void store_sync_link_sent_part(store_sync_link_t *link, uint32_t kind, uint64_t now_us);
 /** @p link has sent its whole list of @p kind. */
 void store_sync_link_listed(store_sync_t *sync, store_sync_link_t *link, uint32_t kind,
 			    uint64_t now_us);
@@ -140,6 +144,8 @@
 store_sync_status_t store_sync_status(const store_sync_t *sync, uint64_t now_us);
 /** Whether this VM has data for subscribers: it is fed, or has read the list of every kind. */
 bool store_sync_has_data(const store_sync_t *sync);
+/** Whether this VM is a feeder that is still reading the lists. It has no status yet. */
+bool store_sync_is_starting(const store_sync_t *sync);
 /** Whether this VM watches the store itself. */
 bool store_sync_watches(const store_sync_t *sync);
 /** Whether no source reaches the store. */
--- a/src/core/store_sync_links.c
+++ b/src/core/store_sync_links.c
@@ -9,7 +9,8 @@
 #define FEEDER_RETRY_MIN_US 3000000
 #define FEEDER_RETRY_MAX_US 6000000
 /* A VM that starts first finds its feeders: it reads the list of VMs, then connects to one within
- * the region. If it has no feed after this time it watches the store itself. */
+ * the region. If it has no feed, and no feeder has sent a part of its lists for this time, the VM
+ * watches the store itself. */
 #define START_TIMEOUT_US 1200000
 /* Until then, VMs that start together with this one may not listen yet: retry interval. */
 #define START_RETRY_US 100000
@@ -340,6 +341,12 @@
 		switch_to_candidate(sync, now_us);
 }
 
+void store_sync_link_sent_part(store_sync_link_t *link, uint32_t kind, uint64_t now_us)
+{
+	if (!(link->lists_done & 1u << kind))
+		link->progress_us = now_us;
+}
+
 void store_sync_link_listed(store_sync_t *sync, store_sync_link_t *link, uint32_t kind,
 			    uint64_t now_us)
 {
@@ -447,14 +454,25 @@
 	store_sync_set_timer(sync, &sync->start_timer, now_us + START_TIMEOUT_US);
 }
 
-static void on_start_over(void *ctx, uint64_t now_us)
+/*
+ * The lists of a large fleet take seconds to read and to send on. If the VMs that start together
+ * gave up on their feeders meanwhile, each of them would read these lists from the store.
+ */
+static void on_start_timeout(void *ctx, uint64_t now_us)
 {
-	store_sync_watch_store(ctx, now_us);
+	store_sync_t *sync = ctx;
+	const store_sync_link_t *link = sync->candidate;
+
+	if (link && !link->backup && now_us < link->progress_us + START_TIMEOUT_US)
+		store_sync_set_timer(sync, &sync->start_timer,
+				     link->progress_us + START_TIMEOUT_US);
+	else
+		store_sync_watch_store(sync, now_us);
 }
 
 void store_sync_links_init(store_sync_t *sync)
 {
-	sync->start_timer = (timer_entry_t){.fire = on_start_over, .ctx = sync};
+	sync->start_timer = (timer_entry_t){.fire = on_start_timeout, .ctx = sync};
 	sync->feeder_retry_timer = (timer_entry_t){.fire = on_feeder_retry_due, .ctx = sync};
 	sync->feed_stale_timer = (timer_entry_t){.fire = on_feed_stale, .ctx = sync};
 	sync->candidate_timer = (timer_entry_t){.fire = on_candidate_timeout, .ctx = sync};
--- a/src/tasks/store_sync_task.c
+++ b/src/tasks/store_sync_task.c
@@ -161,14 +161,21 @@
 	kind->task->ops->list_end(kind->task->ctx, kind->kind);
 }
 
+static void send_feed_status(void *ctx);
+
 static void on_call_ended(void *ctx, store_sync_result_t result)
 {
 	synced_kind_t *kind = ctx;
+	store_sync_task_t *task = kind->task;
+	bool was_starting = store_sync_is_starting(task->store_sync);
 
 	if (result == STORE_SYNC_LISTED)
 		g_hash_table_remove_all(kind->announced);
-	store_sync_call_ended(kind->task->store_sync, kind->kind, result, loop_now_us());
-	arm_sync_timer(kind->task);
+	store_sync_call_ended(task->store_sync, kind->kind, result, loop_now_us());
+	/* Subscribers that received the lists wait for the first status. */
+	if (was_starting && store_sync_has_data(task->store_sync))
+		send_feed_status(task);
+	arm_sync_timer(task);
 }
 
 /* ---- calls to the store ---- */
@@ -308,6 +315,7 @@
 {
 	store_sync_task_t *task = kind->task;
 
+	store_sync_link_sent_part(link, kind->kind, loop_now_us());
 	switch (message->type) {
 	case FEED_LIST_BEGIN:
 		pass_list_begin(kind);
@@ -501,7 +509,8 @@
 	store_sync_task_t *task = ctx;
 	const feed_message_t message = current_feed_status(task);
 
-	feed_server_publish(task->server, &message);
+	if (!store_sync_is_starting(task->store_sync))
+		feed_server_publish(task->server, &message);
 	loop_timer_set(task->loop, &task->status_timer, FEED_STATUS_PERIOD_US);
 }
 
--- a/tests/parts_test.c
+++ b/tests/parts_test.c
@@ -585,6 +585,41 @@
 	g_string_free(read, TRUE);
 }
 
+static void read_all(const GByteArray *bytes, GString *read)
+{
+	for (size_t at = 0, used = 0; at < bytes->len; at += used)
+		assert_int_equal(feed_message_read(bytes->data + at, bytes->len - at, &used,
+						   append_message, read),
+				 FRAMING_COMPLETE);
+}
+
+/* A subscriber that connects while its feeder reads a list receives the rest of it as it comes.
+ * Without what was read before, it would take that rest for the whole list. */
+static void test_subscriber_connects_during_a_list(void **state)
+{
+	feed_cache_t *cache = feed_cache_new(1);
+	g_autoptr(GByteArray) first = g_byte_array_new();
+	g_autoptr(GByteArray) second = g_byte_array_new();
+	g_autoptr(GString) read = g_string_new(NULL);
+
+	(void)state;
+	feed_cache_apply(cache, &(feed_message_t){.type = FEED_LIST_BEGIN, .kind = 1});
+	feed_cache_apply(
+		cache, &(feed_message_t){.type = FEED_OBJECT, .kind = 1, .name = "a", .text = "x"});
+	feed_cache_write(cache, first);
+	read_all(first, read);
+	assert_string_equal(read->str, "0 1   0;1 1 a x 0;");
+	feed_cache_apply(cache, &(feed_message_t){.type = FEED_LIST_END, .kind = 1});
+	feed_cache_apply(cache, &(feed_message_t){.type = FEED_LIST_BEGIN, .kind = 1});
+	feed_cache_apply(
+		cache, &(feed_message_t){.type = FEED_OBJECT, .kind = 1, .name = "b", .text = "y"});
+	feed_cache_write(cache, second);
+	g_string_truncate(read, 0);
+	read_all(second, read);
+	assert_string_equal(read->str, "0 1   0;1 1 a x 0;4 1   0;0 1   0;1 1 b y 0;");
+	feed_cache_free(cache);
+}
+
 /* A VM that can't read an announced object from the store requests it from its feeder, which must
  * have kept it. */
 static void test_announced_object_is_kept(void **state)
@@ -602,10 +637,7 @@
 						  .text = "a large object"});
 	feed_cache_apply(cache, &(feed_message_t){.type = FEED_LIST_END, .kind = 1});
 	feed_cache_write(cache, bytes);
-	for (size_t at = 0, used = 0; at < bytes->len; at += used)
-		assert_int_equal(feed_message_read(bytes->data + at, bytes->len - at, &used,
-						   append_message, read),
-				 FRAMING_COMPLETE);
+	read_all(bytes, read);
 	assert_string_equal(read->str, "0 1   0;2 1 main  0;4 1   0;");
 	assert_true(feed_cache_find(cache, "main", &found));
 	assert_int_equal(found.type, FEED_OBJECT);
@@ -762,6 +794,7 @@
 		cmocka_unit_test(test_list_watch_stop),
 		cmocka_unit_test(test_store_era),
 		cmocka_unit_test(test_feed),
+		cmocka_unit_test(test_subscriber_connects_during_a_list),
 		cmocka_unit_test(test_announced_object_is_kept),
 		cmocka_unit_test(test_feed_timing),
 		cmocka_unit_test(test_retry_after),
--- a/tests/store_sync_test.c
+++ b/tests/store_sync_test.c
@@ -18,7 +18,7 @@
 #define KIND_SEARCHERS 0
 #define KIND_CONFIGURATION 1
 #define KIND_RARE 2 /* watched with a long wait */
-#define VMS_MAX 40
+#define VMS_MAX 2000
 /* A watch of KIND_RARE, with its slack. It may be the only pending call when its connection goes
  * silent, and nothing else shows that. */
 #define RARE_US (20700 * MS_US)
@@ -33,7 +33,7 @@
 /** How the store, or the network path to it, fails. */
 typedef enum failure_t { SILENT, BUSY, RESET, SLOW, ANSWERS_LOST, FAILURES } failure_t;
 
-/** A set of VMs, one bit each. */
+/** A set of VMs, one bit each; only for the first 64. */
 typedef uint64_t vm_set_t;
 
 /** A failure of the store for some VMs, for a time. */
@@ -60,7 +60,9 @@
 	store_sync_t *sync;
 	call_t calls[KINDS];
 	uint64_t known[KINDS]; /* revision */
+	uint32_t pages[KINDS]; /* of the list that is being read, so far */
 	uint32_t asked;	       /* calls so far, including store checks */
+	uint32_t asked_lists;  /* of them, pages of lists */
 	uint32_t links;	       /* opened so far */
 	uint32_t asked_links;  /* requests to links for announced objects */
 	bool cut;	       /* cut off from the other VMs */
@@ -78,6 +80,7 @@
 	node_t nodes[VMS_MAX];
 	uint32_t count;
 	uint32_t serial;
+	uint32_t list_pages; /* that a whole list takes, each a call; 0: one */
 } sim_t;
 
 typedef void (*event_f)(sim_t *sim, node_t *node, uint64_t a, uint64_t b);
@@ -171,7 +174,8 @@
 		after(sim, delay_of(sim, node), reply, node, kind, serial);
 }
 
-static void send_to_subscribers(sim_t *sim, const node_t *node);
+static void send_to_subscribers(sim_t *sim, const node_t *node, bool new_ones);
+static void send_page(sim_t *sim, const node_t *node, uint64_t kind);
 
 static void update(sim_t *sim, node_t *node, uint32_t kind, uint64_t revision)
 {
@@ -179,7 +183,16 @@
 		return;
 	node->known[kind] = revision;
 	if (store_sync_watches(node->sync))
-		send_to_subscribers(sim, node);
+		send_to_subscribers(sim, node, false);
+}
+
+/* Whether a page of a list was not the last one. */
+static bool has_more_pages(const sim_t *sim, node_t *node, uint64_t kind)
+{
+	if (++node->pages[kind] < sim->list_pages)
+		return true;
+	node->pages[kind] = 0;
+	return false;
 }
 
 static void reply(sim_t *sim, node_t *node, uint64_t kind, uint64_t serial)
@@ -190,15 +203,24 @@
 	store_sync_result_t end = call->asked.list ? STORE_SYNC_LISTED
 				  : changed	   ? STORE_SYNC_CHANGED
 						   : STORE_SYNC_OK;
+	bool was_starting;
 
 	if (call->serial != serial || call->dead ||
 	    (outage && (outage->failure == SILENT || outage->failure == ANSWERS_LOST)))
 		return;
 	call->serial = 0;
 	call->answered_us = sim->now_us;
+	if (call->asked.list && has_more_pages(sim, node, kind)) {
+		store_sync_call_ended(node->sync, (uint32_t)kind, STORE_SYNC_OK, sim->now_us);
+		send_page(sim, node, kind);
+		return;
+	}
 	call->since = sim->revision[kind];
 	update(sim, node, (uint32_t)kind, sim->revision[kind]);
+	was_starting = store_sync_is_starting(node->sync);
 	store_sync_call_ended(node->sync, (uint32_t)kind, end, sim->now_us);
+	if (was_starting && store_sync_has_data(node->sync))
+		send_to_subscribers(sim, node, true);
 }
 
 static void time_out(sim_t *sim, node_t *node, uint64_t kind, uint64_t serial)
@@ -286,7 +308,8 @@
 
 	if (!is_open(link))
 		return;
-	send(sim, link);
+	if (!store_sync_is_starting(link->to->sync))
+		send(sim, link);
 	after(sim, STATUS_US, status_due, node, a, none);
 }
 
@@ -311,16 +334,39 @@
 		link->lists |= !status.unreliable;
 }
 
-static void send_to_subscribers(sim_t *sim, const node_t *node)
+/** @param new_ones also to those that have not received the lists yet */
+static void send_to_subscribers(sim_t *sim, const node_t *node, bool new_ones)
 {
 	for (guint i = 0; i < links->len; i++) {
 		link_t *link = g_ptr_array_index(links, i);
 
-		if (link->to == node && link->lists)
+		if (link->to == node && (new_ones || link->lists))
 			send(sim, link);
 	}
 }
 
+static void part_received(sim_t *sim, node_t *node, uint64_t a, uint64_t kind)
+{
+	link_t *link = (link_t *)(uintptr_t)a;
+
+	(void)node;
+	if (!is_open(link))
+		return;
+	link->received_us = sim->now_us;
+	store_sync_link_sent_part(link->link, (uint32_t)kind, sim->now_us);
+}
+
+static void send_page(sim_t *sim, const node_t *node, uint64_t kind)
+{
+	for (guint i = 0; i < links->len; i++) {
+		link_t *link = g_ptr_array_index(links, i);
+
+		if (link->to == node && !node->cut && !link->from->cut)
+			after(sim, DELAY_US, part_received, link->from, (uint64_t)(uintptr_t)link,
+			      kind);
+	}
+}
+
 static void check_silence(sim_t *sim, node_t *node, uint64_t a, uint64_t none)
 {
 	link_t *link = (link_t *)(uintptr_t)a;
@@ -362,6 +408,7 @@
 	call_t *call = &node->calls[kind];
 
 	node->asked++;
+	node->asked_lists += asked->list;
 	on_cancel(node, kind);
 	call->dead &= sim->now_us <= call->answered_us + FEED_IDLE_MAX_MS * MS_US;
 	call->serial = ++sim->serial;
@@ -373,6 +420,7 @@
 
 static void on_restart_list(void *ctx, uint32_t kind)
 {
+	((node_t *)ctx)->pages[kind] = 0;
 	on_cancel(ctx, kind);
 }
 
@@ -958,6 +1006,91 @@
 	}
 }
 
+/* All VMs of a region start together, and a list takes seconds to read. Without a limit on who
+ * reads it, the calls grow with VMs x searchers, and the store's rate makes the start last as long.
+ */
+static void test_start_with_long_lists(void **state)
+{
+	static const uint32_t sizes[] = {100, 1000, 2000};
+	const bounds_t bounds = {6000, 8000};
+	const feed_timing_t timing = timing_of(&bounds);
+	g_autoptr(GPtrArray) none = g_ptr_array_new();
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		uint32_t watchers = 2 + sizes[i] / 40, lists = 0;
+		sim_t *sim = sim_new(&timing, sizes[i], watchers, 7);
+
+		sim->list_pages = 60;
+		for (uint32_t j = 0; j < sim->count; j++) {
+			g_autoptr(GPtrArray) feeders = g_ptr_array_new();
+
+			for (uint32_t k = 0; j >= watchers && k < watchers; k++)
+				g_ptr_array_add(feeders, &sim->nodes[(j + k) % watchers].vm);
+			store_sync_set_vms(sim->nodes[j].sync, feeders, none, j < watchers,
+					   sim->now_us);
+		}
+		run_until(sim, START_US + 6000 * MS_US);
+		for (uint32_t j = 0; j < sim->count; j++) {
+			lists += sim->nodes[j].asked_lists;
+			for (uint32_t kind = 0; kind < KINDS; kind++)
+				assert_int_equal(sim->nodes[j].known[kind], sim->revision[kind]);
+		}
+		print_message("%u VMs, %u of which watch: %u pages of lists read\n", sim->count,
+			      watchers, lists);
+		assert_int_equal(lists, watchers * KINDS * sim->list_pages);
+		sim_free(sim);
+	}
+}
+
+/* The feeders that start together with a VM do not reach the store, or are gone: the VM does not
+ * wait for them longer than for a feeder that says nothing. */
+static void test_start_without_feeders(void **state)
+{
+	const bounds_t bounds = {6000, 8000};
+	const feed_timing_t timing = timing_of(&bounds);
+
+	(void)state;
+	for (int gone = 0; gone < 2; gone++) {
+		sim_t *sim = sim_new(&timing, 12, 2, 8);
+
+		sim->list_pages = 4;
+		set_all_vms(sim, 2);
+		for (uint32_t i = 0; i < 2; i++)
+			sim->nodes[i].cut = gone;
+		add_outage(sim, SILENT, 3, START_US, 30000 * MS_US);
+		run_until(sim, START_US + (1200 + 3000) * MS_US);
+		for (uint32_t i = 2; i < sim->count; i++)
+			assert_int_equal(sim->nodes[i].known[KIND_SEARCHERS], 1);
+		sim_free(sim);
+	}
+}
+
+/* A feeder has sent one list and sends its changes, but never the other lists: the VM reads them
+ * itself. */
+static void test_start_with_a_feeder_that_stops(void **state)
+{
+	const bounds_t bounds = {6000, 8000};
+	const feed_timing_t timing = timing_of(&bounds);
+	sim_t *sim = sim_new(&timing, 6, 2, 9);
+	node_t *node = &sim->nodes[5];
+	store_sync_link_t *link;
+
+	(void)state;
+	set_all_vms(sim, 2);
+	run_until(sim, START_US + 10 * MS_US);
+	link = ((link_t *)g_ptr_array_index(links, links->len - 1))->link;
+	assert_ptr_equal(((link_t *)link->data)->from, node);
+	((link_t *)link->data)->to->cut = true;
+	store_sync_link_listed(node->sync, link, KIND_SEARCHERS, sim->now_us);
+	for (uint32_t ms = 0; ms < 1400; ms += 100) {
+		store_sync_link_sent_part(link, KIND_SEARCHERS, sim->now_us);
+		run_until(sim, sim->now_us + 100 * MS_US);
+	}
+	assert_true(store_sync_watches(node->sync));
+	sim_free(sim);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -974,6 +1107,9 @@
 		cmocka_unit_test(test_announced_change_is_read_from_a_store_that_refuses),
 		cmocka_unit_test(test_backups_are_kept_after_the_store_recovers),
 		cmocka_unit_test(test_vm_without_a_source_after_failures),
+		cmocka_unit_test(test_start_with_long_lists),
+		cmocka_unit_test(test_start_without_feeders),
+		cmocka_unit_test(test_start_with_a_feeder_that_stops),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
