Feeders read the list of VMs and relay it; VMs that start look for feeders

Cause: every VM read the list of all VMs from the store, four times in its first 6 s and each 12 s after. Bytes grow with the square of the fleet: a list of 986 VMs is some 250 KB, a round 250 MB, 2 s of the store's link at 1 Gbit/s with a round each 1.5 s. Reads then time out, VMs know no feeders 1.2 s after their start, and read the lists of all searchers, too.

Change: core/member_sync decides on these calls, without I/O. Feeders relay the list with their feed, first whole, then what changes; a status tells its age. Each feeder has an entry in a second, short list, which a VM that starts reads first; the list of all VMs only if it finds fewer than two feeders of its region. VMs of a new fleet read after random delays, few early ones, those with fast links first, and a VM that is subscribed to reads at once. A VM that finds no feeder goes on looking while the store answers it, 5 s at most.

Worse: a VM of a small fleet that registers for the first time waits up to 3.6 s for its list of VMs, 0.9 s with a link of 1 Gbit/s, in place of 0.6 s.

--- a/src/core/feed_choice.c
+++ b/src/core/feed_choice.c
@@ -135,22 +135,36 @@
 	return chosen;
 }
 
+/* Ordered by a hash with the VM's own name, to spread subscribers over the feeders; feeders of its
+ * own data centre come first. */
+static GPtrArray *order_feeders(GPtrArray *feeders, const char *own_name, const char *data_centre)
+{
+	GPtrArray *ordered = g_ptr_array_new();
+
+	sort_vms(feeders, own_name, false);
+	append_where(ordered, feeders, data_centre, true);
+	append_where(ordered, feeders, data_centre, false);
+	return ordered;
+}
+
 GPtrArray *feed_choose_feeders(const feed_vms_t *all, const char *own_name, const char *data_centre)
 {
 	g_autoptr(GPtrArray) chosen = NULL;
-	GPtrArray *ordered = g_ptr_array_new();
 
 	if (!feed_is_used(all, data_centre))
-		return ordered;
+		return g_ptr_array_new();
 	chosen = watchers_of(all, region_of(all, data_centre));
 	if (vm_find(chosen, own_name))
-		return ordered;
-	/* Ordered by a hash with the VM's own name, to spread subscribers over the feeders; feeders
-	 * of its own data centre come first. */
-	sort_vms(chosen, own_name, false);
-	append_where(ordered, chosen, data_centre, true);
-	append_where(ordered, chosen, data_centre, false);
-	return ordered;
+		return g_ptr_array_new();
+	return order_feeders(chosen, own_name, data_centre);
+}
+
+GPtrArray *feed_order_feeders(const feed_vms_t *feeders, const char *own_name,
+			      const char *data_centre)
+{
+	g_autoptr(GPtrArray) same = vms_of_region(feeders, region_of(feeders, data_centre));
+
+	return order_feeders(same, own_name, data_centre);
 }
 
 static void append_new(GPtrArray *to, const GPtrArray *from, GHashTable *seen)
--- a/src/core/feed_choice.h
+++ b/src/core/feed_choice.h
@@ -31,6 +31,13 @@
 GPtrArray *feed_choose_feeders(const feed_vms_t *all, const char *own_name,
 			       const char *data_centre);
 
+/**
+ * The feeders of a VM that knows only the VMs listed as @p feeders: those of its region, best
+ * first. The result borrows its elements from @p feeders.
+ */
+GPtrArray *feed_order_feeders(const feed_vms_t *feeders, const char *own_name,
+			      const char *data_centre);
+
 /**
  * The backup feeders, for when neither the store nor the VMs of feed_choose_feeders() can be used,
  * best first: all VMs but this one. The result borrows its elements from @p all.
--- a/src/core/feed_message.h
+++ b/src/core/feed_message.h
@@ -31,7 +31,8 @@
 /** One message; its texts are borrowed. */
 typedef struct feed_message_t {
 	feed_type_t type;
-	uint32_t kind;	  /**< kind of the objects; observation: its type; status: unused */
+	uint32_t kind;	  /**< kind of the objects; observation: its type; status: age of the
+			   * feeder's list of VMs in milliseconds plus one, 0: it relays none */
 	const char *name; /**< object: its name; observation: the searcher; status: the VM that
 			   * feeds the sender, or "" */
 	const char *text; /**< object: its content, after a removal the last one; observation:
--- a/src/core/store_sync.c
+++ b/src/core/store_sync.c
@@ -289,6 +289,7 @@
  * sent at once. */
 void store_sync_other_call_ended(store_sync_t *sync, bool answered, uint64_t now_us)
 {
+	sync->others_answered = answered;
 	if (sync->watches && answered && sync->probing && !sync->probe_kind->pending)
 		call_after(sync->probe_kind, 0, now_us);
 	else if (!sync->watches && !sync->feed)
--- a/src/core/store_sync_links.c
+++ b/src/core/store_sync_links.c
@@ -12,6 +12,9 @@
  * the region. If it has no feed, and no feeder has sent a part of its lists for this time, the VM
  * watches the store itself. */
 #define START_TIMEOUT_US 1200000
+/* As long as the store answers the calls for the list of VMs, this VM takes this time at most to
+ * learn which feeders there are. */
+#define FIND_FEEDERS_US 5000000
 /* Until then, VMs that start together with this one may not listen yet: retry interval. */
 #define START_RETRY_US 100000
 /* Time to find a feeder that reaches the store: each sends its status within the status period. */
@@ -421,7 +424,11 @@
 void store_sync_set_vms(store_sync_t *sync, const GPtrArray *feeders, const GPtrArray *backups,
 			bool is_feeder, uint64_t now_us)
 {
+	bool found = !sync->feeders->len && feeders->len;
+
 	sync->is_feeder = is_feeder;
+	if (found && store_sync_timer_is_set(&sync->start_timer))
+		store_sync_set_timer(sync, &sync->start_timer, now_us + START_TIMEOUT_US);
 	set_names(sync->feeders, feeders);
 	set_names(sync->backups, backups);
 	if (!feeders->len) {
@@ -451,9 +458,16 @@
 
 void store_sync_start(store_sync_t *sync, uint64_t now_us)
 {
+	sync->started_us = now_us;
 	store_sync_set_timer(sync, &sync->start_timer, now_us + START_TIMEOUT_US);
 }
 
+static bool is_finding_feeders(const store_sync_t *sync, uint64_t now_us)
+{
+	return !sync->feeders->len && sync->others_answered &&
+	       now_us < sync->started_us + FIND_FEEDERS_US;
+}
+
 /*
  * The lists of a large fleet take seconds to read and to send on. If the VMs that start together
  * gave up on their feeders meanwhile, each of them would read these lists from the store.
@@ -463,7 +477,9 @@
 	store_sync_t *sync = ctx;
 	const store_sync_link_t *link = sync->candidate;
 
-	if (link && !link->backup && now_us < link->progress_us + START_TIMEOUT_US)
+	if (is_finding_feeders(sync, now_us))
+		store_sync_set_timer(sync, &sync->start_timer, now_us + START_RETRY_US);
+	else if (link && !link->backup && now_us < link->progress_us + START_TIMEOUT_US)
 		store_sync_set_timer(sync, &sync->start_timer,
 				     link->progress_us + START_TIMEOUT_US);
 	else
--- a/src/tasks/feed_server.c
+++ b/src/tasks/feed_server.c
@@ -205,6 +205,7 @@
 	for (uint32_t kind = 0; kind < server->kinds && !(has_status && status.unreliable); kind++)
 		feed_cache_write(server->caches[kind], server->frame);
 	sock_write(sock, server->frame->data, server->frame->len);
+	server->ops->subscribed(server->ctx);
 }
 
 feed_server_t *feed_server_new(loop_t *loop, const char *address, uint16_t port, uint32_t kinds,
@@ -252,6 +253,11 @@
 	return server->subscribers->len;
 }
 
+bool feed_server_has_list(const feed_server_t *server, uint32_t kind)
+{
+	return feed_cache_is_complete(server->caches[kind]);
+}
+
 void feed_server_clear(feed_server_t *server)
 {
 	for (uint32_t kind = 0; kind < server->kinds; kind++)
--- a/src/tasks/feed_server.h
+++ b/src/tasks/feed_server.h
@@ -13,6 +13,8 @@
 typedef struct feed_server_ops_t {
 	/** A subscriber sent an observation; it is relayed to the other subscribers, too. */
 	feed_message_f observation;
+	/** A VM has subscribed to this one. */
+	void (*subscribed)(void *ctx);
 	/**
 	 * Get the feed status that a new subscriber is sent first.
 	 * @return whether the status in @p status is to be sent
@@ -34,6 +36,8 @@
 void feed_server_write(feed_server_t *server, const GByteArray *frames);
 /** Number of VMs that are subscribed to this one. */
 uint32_t feed_server_subscribers(const feed_server_t *server);
+/** Whether the list of this kind is cached whole. */
+bool feed_server_has_list(const feed_server_t *server, uint32_t kind);
 /** Clear the cached objects: this VM no longer watches the store itself. */
 void feed_server_clear(feed_server_t *server);
 
--- a/src/tasks/member_task.c
+++ b/src/tasks/member_task.c
@@ -1,305 +1,315 @@
 /**
  * @file member_task.c
  * See member_task.h.
- *
- * A VM that has terminated stays registered: shares of connections and budgets are then too small,
- * never too large. A VM that is restarted finds its own registration, and writes nothing.
  */
 #include "tasks/member_task.h"
 
-#include <string.h>
-
 #define CALL_TIMEOUT_US 1500000
-/*
- * All VMs of a new fleet register within the first seconds; later, new VMs are rare. A list
- * read that may be stale costs a tenth of a call.
- */
-#define INITIAL_LIST_PERIOD_US 1500000
-#define INITIAL_LISTS 4
-/* VMs of a new fleet start within 0.3 s of each other, and a call takes up to 0.1 s. */
-#define OTHERS_REGISTER_DELAY_US 600000
-#define LIST_PERIOD_US 12000000
-/*
- * Retry delay at the start, doubled after each failure. A VM that starts refuses all requests until
- * the store answers: when all VMs are lost during an outage of the store, the delay between two
- * tries adds to the outage after the store has recovered.
- */
-#define RETRY_INITIAL_US 100000
-#define RETRY_MAX_US 1000000
+#define STATUS_ABSENT 404
 #define STATUS_EXISTS 409
-/*
- * After the store was restored from an older copy of its data, VMs that it has lost register again
- * within REREGISTER_MAX_US, each after a random delay, and count as registered for
- * LOST_VM_GRACE_US.
- */
-#define REREGISTER_MAX_US 4000000
-#define LOST_VM_GRACE_US 30000000
+
+/** A list that is being read. */
+typedef struct member_read_t {
+	struct member_task_t *task;
+	member_list_t list;
+	GPtrArray *vms; /* of the pages read so far */
+	char *after;	/* last name of these pages; NULL at the start of the list */
+} member_read_t;
+
+typedef struct member_write_call_t {
+	struct member_task_t *task;
+	member_list_t list;
+	member_write_t write;
+} member_write_call_t;
 
 struct member_task_t {
 	loop_t *loop;
 	platform_task_t *platform;
-	vm_t *own;
 	const member_ops_t *ops;
 	void *ctx;
-	GPtrArray *vms;	       /* vm_t */
-	GPtrArray *reading;    /* vm_t of the list whose pages are being read */
-	char *after;	       /* last name of the pages read so far; NULL at the start of a list */
-	uint32_t lists;	       /* lists reported since the start, failed ones too */
-	uint64_t requested_us; /* when the list that is being read was requested */
-	uint64_t listed_us;    /* when the last complete list was requested; 0: none yet */
-	uint64_t restored_us;  /* when the store was restored from an older copy; 0: never */
-	uint64_t member_us; /* since when lists contain this VM, and none has lost a VM; 0: not */
-	bool registered;
-	bool exists;	   /* an earlier run of this VM registered it, with other content */
-	uint32_t failures; /* failed calls until this VM is registered */
-	loop_timer_t list_timer;
-	loop_timer_t register_timer;
+	member_sync_t *sync;
+	loop_timer_t timer;
+	GPtrArray *receiving; /* the list that a feeder is sending; NULL: none */
 };
 
-static uint64_t retry_delay_us(member_task_t *task)
-{
-	uint64_t delay_us = RETRY_INITIAL_US << MIN(task->failures, 8);
-
-	task->failures++;
-	return MIN(delay_us, RETRY_MAX_US);
-}
-
-/* ---- registering ---- */
+static const store_kind_t kinds_of_lists[] = {
+	[MEMBERS_ALL] = STORE_VMS, [MEMBERS_FEEDERS] = STORE_FEEDERS};
 
-static void on_registered(void *ctx, const platform_result_t *result)
+/* To be called after each call into the member sync, which may have changed its next timer. */
+static void arm_timer(member_task_t *task)
 {
-	member_task_t *task = ctx;
-	bool exists = result->status == STATUS_EXISTS;
-	bool done = result->status / 100 == 2;
-
-	task->ops->answered(task->ctx, exists || done);
-	if (done) {
-		g_message("event=registered vm=%s outcome=written", task->own->name);
-		task->registered = true;
-		loop_timer_set(task->loop, &task->list_timer, OTHERS_REGISTER_DELAY_US);
-		return;
-	}
-	task->exists = exists;
-	g_info("event=register-failed status=%d outcome=again", result->status);
-	loop_timer_set(task->loop, &task->register_timer, exists ? 0 : retry_delay_us(task));
+	uint64_t next_us = member_sync_next_us(task->sync), now_us = loop_now_us();
+
+	if (next_us == TIMERS_NEVER)
+		loop_timer_cancel(&task->timer);
+	else
+		loop_timer_set(task->loop, &task->timer, next_us > now_us ? next_us - now_us : 0);
 }
 
-static void register_own(void *ctx)
+static void run_sync(void *ctx)
 {
 	member_task_t *task = ctx;
-	g_autofree char *body = store_write_vm(task->own);
-	g_autofree char *target =
-		store_write_target(STORE_VMS, task->exists ? task->own->name : NULL);
 
-	platform_task_send(task->platform, task->exists ? "PUT" : "POST", target, body,
-			   CALL_TIMEOUT_US, on_registered, task);
+	member_sync_run(task->sync, loop_now_us());
+	arm_timer(task);
 }
 
-/*
- * Writes this VM's registration only if the list lacks it or differs. Otherwise, when all VMs of a
- * fleet are restarted, each would make two calls for a registration that exists already.
- */
-static void check_registration(member_task_t *task, const vm_t *listed)
+/* Only the calls of a VM that is not registered show whether the store answers it. */
+static void note_answered(member_task_t *task, bool answered)
 {
-	if (listed && vm_equal(listed, task->own)) {
-		g_message("event=registered vm=%s outcome=found", task->own->name);
-		task->registered = true;
-		return;
-	}
-	task->exists = listed != NULL;
-	register_own(task);
+	if (!member_sync_is_registered(task->sync))
+		task->ops->answered(task->ctx, answered);
 }
 
-/* ---- the list of VMs ---- */
+/* ---- reads ---- */
 
-static void list(void *ctx);
+static vm_t *read_vm(const store_object_t *object)
+{
+	err_t err = {0};
+	vm_t *vm = store_read_vm(object, &err);
 
-static void read_vms(member_task_t *task, const store_page_t *page)
+	if (!vm)
+		g_info("event=vm-ignored vm=\"%s\" reason=\"%s\"", object->name, err.text);
+	return vm;
+}
+
+static void add_page(member_read_t *read, const store_page_t *page)
 {
 	for (guint i = 0; i < page->objects->len; i++) {
-		const store_object_t *object = &g_array_index(page->objects, store_object_t, i);
-		err_t err = {0};
-		vm_t *vm = store_read_vm(object, &err);
+		vm_t *vm = read_vm(&g_array_index(page->objects, store_object_t, i));
 
 		if (vm)
-			g_ptr_array_add(task->reading, vm);
-		else
-			g_info("event=vm-ignored vm=\"%s\" reason=\"%s\"", object->name, err.text);
+			vm_list_put(read->vms, vm);
 	}
-	g_clear_pointer(&task->after, g_free);
+	g_clear_pointer(&read->after, g_free);
 	if (page->more && page->objects->len)
-		task->after = g_strdup(
+		read->after = g_strdup(
 			g_array_index(page->objects, store_object_t, page->objects->len - 1).name);
 }
 
-static void report_list(member_task_t *task)
+static void end_read(member_read_t *read, bool failed)
 {
-	task->lists++;
-	task->ops->changed(task->ctx);
-	loop_timer_set(task->loop, &task->list_timer,
-		       task->lists < INITIAL_LISTS ? INITIAL_LIST_PERIOD_US : LIST_PERIOD_US);
+	member_task_t *task = read->task;
+
+	if (failed)
+		g_clear_pointer(&read->vms, g_ptr_array_unref);
+	note_answered(task, !failed);
+	member_sync_read_ended(task->sync, read->list, read->vms, loop_now_us());
+	g_free(read->after);
+	g_free(read);
+	arm_timer(task);
 }
 
-static const char *name_at(const GPtrArray *vms, guint index)
+static void read_page(member_read_t *read);
+
+static void on_page(void *ctx, const platform_result_t *result)
 {
-	return ((const vm_t *)g_ptr_array_index(vms, index))->name;
+	member_read_t *read = ctx;
+	store_page_t page = {0};
+	bool valid = result->status == 200 && store_read_page(result->body, &page);
+
+	if (valid)
+		add_page(read, &page);
+	else
+		g_info("event=vms-not-listed kind=%s status=%d outcome=again",
+		       store_kind_name(kinds_of_lists[read->list]), result->status);
+	store_page_clear(&page);
+	if (valid && read->after)
+		read_page(read);
+	else
+		end_read(read, !valid);
 }
 
-/* Both lists are sorted by name, as the store lists them. */
-static bool contains_all(const GPtrArray *vms, const GPtrArray *former)
+static void read_page(member_read_t *read)
 {
-	guint next = 0;
+	g_autofree char *target = store_stale_list_target(kinds_of_lists[read->list], read->after);
 
-	for (guint i = 0; i < former->len; i++) {
-		while (next < vms->len && strcmp(name_at(vms, next), name_at(former, i)) < 0)
-			next++;
-		if (next == vms->len || !g_str_equal(name_at(vms, next), name_at(former, i)))
-			return false;
-	}
-	return true;
+	platform_task_fetch(read->task->platform, target, CALL_TIMEOUT_US, on_page, read);
 }
 
-/*
- * This VM's share of the rate limit on cold searchers is valid only while the list of VMs grows: a
- * list that has lost a VM restarts the wait.
- */
-static void update_list_times(member_task_t *task, const GPtrArray *former)
+static void on_own(void *ctx, const platform_result_t *result)
+{
+	member_read_t *read = ctx;
+	store_object_t object;
+	bool found = result->status == 200 && store_read_object(result->body, &object);
+	vm_t *own = found ? read_vm(&object) : NULL;
+
+	if (own)
+		vm_list_put(read->vms, own);
+	end_read(read, !found && result->status != STATUS_ABSENT);
+}
+
+static void read_own(member_read_t *read)
 {
-	uint64_t now_us = loop_now_us();
+	g_autofree char *target =
+		store_stale_object_target(STORE_VMS, member_sync_own(read->task->sync)->name);
 
-	task->listed_us = task->requested_us;
-	if (!vm_find(task->vms, task->own->name))
-		task->member_us = 0;
-	else if (!task->member_us || !contains_all(task->vms, former))
-		task->member_us = now_us;
+	platform_task_fetch(read->task->platform, target, CALL_TIMEOUT_US, on_own, read);
 }
 
-static gint by_name(gconstpointer a, gconstpointer b)
+static void on_read(void *ctx, member_list_t list)
 {
-	return strcmp((*(vm_t *const *)a)->name, (*(vm_t *const *)b)->name);
+	member_read_t *read = g_new0(member_read_t, 1);
+
+	*read = (member_read_t){.task = ctx, .list = list, .vms = vm_list_new()};
+	if (list == MEMBERS_OWN)
+		read_own(read);
+	else
+		read_page(read);
 }
 
-/*
- * VMs that a restored store has lost will register again soon. If they were dropped from the list
- * meanwhile, each other VM would take a larger share of the searchers' connections and of the
- * retries.
- */
-static void retain_missing(member_task_t *task, const GPtrArray *former)
+/* ---- writes ---- */
+
+static member_result_t result_of(const member_write_call_t *call, int status)
 {
-	if (!task->restored_us || loop_now_us() > task->restored_us + LOST_VM_GRACE_US)
-		return;
-	for (guint i = 0; i < former->len; i++) {
-		const vm_t *vm = g_ptr_array_index(former, i);
+	if (status / 100 == 2 || (call->write == MEMBER_DELETE && status == STATUS_ABSENT))
+		return MEMBER_WRITTEN;
+	return status == STATUS_EXISTS ? MEMBER_EXISTS : MEMBER_FAILED;
+}
 
-		if (!vm_find(task->vms, vm->name))
-			g_ptr_array_add(task->vms, vm_new(vm));
-	}
-	g_ptr_array_sort(task->vms, by_name);
+static void on_written(void *ctx, const platform_result_t *platform_result)
+{
+	member_write_call_t *call = ctx;
+	member_task_t *task = call->task;
+	member_result_t result = result_of(call, platform_result->status);
+
+	if (result == MEMBER_FAILED)
+		g_info("event=register-failed kind=%s status=%d outcome=again",
+		       store_kind_name(kinds_of_lists[call->list]), platform_result->status);
+	note_answered(task, result != MEMBER_FAILED);
+	member_sync_write_ended(task->sync, call->list, result, loop_now_us());
+	g_free(call);
+	arm_timer(task);
 }
 
-/*
- * Until this VM is registered, no list is reported: other VMs that start at the same time may not
- * be registered either, and each would take itself for the first VM.
- */
-static void end_list(member_task_t *task)
+static void on_write(void *ctx, member_list_t list, member_write_t write)
 {
-	GPtrArray *former = task->vms;
-	const vm_t *listed = vm_find(task->reading, task->own->name);
-
-	task->vms = task->reading;
-	task->reading = former;
-	retain_missing(task, former);
-	update_list_times(task, former);
-	g_ptr_array_set_size(former, 0);
-	if (!task->registered) {
-		task->ops->answered(task->ctx, true);
-		check_registration(task, listed);
-	}
-	if (task->registered)
-		report_list(task);
+	static const char *const methods[] = {
+		[MEMBER_CREATE] = "POST", [MEMBER_REPLACE] = "PUT", [MEMBER_DELETE] = "DELETE"};
+	member_task_t *task = ctx;
+	const vm_t *own = member_sync_own(task->sync);
+	g_autofree char *body = write == MEMBER_DELETE ? NULL : store_write_vm(own);
+	g_autofree char *target =
+		store_write_target(kinds_of_lists[list], write == MEMBER_CREATE ? NULL : own->name);
+	member_write_call_t *call = g_new(member_write_call_t, 1);
+
+	*call = (member_write_call_t){.task = task, .list = list, .write = write};
+	platform_task_send(task->platform, methods[write], target, body, CALL_TIMEOUT_US,
+			   on_written, call);
+}
+
+/* ---- the feed ---- */
+
+static void receive_change(member_task_t *task, const feed_message_t *message)
+{
+	json_t *content = json_loads(message->text, JSON_DECODE_ANY, NULL);
+	const store_object_t object = {.name = message->name, .content = content};
+	vm_t *vm = message->type == FEED_OBJECT ? read_vm(&object) : NULL;
+
+	json_decref(content);
+	if (vm && task->receiving)
+		vm_list_put(task->receiving, vm);
+	else if (vm)
+		member_sync_receive_vm(task->sync, vm, loop_now_us());
+	else if (message->type == FEED_REMOVED)
+		member_sync_receive_removal(task->sync, message->name, loop_now_us());
 }
 
-static void list_failed(member_task_t *task, int status)
+void member_task_receive(member_task_t *task, const feed_message_t *message)
 {
-	g_info("event=vms-not-listed status=%d outcome=again", status);
-	g_clear_pointer(&task->after, g_free);
-	if (task->registered) {
-		report_list(task);
-		return;
+	if (message->type == FEED_LIST_BEGIN) {
+		g_clear_pointer(&task->receiving, g_ptr_array_unref);
+		task->receiving = vm_list_new();
+	} else if (message->type != FEED_LIST_END) {
+		receive_change(task, message);
+	} else if (task->receiving) {
+		member_sync_receive_list(task->sync, g_steal_pointer(&task->receiving),
+					 loop_now_us());
 	}
-	task->ops->answered(task->ctx, false);
-	loop_timer_set(task->loop, &task->list_timer, retry_delay_us(task));
+	arm_timer(task);
+}
+
+void member_task_receive_age(member_task_t *task, uint64_t age_us)
+{
+	member_sync_receive_age(task->sync, age_us, loop_now_us());
 }
 
-static void on_listed(void *ctx, const platform_result_t *result)
+void member_task_feed_ended(member_task_t *task)
+{
+	g_clear_pointer(&task->receiving, g_ptr_array_unref);
+	member_sync_feed_ended(task->sync);
+}
+
+/* ---- interface ---- */
+
+static void on_found_feeders(void *ctx, const GPtrArray *feeders)
 {
 	member_task_t *task = ctx;
-	store_page_t page = {0};
-	bool read = result->status == 200 && store_read_page(result->body, &page);
 
-	if (read)
-		read_vms(task, &page);
-	store_page_clear(&page);
-	if (!read)
-		list_failed(task, result->status);
-	else if (task->after)
-		list(task);
-	else
-		end_list(task);
+	task->ops->found_feeders(task->ctx, feeders);
 }
 
-static void list(void *ctx)
+static void on_registered(void *ctx, bool written)
+{
+	g_message("event=registered vm=%s outcome=%s",
+		  member_sync_own(((member_task_t *)ctx)->sync)->name,
+		  written ? "written" : "found");
+}
+
+static bool on_awaits_feed(void *ctx)
 {
 	member_task_t *task = ctx;
-	g_autofree char *target = store_stale_list_target(STORE_VMS, task->after);
 
-	if (!task->after) {
-		g_ptr_array_set_size(task->reading, 0);
-		task->requested_us = loop_now_us();
-	}
-	platform_task_fetch(task->platform, target, CALL_TIMEOUT_US, on_listed, task);
+	return task->ops->awaits_feed(task->ctx);
+}
+
+static void on_changed(void *ctx)
+{
+	member_task_t *task = ctx;
+
+	task->ops->changed(task->ctx);
 }
 
 member_task_t *member_task_new(loop_t *loop, platform_task_t *platform, vm_t *own,
-			       const member_ops_t *ops, void *ctx)
+			       const GHashTable *regions, const member_ops_t *ops, void *ctx)
 {
+	static const member_sync_ops_t sync_ops = {.read = on_read,
+						   .write = on_write,
+						   .found_feeders = on_found_feeders,
+						   .registered = on_registered,
+						   .awaits_feed = on_awaits_feed,
+						   .changed = on_changed};
 	member_task_t *task = g_new0(member_task_t, 1);
 
 	task->loop = loop;
 	task->platform = platform;
-	task->own = own;
 	task->ops = ops;
 	task->ctx = ctx;
-	task->vms = g_ptr_array_new_with_free_func(vm_free);
-	task->reading = g_ptr_array_new_with_free_func(vm_free);
-	task->list_timer = (loop_timer_t){.fire = list, .ctx = task};
-	task->register_timer = (loop_timer_t){.fire = register_own, .ctx = task};
-	list(task);
+	task->timer = (loop_timer_t){.fire = run_sync, .ctx = task};
+	task->sync = member_sync_new(own, regions, &sync_ops, task, g_random_int());
+	member_sync_start(task->sync, loop_now_us());
+	arm_timer(task);
 	return task;
 }
 
 void member_task_restored(member_task_t *task)
 {
-	task->restored_us = loop_now_us();
-	task->registered = false;
-	loop_timer_set(task->loop, &task->list_timer,
-		       (uint64_t)g_random_int_range(0, REREGISTER_MAX_US));
+	member_sync_restored(task->sync, loop_now_us());
+	arm_timer(task);
 }
 
-const GPtrArray *member_task_vms(const member_task_t *task)
+void member_task_subscribed(member_task_t *task)
 {
-	return task->vms;
+	member_sync_subscribed(task->sync, loop_now_us());
+	arm_timer(task);
 }
 
-const vm_t *member_task_own(const member_task_t *task)
+void member_task_set_feeder(member_task_t *task, bool is_feeder)
 {
-	return task->own;
+	member_sync_set_feeder(task->sync, is_feeder);
 }
 
-cold_members_t member_task_cold_members(const member_task_t *task)
+const member_sync_t *member_task_sync(const member_task_t *task)
 {
-	return (cold_members_t){.vms = task->vms,
-				.own_name = task->own->name,
-				.member_us = task->member_us,
-				.listed_us = task->listed_us};
+	return task->sync;
 }
--- a/src/tasks/store_sync_task.c
+++ b/src/tasks/store_sync_task.c
@@ -9,6 +9,7 @@
 #include "tasks/feed_client.h"
 #include "tasks/feed_server.h"
 #include "tasks/follower.h"
+#include "tasks/member_feed.h"
 #include "tasks/own_vm.h"
 
 #include <string.h>
@@ -70,6 +71,9 @@
 	store_sync_t *store_sync;
 	loop_timer_t sync_timer;
 	feed_server_t *server;
+	member_feed_t *member_feed;
+	struct feed_connection_t
+		*members_from;	  /* the feeder that sent the list of VMs; NULL: none */
 	bool shares_observations; /* the region has enough VMs for sharing to be useful */
 	feed_timing_t timing;
 	loop_timer_t status_timer;
@@ -90,6 +94,11 @@
 	return ((const feed_connection_t *)link->data)->client;
 }
 
+static const vm_t *own_vm(const store_sync_task_t *task)
+{
+	return member_sync_own(member_task_sync(task->members));
+}
+
 /* To be called after each call into the store sync, which may have changed its next timer. */
 static void arm_sync_timer(store_sync_task_t *task)
 {
@@ -123,7 +132,7 @@
 		return;
 	text = object ? json_dumps(object->content, JSON_COMPACT | JSON_ENCODE_ANY) : NULL;
 	fits = text && feed_sends_whole(strlen(text), feed_server_subscribers(task->server),
-					member_task_own(task->members)->link_mbps);
+					own_vm(task)->link_mbps);
 	if (type == FEED_OBJECT && text && !fits)
 		type = FEED_ANNOUNCED;
 	if (type == FEED_REMOVED && !fits)
@@ -344,14 +353,25 @@
 	}
 }
 
+static void receive_members(feed_connection_t *connection, const feed_message_t *message)
+{
+	store_sync_task_t *task = connection->task;
+
+	if (message->type == FEED_LIST_END)
+		task->members_from = connection;
+	member_task_receive(task->members, message);
+}
+
 static void receive_feed_status(feed_connection_t *connection, const feed_message_t *message)
 {
+	store_sync_task_t *task = connection->task;
 	const store_sync_status_t status = {.unreliable = message->unreliable,
 					    .age_us = message->age_us,
 					    .from = message->name};
 
-	store_sync_link_status(connection->task->store_sync, connection->link, &status,
-			       loop_now_us());
+	if (message->kind && task->members_from == connection)
+		member_task_receive_age(task->members, (message->kind - 1) * 1000ull);
+	store_sync_link_status(task->store_sync, connection->link, &status, loop_now_us());
 }
 
 /*
@@ -372,6 +392,8 @@
 		receive_feed_status(connection, message);
 	else if (message->type == FEED_OBSERVATION)
 		receive_observation(task, message);
+	else if (message->kind == STORE_VMS)
+		receive_members(connection, message);
 	else if (message->kind < task->kind_count)
 		receive_change(&task->kinds[message->kind], connection->link, message);
 	arm_sync_timer(task);
@@ -390,7 +412,7 @@
 {
 	static const feed_client_ops_t ops = {.message = on_feed_message, .ended = on_feed_ended};
 	store_sync_task_t *task = ctx;
-	const vm_t *vm = vm_find(member_task_vms(task->members), link->vm);
+	const vm_t *vm = member_sync_find(member_task_sync(task->members), link->vm);
 	feed_connection_t *connection = g_new0(feed_connection_t, 1);
 
 	*connection = (feed_connection_t){.task = task, .link = link};
@@ -414,6 +436,10 @@
 	else
 		g_info("event=feed-not-taken vm=%s backup=%d reason=%s", link->vm, link->backup,
 		       reason);
+	if (task->members_from == connection) {
+		task->members_from = NULL;
+		member_task_feed_ended(task->members);
+	}
 	feed_client_free(connection->client);
 	g_free(connection);
 }
@@ -474,29 +500,67 @@
 		store_sync_set_wait(task->store_sync, i, watch_times_ms[i]);
 }
 
+static void on_found_feeders(void *ctx, const GPtrArray *feeders)
+{
+	store_sync_task_t *task = ctx;
+	const vm_t *own = own_vm(task);
+	const feed_vms_t listed = {.vms = feeders, .regions = task->regions};
+	g_autoptr(GPtrArray) ordered = feed_order_feeders(&listed, own->name, own->data_centre);
+	g_autoptr(GPtrArray) none = g_ptr_array_new();
+
+	store_sync_set_vms(task->store_sync, ordered, none, false, loop_now_us());
+	arm_sync_timer(task);
+}
+
+static bool on_awaits_feed(void *ctx)
+{
+	return !store_sync_watches(((store_sync_task_t *)ctx)->store_sync);
+}
+
+static void relay_members(store_sync_task_t *task)
+{
+	if (store_sync_watches(task->store_sync))
+		member_feed_publish(task->member_feed, store_sync_task_vms(task),
+				    platform_task_era(task->platform));
+}
+
 static void on_members(void *ctx)
 {
 	store_sync_task_t *task = ctx;
-	const vm_t *own = member_task_own(task->members);
-	const feed_vms_t all = {.vms = member_task_vms(task->members), .regions = task->regions};
+	const vm_t *own = own_vm(task);
+	const feed_vms_t all = {.vms = store_sync_task_vms(task), .regions = task->regions};
 	g_autoptr(GPtrArray) feeders = feed_choose_feeders(&all, own->name, own->data_centre);
 	g_autoptr(GPtrArray) backups = feed_choose_backups(&all, own->name, own->data_centre);
+	bool is_feeder;
 
 	task->shares_observations = feed_is_used(&all, own->data_centre);
-	set_watch_times(task, task->shares_observations && !feeders->len);
-	store_sync_set_vms(task->store_sync, feeders, backups,
-			   task->shares_observations && !feeders->len, loop_now_us());
+	is_feeder = task->shares_observations && !feeders->len;
+	set_watch_times(task, is_feeder);
+	store_sync_set_vms(task->store_sync, feeders, backups, is_feeder, loop_now_us());
 	arm_sync_timer(task);
+	member_task_set_feeder(task->members, is_feeder);
+	relay_members(task);
 	task->ops->members(task->ctx);
 }
 
 /* ---- feed status ---- */
 
+/* Age of the list of VMs that this VM relays, as subscribers receive it. */
+static uint32_t members_age(const store_sync_task_t *task)
+{
+	uint64_t listed_us = store_sync_task_cold_members(task).listed_us;
+
+	if (!store_sync_watches(task->store_sync) || !member_feed_is_current(task->member_feed))
+		return 0;
+	return (uint32_t)MIN((loop_now_us() - listed_us) / 1000 + 1, G_MAXUINT32);
+}
+
 static feed_message_t current_feed_status(const store_sync_task_t *task)
 {
 	const store_sync_status_t status = store_sync_status(task->store_sync, loop_now_us());
 
 	return (feed_message_t){.type = FEED_STATUS,
+				.kind = members_age(task),
 				.name = status.from,
 				.text = "",
 				.age_us = status.age_us,
@@ -523,6 +587,11 @@
 	return store_sync_has_data(task->store_sync);
 }
 
+static void on_subscribed(void *ctx)
+{
+	member_task_subscribed(((store_sync_task_t *)ctx)->members);
+}
+
 static void on_restored(void *ctx)
 {
 	store_sync_task_t *task = ctx;
@@ -588,9 +657,12 @@
 				       platform_task_t *platform, const store_sync_task_ops_t *ops,
 				       void *ctx)
 {
-	static const member_ops_t member_ops = {.changed = on_members,
+	static const member_ops_t member_ops = {.found_feeders = on_found_feeders,
+						.awaits_feed = on_awaits_feed,
+						.changed = on_members,
 						.answered = on_store_answered};
 	static const feed_server_ops_t server_ops = {.observation = on_subscriber_observation,
+						     .subscribed = on_subscribed,
 						     .get_status = on_get_feed_status};
 	store_sync_task_t *task = g_new0(store_sync_task_t, 1);
 	const endpoint_setting_t *feed = &settings->front_feed;
@@ -604,17 +676,19 @@
 	task->platform = platform;
 	task->timing = feed_timing_for(change_deadline_ms(settings), settings->settle_ms,
 				       settings->evacuate_ms);
-	task->server = feed_server_new(loop, feed->address, feed->port, task->kind_count,
+	task->server = feed_server_new(loop, feed->address, feed->port, STORE_KINDS,
 				       settings->link_mbps, &server_ops, task);
 	if (!task->server)
 		return NULL;
+	task->member_feed = member_feed_new(task->server);
 	task->status_timer = (loop_timer_t){.fire = send_feed_status, .ctx = task};
 	task->observations = g_byte_array_new();
 	task->observations_timer = (loop_timer_t){.fire = send_observations, .ctx = task};
 	start_followers(task);
 	start_sync(task);
 	platform_task_set_restored(platform, on_restored, task);
-	task->members = member_task_new(loop, platform, own_vm_new(settings), &member_ops, task);
+	task->members = member_task_new(loop, platform, own_vm_new(settings), task->regions,
+					&member_ops, task);
 	loop_timer_set(loop, &task->status_timer, FEED_STATUS_PERIOD_US);
 	return task;
 }
@@ -633,12 +707,12 @@
 
 const GPtrArray *store_sync_task_vms(const store_sync_task_t *task)
 {
-	return member_task_vms(task->members);
+	return member_sync_vms(member_task_sync(task->members));
 }
 
 cold_members_t store_sync_task_cold_members(const store_sync_task_t *task)
 {
-	return member_task_cold_members(task->members);
+	return member_sync_cold_members(member_task_sync(task->members));
 }
 
 uint64_t store_sync_task_age_us(const store_sync_task_t *task)
--- a/standins/users_platform.c
+++ b/standins/users_platform.c
@@ -243,6 +243,15 @@
 			     (json_int_t)platform->revision));
 }
 
+static void get(users_platform_t *platform, http_exchange_t *exchange, const char *kind,
+		const char *name)
+{
+	g_autofree char *key = g_strdup_printf("%s/%s", kind, name);
+	json_t *object = g_hash_table_lookup(platform->objects, key);
+
+	reply_json(exchange, object ? 200 : 404, object ? json_incref(object) : json_object());
+}
+
 static void watch(store_endpoint_t *endpoint, http_exchange_t *exchange, const char *kind)
 {
 	users_platform_t *platform = endpoint->platform;
@@ -381,6 +390,8 @@
 		write_object(platform, exchange, path[2], parts > 3 ? path[3] : NULL);
 	else if (http_exchange_param(exchange, "watch"))
 		watch(endpoint, exchange, path[2]);
+	else if (parts > 3)
+		get(platform, exchange, path[2], path[3]);
 	else
 		list(platform, exchange, path[2]);
 }
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -36,6 +36,14 @@
 	'VMs read the lists themselves while their feeder does|src/core/store_sync_links.c|s/if \(link && !link->backup && now_us < link->progress_us/if (0 \&\& now_us < link->progress_us/'
 	'a feeder that repeats the lists it has sent is waited for|src/core/store_sync_links.c|s/if \(!\(link->lists_done & 1u << kind\)\)//'
 	'a subscriber misses the beginning of a list|src/core/feed_cache.c|s/if \(cache->listing\)\n\t\twrite_objects/if (0)\n\t\twrite_objects/'
+	'VMs that start do not look for feeders|src/core/member_sync.c|s/return in_region >= FEEDERS_MIN/return 0 \&\& in_region >= FEEDERS_MIN/'
+	'the VMs of a new fleet read the list of VMs at the same time|src/core/member_sync.c|s/OTHERS_REGISTER_DELAY_US \+ read_spread_us\(sync\)/OTHERS_REGISTER_DELAY_US/'
+	'a VM that is subscribed to waits with reading the list|src/core/member_sync.c|s/if \(sync->phase != FIND_FEEDERS \|\| /if (1 || /'
+	'fed VMs read the list of VMs themselves|src/core/member_sync.c|s/return sync->fed && now_us/return 0 \&\& now_us/'
+	'a VM relies on a list of VMs that its feeder no longer reads|src/core/member_sync.c|s/return sync->fed && now_us < [^;]+;/return sync->fed;/'
+	'VMs that feeders retain count as registered after a restore|src/core/member_sync.c|s/if \(!sync->restored_us\)\n\t\tcheck/if (1)\n\t\tcheck/'
+	'a VM is missing from the list that it is sent|src/core/member_sync.c|s/if \(sync->registered && sync->fed\)/if (0)/'
+	'a VM that no longer feeds others stays listed as a feeder|src/core/member_sync.c|s/if \(!is_feeder && \(entry/if (0 \&\& (entry/'
 	'a feeder has a status before it has read the lists|src/core/store_sync.c|s/return sync->is_feeder &&/return 0 \&\&/'
 	'each VM connects to all searchers of a service ahead of need|src/core/warm_set.c|s/i < WARM_SET_SIZE && //'
 	'connections that nobody uses are opened again and again|src/core/warm_set.c|s/return !searcher->was_warmed \|\|/return 1 ||/'
@@ -222,9 +230,9 @@
 LIBS="$(pkg-config --libs glib-2.0 jansson libxxhash msgpack) -lcmocka -lm"
 
 # Test programs in the order in which they are tried, and what each is linked with besides src/core.
-TESTS="forward_test poison_test store_sync_test handover_test fleet_test parts_test message_test gossip_test script_test load_test random_test front_random_test front_fleet_test quota_test"
+TESTS="forward_test poison_test store_sync_test member_sync_test handover_test fleet_test parts_test message_test gossip_test script_test load_test random_test front_random_test front_fleet_test quota_test"
 declare -A SEEN_BY=(
-	[forward_test]='the forwarding scripts' [store_sync_test]='the store sync tests'
+	[forward_test]='the forwarding scripts' [store_sync_test]='the store sync tests' [member_sync_test]='the tests of the list of VMs'
 	[handover_test]='the hand-over scripts' [quota_test]='the tests of quotas'
 	[fleet_test]='the fleet tests' [parts_test]='the unit tests of small modules' [message_test]='the HTTP message tests'
 	[load_test]='the load scenarios' [poison_test]='the tests of poison records'
--- a/tests/parts_test.c
+++ b/tests/parts_test.c
@@ -10,6 +10,7 @@
 
 #include "core/connection_share.h"
 #include "core/feed_cache.h"
+#include "core/vm_list.h"
 #include "core/feed_choice.h"
 #include "core/feed_message.h"
 #include "core/evacuation.h"
@@ -593,6 +594,49 @@
 				 FRAMING_COMPLETE);
 }
 
+static void put_vm(GPtrArray *vms, const char *name, uint16_t port)
+{
+	const vm_t vm = {.name = (char *)name,
+			 .data_centre = "a",
+			 .address = "127.0.0.1",
+			 .feed_port = port};
+
+	vm_list_put(vms, vm_new(&vm));
+}
+
+static void append_change(void *ctx, const char *name, const vm_t *vm)
+{
+	g_string_append_printf(ctx, "%s %d; ", name, vm ? vm->feed_port : -1);
+}
+
+/* A feeder sends its subscribers only what has changed. */
+static void test_lists_of_vms_are_compared(void **state)
+{
+	g_autoptr(GPtrArray) former = vm_list_new();
+	g_autoptr(GPtrArray) vms = vm_list_new();
+	g_autoptr(GString) changes = g_string_new(NULL);
+
+	(void)state;
+	put_vm(former, "d", 1);
+	put_vm(former, "b", 1);
+	put_vm(former, "a", 1);
+	put_vm(former, "c", 1);
+	put_vm(vms, "b", 1);
+	put_vm(vms, "e", 1);
+	put_vm(vms, "c", 9);
+	put_vm(vms, "c", 2);
+	put_vm(vms, "aa", 1);
+	vm_list_compare(former, vms, append_change, changes);
+	assert_string_equal(changes->str, "a -1; aa 1; c 2; d -1; e 1; ");
+	assert_false(vm_list_contains_all(vms, former));
+	vm_list_remove(former, "a");
+	vm_list_remove(former, "d");
+	vm_list_remove(former, "unknown");
+	assert_true(vm_list_contains_all(vms, former));
+	assert_null(vm_list_find(vms, "a"));
+	assert_int_equal(vm_list_find(vms, "c")->feed_port, 2);
+}
+
 /* A subscriber that connects while its feeder reads a list receives the rest of it as it comes.
  * Without what was read before, it would take that rest for the whole list. */
 static void test_subscriber_connects_during_a_list(void **state)
@@ -795,6 +839,7 @@
 		cmocka_unit_test(test_store_era),
 		cmocka_unit_test(test_feed),
 		cmocka_unit_test(test_subscriber_connects_during_a_list),
+		cmocka_unit_test(test_lists_of_vms_are_compared),
 		cmocka_unit_test(test_announced_object_is_kept),
 		cmocka_unit_test(test_feed_timing),
 		cmocka_unit_test(test_retry_after),
--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -707,8 +707,10 @@
 	g_autofree char *stale = store_stale_list_target(STORE_VMS, NULL);
 	g_autofree char *stale_next = store_stale_list_target(STORE_VMS, "vm-1");
 	g_autofree char *watch = store_watch_target(STORE_CONFIGURATION, 5, 100);
+	g_autofree char *one = store_stale_object_target(STORE_VMS, "vm/1");
 
 	(void)state;
+	assert_string_equal(one, "/objects/entry-vms/vm%2F1?stale-ok=1");
 	assert_string_equal(list, "/objects/servers");
 	assert_string_equal(next, "/objects/servers?after=a%2Fb");
 	assert_string_equal(stale, "/objects/entry-vms?stale-ok=1");
