Feeders send large configurations to their subscribers in turn

Cause: an object over 64 KB, or one that occupies a feeder's link for 50 ms, was only announced, and each VM read it from the store: with 225 shards every version of the configuration costs a call for each VM, and one more at each start. The limit of 64 KB was meant for the subscriber's link, but the same bytes come over that link when it reads the object from the store.

Change: feed_delivery() has a third way between sending to all at once and announcing: one subscriber after the other, with pauses that leave three quarters of the link to other traffic, if that takes 0.5 s at most. A new subscriber receives such an object with the list.

Feeders with small links announce as before.

--- a/src/core/feed_cache.c
+++ b/src/core/feed_cache.c
@@ -143,8 +143,12 @@
 
 bool feed_cache_find(const feed_cache_t *cache, const char *name, feed_message_t *message)
 {
-	const cached_object_t *object = g_hash_table_lookup(cache->objects, name);
+	const cached_object_t *object = NULL;
 
+	if (cache->listing)
+		object = g_hash_table_lookup(cache->listing, name);
+	if (!object)
+		object = g_hash_table_lookup(cache->objects, name);
 	if (!object)
 		return false;
 	*message = (feed_message_t){.type = FEED_OBJECT,
--- a/src/core/feed_choice.c
+++ b/src/core/feed_choice.c
@@ -15,15 +15,14 @@
 #define WATCHERS_MIN 2
 #define VMS_PER_WATCHER 40
 
-/* While a subscriber receives an object its own requests wait, on the smallest links for tens of
- * ms; a larger object would delay every sub-request there for seconds. */
-#define SEND_MAX_BYTES (64u << 10)
-/* While the feeder writes to all subscribers its own requests wait. If it announces the object
- * instead, each subscriber has to read it from the store, with one call each. */
-#define SEND_MAX_US 50000
-/* One part in this many of the feeder's link is for objects that subscribers request; these are
- * sent one after the other. */
-#define REQUESTED_LINK_DIVISOR 4
+/* While the feeder writes to all subscribers its own requests wait. */
+#define AT_ONCE_MAX_US 50000
+/* One part in this many of the feeder's link is for objects that are sent in turn. */
+#define TURN_LINK_DIVISOR 4
+/* A feeder's status says that its subscribers have all changes, also while an object is sent in
+ * turn; this time is part of what feed_timing.c allows for the age of the data. If the object takes
+ * longer, each subscriber has to read it from the store, with a call of its own. */
+#define IN_TURN_MAX_US 500000
 /* A link of unknown bandwidth counts as slow as those of small VMs. */
 #define LINK_DEFAULT_MBPS 14
 
@@ -210,17 +209,21 @@
 	return ordered;
 }
 
-uint64_t feed_request_pause_us(size_t bytes, uint32_t link_mbps)
+static uint64_t send_us(size_t bytes, uint32_t link_mbps)
 {
-	uint64_t bits = (uint64_t)bytes * 8;
+	return (uint64_t)bytes * 8 / (link_mbps ? link_mbps : LINK_DEFAULT_MBPS);
+}
 
-	return bits * REQUESTED_LINK_DIVISOR / (link_mbps ? link_mbps : LINK_DEFAULT_MBPS);
+uint64_t feed_turn_pause_us(size_t bytes, uint32_t link_mbps)
+{
+	return send_us(bytes, link_mbps) * TURN_LINK_DIVISOR;
 }
 
-bool feed_sends_whole(size_t bytes, uint32_t subscribers, uint32_t link_mbps)
+feed_delivery_t feed_delivery(size_t bytes, uint32_t subscribers, uint32_t link_mbps)
 {
-	uint64_t bits = (uint64_t)bytes * 8 * MAX(subscribers, 1);
+	uint64_t all_us = send_us(bytes, link_mbps) * MAX(subscribers, 1);
 
-	return bytes <= SEND_MAX_BYTES &&
-	       bits / (link_mbps ? link_mbps : LINK_DEFAULT_MBPS) <= SEND_MAX_US;
+	if (all_us <= AT_ONCE_MAX_US)
+		return FEED_AT_ONCE;
+	return all_us * TURN_LINK_DIVISOR <= IN_TURN_MAX_US ? FEED_IN_TURN : FEED_ANNOUNCES;
 }
--- a/src/core/feed_choice.h
+++ b/src/core/feed_choice.h
@@ -45,14 +45,20 @@
 GPtrArray *feed_choose_backups(const feed_vms_t *all, const char *own_name,
 			       const char *data_centre);
 
+/** How a feeder passes an object on. */
+typedef enum feed_delivery_t {
+	FEED_AT_ONCE,	/**< it sends the object to all subscribers at once */
+	FEED_IN_TURN,	/**< to one subscriber after the other, with pauses for its other traffic */
+	FEED_ANNOUNCES, /**< subscribers read it from the store */
+} feed_delivery_t;
+
 /**
- * Whether an object of @p bytes is sent whole; else it is only announced, and subscribers read it
- * from the store.
+ * How an object of @p bytes is passed on.
  * @param subscribers number of subscribers to send it to
  * @param link_mbps bandwidth of this VM's network link; 0: not known
  */
-bool feed_sends_whole(size_t bytes, uint32_t subscribers, uint32_t link_mbps);
-/** Pause after an object of @p bytes was sent to one subscriber that requested it. */
-uint64_t feed_request_pause_us(size_t bytes, uint32_t link_mbps);
+feed_delivery_t feed_delivery(size_t bytes, uint32_t subscribers, uint32_t link_mbps);
+/** Pause after an object of @p bytes was sent to one subscriber in turn. */
+uint64_t feed_turn_pause_us(size_t bytes, uint32_t link_mbps);
 
 #endif
--- a/src/tasks/feed_server.c
+++ b/src/tasks/feed_server.c
@@ -18,8 +18,8 @@
 struct feed_server_t {
 	loop_t *loop;
 	uint32_t link_mbps;
-	GQueue requests; /* object_request_t */
-	loop_timer_t request_timer;
+	GQueue turns; /* object_turn_t */
+	loop_timer_t turn_timer;
 	feed_cache_t **caches; /* by kind */
 	uint32_t kinds;
 	GPtrArray *subscribers; /* subscriber_t */
@@ -34,37 +34,37 @@
 	framing_reader_t *reader;
 } subscriber_t;
 
-/** A subscriber's request for an object that it can't read from the store. */
-typedef struct object_request_t {
+/** An object that is to be sent to a subscriber, which may have requested it. */
+typedef struct object_turn_t {
 	subscriber_t *subscriber;
 	uint32_t kind;
 	char *name;
-} object_request_t;
+} object_turn_t;
 
-static void object_request_free(object_request_t *request)
+static void object_turn_free(object_turn_t *turn)
 {
-	g_free(request->name);
-	g_free(request);
+	g_free(turn->name);
+	g_free(turn);
 }
 
-static void drop_object_requests(feed_server_t *server, const subscriber_t *subscriber)
+static void drop_turns(feed_server_t *server, const subscriber_t *subscriber)
 {
 	GList *next;
 
-	for (GList *item = server->requests.head; item; item = next) {
-		object_request_t *request = item->data;
+	for (GList *item = server->turns.head; item; item = next) {
+		object_turn_t *turn = item->data;
 
 		next = item->next;
-		if (request->subscriber != subscriber)
+		if (turn->subscriber != subscriber)
 			continue;
-		g_queue_delete_link(&server->requests, item);
-		object_request_free(request);
+		g_queue_delete_link(&server->turns, item);
+		object_turn_free(turn);
 	}
 }
 
 static void subscriber_free(subscriber_t *subscriber)
 {
-	drop_object_requests(subscriber->server, subscriber);
+	drop_turns(subscriber->server, subscriber);
 	g_ptr_array_remove_fast(subscriber->server->subscribers, subscriber);
 	framing_reader_free(subscriber->reader);
 	g_free(subscriber);
@@ -92,55 +92,62 @@
 }
 
 /*
- * Requested objects are sent one at a time, with a pause after each: on this VM's network link they
- * delay its own requests.
+ * Objects are sent one at a time, with a pause after each: on this VM's network link they delay its
+ * own requests. What is sent is the object as it is then.
  */
-static void send_requested_object(void *ctx)
+static void send_next_turn(void *ctx)
 {
 	feed_server_t *server = ctx;
-	object_request_t *request = g_queue_pop_head(&server->requests);
+	object_turn_t *turn = g_queue_pop_head(&server->turns);
 	feed_message_t message;
 	size_t bytes = 0;
 
-	if (!request)
+	if (!turn)
 		return;
-	if (feed_cache_find(server->caches[request->kind], request->name, &message)) {
+	if (feed_cache_find(server->caches[turn->kind], turn->name, &message)) {
 		g_byte_array_set_size(server->frame, 0);
 		feed_message_write(server->frame, &message);
-		sock_write(request->subscriber->sock, server->frame->data, server->frame->len);
+		sock_write(turn->subscriber->sock, server->frame->data, server->frame->len);
 		bytes = server->frame->len;
 	}
-	object_request_free(request);
-	loop_timer_set(server->loop, &server->request_timer,
-		       feed_request_pause_us(bytes, server->link_mbps));
+	object_turn_free(turn);
+	loop_timer_set(server->loop, &server->turn_timer,
+		       feed_turn_pause_us(bytes, server->link_mbps));
 }
 
-static bool is_requested(const subscriber_t *subscriber, const feed_message_t *message)
+static bool has_turn(const subscriber_t *subscriber, const feed_message_t *message)
 {
-	for (const GList *item = subscriber->server->requests.head; item; item = item->next) {
-		const object_request_t *request = item->data;
+	for (const GList *item = subscriber->server->turns.head; item; item = item->next) {
+		const object_turn_t *turn = item->data;
 
-		if (request->subscriber == subscriber && request->kind == message->kind &&
-		    g_str_equal(request->name, message->name))
+		if (turn->subscriber == subscriber && turn->kind == message->kind &&
+		    g_str_equal(turn->name, message->name))
 			return true;
 	}
 	return false;
 }
 
-static void enqueue_object_request(subscriber_t *subscriber, const feed_message_t *message)
+static void add_turn(subscriber_t *subscriber, const feed_message_t *message)
 {
 	feed_server_t *server = subscriber->server;
-	object_request_t *request;
+	object_turn_t *turn;
 
-	if (message->kind >= server->kinds || server->requests.length >= OBJECT_REQUESTS_MAX ||
-	    is_requested(subscriber, message))
+	if (has_turn(subscriber, message))
 		return;
-	request = g_new(object_request_t, 1);
-	*request = (object_request_t){
+	turn = g_new(object_turn_t, 1);
+	*turn = (object_turn_t){
 		.subscriber = subscriber, .kind = message->kind, .name = g_strdup(message->name)};
-	g_queue_push_tail(&server->requests, request);
-	if (!server->request_timer.entry.heap_position)
-		send_requested_object(server);
+	g_queue_push_tail(&server->turns, turn);
+	if (!server->turn_timer.entry.heap_position)
+		send_next_turn(server);
+}
+
+static void on_request(subscriber_t *subscriber, const feed_message_t *message)
+{
+	const feed_server_t *server = subscriber->server;
+
+	if (message->kind < server->kinds && server->turns.length < OBJECT_REQUESTS_MAX)
+		add_turn(subscriber, message);
 }
 
 static void on_message(void *ctx, const feed_message_t *message)
@@ -149,7 +156,7 @@
 	feed_server_t *server = subscriber->server;
 
 	if (message->type == FEED_REQUEST) {
-		enqueue_object_request(subscriber, message);
+		on_request(subscriber, message);
 		return;
 	}
 	if (message->type != FEED_OBSERVATION) {
@@ -215,7 +222,7 @@
 
 	server->loop = loop;
 	server->link_mbps = link_mbps;
-	server->request_timer = (loop_timer_t){.fire = send_requested_object, .ctx = server};
+	server->turn_timer = (loop_timer_t){.fire = send_next_turn, .ctx = server};
 	server->ops = ops;
 	server->ctx = ctx;
 	server->kinds = kinds;
@@ -243,6 +250,13 @@
 	relay_message(server, NULL, &sent);
 }
 
+void feed_server_publish_in_turn(feed_server_t *server, const feed_message_t *message)
+{
+	feed_cache_apply(server->caches[message->kind], message);
+	for (guint i = 0; i < server->subscribers->len; i++)
+		add_turn(g_ptr_array_index(server->subscribers, i), message);
+}
+
 void feed_server_write(feed_server_t *server, const GByteArray *frames)
 {
 	write_to_subscribers(server, NULL, frames);
--- a/src/tasks/feed_server.h
+++ b/src/tasks/feed_server.h
@@ -32,6 +32,8 @@
 			       uint32_t link_mbps, const feed_server_ops_t *ops, void *ctx);
 /** Cache @p message for later subscribers, and send it to all current ones. */
 void feed_server_publish(feed_server_t *server, const feed_message_t *message);
+/** Cache @p message, an object, and send it to one subscriber after the other, with pauses. */
+void feed_server_publish_in_turn(feed_server_t *server, const feed_message_t *message);
 /** Send complete frames to all subscribers. */
 void feed_server_write(feed_server_t *server, const GByteArray *frames);
 /** Number of VMs that are subscribed to this one. */
--- a/src/tasks/store_sync_task.c
+++ b/src/tasks/store_sync_task.c
@@ -124,25 +124,29 @@
 static void publish_object(synced_kind_t *kind, feed_type_t type, const store_object_t *object)
 {
 	const store_sync_task_t *task = kind->task;
+	feed_delivery_t delivery = FEED_AT_ONCE;
 	feed_message_t message;
 	char *text;
-	bool fits;
 
 	if (!store_sync_watches(task->store_sync))
 		return;
 	text = object ? json_dumps(object->content, JSON_COMPACT | JSON_ENCODE_ANY) : NULL;
-	fits = text && feed_sends_whole(strlen(text), feed_server_subscribers(task->server),
-					own_vm(task)->link_mbps);
-	if (type == FEED_OBJECT && text && !fits)
+	if (text)
+		delivery = feed_delivery(strlen(text), feed_server_subscribers(task->server),
+					 own_vm(task)->link_mbps);
+	if (type == FEED_OBJECT && delivery == FEED_ANNOUNCES)
 		type = FEED_ANNOUNCED;
-	if (type == FEED_REMOVED && !fits)
+	if (type == FEED_REMOVED && delivery != FEED_AT_ONCE)
 		g_clear_pointer(&text, free);
 	message = (feed_message_t){.type = type,
 				   .kind = kind->kind,
 				   .name = object ? object->name : "",
 				   .text = text ? text : "",
 				   .era = platform_task_era(task->platform)};
-	feed_server_publish(task->server, &message);
+	if (type == FEED_OBJECT && delivery == FEED_IN_TURN)
+		feed_server_publish_in_turn(task->server, &message);
+	else
+		feed_server_publish(task->server, &message);
 	free(text);
 }
 
