A backup feeder must have reached the store since this VM's own feeder lost it

One that watched the store for itself had a watch pending, and reported for up to 3 s that it reached the store. The VM left its feeder for it, with data that were older than its own; when the backup noticed the outage 0.9 s later, the VM had neither and called the store by itself, 7 to 12 times in 4 s.

Change: while a VM has a feed, a candidate must show an answer of the store from after the moment at which the feed reported that it had lost the store.

--- a/src/core/store_sync_links.c
+++ b/src/core/store_sync_links.c
@@ -276,6 +276,7 @@
 	if (sync->feeder_cut_off)
 		return;
 	sync->feeder_cut_off = true;
+	sync->cut_off_us = now_us;
 	store_sync_set_unreachable(sync, true);
 	store_sync_set_timer(sync, &sync->check_timer, now_us + first_check_us(sync, age_us));
 }
@@ -357,12 +358,22 @@
 	switch_if_complete(sync, link, now_us);
 }
 
+/*
+ * Whether the store has answered the candidate since this VM's own feeder lost it. Other VMs notice
+ * an outage later, as their watches end, and report until then that they reach the store.
+ */
+static bool reaches_store(const store_sync_t *sync, const store_sync_link_t *link)
+{
+	return !sync->feed || link->last_answer_us >= sync->cut_off_us;
+}
+
 static void evaluate_candidate(store_sync_t *sync, store_sync_link_t *link,
 			       const store_sync_status_t *status, uint64_t now_us)
 {
 	store_sync_cancel_timer(sync, &sync->candidate_timer);
-	if (feed_evaluate(&sync->timing, link->backup, false, status->unreliable, status->age_us) ==
-	    FEED_KEEP) {
+	if (reaches_store(sync, link) &&
+	    feed_evaluate(&sync->timing, link->backup, false, status->unreliable, status->age_us) ==
+		    FEED_KEEP) {
 		link->status_ok = true;
 		switch_if_complete(sync, link, now_us);
 		return;
--- a/src/core/store_sync_private.h
+++ b/src/core/store_sync_private.h
@@ -47,9 +47,11 @@
 	bool unreachable;	      /* no source reaches the store */
 	bool others_answered; /* the store answered the last call that this module did not make */
 	uint64_t started_us;
-	bool feeder_cut_off;	      /* the feeder in use does not reach the store */
-	bool checking;		      /* a store check is pending */
-	uint32_t failed_checks;	      /* failed store checks in a row */
+	uint64_t cut_off_us;	/* when the feeder in use last reported that it does not reach the
+				   store */
+	bool feeder_cut_off;	/* the feeder in use does not reach the store */
+	bool checking;		/* a store check is pending */
+	uint32_t failed_checks; /* failed store checks in a row */
 	uint64_t feed_last_answer_us; /* when the store last answered a feeder, by its status */
 	char *suggested_backup;	      /* the VM that a rejected backup says feeds it; NULL: none */
 	uint32_t backups_tried;	      /* in total */
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -33,6 +33,7 @@
 	'requests leave the regions that their tenant allows|src/core/placement.c|s/tenant_allows\(candidates->tenant, searcher->region\)/1/'
 	'the rank of a tenant does not count|src/core/forward.c|s/tenant && tenant->has_rank \? tenant->rank : //'
 	'requests of two tenants have one fingerprint|src/core/fingerprint.c|s/if \(key\)/if (0)/'
+	'a VM takes a feeder that has not noticed the outage yet|src/core/store_sync_links.c|s/return !sync->feed \|\| link->last_answer_us/return 1 || link->last_answer_us/'
 	'VMs read the lists themselves while their feeder does|src/core/store_sync_links.c|s/if \(link && !link->backup && now_us < link->progress_us/if (0 \&\& now_us < link->progress_us/'
 	'a feeder that repeats the lists it has sent is waited for|src/core/store_sync_links.c|s/if \(!\(link->lists_done & 1u << kind\)\)//'
 	'each VM of a large fleet reads a large configuration from the store|src/core/feed_choice.c|s/\? FEED_IN_TURN : FEED_ANNOUNCES/? FEED_ANNOUNCES : FEED_ANNOUNCES/'
--- a/tests/store_sync_test.c
+++ b/tests/store_sync_test.c
@@ -64,6 +64,7 @@
 	uint32_t asked;	       /* calls so far, including store checks */
 	uint32_t asked_lists;  /* of them, pages of lists */
 	uint32_t links;	       /* opened so far */
+	uint32_t feeds;	       /* taken so far */
 	uint32_t asked_links;  /* requests to links for announced objects */
 	bool cut;	       /* cut off from the other VMs */
 	vm_t vm;
@@ -479,8 +480,8 @@
 
 static void on_feed_changed(void *ctx, const store_sync_link_t *link)
 {
-	(void)ctx;
 	(void)link;
+	((node_t *)ctx)->feeds++;
 }
 
 static void on_nothing(void *ctx)
@@ -1091,6 +1092,36 @@
 	sim_free(sim);
 }
 
+/*
+ * VMs whose feeder has lost the store try others. One that watches the store for itself notices
+ * later that it has lost it, too: it must not be taken for a feeder. A VM that left its own feeder
+ * for it would soon have neither, and call the store by itself.
+ */
+static void test_backup_has_not_noticed_the_outage(void **state)
+{
+	static const bounds_t bounds = {3000, 5000};
+	const feed_timing_t timing = timing_of(&bounds);
+	g_autoptr(GPtrArray) none = g_ptr_array_new();
+
+	(void)state;
+	for (uint32_t seed = 0; seed < 60; seed++) {
+		sim_t *sim = sim_new(&timing, 7, 2, seed);
+
+		set_all_vms(sim, 2);
+		store_sync_set_vms(sim->nodes[2].sync, none, none, false, sim->now_us);
+		run_until(sim, START_US + 10000 * MS_US + seed * 71 * MS_US);
+		for (uint32_t i = 0; i < sim->count; i++)
+			sim->nodes[i].asked = sim->nodes[i].feeds = 0;
+		add_outage(sim, RESET, ALL_VMS, sim->now_us, 60000 * MS_US);
+		run_until(sim, sim->now_us + 4000 * MS_US);
+		for (uint32_t i = 3; i < sim->count; i++) {
+			assert_int_equal(sim->nodes[i].feeds, 0);
+			assert_in_range(sim->nodes[i].asked, 1, 4);
+		}
+		sim_free(sim);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -1107,6 +1138,7 @@
 		cmocka_unit_test(test_announced_change_is_read_from_a_store_that_refuses),
 		cmocka_unit_test(test_backups_are_kept_after_the_store_recovers),
 		cmocka_unit_test(test_vm_without_a_source_after_failures),
+		cmocka_unit_test(test_backup_has_not_noticed_the_outage),
 		cmocka_unit_test(test_start_with_long_lists),
 		cmocka_unit_test(test_start_without_feeders),
 		cmocka_unit_test(test_start_with_a_feeder_that_stops),
