fleet_test: the VMs of a data centre share its searchers evenly

A service that all VMs connect to does: no searcher may get more than twice the even share of the connections opened ahead of need.

--- a/tests/fleet_test.c
+++ b/tests/fleet_test.c
@@ -232,6 +232,21 @@
 	return opened;
 }
 
+static uint32_t largest_data_centre(const site_t *site)
+{
+	uint32_t most = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(centres); i++) {
+		uint32_t vms = 0;
+
+		for (guint j = 0; j < site->vms->len; j++)
+			vms += g_str_equal(((vm_t *)g_ptr_array_index(site->vms, j))->data_centre,
+					   centres[i]);
+		most = MAX(most, vms);
+	}
+	return most;
+}
+
 /* With connections of every VM to every searcher, a start costs VMs x searchers of them, most of
  * which are closed unused, and searchers reset those beyond their limit. */
 static void test_warm_sets(void **state)
@@ -245,7 +260,7 @@
 		g_autoptr(GPtrArray) gatherers = NULL;
 		warmed_t shard, single;
 		uint64_t opened = 0;
-		uint32_t most = 0;
+		uint32_t most = 0, most_single = 0, even_share;
 		site_t site;
 
 		site_start(&site);
@@ -259,11 +274,17 @@
 			opened += 2 * warm(&single, g_ptr_array_index(site.vms, j), 1);
 		for (guint j = 0; j < REPLICAS; j++)
 			most = MAX(most, shard.counts[j]);
+		for (guint j = 0; j < SINGLE_REPLICAS; j++)
+			most_single = MAX(most_single, single.counts[j]);
+		/* The VMs of a data centre share the searchers there. */
+		even_share = largest_data_centre(&site) * WARM_SET_SIZE /
+			     (SINGLE_REPLICAS / G_N_ELEMENTS(centres));
 		print_message("%u VMs: %" G_GUINT64_FORMAT " connections ahead of need, at most %u "
 			      "to a searcher of a shard\n",
 			      site.vms->len, opened, most);
 		assert_true(opened <= connections_per_vm * MAX(site.vms->len, 1000));
 		assert_true(most <= SEARCHER_CONNECTIONS / 4);
+		assert_true(most_single <= 2 * even_share);
 		/* Once the VM has used the service, its connections are opened again. */
 		single.pool.last_sent_us = 1;
 		assert_int_equal(warm(&single, g_ptr_array_index(site.vms, 0), 2),
