--- a/src/core/feed_timing.c
+++ b/src/core/feed_timing.c
@@ -7,8 +7,8 @@
 #include <glib.h>
 
 /* The age of a working feeder's data beyond the wait of its watch: 0.8 s in which changes are
- * grouped, 0.5 s to the next status, and the store's reply; plus the time of a list, and a reserve.
- */
+ * grouped, 0.5 s to the next status, and the store's reply; plus the time of a list or of
+ * an object that is sent in turn, and a reserve. */
 #define FEED_AGE_MS 2500
 /* From a feeder's watch to its subscribers, and until requests sent before have reached searchers.
  */
--- a/src/core/member_sync.c
+++ b/src/core/member_sync.c
@@ -355,7 +355,7 @@
 		report(sync, now_us);
 }
 
-/* The next call is for the list of all VMs, or for the registration. */
+/* No feeders were found: this VM reads the list of all VMs itself, once it is registered. */
 static void on_own_read(member_sync_t *sync, GPtrArray *own, uint64_t now_us)
 {
 	if (!own) {
--- a/src/core/store_sync_private.h
+++ b/src/core/store_sync_private.h
@@ -45,8 +45,8 @@
 	bool timed_out;		      /* a call since then timed out */
 	bool probing;		      /* only the probed kind is requested */
 	bool unreachable;	      /* no source reaches the store */
-	bool others_answered; /* the store answered the last call that this module did not make */
-	uint64_t started_us;
+	bool others_answered;	/* the store answered the last call that this module did not make */
+	uint64_t started_us;	/* when store_sync_start() was called */
 	uint64_t cut_off_us;	/* when the feeder in use last reported that it does not reach the
 				   store */
 	bool feeder_cut_off;	/* the feeder in use does not reach the store */
--- a/src/tasks/store_sync_task.c
+++ b/src/tasks/store_sync_task.c
@@ -60,6 +60,8 @@
 	GHashTable *announced; /* announced_t by name, until the content arrives */
 } synced_kind_t;
 
+typedef struct feed_connection_t feed_connection_t;
+
 struct store_sync_task_t {
 	loop_t *loop;
 	const store_sync_task_ops_t *ops;
@@ -72,9 +74,8 @@
 	loop_timer_t sync_timer;
 	feed_server_t *server;
 	member_feed_t *member_feed;
-	struct feed_connection_t
-		*members_from;	  /* the feeder that sent the list of VMs; NULL: none */
-	bool shares_observations; /* the region has enough VMs for sharing to be useful */
+	feed_connection_t *members_from; /* the feeder that sent the list of VMs; NULL: none */
+	bool shares_observations;	 /* the region has enough VMs for sharing to be useful */
 	feed_timing_t timing;
 	loop_timer_t status_timer;
 	platform_task_t *platform;
@@ -83,11 +84,11 @@
 };
 
 /** A connection to a feeder. */
-typedef struct feed_connection_t {
+struct feed_connection_t {
 	store_sync_task_t *task;
 	store_sync_link_t *link;
 	feed_client_t *client;
-} feed_connection_t;
+};
 
 static feed_client_t *feed_client_of(const store_sync_link_t *link)
 {
