A VM that starts makes one call a try while the store is down

Cause: after a failed read of the feeders' list a VM looked for its own registration at once, so that each try cost two calls in an outage.

Change: a failed read is repeated after the usual delay; only each fourth try goes on without the list of feeders, in case it alone can't be read.

--- a/src/core/member_sync.c
+++ b/src/core/member_sync.c
@@ -27,6 +27,9 @@
 #define READ_SPREAD_LINK_MBPS 100
 /* One feeder alone may have terminated. */
 #define FEEDERS_MIN 2
+/* While the store does not answer, a VM makes one call a try. After this number of tries in a row
+ * it looks for its registration all the same: only the list of feeders may be unreadable. */
+#define FEEDERS_TRIES 4
 /* Period at which a VM that has found feeders checks whether it still awaits their lists. */
 #define AWAIT_PERIOD_US 200000
 /* Changes of the list that a feeder relays come in groups. */
@@ -71,6 +74,7 @@
 	GPtrArray *feeders;    /* the entries of feeders, sorted, as last read */
 	entry_t feeder_entry;  /* this VM's own entry of them */
 	bool writes_feeder;    /* a write of it is pending */
+	uint32_t unread;       /* failed reads of the feeders' entries */
 	uint64_t requested_us; /* when the last read of all VMs was requested */
 	uint64_t listed_us;    /* when the list was requested from the store; 0: none yet */
 	uint64_t restored_us;  /* when the store was restored from an older copy; 0: never */
@@ -296,6 +300,10 @@
 		sync->feeders = feeders;
 		note_feeder_entry(sync);
 	}
+	if (!feeders && ++sync->unread % FEEDERS_TRIES) {
+		list_after(sync, retry_delay_us(sync), now_us);
+		return;
+	}
 	if (!feeders || !has_usable_feeders(sync)) {
 		if (sync->registered)
 			read_all(sync, now_us);
--- a/tests/member_sync_test.c
+++ b/tests/member_sync_test.c
@@ -737,6 +737,31 @@
 	calls_end(&calls);
 }
 
+/* The store is down when the VM starts: one call a try, and the list of feeders first once it is
+ * back. */
+static void test_start_without_store(void **state)
+{
+	calls_t calls;
+	member_sync_t *sync = calls_start(&calls);
+	uint64_t now_us = START_US;
+
+	(void)state;
+	for (int i = 0; i < 3; i++) {
+		member_sync_read_ended(sync, MEMBERS_FEEDERS, NULL, now_us);
+		expect_calls(&calls, "");
+		member_sync_run(sync, now_us += 1000 * MS_US);
+		expect_calls(&calls, "read 1; ");
+	}
+	member_sync_read_ended(sync, MEMBERS_FEEDERS, NULL, now_us);
+	expect_calls(&calls, "read 2; ");
+	member_sync_read_ended(sync, MEMBERS_OWN, NULL, now_us);
+	member_sync_run(sync, now_us += 1000 * MS_US);
+	expect_calls(&calls, "read 1; ");
+	member_sync_read_ended(sync, MEMBERS_FEEDERS, list_of("f1", "f2"), now_us);
+	expect_calls(&calls, "found 2; ");
+	calls_end(&calls);
+}
+
 /* A VM's entry among the feeders follows its role, also when an earlier run of it left another. */
 static void test_own_feeder_entry(void **state)
 {
@@ -776,9 +801,10 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_new_fleet),      cmocka_unit_test(test_restarted_fleet),
-		cmocka_unit_test(test_running_fleet),  cmocka_unit_test(test_feeders_fail),
-		cmocka_unit_test(test_restored_store), cmocka_unit_test(test_own_feeder_entry),
+		cmocka_unit_test(test_new_fleet),	 cmocka_unit_test(test_restarted_fleet),
+		cmocka_unit_test(test_running_fleet),	 cmocka_unit_test(test_feeders_fail),
+		cmocka_unit_test(test_restored_store),	 cmocka_unit_test(test_start_without_store),
+		cmocka_unit_test(test_own_feeder_entry),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
