--- a/src/core/member_sync.c
+++ b/src/core/member_sync.c
@@ -74,7 +74,7 @@
 	GPtrArray *feeders;    /* the entries of feeders, sorted, as last read */
 	entry_t feeder_entry;  /* this VM's own entry of them */
 	bool writes_feeder;    /* a write of it is pending */
-	uint32_t unread;       /* failed reads of the feeders' entries */
+	uint32_t failed_reads; /* of the entries of feeders */
 	uint64_t requested_us; /* when the last read of all VMs was requested */
 	uint64_t listed_us;    /* when the list was requested from the store; 0: none yet */
 	uint64_t restored_us;  /* when the store was restored from an older copy; 0: never */
@@ -300,7 +300,7 @@
 		sync->feeders = feeders;
 		note_feeder_entry(sync);
 	}
-	if (!feeders && ++sync->unread % FEEDERS_TRIES) {
+	if (!feeders && ++sync->failed_reads % FEEDERS_TRIES) {
 		list_after(sync, retry_delay_us(sync), now_us);
 		return;
 	}
--- a/src/tasks/store_sync_task.c
+++ b/src/tasks/store_sync_task.c
@@ -550,7 +550,7 @@
 
 /* ---- feed status ---- */
 
-/* Age of the list of VMs that this VM relays, as subscribers receive it. */
+/* Age of the list of VMs that this VM relays, in milliseconds plus one; 0: it relays none. */
 static uint32_t members_age(const store_sync_task_t *task)
 {
 	uint64_t listed_us = store_sync_task_cold_members(task).listed_us;
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -47,7 +47,7 @@
 	'fed VMs read the list of VMs themselves|src/core/member_sync.c|s/return sync->fed && now_us/return 0 \&\& now_us/'
 	'a VM relies on a list of VMs that its feeder no longer reads|src/core/member_sync.c|s/return sync->fed && now_us < [^;]+;/return sync->fed;/'
 	'VMs that feeders retain count as registered after a restore|src/core/member_sync.c|s/if \(!sync->restored_us\)\n\t\tcheck/if (1)\n\t\tcheck/'
-	'a VM that starts makes two calls a try while the store is down|src/core/member_sync.c|s/if \(!feeders && \+\+sync->unread % FEEDERS_TRIES\)/if (0)/'
+	'a VM that starts makes two calls a try while the store is down|src/core/member_sync.c|s/if \(!feeders && \+\+sync->failed_reads % FEEDERS_TRIES\)/if (0)/'
 	'a VM is missing from the list that it is sent|src/core/member_sync.c|s/if \(sync->registered && sync->fed\)/if (0)/'
 	'a VM that no longer feeds others stays listed as a feeder|src/core/member_sync.c|s/if \(!is_feeder && \(entry/if (0 \&\& (entry/'
 	'a feeder has a status before it has read the lists|src/core/store_sync.c|s/return sync->is_feeder &&/return 0 \&\&/'
