--- a/src/core/connection_share.c
+++ b/src/core/connection_share.c
@@ -17,6 +17,9 @@
  * every VM may hold connections to every searcher. */
 #define MIN_CONNECTIONS_EACH 2
 
+/* Sub-requests for each slot of a searcher, of all VMs: one that runs and one that waits. */
+#define SENDS_PER_SLOT 2.0
+
 /* Added to the count: VMs that were added a moment ago are not in the list yet. */
 #define UNLISTED_VMS 1
 
@@ -119,6 +122,13 @@
 	const searcher_t *backup = backup_of(pool, vms);
 	bool spread = each < MIN_CONNECTIONS_EACH && vms->by_region && has_near(pool);
 
+	for (guint i = 0; i < pool->searchers->len; i++) {
+		searcher_t *searcher = g_ptr_array_index(pool->searchers, i);
+		uint32_t holders = spread ? holders_of(pool, searcher, vms) : vms->all;
+
+		send_limit_set_start(&searcher->send_limit,
+				     SENDS_PER_SLOT * searcher->slots / MAX(holders, 1));
+	}
 	for (guint i = 0; i < pool->searchers->len; i++) {
 		searcher_t *searcher = g_ptr_array_index(pool->searchers, i);
 		bool held = searcher->distance != DISTANCE_FAR || searcher == backup;
--- a/src/core/forward.c
+++ b/src/core/forward.c
@@ -31,6 +31,8 @@
 	if (forward->has_trial)
 		forward_end_trial(forward, now_us);
 	timers_cancel(&forward->forwarder->timers, &forward->timer);
+	if (forward->admission.queued)
+		admission_withdraw(forward->forwarder->admission, &forward->admission);
 	for (uint32_t i = 0; i < forward->part_count; i++) {
 		part_t *part = &forward->parts[i];
 
@@ -80,6 +82,14 @@
 			      registry_is_store_unreachable(forward->forwarder->registry));
 }
 
+static uint64_t full_retry_us(const forward_t *forward, uint64_t now_us)
+{
+	if (!forward_is_admission_controlled(forward))
+		return caller_retry_us(forward, MISSING_CAPACITY, now_us);
+	return admission_retry_after_us(forward->forwarder->admission,
+					forward_time_left_us(forward, now_us), now_us);
+}
+
 void forward_refuse(forward_t *forward, forward_outcome_t outcome, uint64_t now_us)
 {
 	forward_answer_t answer = {.outcome = outcome};
@@ -92,8 +102,9 @@
 	else if (outcome == FORWARD_DEFERRED)
 		answer.retry_after_us = poison_retry_delay_us(forward->forwarder->poison,
 							      forward->request.fingerprint, now_us);
-	else if (outcome == FORWARD_TOO_LATE || outcome == FORWARD_FULL ||
-		 outcome == FORWARD_REJECTED)
+	else if (outcome == FORWARD_FULL)
+		answer.retry_after_us = full_retry_us(forward, now_us);
+	else if (outcome == FORWARD_TOO_LATE || outcome == FORWARD_REJECTED)
 		answer.retry_after_us = caller_retry_us(forward, MISSING_CAPACITY, now_us);
 	forward_finish(forward, &answer, now_us);
 }
--- a/src/core/forward.h
+++ b/src/core/forward.h
@@ -10,6 +10,7 @@
 #ifndef DS_FORWARD_H
 #define DS_FORWARD_H
 
+#include "core/admission.h"
 #include "core/fingerprint.h"
 #include "core/placement.h"
 #include "core/poison.h"
@@ -60,6 +61,7 @@
 	struct route_state_t *route; /**< measurements of its route; outlives the request */
 	uint32_t part;
 	sub_purpose_t purpose;
+	send_sample_t sample;
 	bool isolated;	 /**< its request is suspect, and this VM has nothing else in flight to the
 			    searcher */
 	bool on_trial;	 /**< its request is suspect, and a trial was claimed for it */
@@ -186,6 +188,7 @@
 			   is over */
 	bool has_lost_turn;    /**< the turn will not come before the caller's deadline */
 	uint64_t held_from_us; /**< since when it has waited for its turn; 0: it did not wait */
+	admission_entry_t admission; /**< its place among the requests that wait to start */
 	bool finished;
 	void *owner;
 };
@@ -221,6 +224,9 @@
 forwarder_t *forwarder_new(const forwarder_ops_t *ops, void *ctx, registry_t *registry,
 			   uint32_t seed);
 void forwarder_free(forwarder_t *forwarder);
+/** Let requests wait, or refuse them, as a whole until enough of their shards have room; see
+ * admission.h. Call before forwarder_set_routing(). */
+void forwarder_enable_admission(forwarder_t *forwarder);
 /** Use @p routing for new requests; takes the reference. */
 void forwarder_set_routing(forwarder_t *forwarder, routing_t *routing);
 const routing_t *forwarder_routing(const forwarder_t *forwarder);
--- /dev/null
+++ b/src/core/forward_admission.c
@@ -0,0 +1,200 @@
+/**
+ * @file forward_admission.c
+ * Starts a request as a whole when enough of its shards have room, and refuses it when they will
+ * not have any in time. See admission.h.
+ */
+#include "core/forward_private.h"
+
+#ifdef PROTO_ENV
+#include <stdlib.h>
+static double P(const char *n, double d) { const char *v = getenv(n); return v ? atof(v) : d; }
+#define WAIT_MAX_SHARE P("WAIT_SHARE", 0.25)
+#define ANSWER_FACTOR P("START_BY", 1.5)
+#define BUDGET_SHARE P("BUDGET", 0.5)
+#else
+/* A request waits at most this share of its target: a caller that is refused sooner can ask again
+ * in time. */
+#define WAIT_MAX_SHARE 0.25
+/* Time from the start to the answer, as a multiple of the typical latency of a sub-request: a gather
+ * takes as long as its slowest part. */
+#define ANSWER_FACTOR 1.5
+/* Latency of a sub-request that counts as late, as a share of the request's target. The slowest part
+ * of a gather takes about twice as long as a usual one. */
+#define BUDGET_SHARE 0.5
+#endif
+/* Limits below 1 allow the next sub-request after a pause, which no answer announces. */
+#define RETRY_INTERVAL_US 5000
+/* Routes that are found blocked in one pass. Others are tried again for each request. */
+#define BLOCKED_MAX 8
+
+/** One pass over the waiting requests. */
+typedef struct start_pass_t {
+	uint64_t now_us;
+	/* Requests of one route need the same shards: once one lacks room, the others do. */
+	const route_t *blocked[BLOCKED_MAX];
+	uint32_t blocked_count;
+} start_pass_t;
+
+uint64_t forward_send_budget_us(const forward_t *forward)
+{
+	return (uint64_t)(BUDGET_SHARE *
+			  (double)(forward->partial_us - forward->request.received_us));
+}
+
+bool forward_is_admission_controlled(const forward_t *forward)
+{
+	return forward->forwarder->admission && forward->route->target_us;
+}
+
+static bool has_room(const part_t *part, uint64_t now_us)
+{
+	const candidates_t candidates = part_candidates(part);
+
+	/* Parts of requests that have started go first. */
+	return part->state == PART_WAITING && !part->pool->waiting.length &&
+	       placement_has_capacity(&candidates, now_us);
+}
+
+/* Whether so many shards have room that the request reaches its coverage. */
+static bool can_start(const forward_t *forward, uint64_t now_us)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < forward->part_count; i++)
+		count += has_room(&forward->parts[i], now_us);
+	return forward->route->gathers ? forward_has_enough(forward, count) : count > 0;
+}
+
+/* A caller that asks again has waited before: it waits for less than callers of the route do. */
+static double waited_before_us(const forward_t *forward)
+{
+	double patience_us = (double)forward->request.patience_us;
+
+	return patience_us > 0 ? MAX(forward->state->patience_us - patience_us, 0) : 0;
+}
+
+static double typical_us(const forward_t *forward)
+{
+	double typical = 0;
+
+	for (uint32_t i = 0; i < forward->part_count; i++)
+		typical = MAX(typical, placement_typical_us(forward->parts[i].pool));
+	return typical;
+}
+
+/* The latest start that is of use to the caller. */
+static uint64_t start_by_us(const forward_t *forward)
+{
+	double target_us = (double)(forward->partial_us - forward->request.received_us);
+	double left_us = target_us - waited_before_us(forward) -
+			 ANSWER_FACTOR * typical_us(forward);
+	double wait_us = MIN(WAIT_MAX_SHARE * target_us, left_us);
+
+	return forward->request.received_us + (uint64_t)MAX(wait_us, 0);
+}
+
+static void refuse(forward_t *forward, uint64_t now_us)
+{
+	forward_refuse(forward, FORWARD_FULL, now_us);
+}
+
+static void refuse_entry(admission_entry_t *entry, uint64_t now_us)
+{
+	refuse(entry->owner, now_us);
+}
+
+static admission_verdict_t offer(forward_t *forward, uint64_t now_us)
+{
+	admission_t *admission = forward->forwarder->admission;
+	admission_entry_t *entry = &forward->admission, *displaced;
+	bool room = can_start(forward, now_us);
+	admission_verdict_t verdict = admission_offer(admission, entry, room, now_us);
+
+	if (verdict != ADMISSION_REFUSE ||
+	    !(displaced = admission_displaced(admission, entry, now_us)))
+		return verdict;
+	refuse_entry(displaced, now_us);
+	return admission_offer(admission, entry, room, now_us);
+}
+
+admission_verdict_t forward_admit(forward_t *forward, uint64_t now_us)
+{
+	const tenant_t *tenant = forward->tenant;
+	forwarder_t *forwarder = forward->forwarder;
+	admission_verdict_t verdict;
+
+	forward->admission =
+		(admission_entry_t){.rank = forward_rank(forward),
+				    .tenant = tenant ? tenant->name : NULL,
+				    .weight = tenant_has_quota(tenant) ? tenant->rate_per_s : 1,
+				    .parts = forward->part_count,
+				    .arrived_us = now_us,
+				    .start_by_us = start_by_us(forward),
+				    .deadline_us = forward->deadline_us,
+				    .owner = forward};
+	verdict = offer(forward, now_us);
+	if (verdict == ADMISSION_REFUSE) {
+		refuse(forward, now_us);
+	} else if (verdict == ADMISSION_WAIT) {
+		forward_set_timer(forward, now_us);
+		timers_set(&forwarder->timers, &forwarder->admission_timer, now_us);
+	}
+	return verdict;
+}
+
+static bool is_blocked(const start_pass_t *pass, const forward_t *forward)
+{
+	for (uint32_t i = 0; i < pass->blocked_count; i++)
+		if (pass->blocked[i] == forward->route)
+			return true;
+	return false;
+}
+
+static bool entry_can_start(void *ctx, admission_entry_t *entry)
+{
+	start_pass_t *pass = ctx;
+	const forward_t *forward = entry->owner;
+
+	if (is_blocked(pass, forward))
+		return false;
+	if (can_start(forward, pass->now_us))
+		return true;
+	if (!forward_is_bound(forward) && pass->blocked_count < BLOCKED_MAX)
+		pass->blocked[pass->blocked_count++] = forward->route;
+	return false;
+}
+
+static void set_timer(forwarder_t *forwarder, uint64_t now_us)
+{
+	uint64_t next_us = MIN(admission_next_us(forwarder->admission), now_us + RETRY_INTERVAL_US);
+
+	if (admission_waiting(forwarder->admission))
+		timers_set(&forwarder->timers, &forwarder->admission_timer, MAX(next_us, now_us));
+	else
+		timers_cancel(&forwarder->timers, &forwarder->admission_timer);
+}
+
+void forwarder_start_waiting(forwarder_t *forwarder, uint64_t now_us)
+{
+	start_pass_t pass = {.now_us = now_us};
+	admission_entry_t *entry;
+
+	if (!forwarder->admission || !admission_waiting(forwarder->admission))
+		return;
+	while ((entry = admission_next(forwarder->admission, entry_can_start, &pass, now_us)))
+		forward_start(entry->owner, now_us);
+	while ((entry = admission_expired(forwarder->admission, now_us)))
+		refuse_entry(entry, now_us);
+	set_timer(forwarder, now_us);
+}
+
+static void on_timer(void *ctx, uint64_t now_us)
+{
+	forwarder_start_waiting(ctx, now_us);
+}
+
+void forwarder_enable_admission(forwarder_t *forwarder)
+{
+	forwarder->admission = admission_new();
+	forwarder->admission_timer = (timer_entry_t){.fire = on_timer, .ctx = forwarder};
+}
--- a/src/core/forward_private.h
+++ b/src/core/forward_private.h
@@ -1,7 +1,7 @@
 /**
  * @file forward_private.h
- * Internals of the forwarder. forwarder.c accepts requests, forward.c carries one request to its
- * answer, forward_suspect.c holds back a request that searchers have crashed on, part.c gets the
+ * Internals of the forwarder. forwarder.c accepts requests, forward_admission.c decides when they
+ * start, forward.c carries one request to its answer, forward_suspect.c holds back a request that searchers have crashed on, part.c gets the
  * answer of one service, subrequest.c handles one sub-request, and route_state.c measures a route.
  * Each file calls only files after it in this list, with two exceptions: part_* functions call back
  * into their request, and any file may call the forward_has_* queries.
@@ -28,6 +28,8 @@
 	bool shutting_down;
 	observation_filter_t observation_filter;
 	poison_t *poison;
+	admission_t *admission; /* NULL: each request starts as it arrives */
+	timer_entry_t admission_timer;
 	forwarder_counters_t counters;
 };
 
@@ -99,6 +101,17 @@
 bool forward_try_answer(forward_t *forward, uint64_t now_us);
 /** Its rank in queues: that of its tenant, if the tenant has one, else that of its route. */
 uint32_t forward_rank(const forward_t *forward);
+/** Latency of a sub-request at which its answer is still of use. */
+uint64_t forward_send_budget_us(const forward_t *forward);
+/** Whether the request starts only when enough of its shards have room. */
+bool forward_is_admission_controlled(const forward_t *forward);
+/** Whether the request starts now, waits, or was refused; it is freed in the last case. */
+admission_verdict_t forward_admit(forward_t *forward, uint64_t now_us);
+/** Send the parts of a request that starts. Returns true if the request is over; it is freed then.
+ */
+bool forward_start(forward_t *forward, uint64_t now_us);
+/** Start the waiting requests for which there is room, and refuse those that would be too late. */
+void forwarder_start_waiting(forwarder_t *forwarder, uint64_t now_us);
 /** Whether it must stay in some regions. */
 bool forward_is_bound(const forward_t *forward);
 /** Whether @p parts answered parts are enough for a success. */
--- a/src/core/forwarder.c
+++ b/src/core/forwarder.c
@@ -41,6 +41,8 @@
 	routing_unref(forwarder->routing);
 	g_hash_table_unref(forwarder->states);
 	poison_free(forwarder->poison);
+	if (forwarder->admission)
+		admission_free(forwarder->admission);
 	timers_clear(&forwarder->timers);
 	timers_clear(&forwarder->hang_timers);
 	g_rand_free(forwarder->rand);
@@ -158,10 +160,17 @@
 		observation_apply(forwarder->registry, observation, now_us);
 }
 
+static send_load_t send_load_of(const searcher_t *searcher)
+{
+	return (send_load_t){.outstanding = searcher->outstanding.length,
+			     .max = searcher->connections_max};
+}
+
 static void measure_answer(forwarder_t *forwarder, subrequest_t *sub, uint64_t took_us,
 			   uint64_t now_us)
 {
 	double expected_us = placement_expected_us(sub->searcher, sub->pool, now_us);
+	const send_load_t load = send_load_of(sub->searcher);
 	bool is_unexpected = observation_is_unexpected(sub->searcher, expected_us, took_us, now_us);
 
 	observation_filter_note(&forwarder->observation_filter, is_unexpected, now_us);
@@ -170,6 +179,7 @@
 	if (is_unexpected)
 		forwarder_share_observation(forwarder, sub, OBSERVATION_ANSWERED, now_us);
 	searcher_record_answer(sub->searcher, took_us, now_us);
+	send_limit_note_answer(&sub->searcher->send_limit, &sub->sample, &load, now_us);
 	quantile_add(&sub->pool->typical, took_us);
 	latency_buckets_add(&sub->pool->latency, took_us);
 }
@@ -259,6 +269,7 @@
 		    uint64_t now_us)
 {
 	uint64_t took_us = now_us - sub->sending.sent_us;
+	send_load_t load;
 
 	forwarder->counters.sub_outcomes[reply->outcome]++;
 	note_survival(forwarder, sub, reply, now_us);
@@ -268,6 +279,8 @@
 		measure_answer(forwarder, sub, took_us, now_us);
 		break;
 	case SUB_NOT_RUN:
+		load = send_load_of(sub->searcher);
+		send_limit_note_rejected(&sub->searcher->send_limit, &sub->sample, &load, now_us);
 		searcher_record_refusal(sub->searcher, now_us);
 		break;
 	case SUB_REPLACED:
@@ -298,6 +311,7 @@
 		sub_reply_free(reply);
 	subrequest_free(sub);
 	forwarder_dispatch_waiting(forwarder, pool->service, now_us);
+	forwarder_start_waiting(forwarder, now_us);
 }
 
 /* The first waiting part for which no searcher is left, or NULL. */
@@ -393,6 +407,7 @@
 	part->forward = forward;
 	part->pool = registry_pool(forward->forwarder->registry, service);
 	part->state = PART_WAITING;
+	part->pool->limits_sends = forward->forwarder->admission != NULL;
 	if (!forward->request.is_resend)
 		retry_budget_note_request(&part->pool->budget, now_us);
 	else if (!retry_budget_take(&part->pool->budget, &part->pool->bound, RETRY_FOR_FAILURE,
@@ -533,6 +548,25 @@
 		part_wait(part, now_us);
 }
 
+bool forward_start(forward_t *forward, uint64_t now_us)
+{
+	if (!forward_is_suspect(forward, now_us))
+		start_parts(forward, now_us);
+	return forward_advance(forward, now_us);
+}
+
+/* Returns NULL if the request is over. */
+static forward_t *admit_or_start(forward_t *forward, uint64_t now_us)
+{
+	admission_verdict_t verdict = ADMISSION_START;
+
+	if (forward_is_admission_controlled(forward) && !forward_is_suspect(forward, now_us))
+		verdict = forward_admit(forward, now_us);
+	if (verdict == ADMISSION_WAIT)
+		return forward;
+	return verdict == ADMISSION_REFUSE || forward_start(forward, now_us) ? NULL : forward;
+}
+
 forward_t *forwarder_submit(forwarder_t *forwarder, const forward_request_t *request, void *owner,
 			    uint64_t now_us)
 {
@@ -587,9 +621,7 @@
 		forward_refuse(forward, FORWARD_FULL, now_us);
 		return NULL;
 	}
-	if (!forward_is_suspect(forward, now_us))
-		start_parts(forward, now_us);
-	return forward_advance(forward, now_us) ? NULL : forward;
+	return admit_or_start(forward, now_us);
 }
 
 void forward_allow_attempts(forward_t *forward, uint32_t more, uint64_t now_us)
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -75,6 +75,14 @@
 	       !g_ptr_array_find((GPtrArray *)candidates->tried, searcher, NULL);
 }
 
+/* Whether its connections and its send limit allow a sub-request now. */
+static bool has_room(const searcher_t *searcher, const pool_t *pool, uint64_t now_us)
+{
+	return searcher_has_capacity(searcher) &&
+	       (!pool->limits_sends ||
+		send_limit_has_room(&searcher->send_limit, searcher->outstanding.length, now_us));
+}
+
 static bool is_cold_limited(const searcher_t *searcher, const pool_t *pool, uint64_t now_us)
 {
 	return pool->cold.per_s > 0 && now_us < searcher->cold_until_us;
@@ -257,7 +265,7 @@
 		searcher_t *searcher = g_ptr_array_index(pool->searchers, i);
 		double cost_us;
 
-		if (!searcher_has_capacity(searcher) || !is_candidate(candidates, searcher) ||
+		if (!has_room(searcher, pool, now_us) || !is_candidate(candidates, searcher) ||
 		    is_throttled(searcher, pool, now_us) || (alone && searcher->probes))
 			continue;
 		cost_us = placement_cost_us(searcher, pool, now_us) *
@@ -305,7 +313,7 @@
 	for (guint i = 0; i < pool->searchers->len; i++) {
 		const searcher_t *searcher = g_ptr_array_index(pool->searchers, i);
 
-		if (searcher_has_capacity(searcher) && is_candidate(candidates, searcher) &&
+		if (has_room(searcher, pool, now_us) && is_candidate(candidates, searcher) &&
 		    !is_throttled(searcher, pool, now_us))
 			return true;
 	}
--- a/src/core/registry.h
+++ b/src/core/registry.h
@@ -29,6 +29,7 @@
 	latency_buckets_t latency;  /**< the same as a distribution, for metrics */
 	GQueue waiting;		    /**< parts that wait for capacity, by rank and age */
 	double shed_share;	    /**< share of its recent parts that were shed */
+	bool limits_sends;	    /**< the send limits of its searchers apply */
 	cold_limit_t cold;	    /**< rate limit on sub-requests to cold searchers */
 	uint64_t cold_us;	    /**< assumed cold time of a searcher after its data centre's
 				     * evacuation has ended */
--- a/src/core/searcher.h
+++ b/src/core/searcher.h
@@ -7,6 +7,7 @@
 
 #include "core/reported_load.h"
 #include "core/failure_rate.h"
+#include "core/send_limit.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -69,6 +70,7 @@
 	uint64_t sampled_us;	      /**< when latency_us was last updated; 0: never */
 	GQueue outstanding;	      /**< attempts sent and not ended, oldest first */
 	uint32_t failures;	      /**< consecutive failures without an answer in between */
+	send_limit_t send_limit;      /**< limit on the outstanding sub-requests of this VM */
 	failure_rate_t failure_rate;  /**< rate at which it refuses, fails or loses requests */
 	reported_load_t load;	      /**< load that it last reported */
 	uint64_t avoid_until_us;      /**< backoff after failures: chosen only if there is no other
--- /dev/null
+++ b/src/core/send_limit.c
@@ -0,0 +1,95 @@
+/**
+ * @file send_limit.c
+ * See send_limit.h.
+ */
+#include "core/send_limit.h"
+
+#include <glib.h>
+
+#ifdef PROTO_ENV
+#include <stdlib.h>
+static double P(const char *n, double d) { const char *v = getenv(n); return v ? atof(v) : d; }
+#define LATE_FACTOR P("L_DOWN", 0.8)
+#define REJECTED_FACTOR P("L_REJ", 0.7)
+#define RAISE P("L_UP", 0.1)
+#define LIMIT_MIN P("L_MIN", 0.02)
+#define START_FACTOR P("L_START", 2)
+#else
+/* A late answer lowers the limit less than a rejection: it may be due to a pause of the searcher or
+ * to a long request. */
+#define LATE_FACTOR 0.8
+#define REJECTED_FACTOR 0.7
+/* Raise by each answer in time, in sub-requests, while the limit is around 1. */
+#define RAISE 0.1
+/* At this limit a VM still sends enough to notice that the searcher has recovered. */
+#define LIMIT_MIN 0.02
+#define START_FACTOR 2
+#endif
+/* Weight of one answer in the average latency. */
+#define LATENCY_WEIGHT 0.2
+/* Longest pause between two sub-requests. */
+#define PAUSE_MAX_US 2000000.0
+
+void send_limit_set_start(send_limit_t *limit, double start)
+{
+	limit->start = start;
+}
+
+bool send_limit_has_room(const send_limit_t *limit, uint32_t outstanding, uint64_t now_us)
+{
+	if (!limit->limit)
+		return true;
+	if (limit->limit < 1)
+		return !outstanding && now_us >= limit->next_us;
+	return outstanding + 1 <= limit->limit;
+}
+
+send_sample_t send_limit_note_sent(send_limit_t *limit, uint32_t outstanding, uint64_t budget_us,
+				   uint64_t now_us)
+{
+	double pause_us = limit->limit ? limit->latency_us / limit->limit : 0;
+
+	limit->next_us = now_us + (uint64_t)MIN(pause_us, PAUSE_MAX_US);
+	return (send_sample_t){.sent_us = now_us,
+			       .budget_us = budget_us,
+			       .was_limited = limit->limit && outstanding + 2 > limit->limit};
+}
+
+/* Sub-requests that were sent before the limit was last lowered saw the queue of that time. */
+static void lower(send_limit_t *limit, const send_sample_t *sample, const send_load_t *load,
+		  double factor, uint64_t now_us)
+{
+	double from = limit->limit;
+
+	if (sample->sent_us < limit->lowered_us)
+		return;
+	if (!from)
+		from = MIN(load->outstanding, START_FACTOR * limit->start);
+	limit->limit = MAX(from * factor, LIMIT_MIN);
+	limit->lowered_us = now_us;
+}
+
+static void raise_limit(send_limit_t *limit, const send_load_t *load)
+{
+	limit->limit += RAISE * MIN(limit->limit, 1 / limit->limit);
+	if (limit->limit >= load->max)
+		limit->limit = 0;
+}
+
+void send_limit_note_answer(send_limit_t *limit, const send_sample_t *sample,
+			    const send_load_t *load, uint64_t now_us)
+{
+	double took_us = (double)(now_us - sample->sent_us);
+
+	limit->latency_us += LATENCY_WEIGHT * (took_us - limit->latency_us);
+	if (took_us > (double)sample->budget_us)
+		lower(limit, sample, load, LATE_FACTOR, now_us);
+	else if (sample->was_limited && limit->limit)
+		raise_limit(limit, load);
+}
+
+void send_limit_note_rejected(send_limit_t *limit, const send_sample_t *sample,
+			      const send_load_t *load, uint64_t now_us)
+{
+	lower(limit, sample, load, REJECTED_FACTOR, now_us);
+}
--- a/src/core/subrequest.c
+++ b/src/core/subrequest.c
@@ -135,6 +135,8 @@
 	sub->sending.sent_us = now_us;
 	sub->opens_connection = !searcher->idle;
 	sub->sending.link.data = sub;
+	sub->sample = send_limit_note_sent(&searcher->send_limit, searcher->outstanding.length,
+					   forward_send_budget_us(part->forward), now_us);
 	sub->hang_timer = (timer_entry_t){.fire = note_stuck, .ctx = sub};
 	timers_set(&sub->forwarder->hang_timers, &sub->hang_timer,
 		   now_us + placement_stuck_us(searcher, part->pool, now_us));
@@ -161,6 +163,7 @@
 	forwarder->ops->cancel(forwarder->ctx, sub);
 	subrequest_free(sub);
 	forwarder_dispatch_waiting(forwarder, pool->service, now_us);
+	forwarder_start_waiting(forwarder, now_us);
 }
 
 void subrequest_release(subrequest_t *sub, uint64_t within_us, uint64_t now_us)
--- a/src/settings.c
+++ b/src/settings.c
@@ -19,6 +19,7 @@
 	SETTING_NUMBER,
 	SETTING_ENDPOINT,
 	SETTING_RATIO,
+	SETTING_SWITCH, /**< yes or no */
 } setting_type_t;
 
 /** Which daemons use a key; a settings file with [front] selects forwarding mode. */
@@ -240,6 +241,12 @@
 	 .min = 0,
 	 .max = 1000000,
 	 .rounding = ROUND_DOWN},
+	{.group = "admission",
+	 .key = "enabled",
+	 .type = SETTING_SWITCH,
+	 .offset = AT(admission_enabled),
+	 .fallback = "no",
+	 .use = USE_FRONT},
 	{.group = "store",
 	 .key = "apply_ms",
 	 .type = SETTING_NUMBER,
@@ -375,7 +382,7 @@
 		if (!find_setting(*group, NULL)) {
 			add_error(reader, *group, NULL,
 				  "unknown section; known are vm, listen, platform, operators, "
-				  "peers, front, regions, retries, quotas, store, stop, log and "
+				  "peers, front, regions, retries, quotas, admission, store, stop, log and "
 				  "policy");
 			continue;
 		}
@@ -481,6 +488,15 @@
 			  text);
 }
 
+static void read_switch_setting(reader_t *reader, const setting_t *setting, const char *text,
+				bool *out)
+{
+	*out = g_str_equal(text, "yes");
+	if (!*out && !g_str_equal(text, "no"))
+		add_error(reader, setting->group, setting->key, "must be yes or no, not \"%s\"",
+			  text);
+}
+
 static bool is_used(const setting_t *setting, const settings_t *settings)
 {
 	return setting->use == USE_ALWAYS ||
@@ -511,6 +527,9 @@
 	case SETTING_RATIO:
 		read_ratio_setting(reader, setting, text, field);
 		return;
+	case SETTING_SWITCH:
+		read_switch_setting(reader, setting, text, field);
+		return;
 	default:
 		break;
 	}
--- a/src/settings.h
+++ b/src/settings.h
@@ -46,6 +46,7 @@
 	uint32_t quota_window_s; /**< span over which tenants' quotas are counted */
 	double quota_overage;	 /**< share of a window's quota that may be admitted beyond it */
 	uint32_t quota_slack;	 /**< further requests that may be, at any rate */
+	bool admission_enabled;	 /**< requests start, wait and are refused as a whole */
 	uint32_t apply_ms;	 /**< a change in the store is in force within this time */
 	uint32_t leave_ms; /**< a draining searcher gets nothing new after this time; 0: apply_ms */
 	uint32_t settle_ms;   /**< once their connections were disturbed, VMs keep these times again
--- a/src/tasks/front_task.c
+++ b/src/tasks/front_task.c
@@ -432,6 +432,8 @@
 	start_registry(task, settings);
 	task->links = link_task_new(loop, &link_ops, task);
 	task->forwarder = forwarder_new(&forwarder_ops, task, task->registry, g_random_int());
+	if (settings->admission_enabled)
+		forwarder_enable_admission(task->forwarder);
 	task->poison = poison_task_new(platform, forwarder_poison(task->forwarder), task->vm_name);
 	start_reader(task);
 	task->quotas = quota_task_new(loop, settings, front_on_quota_decided, task);
