--- a/src/core/forward_admission.c
+++ b/src/core/forward_admission.c
@@ -10,17 +10,25 @@
 static double P(const char *n, double d) { const char *v = getenv(n); return v ? atof(v) : d; }
 #define WAIT_MAX_SHARE P("WAIT_SHARE", 0.25)
 #define ANSWER_FACTOR P("START_BY", 1.5)
-#define BUDGET_SHARE P("BUDGET", 0.5)
+#define WAIT_MIN_SHARE P("WAIT_MIN", 0.1)
+#define QUEUED_FACTOR P("QUEUED", 2)
+#define BUDGET_SHARE P("BUDGET", 0.7)
 #else
 /* A request waits at most this share of its target: a caller that is refused sooner can ask again
  * in time. */
 #define WAIT_MAX_SHARE 0.25
-/* Time from the start to the answer, as a multiple of the typical latency of a sub-request: a gather
- * takes as long as its slowest part. */
+/* Time from the start to the answer, as a multiple of the latency of a sub-request at little load: a
+ * gather takes as long as its slowest part. */
 #define ANSWER_FACTOR 1.5
+/* Room often comes free within this share of the target. An urgent request with a short target would
+ * otherwise be refused while others, which can wait, get the room. */
+#define WAIT_MIN_SHARE 0.1
+/* A sub-request that takes this many times as long as at little load was queued. On routes whose
+ * target is short, a share of the target alone would count searchers as overloaded that are not. */
+#define QUEUED_FACTOR 2
 /* Latency of a sub-request that counts as late, as a share of the request's target. The slowest part
  * of a gather takes about twice as long as a usual one. */
-#define BUDGET_SHARE 0.5
+#define BUDGET_SHARE 0.7
 #endif
 /* Limits below 1 allow the next sub-request after a pause, which no answer announces. */
 #define RETRY_INTERVAL_US 5000
@@ -35,10 +43,21 @@
 	uint32_t blocked_count;
 } start_pass_t;
 
-uint64_t forward_send_budget_us(const forward_t *forward)
+/* Latency of a sub-request of the request's route while the shard's searchers have little to do. */
+static double unloaded_us(const part_t *part)
 {
-	return (uint64_t)(BUDGET_SHARE *
-			  (double)(forward->partial_us - forward->request.received_us));
+	const quantile_t *relative = &part->forward->state->relative_latency;
+	double share = relative->value_us > 0 ? relative->value_us / ROUTE_LATENCY_UNIT : 1;
+
+	return placement_unloaded_us(part->pool) * share;
+}
+
+uint64_t part_send_budget_us(const part_t *part)
+{
+	const forward_t *forward = part->forward;
+	double target_us = (double)(forward->partial_us - forward->request.received_us);
+
+	return (uint64_t)MAX(BUDGET_SHARE * target_us, QUEUED_FACTOR * unloaded_us(part));
 }
 
 bool forward_is_admission_controlled(const forward_t *forward)
@@ -73,13 +92,13 @@
 	return patience_us > 0 ? MAX(forward->state->patience_us - patience_us, 0) : 0;
 }
 
-static double typical_us(const forward_t *forward)
+static double longest_unloaded_us(const forward_t *forward)
 {
-	double typical = 0;
+	double longest = 0;
 
 	for (uint32_t i = 0; i < forward->part_count; i++)
-		typical = MAX(typical, placement_typical_us(forward->parts[i].pool));
-	return typical;
+		longest = MAX(longest, unloaded_us(&forward->parts[i]));
+	return longest;
 }
 
 /* The latest start that is of use to the caller. */
@@ -87,10 +106,11 @@
 {
 	double target_us = (double)(forward->partial_us - forward->request.received_us);
 	double left_us = target_us - waited_before_us(forward) -
-			 ANSWER_FACTOR * typical_us(forward);
+			 ANSWER_FACTOR * longest_unloaded_us(forward);
 	double wait_us = MIN(WAIT_MAX_SHARE * target_us, left_us);
 
-	return forward->request.received_us + (uint64_t)MAX(wait_us, 0);
+	wait_us = MAX(wait_us, WAIT_MIN_SHARE * target_us);
+	return forward->request.received_us + (uint64_t)wait_us;
 }
 
 static void refuse(forward_t *forward, uint64_t now_us)
--- a/src/core/forward_private.h
+++ b/src/core/forward_private.h
@@ -102,7 +102,7 @@
 /** Its rank in queues: that of its tenant, if the tenant has one, else that of its route. */
 uint32_t forward_rank(const forward_t *forward);
 /** Latency of a sub-request at which its answer is still of use. */
-uint64_t forward_send_budget_us(const forward_t *forward);
+uint64_t part_send_budget_us(const part_t *part);
 /** Whether the request starts only when enough of its shards have room. */
 bool forward_is_admission_controlled(const forward_t *forward);
 /** Whether the request starts now, waits, or was refused; it is freed in the last case. */
--- a/src/core/forwarder.c
+++ b/src/core/forwarder.c
@@ -179,8 +179,11 @@
 	if (is_unexpected)
 		forwarder_share_observation(forwarder, sub, OBSERVATION_ANSWERED, now_us);
 	searcher_record_answer(sub->searcher, took_us, now_us);
-	send_limit_note_answer(&sub->searcher->send_limit, &sub->sample, &load, now_us);
+	/* The time to connect says little about the searcher's queue. */
+	if (!sub->opens_connection)
+		send_limit_note_answer(&sub->searcher->send_limit, &sub->sample, &load, now_us);
 	quantile_add(&sub->pool->typical, took_us);
+	placement_note_typical(sub->pool, now_us);
 	latency_buckets_add(&sub->pool->latency, took_us);
 }
 
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -16,6 +16,8 @@
 #define REGION_RTT_US 3000
 /* Used until a pool's latency has been measured: the latency of an in-memory index. */
 #define TYPICAL_DEFAULT_US 12000
+/* In this time without change the latency at little load follows the typical one. */
+#define UNLOADED_RISE_US 30000000.0
 /* A searcher's measured latency loses half of its weight in this time when no new sample arrives,
  * so a searcher that recovered gets requests again within a second or two, before its callers time
  * out. */
@@ -55,6 +57,24 @@
 	return pool->typical.value_us > 0 ? pool->typical.value_us : TYPICAL_DEFAULT_US;
 }
 
+/* Falls at once and rises slowly, so that some seconds of overload hardly change it. */
+void placement_note_typical(pool_t *pool, uint64_t now_us)
+{
+	double share = (double)(now_us - pool->unloaded_at_us) / UNLOADED_RISE_US;
+
+	if (!pool->unloaded_at_us || pool->typical.value_us < pool->unloaded_us)
+		pool->unloaded_us = pool->typical.value_us;
+	else
+		pool->unloaded_us +=
+			MIN(share, 1) * (pool->typical.value_us - pool->unloaded_us);
+	pool->unloaded_at_us = now_us;
+}
+
+double placement_unloaded_us(const pool_t *pool)
+{
+	return pool->unloaded_us > 0 ? pool->unloaded_us : placement_typical_us(pool);
+}
+
 static bool is_in_allowed_region(const candidates_t *candidates, const searcher_t *searcher)
 {
 	return (!candidates->route || route_allows(candidates->route, searcher->region)) &&
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -25,6 +25,10 @@
 
 /** Typical latency of a sub-request to the pool. */
 double placement_typical_us(const pool_t *pool);
+/** Record that the typical latency has changed. */
+void placement_note_typical(pool_t *pool, uint64_t now_us);
+/** Typical latency of a sub-request to the pool while its searchers have little to do. */
+double placement_unloaded_us(const pool_t *pool);
 /** Expected time that one more part waits in the pool's queue for capacity. */
 double placement_queue_delay_us(const candidates_t *candidates, uint64_t now_us);
 /** Expected time until an answer, with penalties; used to compare searchers. */
--- a/src/core/route_state.c
+++ b/src/core/route_state.c
@@ -8,7 +8,6 @@
 #define HANG_RATE_WEIGHT 0.1
 /* The relative latency follows a lasting change within a dozen sub-requests. */
 #define RELATIVE_STEP 0.06
-#define RELATIVE_UNIT 1000
 /* Callers that retry have less time left than at first, and several retries may come in a row. So a
  * shorter wait moves the estimate by this share of the difference only; a longer wait replaces it.
  */
@@ -41,14 +40,14 @@
 	double expected_us = placement_expected_us(searcher, pool, now_us);
 
 	return state->relative_latency.value_us > 0
-		       ? expected_us * state->relative_latency.value_us / RELATIVE_UNIT
+		       ? expected_us * state->relative_latency.value_us / ROUTE_LATENCY_UNIT
 		       : expected_us;
 }
 
 void route_state_note_time(route_state_t *state, uint64_t took_us, double expected_us)
 {
 	quantile_add(&state->relative_latency,
-		     (uint64_t)((double)took_us * RELATIVE_UNIT / expected_us));
+		     (uint64_t)((double)took_us * ROUTE_LATENCY_UNIT / expected_us));
 }
 
 void route_state_note_caller_wait(route_state_t *state, uint64_t patience_us)
--- a/src/core/route_state.h
+++ b/src/core/route_state.h
@@ -13,6 +13,9 @@
 #include "core/placement.h"
 #include "core/routing.h"
 
+/** Unit of route_state_t.relative_latency. */
+#define ROUTE_LATENCY_UNIT 1000
+
 typedef struct route_state_t {
 	quantile_t relative_latency; /**< median latency of its sub-requests, in 1/1000 of the
 					expected latency */
--- a/src/core/send_limit.c
+++ b/src/core/send_limit.c
@@ -5,61 +5,78 @@
 #include "core/send_limit.h"
 
 #include <glib.h>
+#include <math.h>
 
 #ifdef PROTO_ENV
 #include <stdlib.h>
 static double P(const char *n, double d) { const char *v = getenv(n); return v ? atof(v) : d; }
 #define LATE_FACTOR P("L_DOWN", 0.8)
 #define REJECTED_FACTOR P("L_REJ", 0.7)
-#define RAISE P("L_UP", 0.1)
+#define RAISE P("L_UP", 0.2)
 #define LIMIT_MIN P("L_MIN", 0.02)
-#define START_FACTOR P("L_START", 2)
+#define START_FACTOR P("L_START", 4)
 #else
 /* A late answer lowers the limit less than a rejection: it may be due to a pause of the searcher or
  * to a long request. */
 #define LATE_FACTOR 0.8
 #define REJECTED_FACTOR 0.7
 /* Raise by each answer in time, in sub-requests, while the limit is around 1. */
-#define RAISE 0.1
+#define RAISE 0.2
 /* At this limit a VM still sends enough to notice that the searcher has recovered. */
 #define LIMIT_MIN 0.02
-#define START_FACTOR 2
+#define START_FACTOR 4
 #endif
+/* A limit below its start doubles in this time. */
+#define RECOVERY_DOUBLING_US 250000.0
 /* Weight of one answer in the average latency. */
 #define LATENCY_WEIGHT 0.2
-/* Longest pause between two sub-requests. */
-#define PAUSE_MAX_US 2000000.0
 
 void send_limit_set_start(send_limit_t *limit, double start)
 {
 	limit->start = start;
 }
 
+/*
+ * The limit in force. Below its start it recovers with time alone: callers that are refused for it
+ * cause no answers that could raise it, and the shares of all VMs together are no more than what the
+ * searcher can process and queue at its usual speed.
+ */
+static double limit_now(const send_limit_t *limit, uint64_t now_us)
+{
+	double age_us = (double)(now_us - limit->lowered_us);
+	double recovered = limit->limit * exp2(age_us / RECOVERY_DOUBLING_US);
+
+	return MAX(limit->limit, MIN(recovered, limit->start));
+}
+
 bool send_limit_has_room(const send_limit_t *limit, uint32_t outstanding, uint64_t now_us)
 {
+	double most;
+
 	if (!limit->limit)
 		return true;
-	if (limit->limit < 1)
-		return !outstanding && now_us >= limit->next_us;
-	return outstanding + 1 <= limit->limit;
+	most = limit_now(limit, now_us);
+	if (most < 1)
+		return !outstanding &&
+		       (double)(now_us - limit->sent_us) >= limit->latency_us / most;
+	return outstanding + 1 <= most;
 }
 
 send_sample_t send_limit_note_sent(send_limit_t *limit, uint32_t outstanding, uint64_t budget_us,
 				   uint64_t now_us)
 {
-	double pause_us = limit->limit ? limit->latency_us / limit->limit : 0;
-
-	limit->next_us = now_us + (uint64_t)MIN(pause_us, PAUSE_MAX_US);
+	limit->sent_us = now_us;
 	return (send_sample_t){.sent_us = now_us,
 			       .budget_us = budget_us,
-			       .was_limited = limit->limit && outstanding + 2 > limit->limit};
+			       .was_limited = limit->limit &&
+					      outstanding + 2 > limit_now(limit, now_us)};
 }
 
 /* Sub-requests that were sent before the limit was last lowered saw the queue of that time. */
 static void lower(send_limit_t *limit, const send_sample_t *sample, const send_load_t *load,
 		  double factor, uint64_t now_us)
 {
-	double from = limit->limit;
+	double from = limit->limit ? limit_now(limit, now_us) : 0;
 
 	if (sample->sent_us < limit->lowered_us)
 		return;
@@ -69,8 +86,9 @@
 	limit->lowered_us = now_us;
 }
 
-static void raise_limit(send_limit_t *limit, const send_load_t *load)
+static void raise_limit(send_limit_t *limit, const send_load_t *load, uint64_t now_us)
 {
+	limit->limit = limit_now(limit, now_us);
 	limit->limit += RAISE * MIN(limit->limit, 1 / limit->limit);
 	if (limit->limit >= load->max)
 		limit->limit = 0;
@@ -85,7 +103,7 @@
 	if (took_us > (double)sample->budget_us)
 		lower(limit, sample, load, LATE_FACTOR, now_us);
 	else if (sample->was_limited && limit->limit)
-		raise_limit(limit, load);
+		raise_limit(limit, load, now_us);
 }
 
 void send_limit_note_rejected(send_limit_t *limit, const send_sample_t *sample,
--- a/src/core/send_limit.h
+++ b/src/core/send_limit.h
@@ -22,7 +22,7 @@
 	double start;	     /**< this VM's share of what the searcher can process and queue in time */
 	double latency_us;   /**< recent average latency */
 	uint64_t lowered_us; /**< when it was last lowered */
-	uint64_t next_us;    /**< with a limit below 1: when the next one may be sent */
+	uint64_t sent_us;    /**< when the last sub-request was sent */
 } send_limit_t;
 
 /** What is known of a sub-request when it is sent. */
--- a/src/core/subrequest.c
+++ b/src/core/subrequest.c
@@ -136,7 +136,7 @@
 	sub->opens_connection = !searcher->idle;
 	sub->sending.link.data = sub;
 	sub->sample = send_limit_note_sent(&searcher->send_limit, searcher->outstanding.length,
-					   forward_send_budget_us(part->forward), now_us);
+					   part_send_budget_us(part), now_us);
 	sub->hang_timer = (timer_entry_t){.fire = note_stuck, .ctx = sub};
 	timers_set(&sub->forwarder->hang_timers, &sub->hang_timer,
 		   now_us + placement_stuck_us(searcher, part->pool, now_us));
