--- a/src/core/send_limit.c
+++ b/src/core/send_limit.c
@@ -12,28 +12,31 @@
 static double P(const char *n, double d) { const char *v = getenv(n); return v ? atof(v) : d; }
 #define LATE_FACTOR P("L_DOWN", 0.8)
 #define REJECTED_FACTOR P("L_REJ", 0.7)
-#define RAISE P("L_UP", 0.2)
+#define RAISE P("L_UP", 0.1)
 #define LIMIT_MIN P("L_MIN", 0.02)
 #define START_FACTOR P("L_START", 4)
+#define RECOVERY_DOUBLING_US (P("L_REC", 500)*1000)
+#define SHARE P("L_SHARE", 1)
 #else
 /* A late answer lowers the limit less than a rejection: it may be due to a pause of the searcher or
  * to a long request. */
 #define LATE_FACTOR 0.8
 #define REJECTED_FACTOR 0.7
 /* Raise by each answer in time, in sub-requests, while the limit is around 1. */
-#define RAISE 0.2
+#define RAISE 0.1
 /* At this limit a VM still sends enough to notice that the searcher has recovered. */
 #define LIMIT_MIN 0.02
 #define START_FACTOR 4
-#endif
 /* A limit below its start doubles in this time. */
-#define RECOVERY_DOUBLING_US 250000.0
+#define RECOVERY_DOUBLING_US 500000.0
+#define SHARE 1
+#endif
 /* Weight of one answer in the average latency. */
 #define LATENCY_WEIGHT 0.2
 
 void send_limit_set_start(send_limit_t *limit, double start)
 {
-	limit->start = start;
+	limit->start = SHARE * start;
 }
 
 /*
