--- a/src/core/forward_admission.c
+++ b/src/core/forward_admission.c
@@ -108,8 +108,9 @@
 	double left_us = target_us - waited_before_us(forward) -
 			 ANSWER_FACTOR * longest_unloaded_us(forward);
 	double wait_us = MIN(WAIT_MAX_SHARE * target_us, left_us);
+	double least_us = waited_before_us(forward) < WAIT_MIN_SHARE * target_us ? WAIT_MIN_SHARE * target_us : 0;
 
-	wait_us = MAX(wait_us, WAIT_MIN_SHARE * target_us);
+	wait_us = MAX(wait_us, least_us);
 	return forward->request.received_us + (uint64_t)wait_us;
 }
 
