standins/users_platform: slots with a queue, slow searchers, tenants' ranks, a log of runs

Cause: its searchers run any number of sub-requests at once, so no test against real daemons can overload them, and the control port does not say which requests reached a searcher.

Without the options nothing changes but that work goes through the searcher's queue.

--- a/standins/users_platform.c
+++ b/standins/users_platform.c
@@ -18,7 +18,12 @@
  * Tenants are added by the action tenant (id: its name, n: its rate and burst; its API key is
  * key-NAME), and lose their key by the action revoke; the next configure puts them in force. The
  * counters show how many sub-requests reached searchers for each tenant (tenants), with no tenant
- * (untenanted), and with a caller's API key (leaked).
+ * (untenanted), and with a caller's API key (leaked). The action priority sets a tenant's rank (n).
+ *
+ * With --queue a searcher has SLOTS slots and a queue, and rejects what exceeds them; the action
+ * slow multiplies the work time of searchers (id: prefix of their ids, n: the factor). With
+ * --log-runs each sub-request that a searcher accepts, and each answer that it sends, is a line on
+ * standard output: "ran ID" and "answered ID SERVICE MS", the time in ms since 1970.
  *
  * The store may be restored from an older copy of its data (actions copy, then restore), which
  * raises its era. What operators and searchers wrote since the copy is written again by repeating
@@ -34,6 +39,7 @@
 
 #define SHARDS_MAX 16
 #define RECORDS 8
+#define SLOTS 2
 #define HISTORY_MAX 512
 #define DATA_CENTRES 2
 #define BODY_MAX_BYTES (1u << 20)
@@ -81,7 +87,10 @@
 	int padding_routes;    /* extra routes in each later configuration */
 	int store_port, control_port, first_searcher_port, shards, work_ms, advertise_offset,
 		restart_delay_ms;
-	int cold_per_s;	       /* rate limit of a cold searcher, requests a second; 0: no limit */
+	int cold_per_s; /* rate limit of a cold searcher, requests a second; 0: no limit */
+	int queue;	/* requests that wait at a searcher; 0: slots are not limited */
+	bool log_runs;
+	uint64_t rejected;     /* sub-requests that exceeded a searcher's queue */
 	GHashTable *post_runs; /* request id of a POST to how often it ran */
 	GHashTable *crashes;   /* path to crash_record_t */
 	json_t *tenants;       /* name to tenant as in the configuration; empty: none */
@@ -133,6 +142,9 @@
 	uint64_t cold_ms;	   /* cold time that its next entry reports */
 	loop_timer_t restart_timer;
 	searcher_mode_t mode;
+	uint32_t slow_factor; /* multiplies the work time */
+	uint32_t running;
+	GQueue waiting; /* job_t */
 	uint64_t runs;
 	uint64_t disconnected; /* callers that disconnected while it worked */
 } searcher_t;
@@ -141,6 +153,7 @@
 	searcher_t *searcher;
 	http_exchange_t *exchange; /* NULL once the caller has disconnected */
 	loop_timer_t timer;
+	bool running;
 } job_t;
 
 /* ---- store ---- */
@@ -504,6 +517,30 @@
 	http_server_free(server);
 }
 
+static void start_next(searcher_t *searcher)
+{
+	const users_platform_t *platform = searcher->platform;
+
+	while (searcher->waiting.length && (!platform->queue || searcher->running < SLOTS)) {
+		job_t *job = g_queue_pop_head(&searcher->waiting);
+
+		job->running = true;
+		searcher->running++;
+		loop_timer_set(platform->loop, &job->timer,
+			       (uint64_t)platform->work_ms * searcher->slow_factor * 1000);
+	}
+}
+
+static void add_load(const searcher_t *searcher, http_exchange_t *exchange)
+{
+	char load[32] = "1,0,2,100";
+
+	if (searcher->platform->queue)
+		g_snprintf(load, sizeof(load), "%u,%u,%u,100", searcher->running,
+			   searcher->waiting.length, SLOTS);
+	http_exchange_add_header(exchange, "Dogwoodsaddle-Server-Load", load);
+}
+
 static void answer(void *ctx)
 {
 	job_t *job = ctx;
@@ -513,6 +550,8 @@
 	g_autofree char *signature = NULL;
 	const char *id;
 
+	job->running = false;
+	searcher->running--;
 	if (exchange && is_crashed_by(searcher, exchange)) {
 		crash(searcher, crash_record_for(searcher->platform, http_exchange_path(exchange)));
 		return;
@@ -529,12 +568,16 @@
 		http_exchange_add_header(exchange, "Dogwoodsaddle-Request-Id",
 					 searcher->mode == SEARCHER_MODE_FOREIGN ? "other" : id);
 		http_exchange_add_header(exchange, "Dogwoodsaddle-Response-Signature", signature);
-		http_exchange_add_header(exchange, "Dogwoodsaddle-Server-Load", "1,0,2,100");
+		add_load(searcher, exchange);
+		if (searcher->platform->log_runs)
+			printf("answered %s %s %" G_GINT64_FORMAT "\n", id, searcher->service,
+			       g_get_real_time() / 1000);
 		http_exchange_reply(exchange, searcher->mode == SEARCHER_MODE_FAIL ? 500 : 200,
 				    NULL, body->str, body->len);
 		http_exchange_unref(exchange);
 	}
 	g_free(job);
+	start_next(searcher);
 }
 
 static void count_post_run(users_platform_t *platform, http_exchange_t *exchange)
@@ -577,6 +620,8 @@
 {
 	job_t *job = g_new0(job_t, 1);
 
+	if (searcher->platform->log_runs)
+		printf("ran %s\n", http_exchange_header(exchange, "Dogwoodsaddle-Request-Id"));
 	searcher->runs++;
 	record_arrival(searcher, exchange);
 	count_post_run(searcher->platform, exchange);
@@ -586,8 +631,15 @@
 	job->timer = (loop_timer_t){.fire = answer, .ctx = job};
 	http_exchange_set_data(exchange, job);
 	if (searcher->mode != SEARCHER_MODE_HANG)
-		loop_timer_set(searcher->platform->loop, &job->timer,
-			       (uint64_t)searcher->platform->work_ms * 1000);
+		g_queue_push_tail(&searcher->waiting, job);
+	start_next(searcher);
+}
+
+static bool is_full(const searcher_t *searcher)
+{
+	const users_platform_t *platform = searcher->platform;
+
+	return platform->queue && searcher->waiting.length >= (guint)platform->queue;
 }
 
 /* The users' rule: overloaded by more than 1.5 times its rate limit plus 5 requests in a second. */
@@ -626,7 +678,8 @@
 		http_exchange_reply(exchange, 421, NULL, "", 0);
 	} else if (is_overloaded(searcher)) {
 		crash_overloaded(searcher);
-	} else if (searcher->mode == SEARCHER_MODE_SHED) {
+	} else if (searcher->mode == SEARCHER_MODE_SHED || is_full(searcher)) {
+		searcher->platform->rejected += is_full(searcher);
 		http_exchange_add_header(exchange, "Dogwoodsaddle-Not-Executed", "1");
 		http_exchange_reply(exchange, 503, NULL, "", 0);
 	} else {
@@ -642,9 +695,12 @@
 	if (!job)
 		return;
 	searcher->disconnected++;
+	searcher->running -= job->running;
+	g_queue_remove(&searcher->waiting, job);
 	loop_timer_cancel(&job->timer);
 	http_exchange_unref(job->exchange);
 	g_free(job);
+	start_next(searcher);
 }
 
 static void register_searcher(searcher_t *searcher, const char *state)
@@ -657,8 +713,8 @@
 	put(searcher->platform, "servers", searcher->id,
 	    json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:I,s:I,s:I}", "service", searcher->service,
 		      "address", address, "zone", searcher->data_centre, "version", "v1", "slots",
-		      2, "state", state, "cold-remaining-ms", (json_int_t)searcher->cold_ms, "seq",
-		      (json_int_t)++searcher->seq, "born", (json_int_t)searcher->born_ms));
+		      SLOTS, "state", state, "cold-remaining-ms", (json_int_t)searcher->cold_ms,
+		      "seq", (json_int_t)++searcher->seq, "born", (json_int_t)searcher->born_ms));
 }
 
 static bool listen_at_port(searcher_t *searcher)
@@ -690,6 +746,8 @@
 
 	searcher->platform = platform;
 	searcher->number = number;
+	searcher->slow_factor = 1;
+	g_queue_init(&searcher->waiting);
 	searcher->port = platform->first_searcher_port + (int)platform->searchers->len;
 	searcher->data_centre = names[data_centre];
 	g_strlcpy(searcher->service, service, sizeof(searcher->service));
@@ -724,6 +782,14 @@
 				      "allowed-regions"));
 }
 
+static void set_priority(users_platform_t *platform, const char *name, int rank)
+{
+	json_t *tenant = json_object_get(platform->tenants, name);
+
+	if (tenant)
+		json_object_set_new(tenant, "priority", json_integer(rank));
+}
+
 static void revoke_key(users_platform_t *platform, const char *name)
 {
 	json_t *tenant = json_object_get(platform->tenants, name);
@@ -804,6 +870,16 @@
 	}
 }
 
+static void set_slow(users_platform_t *platform, const char *id, int factor)
+{
+	for (guint i = 0; i < platform->searchers->len; i++) {
+		searcher_t *searcher = g_ptr_array_index(platform->searchers, i);
+
+		if (g_str_has_prefix(searcher->id, id))
+			searcher->slow_factor = (uint32_t)MAX(factor, 1);
+	}
+}
+
 /* Entries written from now on belong to a new incarnation of their searcher. */
 static void advance_born(users_platform_t *platform)
 {
@@ -867,13 +943,14 @@
 		json_object_set_new(disconnected, searcher->id,
 				    json_integer((json_int_t)searcher->disconnected));
 	}
-	return json_pack("{s:b,s:I,s:o,s:o,s:o,s:o,s:I,s:O,s:I,s:I}", "open",
+	return json_pack("{s:b,s:I,s:I,s:o,s:o,s:o,s:o,s:I,s:O,s:I,s:I}", "open",
 			 platform->endpoints[0].state == ENDPOINT_OPEN, "pressed",
-			 (json_int_t)overload_crashes, "runs", runs, "left", disconnected, "posted",
-			 post_runs_json(platform), "crashes", crash_records_json(platform),
-			 "store_calls", (json_int_t)platform->calls, "tenants",
-			 platform->tenant_runs, "untenanted", (json_int_t)platform->untenanted,
-			 "leaked", (json_int_t)platform->leaked);
+			 (json_int_t)overload_crashes, "rejected", (json_int_t)platform->rejected,
+			 "runs", runs, "left", disconnected, "posted", post_runs_json(platform),
+			 "crashes", crash_records_json(platform), "store_calls",
+			 (json_int_t)platform->calls, "tenants", platform->tenant_runs,
+			 "untenanted", (json_int_t)platform->untenanted, "leaked",
+			 (json_int_t)platform->leaked);
 }
 
 static endpoint_state_t endpoint_state_by_name(const char *name)
@@ -930,6 +1007,10 @@
 		restore_copy(platform);
 	else if (!g_strcmp0(action, "tenant"))
 		set_tenant(platform, id, number);
+	else if (!g_strcmp0(action, "priority"))
+		set_priority(platform, id, atoi(number));
+	else if (!g_strcmp0(action, "slow"))
+		set_slow(platform, id, atoi(number));
 	else if (!g_strcmp0(action, "revoke"))
 		revoke_key(platform, id);
 	else if (!g_strcmp0(action, "configure"))
@@ -949,6 +1030,8 @@
 	{"work-ms", 'w', "MS", 0, "how long a searcher works", 0},
 	{"back-ms", 'b', "MS", 0, "from a searcher's end to its next start", 0},
 	{"cold-per-s", 'k', "COUNT", 0, "requests a second that a cold searcher bears", 0},
+	{"queue", 'q', "COUNT", 0, "requests that wait at a searcher; 0: slots are not limited", 0},
+	{"log-runs", 'l', 0, 0, "print the sub-requests that run and are answered", 0},
 	{0},
 };
 
@@ -963,8 +1046,14 @@
 			       ['a'] = &platform->advertise_offset,
 			       ['b'] = &platform->restart_delay_ms,
 			       ['k'] = &platform->cold_per_s,
-			       ['d'] = &platform->second_store_port};
+			       ['d'] = &platform->second_store_port,
+			       ['q'] = &platform->queue};
 
+	if (key == 'l') {
+		platform->log_runs = true;
+		setvbuf(stdout, NULL, _IOLBF, 0);
+		return 0;
+	}
 	if (key <= 0 || (size_t)key >= G_N_ELEMENTS(fields) || !fields[key])
 		return ARGP_ERR_UNKNOWN;
 	*fields[key] = atoi(arg);
