--- a/tests/front_lib.sh
+++ b/tests/front_lib.sh
@@ -33,6 +33,7 @@
 		ratio = 0.2
 		constant = 50
 		$([ -z "${QUOTA_SLACK:-}" ] || printf '[quotas]\nslack = %d\n' "$QUOTA_SLACK")
+		$([ -z "${ADMISSION:-}" ] || printf '[admission]\nenabled = %s\n' "$ADMISSION")
 		$([ -z "${EVACUATE_MS:-}" ] || printf '[store]\nevacuate_ms = %d\n' "$EVACUATE_MS")
 		[log]
 		level = ${LOG_LEVEL:-info}
--- a/tests/soak/run.sh
+++ b/tests/soak/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs front_soak.sh for a range of seeds, WORKERS of them in parallel, and prints the seeds that failed.
+# Runs front_soak.sh for a range of seeds, WORKERS of them in parallel, and prints what each one printed last.
 #
 #   tests/soak/run.sh FROM TO [SECONDS]
 set -u
@@ -10,7 +10,11 @@
 worker() {
 	local seed
 	for ((seed = from + $1; seed <= to; seed += workers)); do
-		PORT_BASE=$((ports + 600 * $1)) timeout 120 tests/soak/front_soak.sh $seed "$each" >"$out/$seed" 2>&1 || echo "FAIL seed $seed: $(grep -v Killed "$out/$seed" | tail -n 2)"
+		if PORT_BASE=$((ports + 600 * $1)) timeout 120 tests/soak/front_soak.sh $seed "$each" >"$out/$seed" 2>&1; then
+			tail -n 1 "$out/$seed"
+		else
+			echo "FAIL seed $seed: $(grep -v Killed "$out/$seed" | tail -n 2)"
+		fi
 	done
 }
 for ((w = 0; w < workers; w++)); do worker $w >"$out/worker.$w" & done
