--- a/tests/soak/front_soak.sh
+++ b/tests/soak/front_soak.sh
@@ -140,6 +140,7 @@
 [ $((SEED % 3)) = 0 ] || POISON_REQUESTS=()
 poison_caller() { # host/path
 	local ATTEMPT=crasher$BASHPID
+	# Bash seeds RANDOM anew in a subshell.
 	RANDOM=$((SEED + ${#1}))
 	while [ ! -e "$RUN/over" ]; do
 		attempt $((RANDOM % VMS_RUN)) "${1%%/*}" "/${1#*/}" "${KEY[@]}"
