--- a/src/core/send_limit.c
+++ b/src/core/send_limit.c
@@ -18,6 +18,7 @@
 #define RECOVERY_DOUBLING_US (P("L_REC", 500)*1000)
 #define SHARE P("L_SHARE", 1)
 #else
+#define P(n, d) (d)
 /* A late answer lowers the limit less than a rejection: it may be due to a pause of the searcher or
  * to a long request. */
 #define LATE_FACTOR 0.8
@@ -47,6 +48,9 @@
 static double limit_now(const send_limit_t *limit, uint64_t now_us)
 {
 	double age_us = (double)(now_us - limit->lowered_us);
+
+	if (age_us > P("L_EXP", 500) * 1000 && START_FACTOR * limit->start >= 0.5)
+		return 0;
 	double recovered = limit->limit * exp2(age_us / RECOVERY_DOUBLING_US);
 
 	return MAX(limit->limit, MIN(recovered, limit->start));
@@ -54,11 +58,10 @@
 
 bool send_limit_has_room(const send_limit_t *limit, uint32_t outstanding, uint64_t now_us)
 {
-	double most;
+	double most = limit_now(limit, now_us);
 
-	if (!limit->limit)
+	if (!most)
 		return true;
-	most = limit_now(limit, now_us);
 	if (most < 1)
 		return !outstanding &&
 		       (double)(now_us - limit->sent_us) >= limit->latency_us / most;
@@ -69,29 +72,35 @@
 				   uint64_t now_us)
 {
 	limit->sent_us = now_us;
+	double most = limit_now(limit, now_us);
+
 	return (send_sample_t){.sent_us = now_us,
 			       .budget_us = budget_us,
-			       .was_limited = limit->limit &&
-					      outstanding + 2 > limit_now(limit, now_us)};
+			       .was_limited = most > 0 && outstanding + 2 > most};
 }
 
 /* Sub-requests that were sent before the limit was last lowered saw the queue of that time. */
 static void lower(send_limit_t *limit, const send_sample_t *sample, const send_load_t *load,
 		  double factor, uint64_t now_us)
 {
-	double from = limit->limit ? limit_now(limit, now_us) : 0;
+	double from = limit_now(limit, now_us);
+	bool first = !from;
 
 	if (sample->sent_us < limit->lowered_us)
 		return;
 	if (!from)
 		from = MIN(load->outstanding, START_FACTOR * limit->start);
 	limit->limit = MAX(from * factor, LIMIT_MIN);
+	if (first && P("L_FLOOR", 1))
+		limit->limit = MAX(limit->limit, MIN(1, START_FACTOR * limit->start));
 	limit->lowered_us = now_us;
 }
 
 static void raise_limit(send_limit_t *limit, const send_load_t *load, uint64_t now_us)
 {
 	limit->limit = limit_now(limit, now_us);
+	if (!limit->limit)
+		return;
 	limit->limit += RAISE * MIN(limit->limit, 1 / limit->limit);
 	if (limit->limit >= load->max)
 		limit->limit = 0;
