--- a/src/core/forward_admission.c
+++ b/src/core/forward_admission.c
@@ -12,8 +12,6 @@
 #define ANSWER_FACTOR P("START_BY", 1.5)
 #define WAIT_MIN_SHARE P("WAIT_MIN", 0.1)
 #define QUEUED_FACTOR P("QUEUED", 2)
-#define SHORT_SHARE_MAX P("SHORT", 0.3)
-#define SHORT_SHARE_WEIGHT P("SHORT_W", 0.1)
 #define BUDGET_SHARE P("BUDGET", 0.7)
 #else
 /* A request waits at most this share of its target: a caller that is refused sooner can ask again
@@ -28,11 +26,6 @@
 /* A sub-request that takes this many times as long as at little load was queued. On routes whose
  * target is short, a share of the target alone would count searchers as overloaded that are not. */
 #define QUEUED_FACTOR 2
-/* A shard counts as overloaded when this share of the requests found no room at it. Until then parts
- * may wait there: a pause of a searcher ends sooner than a refused caller can ask again. */
-#define SHORT_SHARE_MAX 0.3
-/* Weight of one request in that share. */
-#define SHORT_SHARE_WEIGHT 0.1
 /* Latency of a sub-request that counts as late, as a share of the request's target. The slowest part
  * of a gather takes about twice as long as a usual one. */
 #define BUDGET_SHARE 0.7
@@ -77,24 +70,8 @@
 	const candidates_t candidates = part_candidates(part);
 
 	/* Parts of requests that have started go first. */
-	return !part->pool->waiting.length && placement_has_capacity(&candidates, now_us);
-}
-
-/* Whether the part may be sent, or wait at its shard. */
-static bool may_start(const part_t *part, uint64_t now_us)
-{
-	return part->state == PART_WAITING &&
-	       (part->pool->short_share < SHORT_SHARE_MAX || has_room(part, now_us));
-}
-
-static void note_room(const forward_t *forward, uint64_t now_us)
-{
-	for (uint32_t i = 0; i < forward->part_count; i++) {
-		pool_t *pool = forward->parts[i].pool;
-
-		pool->short_share +=
-			SHORT_SHARE_WEIGHT * (!has_room(&forward->parts[i], now_us) - pool->short_share);
-	}
+	return part->state == PART_WAITING && !part->pool->waiting.length &&
+	       placement_has_capacity(&candidates, now_us);
 }
 
 /* Whether so many shards have room that the request reaches its coverage. */
@@ -103,7 +80,7 @@
 	uint32_t count = 0;
 
 	for (uint32_t i = 0; i < forward->part_count; i++)
-		count += may_start(&forward->parts[i], now_us);
+		count += has_room(&forward->parts[i], now_us);
 	return forward->route->gathers ? forward_has_enough(forward, count) : count > 0;
 }
 
@@ -151,12 +128,8 @@
 {
 	admission_t *admission = forward->forwarder->admission;
 	admission_entry_t *entry = &forward->admission, *displaced;
-	bool room;
-	admission_verdict_t verdict;
-
-	note_room(forward, now_us);
-	room = can_start(forward, now_us);
-	verdict = admission_offer(admission, entry, room, now_us);
+	bool room = can_start(forward, now_us);
+	admission_verdict_t verdict = admission_offer(admission, entry, room, now_us);
 
 	if (verdict != ADMISSION_REFUSE ||
 	    !(displaced = admission_displaced(admission, entry, now_us)))
