--- a/src/core/forward_admission.c
+++ b/src/core/forward_admission.c
@@ -14,6 +14,7 @@
 #define QUEUED_FACTOR P("QUEUED", 2)
 #define BUDGET_SHARE P("BUDGET", 0.7)
 #else
+#define P(n, d) (d)
 /* A request waits at most this share of its target: a caller that is refused sooner can ask again
  * in time. */
 #define WAIT_MAX_SHARE 0.25
@@ -69,9 +70,12 @@
 {
 	const candidates_t candidates = part_candidates(part);
 
-	/* Parts of requests that have started go first. */
-	return part->state == PART_WAITING && !part->pool->waiting.length &&
-	       placement_has_capacity(&candidates, now_us);
+	if (part->state != PART_WAITING || !placement_has_candidate(&candidates))
+		return false;
+	if (!part->pool->waiting.length && placement_has_capacity(&candidates, now_us))
+		return true;
+	return (double)now_us + P("QD", 1) * placement_queue_delay_us(&candidates, now_us) <=
+	       (double)part->forward->admission.start_by_us;
 }
 
 /* Whether so many shards have room that the request reaches its coverage. */
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -165,30 +165,41 @@
 	return some;
 }
 
-/* Number of connections that this VM may open to all searchers that are eligible for the route's
+/* Sub-requests that this VM may have outstanding at the searcher. */
+static double allowed_sends(const searcher_t *searcher, const pool_t *pool, uint64_t now_us)
+{
+	double limit = pool->limits_sends ? send_limit_now(&searcher->send_limit, now_us) : 0;
+
+	return limit > 0 ? MIN(limit, searcher->connections_max) : searcher->connections_max;
+}
+
+/* Number of sub-requests that this VM may have outstanding at all searchers that are eligible for the route's
  * parts and not limited for being cold. */
-static uint32_t connections_allowed(const candidates_t *candidates, uint64_t now_us)
+static double connections_allowed(const candidates_t *candidates, uint64_t now_us)
 {
 	const GPtrArray *searchers = candidates->pool->searchers;
-	uint32_t sum = 0;
+	double sum = 0;
 
 	for (guint i = 0; i < searchers->len; i++) {
 		const searcher_t *searcher = g_ptr_array_index(searchers, i);
 
 		if (is_eligible(candidates, searcher) &&
 		    !is_cold_limited(searcher, candidates->pool, now_us))
-			sum += searcher->connections_max;
+			sum += allowed_sends(searcher, candidates->pool, now_us);
 	}
 	return sum;
 }
 
+/* Keeps the expected wait finite when no searcher is eligible. */
+#define LIMIT_SUM_MIN 0.1
+
 /* Each waiting part needs a connection for the typical latency. */
 double placement_queue_delay_us(const candidates_t *candidates, uint64_t now_us)
 {
 	const pool_t *pool = candidates->pool;
 	double ahead = pool->waiting.length + 1.0;
 
-	return placement_typical_us(pool) * ahead / MAX(connections_allowed(candidates, now_us), 1);
+	return placement_typical_us(pool) * ahead / MAX(connections_allowed(candidates, now_us), LIMIT_SUM_MIN);
 }
 
 static double network_us(const searcher_t *searcher)
--- a/src/core/send_limit.c
+++ b/src/core/send_limit.c
@@ -45,7 +45,7 @@
  * cause no answers that could raise it, and the shares of all VMs together are no more than what the
  * searcher can process and queue at its usual speed.
  */
-static double limit_now(const send_limit_t *limit, uint64_t now_us)
+double send_limit_now(const send_limit_t *limit, uint64_t now_us)
 {
 	double age_us = (double)(now_us - limit->lowered_us);
 
@@ -58,7 +58,7 @@
 
 bool send_limit_has_room(const send_limit_t *limit, uint32_t outstanding, uint64_t now_us)
 {
-	double most = limit_now(limit, now_us);
+	double most = send_limit_now(limit, now_us);
 
 	if (!most)
 		return true;
@@ -72,7 +72,7 @@
 				   uint64_t now_us)
 {
 	limit->sent_us = now_us;
-	double most = limit_now(limit, now_us);
+	double most = send_limit_now(limit, now_us);
 
 	return (send_sample_t){.sent_us = now_us,
 			       .budget_us = budget_us,
@@ -83,7 +83,7 @@
 static void lower(send_limit_t *limit, const send_sample_t *sample, const send_load_t *load,
 		  double factor, uint64_t now_us)
 {
-	double from = limit_now(limit, now_us);
+	double from = send_limit_now(limit, now_us);
 	bool first = !from;
 
 	if (sample->sent_us < limit->lowered_us)
@@ -98,7 +98,7 @@
 
 static void raise_limit(send_limit_t *limit, const send_load_t *load, uint64_t now_us)
 {
-	limit->limit = limit_now(limit, now_us);
+	limit->limit = send_limit_now(limit, now_us);
 	if (!limit->limit)
 		return;
 	limit->limit += RAISE * MIN(limit->limit, 1 / limit->limit);
