--- a/src/core/forward_admission.c
+++ b/src/core/forward_admission.c
@@ -12,6 +12,8 @@
 #define ANSWER_FACTOR P("START_BY", 1.5)
 #define WAIT_MIN_SHARE P("WAIT_MIN", 0.1)
 #define QUEUED_FACTOR P("QUEUED", 2)
+#define SHORT_SHARE_MAX P("SHORT", 0.5)
+#define SHORT_SHARE_WEIGHT P("SHORT_W", 0.1)
 #define BUDGET_SHARE P("BUDGET", 0.7)
 #else
 #define P(n, d) (d)
@@ -27,6 +29,12 @@
 /* A sub-request that takes this many times as long as at little load was queued. On routes whose
  * target is short, a share of the target alone would count searchers as overloaded that are not. */
 #define QUEUED_FACTOR 2
+/* The VM is overloaded when this share of its requests found no room at their shards. Until then
+ * parts may wait at a shard: a pause of a searcher ends sooner than a refused caller can ask
+ * again. */
+#define SHORT_SHARE_MAX 0.5
+/* Weight of one request in that share. */
+#define SHORT_SHARE_WEIGHT 0.1
 /* Latency of a sub-request that counts as late, as a share of the request's target. The slowest part
  * of a gather takes about twice as long as a usual one. */
 #define BUDGET_SHARE 0.7
@@ -66,28 +74,45 @@
 	return forward->forwarder->admission && forward->route->target_us;
 }
 
-static bool has_room(const part_t *part, uint64_t now_us)
+static bool has_room_now(const part_t *part, uint64_t now_us)
 {
 	const candidates_t candidates = part_candidates(part);
 
-	if (part->state != PART_WAITING || !placement_has_candidate(&candidates))
-		return false;
-	if (!part->pool->waiting.length && placement_has_capacity(&candidates, now_us))
-		return true;
-	return (double)now_us + P("QD", 1) * placement_queue_delay_us(&candidates, now_us) <=
-	       (double)part->forward->admission.start_by_us;
+	/* Parts of requests that have started go first. */
+	return !part->pool->waiting.length && placement_has_capacity(&candidates, now_us);
+}
+
+/* Whether the part would wait at its shard for less than the request may wait. */
+static bool has_room_soon(const part_t *part, uint64_t now_us)
+{
+	const candidates_t candidates = part_candidates(part);
+
+	return placement_has_candidate(&candidates) &&
+	       (double)now_us + placement_queue_delay_us(&candidates, now_us) <=
+		       (double)part->forward->admission.start_by_us;
 }
 
 /* Whether so many shards have room that the request reaches its coverage. */
-static bool can_start(const forward_t *forward, uint64_t now_us)
+static bool has_coverage(const forward_t *forward, bool now, uint64_t now_us)
 {
 	uint32_t count = 0;
 
-	for (uint32_t i = 0; i < forward->part_count; i++)
-		count += has_room(&forward->parts[i], now_us);
+	for (uint32_t i = 0; i < forward->part_count; i++) {
+		const part_t *part = &forward->parts[i];
+
+		if (part->state == PART_WAITING)
+			count += has_room_now(part, now_us) || (!now && has_room_soon(part, now_us));
+	}
 	return forward->route->gathers ? forward_has_enough(forward, count) : count > 0;
 }
 
+static bool can_start(const forward_t *forward, uint64_t now_us)
+{
+	bool overloaded = forward->forwarder->short_share > SHORT_SHARE_MAX;
+
+	return has_coverage(forward, overloaded, now_us);
+}
+
 /* A caller that asks again has waited before: it waits for less than callers of the route do. */
 static double waited_before_us(const forward_t *forward)
 {
@@ -130,10 +155,16 @@
 
 static admission_verdict_t offer(forward_t *forward, uint64_t now_us)
 {
-	admission_t *admission = forward->forwarder->admission;
+	forwarder_t *forwarder = forward->forwarder;
+	admission_t *admission = forwarder->admission;
 	admission_entry_t *entry = &forward->admission, *displaced;
-	bool room = can_start(forward, now_us);
-	admission_verdict_t verdict = admission_offer(admission, entry, room, now_us);
+	bool room;
+	admission_verdict_t verdict;
+	bool is_short = !has_coverage(forward, true, now_us);
+
+	forwarder->short_share += SHORT_SHARE_WEIGHT * (is_short - forwarder->short_share);
+	room = can_start(forward, now_us);
+	verdict = admission_offer(admission, entry, room, now_us);
 
 	if (verdict != ADMISSION_REFUSE ||
 	    !(displaced = admission_displaced(admission, entry, now_us)))
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -51,6 +51,8 @@
 #define SHARING_PENALTY_US 150000
 /* Random factor on the cost, so that VMs with the same data do not all choose the same searcher. */
 #define COST_JITTER 0.1
+/* The least number of sub-requests that the expected wait assumes to be allowed. */
+#define LIMITED_SENDS_MIN 0.1
 
 double placement_typical_us(const pool_t *pool)
 {
@@ -190,16 +192,15 @@
 	return sum;
 }
 
-/* Keeps the expected wait finite when no searcher is eligible. */
-#define LIMIT_SUM_MIN 0.1
-
 /* Each waiting part needs a connection for the typical latency. */
 double placement_queue_delay_us(const candidates_t *candidates, uint64_t now_us)
 {
 	const pool_t *pool = candidates->pool;
 	double ahead = pool->waiting.length + 1.0;
 
-	return placement_typical_us(pool) * ahead / MAX(connections_allowed(candidates, now_us), LIMIT_SUM_MIN);
+	double least = pool->limits_sends ? LIMITED_SENDS_MIN : 1;
+
+	return placement_typical_us(pool) * ahead / MAX(connections_allowed(candidates, now_us), least);
 }
 
 static double network_us(const searcher_t *searcher)
--- a/src/core/send_limit.c
+++ b/src/core/send_limit.c
@@ -49,8 +49,6 @@
 {
 	double age_us = (double)(now_us - limit->lowered_us);
 
-	if (age_us > P("L_EXP", 500) * 1000 && START_FACTOR * limit->start >= 0.5)
-		return 0;
 	double recovered = limit->limit * exp2(age_us / RECOVERY_DOUBLING_US);
 
 	return MAX(limit->limit, MIN(recovered, limit->start));
