--- a/src/core/forward_admission.c
+++ b/src/core/forward_admission.c
@@ -12,8 +12,7 @@
 #define ANSWER_FACTOR P("START_BY", 1.5)
 #define WAIT_MIN_SHARE P("WAIT_MIN", 0.1)
 #define QUEUED_FACTOR P("QUEUED", 2)
-#define SHORT_SHARE_MAX P("SHORT", 0.5)
-#define SHORT_SHARE_WEIGHT P("SHORT_W", 0.1)
+#define WAITING_SHARE P("WS", 0.2)
 #define BUDGET_SHARE P("BUDGET", 0.7)
 #else
 #define P(n, d) (d)
@@ -29,15 +28,8 @@
 /* A sub-request that takes this many times as long as at little load was queued. On routes whose
  * target is short, a share of the target alone would count searchers as overloaded that are not. */
 #define QUEUED_FACTOR 2
-/* The VM is overloaded when this share of its requests found no room at their shards. Until then
- * parts may wait at a shard: a pause of a searcher ends sooner than a refused caller can ask
- * again. */
-#define SHORT_SHARE_MAX 0.5
-/* Weight of one request in that share. */
-#define SHORT_SHARE_WEIGHT 0.1
-/* Latency of a sub-request that counts as late, as a share of the request's target. The slowest part
- * of a gather takes about twice as long as a usual one. */
-#define BUDGET_SHARE 0.7
+/* Share of a request's parts that may wait at their shards when it starts. */
+#define WAITING_SHARE 0.2
 #endif
 /* Limits below 1 allow the next sub-request after a pause, which no answer announces. */
 #define RETRY_INTERVAL_US 5000
@@ -92,25 +84,29 @@
 		       (double)part->forward->admission.start_by_us;
 }
 
-/* Whether so many shards have room that the request reaches its coverage. */
-static bool has_coverage(const forward_t *forward, bool now, uint64_t now_us)
+/*
+ * Whether so many shards have room that the request reaches its coverage. A few of its parts may
+ * wait at their shards: a pause of a searcher ends sooner than a refused caller can ask again. In an
+ * overload most shards lack room.
+ */
+static bool can_start(const forward_t *forward, uint64_t now_us)
 {
-	uint32_t count = 0;
+	uint32_t now = 0, soon = 0;
 
 	for (uint32_t i = 0; i < forward->part_count; i++) {
 		const part_t *part = &forward->parts[i];
 
-		if (part->state == PART_WAITING)
-			count += has_room_now(part, now_us) || (!now && has_room_soon(part, now_us));
+		if (part->state != PART_WAITING)
+			continue;
+		if (has_room_now(part, now_us))
+			now++;
+		else
+			soon += has_room_soon(part, now_us);
 	}
-	return forward->route->gathers ? forward_has_enough(forward, count) : count > 0;
-}
-
-static bool can_start(const forward_t *forward, uint64_t now_us)
-{
-	bool overloaded = forward->forwarder->short_share > SHORT_SHARE_MAX;
-
-	return has_coverage(forward, overloaded, now_us);
+	if (!forward->route->gathers)
+		return now > 0;
+	soon = MIN(soon, (uint32_t)(WAITING_SHARE * forward->part_count));
+	return forward_has_enough(forward, now + soon);
 }
 
 /* A caller that asks again has waited before: it waits for less than callers of the route do. */
@@ -160,9 +156,6 @@
 	admission_entry_t *entry = &forward->admission, *displaced;
 	bool room;
 	admission_verdict_t verdict;
-	bool is_short = !has_coverage(forward, true, now_us);
-
-	forwarder->short_share += SHORT_SHARE_WEIGHT * (is_short - forwarder->short_share);
 	room = can_start(forward, now_us);
 	verdict = admission_offer(admission, entry, room, now_us);
 
--- a/src/core/forward_private.h
+++ b/src/core/forward_private.h
@@ -30,7 +30,6 @@
 	poison_t *poison;
 	admission_t *admission; /* NULL: each request starts as it arrives */
 	timer_entry_t admission_timer;
-	double short_share; /* share of its latest requests that found no room at their shards */
 	forwarder_counters_t counters;
 };
 
