--- a/src/core/forward_admission.c
+++ b/src/core/forward_admission.c
@@ -12,10 +12,8 @@
 #define ANSWER_FACTOR P("START_BY", 1.5)
 #define WAIT_MIN_SHARE P("WAIT_MIN", 0.1)
 #define QUEUED_FACTOR P("QUEUED", 2)
-#define WAITING_SHARE P("WS", 0.2)
 #define BUDGET_SHARE P("BUDGET", 0.7)
 #else
-#define P(n, d) (d)
 /* A request waits at most this share of its target: a caller that is refused sooner can ask again
  * in time. */
 #define WAIT_MAX_SHARE 0.25
@@ -28,8 +26,9 @@
 /* A sub-request that takes this many times as long as at little load was queued. On routes whose
  * target is short, a share of the target alone would count searchers as overloaded that are not. */
 #define QUEUED_FACTOR 2
-/* Share of a request's parts that may wait at their shards when it starts. */
-#define WAITING_SHARE 0.2
+/* Latency of a sub-request that counts as late, as a share of the request's target. The slowest part
+ * of a gather takes about twice as long as a usual one. */
+#define BUDGET_SHARE 0.7
 #endif
 /* Limits below 1 allow the next sub-request after a pause, which no answer announces. */
 #define RETRY_INTERVAL_US 5000
@@ -63,50 +62,27 @@
 
 bool forward_is_admission_controlled(const forward_t *forward)
 {
-	return forward->forwarder->admission && forward->route->target_us;
+	return forward->forwarder->admission && forward->forwarder->overload.active &&
+	       forward->route->target_us;
 }
 
-static bool has_room_now(const part_t *part, uint64_t now_us)
+static bool has_room(const part_t *part, uint64_t now_us)
 {
 	const candidates_t candidates = part_candidates(part);
 
 	/* Parts of requests that have started go first. */
-	return !part->pool->waiting.length && placement_has_capacity(&candidates, now_us);
+	return part->state == PART_WAITING && !part->pool->waiting.length &&
+	       placement_has_capacity(&candidates, now_us);
 }
 
-/* Whether the part would wait at its shard for less than the request may wait. */
-static bool has_room_soon(const part_t *part, uint64_t now_us)
-{
-	const candidates_t candidates = part_candidates(part);
-
-	return placement_has_candidate(&candidates) &&
-	       (double)now_us + placement_queue_delay_us(&candidates, now_us) <=
-		       (double)part->forward->admission.start_by_us;
-}
-
-/*
- * Whether so many shards have room that the request reaches its coverage. A few of its parts may
- * wait at their shards: a pause of a searcher ends sooner than a refused caller can ask again. In an
- * overload most shards lack room.
- */
+/* Whether so many shards have room that the request reaches its coverage. */
 static bool can_start(const forward_t *forward, uint64_t now_us)
 {
-	uint32_t now = 0, soon = 0;
+	uint32_t count = 0;
 
-	for (uint32_t i = 0; i < forward->part_count; i++) {
-		const part_t *part = &forward->parts[i];
-
-		if (part->state != PART_WAITING)
-			continue;
-		if (has_room_now(part, now_us))
-			now++;
-		else
-			soon += has_room_soon(part, now_us);
-	}
-	if (!forward->route->gathers)
-		return now > 0;
-	soon = MIN(soon, (uint32_t)(WAITING_SHARE * forward->part_count));
-	return forward_has_enough(forward, now + soon);
+	for (uint32_t i = 0; i < forward->part_count; i++)
+		count += has_room(&forward->parts[i], now_us);
+	return forward->route->gathers ? forward_has_enough(forward, count) : count > 0;
 }
 
 /* A caller that asks again has waited before: it waits for less than callers of the route do. */
@@ -151,13 +127,10 @@
 
 static admission_verdict_t offer(forward_t *forward, uint64_t now_us)
 {
-	forwarder_t *forwarder = forward->forwarder;
-	admission_t *admission = forwarder->admission;
+	admission_t *admission = forward->forwarder->admission;
 	admission_entry_t *entry = &forward->admission, *displaced;
-	bool room;
-	admission_verdict_t verdict;
-	room = can_start(forward, now_us);
-	verdict = admission_offer(admission, entry, room, now_us);
+	bool room = can_start(forward, now_us);
+	admission_verdict_t verdict = admission_offer(admission, entry, room, now_us);
 
 	if (verdict != ADMISSION_REFUSE ||
 	    !(displaced = admission_displaced(admission, entry, now_us)))
@@ -182,6 +155,8 @@
 				    .deadline_us = forward->deadline_us,
 				    .owner = forward};
 	verdict = offer(forward, now_us);
+	if (verdict != ADMISSION_START)
+		overload_note_shortage(&forwarder->overload, now_us);
 	if (verdict == ADMISSION_REFUSE) {
 		refuse(forward, now_us);
 	} else if (verdict == ADMISSION_WAIT) {
--- a/src/core/forward_private.h
+++ b/src/core/forward_private.h
@@ -30,6 +30,7 @@
 	poison_t *poison;
 	admission_t *admission; /* NULL: each request starts as it arrives */
 	timer_entry_t admission_timer;
+	overload_t overload;
 	forwarder_counters_t counters;
 };
 
--- a/src/core/forwarder.c
+++ b/src/core/forwarder.c
@@ -181,7 +181,10 @@
 	searcher_record_answer(sub->searcher, took_us, now_us);
 	/* The time to connect says little about the searcher's queue. */
 	if (!sub->opens_connection)
-		send_limit_note_answer(&sub->searcher->send_limit, &sub->sample, &load, now_us);
+		overload_note_answer(&forwarder->overload,
+				     send_limit_note_answer(&sub->searcher->send_limit,
+							    &sub->sample, &load, now_us),
+				     now_us);
 	quantile_add(&sub->pool->typical, took_us);
 	placement_note_typical(sub->pool, now_us);
 	latency_buckets_add(&sub->pool->latency, took_us);
@@ -284,6 +287,7 @@
 	case SUB_NOT_RUN:
 		load = send_load_of(sub->searcher);
 		send_limit_note_rejected(&sub->searcher->send_limit, &sub->sample, &load, now_us);
+		overload_note_answer(&forwarder->overload, true, now_us);
 		searcher_record_refusal(sub->searcher, now_us);
 		break;
 	case SUB_REPLACED:
@@ -410,7 +414,7 @@
 	part->forward = forward;
 	part->pool = registry_pool(forward->forwarder->registry, service);
 	part->state = PART_WAITING;
-	part->pool->limits_sends = forward->forwarder->admission != NULL;
+	part->pool->overload = forward->forwarder->admission ? &forward->forwarder->overload : NULL;
 	if (!forward->request.is_resend)
 		retry_budget_note_request(&part->pool->budget, now_us);
 	else if (!retry_budget_take(&part->pool->budget, &part->pool->bound, RETRY_FOR_FAILURE,
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -51,8 +51,6 @@
 #define SHARING_PENALTY_US 150000
 /* Random factor on the cost, so that VMs with the same data do not all choose the same searcher. */
 #define COST_JITTER 0.1
-/* The least number of sub-requests that the expected wait assumes to be allowed. */
-#define LIMITED_SENDS_MIN 0.1
 
 double placement_typical_us(const pool_t *pool)
 {
@@ -101,7 +99,7 @@
 static bool has_room(const searcher_t *searcher, const pool_t *pool, uint64_t now_us)
 {
 	return searcher_has_capacity(searcher) &&
-	       (!pool->limits_sends ||
+	       (!pool->overload || !pool->overload->active ||
 		send_limit_has_room(&searcher->send_limit, searcher->outstanding.length, now_us));
 }
 
@@ -167,27 +165,19 @@
 	return some;
 }
 
-/* Sub-requests that this VM may have outstanding at the searcher. */
-static double allowed_sends(const searcher_t *searcher, const pool_t *pool, uint64_t now_us)
-{
-	double limit = pool->limits_sends ? send_limit_now(&searcher->send_limit, now_us) : 0;
-
-	return limit > 0 ? MIN(limit, searcher->connections_max) : searcher->connections_max;
-}
-
-/* Number of sub-requests that this VM may have outstanding at all searchers that are eligible for the route's
+/* Number of connections that this VM may open to all searchers that are eligible for the route's
  * parts and not limited for being cold. */
-static double connections_allowed(const candidates_t *candidates, uint64_t now_us)
+static uint32_t connections_allowed(const candidates_t *candidates, uint64_t now_us)
 {
 	const GPtrArray *searchers = candidates->pool->searchers;
-	double sum = 0;
+	uint32_t sum = 0;
 
 	for (guint i = 0; i < searchers->len; i++) {
 		const searcher_t *searcher = g_ptr_array_index(searchers, i);
 
 		if (is_eligible(candidates, searcher) &&
 		    !is_cold_limited(searcher, candidates->pool, now_us))
-			sum += allowed_sends(searcher, candidates->pool, now_us);
+			sum += searcher->connections_max;
 	}
 	return sum;
 }
@@ -198,9 +188,7 @@
 	const pool_t *pool = candidates->pool;
 	double ahead = pool->waiting.length + 1.0;
 
-	double least = pool->limits_sends ? LIMITED_SENDS_MIN : 1;
-
-	return placement_typical_us(pool) * ahead / MAX(connections_allowed(candidates, now_us), least);
+	return placement_typical_us(pool) * ahead / MAX(connections_allowed(candidates, now_us), 1);
 }
 
 static double network_us(const searcher_t *searcher)
--- a/src/core/registry.h
+++ b/src/core/registry.h
@@ -14,6 +14,7 @@
 
 #include "core/cold_share.h"
 #include "core/latency_buckets.h"
+#include "core/overload.h"
 #include "core/retry_budget.h"
 #include "core/quantile.h"
 #include "core/searcher.h"
@@ -31,7 +32,8 @@
 	latency_buckets_t latency;  /**< the same as a distribution, for metrics */
 	GQueue waiting;		    /**< parts that wait for capacity, by rank and age */
 	double shed_share;	    /**< share of its recent parts that were shed */
-	bool limits_sends;	    /**< the send limits of its searchers apply */
+	const overload_t *overload; /**< the send limits of its searchers apply while it is active;
+				     * NULL: never */
 	cold_limit_t cold;	    /**< rate limit on sub-requests to cold searchers */
 	uint64_t cold_us;	    /**< assumed cold time of a searcher after its data centre's
 				     * evacuation has ended */
--- a/src/core/send_limit.c
+++ b/src/core/send_limit.c
@@ -18,7 +18,6 @@
 #define RECOVERY_DOUBLING_US (P("L_REC", 500)*1000)
 #define SHARE P("L_SHARE", 1)
 #else
-#define P(n, d) (d)
 /* A late answer lowers the limit less than a rejection: it may be due to a pause of the searcher or
  * to a long request. */
 #define LATE_FACTOR 0.8
@@ -45,10 +44,9 @@
  * cause no answers that could raise it, and the shares of all VMs together are no more than what the
  * searcher can process and queue at its usual speed.
  */
-double send_limit_now(const send_limit_t *limit, uint64_t now_us)
+static double limit_now(const send_limit_t *limit, uint64_t now_us)
 {
 	double age_us = (double)(now_us - limit->lowered_us);
-
 	double recovered = limit->limit * exp2(age_us / RECOVERY_DOUBLING_US);
 
 	return MAX(limit->limit, MIN(recovered, limit->start));
@@ -56,10 +54,11 @@
 
 bool send_limit_has_room(const send_limit_t *limit, uint32_t outstanding, uint64_t now_us)
 {
-	double most = send_limit_now(limit, now_us);
+	double most;
 
-	if (!most)
+	if (!limit->limit)
 		return true;
+	most = limit_now(limit, now_us);
 	if (most < 1)
 		return !outstanding &&
 		       (double)(now_us - limit->sent_us) >= limit->latency_us / most;
@@ -70,50 +69,46 @@
 				   uint64_t now_us)
 {
 	limit->sent_us = now_us;
-	double most = send_limit_now(limit, now_us);
-
 	return (send_sample_t){.sent_us = now_us,
 			       .budget_us = budget_us,
-			       .was_limited = most > 0 && outstanding + 2 > most};
+			       .was_limited = limit->limit &&
+					      outstanding + 2 > limit_now(limit, now_us)};
 }
 
 /* Sub-requests that were sent before the limit was last lowered saw the queue of that time. */
 static void lower(send_limit_t *limit, const send_sample_t *sample, const send_load_t *load,
 		  double factor, uint64_t now_us)
 {
-	double from = send_limit_now(limit, now_us);
-	bool first = !from;
+	double from = limit->limit ? limit_now(limit, now_us) : 0;
 
 	if (sample->sent_us < limit->lowered_us)
 		return;
 	if (!from)
 		from = MIN(load->outstanding, START_FACTOR * limit->start);
 	limit->limit = MAX(from * factor, LIMIT_MIN);
-	if (first && P("L_FLOOR", 1))
-		limit->limit = MAX(limit->limit, MIN(1, START_FACTOR * limit->start));
 	limit->lowered_us = now_us;
 }
 
 static void raise_limit(send_limit_t *limit, const send_load_t *load, uint64_t now_us)
 {
-	limit->limit = send_limit_now(limit, now_us);
-	if (!limit->limit)
-		return;
+	limit->limit = limit_now(limit, now_us);
 	limit->limit += RAISE * MIN(limit->limit, 1 / limit->limit);
 	if (limit->limit >= load->max)
 		limit->limit = 0;
 }
 
-void send_limit_note_answer(send_limit_t *limit, const send_sample_t *sample,
+bool send_limit_note_answer(send_limit_t *limit, const send_sample_t *sample,
 			    const send_load_t *load, uint64_t now_us)
 {
 	double took_us = (double)(now_us - sample->sent_us);
+	bool late = took_us > (double)sample->budget_us;
 
 	limit->latency_us += LATENCY_WEIGHT * (took_us - limit->latency_us);
-	if (took_us > (double)sample->budget_us)
+	if (late)
 		lower(limit, sample, load, LATE_FACTOR, now_us);
 	else if (sample->was_limited && limit->limit)
 		raise_limit(limit, load, now_us);
+	return late;
 }
 
 void send_limit_note_rejected(send_limit_t *limit, const send_sample_t *sample,
--- a/src/core/send_limit.h
+++ b/src/core/send_limit.h
@@ -40,15 +40,14 @@
 
 /** Set the share that a limit starts from: @p start sub-requests. */
 void send_limit_set_start(send_limit_t *limit, double start);
-/** The limit in force; 0: none applies. */
-double send_limit_now(const send_limit_t *limit, uint64_t now_us);
 /** Whether a sub-request may be sent beside @p outstanding others. */
 bool send_limit_has_room(const send_limit_t *limit, uint32_t outstanding, uint64_t now_us);
 /** Record that a sub-request is sent beside @p outstanding others. */
 send_sample_t send_limit_note_sent(send_limit_t *limit, uint32_t outstanding, uint64_t budget_us,
 				   uint64_t now_us);
-/** Record that the searcher answered. @p load includes the answered sub-request. */
-void send_limit_note_answer(send_limit_t *limit, const send_sample_t *sample,
+/** Record that the searcher answered. @p load includes the answered sub-request. Returns whether the
+ * answer was late. */
+bool send_limit_note_answer(send_limit_t *limit, const send_sample_t *sample,
 			    const send_load_t *load, uint64_t now_us);
 /** Record that the searcher rejected the sub-request without running it. */
 void send_limit_note_rejected(send_limit_t *limit, const send_sample_t *sample,
