core/overload, core/send_limit, core/forward_admission: overload is noticed, limited and admitted as a whole

Cause: each part of a gather waited, was left out or refused by itself, so that under overload nearly all gathers failed.

--- a/src/core/forward.h
+++ b/src/core/forward.h
@@ -224,9 +224,12 @@
 forwarder_t *forwarder_new(const forwarder_ops_t *ops, void *ctx, registry_t *registry,
 			   uint32_t seed);
 void forwarder_free(forwarder_t *forwarder);
-/** Let requests wait, or refuse them, as a whole until enough of their shards have room; see
- * admission.h. Call before forwarder_set_routing(). */
+/** While the searchers are overloaded, let requests wait as a whole until enough of their shards
+ * have room, or refuse them; see overload.h and admission.h. Call before forwarder_set_routing().
+ */
 void forwarder_enable_admission(forwarder_t *forwarder);
+/** Whether the searchers are overloaded, as far as this VM knows. */
+overload_t *forwarder_overload(forwarder_t *forwarder);
 /** Use @p routing for new requests; takes the reference. */
 void forwarder_set_routing(forwarder_t *forwarder, routing_t *routing);
 const routing_t *forwarder_routing(const forwarder_t *forwarder);
--- a/src/core/forward_admission.c
+++ b/src/core/forward_admission.c
@@ -5,31 +5,21 @@
  */
 #include "core/forward_private.h"
 
-#ifdef PROTO_ENV
-#include <stdlib.h>
-static double P(const char *n, double d) { const char *v = getenv(n); return v ? atof(v) : d; }
-#define WAIT_MAX_SHARE P("WAIT_SHARE", 0.25)
-#define ANSWER_FACTOR P("START_BY", 1.5)
-#define WAIT_MIN_SHARE P("WAIT_MIN", 0.1)
-#define QUEUED_FACTOR P("QUEUED", 2)
-#define BUDGET_SHARE P("BUDGET", 0.7)
-#else
 /* A request waits at most this share of its target: a caller that is refused sooner can ask again
  * in time. */
 #define WAIT_MAX_SHARE 0.25
-/* Time from the start to the answer, as a multiple of the latency of a sub-request at little load: a
- * gather takes as long as its slowest part. */
+/* Time from the start to the answer, as a multiple of the latency of a sub-request at little load:
+ * a gather takes as long as its slowest part. */
 #define ANSWER_FACTOR 1.5
-/* Room often comes free within this share of the target. An urgent request with a short target would
- * otherwise be refused while others, which can wait, get the room. */
+/* Room often comes free within this share of the target. An urgent request with a short target
+ * would otherwise be refused while others, which can wait, get the room. */
 #define WAIT_MIN_SHARE 0.1
 /* A sub-request that takes this many times as long as at little load was queued. On routes whose
  * target is short, a share of the target alone would count searchers as overloaded that are not. */
 #define QUEUED_FACTOR 2
-/* Latency of a sub-request that counts as late, as a share of the request's target. The slowest part
- * of a gather takes about twice as long as a usual one. */
+/* Latency of a sub-request that counts as late, as a share of the request's target. The slowest
+ * part of a gather takes about twice as long as a usual one. */
 #define BUDGET_SHARE 0.7
-#endif
 /* Limits below 1 allow the next sub-request after a pause, which no answer announces. */
 #define RETRY_INTERVAL_US 5000
 /* Routes that are found blocked in one pass. Others are tried again for each request. */
@@ -57,6 +47,8 @@
 	const forward_t *forward = part->forward;
 	double target_us = (double)(forward->partial_us - forward->request.received_us);
 
+	if (!forward->route->target_us)
+		return UINT64_MAX;
 	return (uint64_t)MAX(BUDGET_SHARE * target_us, QUEUED_FACTOR * unloaded_us(part));
 }
 
@@ -109,9 +101,10 @@
 	double left_us = target_us - waited_before_us(forward) -
 			 ANSWER_FACTOR * longest_unloaded_us(forward);
 	double wait_us = MIN(WAIT_MAX_SHARE * target_us, left_us);
-	double least_us = waited_before_us(forward) < WAIT_MIN_SHARE * target_us ? WAIT_MIN_SHARE * target_us : 0;
+	double least_us = WAIT_MIN_SHARE * target_us;
 
-	wait_us = MAX(wait_us, least_us);
+	if (waited_before_us(forward) < least_us)
+		wait_us = MAX(wait_us, least_us);
 	return forward->request.received_us + (uint64_t)wait_us;
 }
 
@@ -217,6 +210,11 @@
 	forwarder_start_waiting(ctx, now_us);
 }
 
+overload_t *forwarder_overload(forwarder_t *forwarder)
+{
+	return &forwarder->overload;
+}
+
 void forwarder_enable_admission(forwarder_t *forwarder)
 {
 	forwarder->admission = admission_new();
--- a/src/core/forward_private.h
+++ b/src/core/forward_private.h
@@ -1,10 +1,11 @@
 /**
  * @file forward_private.h
  * Internals of the forwarder. forwarder.c accepts requests, forward_admission.c decides when they
- * start, forward.c carries one request to its answer, forward_suspect.c holds back a request that searchers have crashed on, part.c gets the
- * answer of one service, subrequest.c handles one sub-request, and route_state.c measures a route.
- * Each file calls only files after it in this list, with two exceptions: part_* functions call back
- * into their request, and any file may call the forward_has_* queries.
+ * start, forward.c carries one request to its answer, forward_suspect.c holds back a request that
+ * searchers have crashed on, part.c gets the answer of one service, subrequest.c handles one
+ * sub-request, and route_state.c measures a route. Each file calls only files after it in this
+ * list, with two exceptions: part_* functions call back into their request, and any file may call
+ * the forward_has_* queries.
  */
 #ifndef DS_FORWARD_PRIVATE_H
 #define DS_FORWARD_PRIVATE_H
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -65,8 +65,7 @@
 	if (!pool->unloaded_at_us || pool->typical.value_us < pool->unloaded_us)
 		pool->unloaded_us = pool->typical.value_us;
 	else
-		pool->unloaded_us +=
-			MIN(share, 1) * (pool->typical.value_us - pool->unloaded_us);
+		pool->unloaded_us += MIN(share, 1) * (pool->typical.value_us - pool->unloaded_us);
 	pool->unloaded_at_us = now_us;
 }
 
--- a/src/core/registry.h
+++ b/src/core/registry.h
@@ -27,7 +27,7 @@
 	retry_bound_t bound; /**< limit on its retries: the ratio, and this VM's part of the
 			      * constant */
 	quantile_t typical;  /**< median latency, from sending to answer, over all its searchers */
-	double unloaded_us;	    /**< the median at little load; 0: not measured */
+	double unloaded_us;  /**< the median at little load; 0: not measured */
 	uint64_t unloaded_at_us;    /**< when unloaded_us was last updated */
 	latency_buckets_t latency;  /**< the same as a distribution, for metrics */
 	GQueue waiting;		    /**< parts that wait for capacity, by rank and age */
--- a/src/core/send_limit.c
+++ b/src/core/send_limit.c
@@ -7,17 +7,6 @@
 #include <glib.h>
 #include <math.h>
 
-#ifdef PROTO_ENV
-#include <stdlib.h>
-static double P(const char *n, double d) { const char *v = getenv(n); return v ? atof(v) : d; }
-#define LATE_FACTOR P("L_DOWN", 0.8)
-#define REJECTED_FACTOR P("L_REJ", 0.7)
-#define RAISE P("L_UP", 0.1)
-#define LIMIT_MIN P("L_MIN", 0.02)
-#define START_FACTOR P("L_START", 4)
-#define RECOVERY_DOUBLING_US (P("L_REC", 500)*1000)
-#define SHARE P("L_SHARE", 1)
-#else
 /* A late answer lowers the limit less than a rejection: it may be due to a pause of the searcher or
  * to a long request. */
 #define LATE_FACTOR 0.8
@@ -26,23 +15,23 @@
 #define RAISE 0.1
 /* At this limit a VM still sends enough to notice that the searcher has recovered. */
 #define LIMIT_MIN 0.02
+/* The first late answer lowers the limit to at most this multiple of its start: not all VMs have
+ * requests for the searcher at the same time. */
 #define START_FACTOR 4
 /* A limit below its start doubles in this time. */
 #define RECOVERY_DOUBLING_US 500000.0
-#define SHARE 1
-#endif
 /* Weight of one answer in the average latency. */
 #define LATENCY_WEIGHT 0.2
 
 void send_limit_set_start(send_limit_t *limit, double start)
 {
-	limit->start = SHARE * start;
+	limit->start = start;
 }
 
 /*
  * The limit in force. Below its start it recovers with time alone: callers that are refused for it
- * cause no answers that could raise it, and the shares of all VMs together are no more than what the
- * searcher can process and queue at its usual speed.
+ * cause no answers that could raise it, and the shares of all VMs together are no more than what
+ * the searcher can process and queue at its usual speed.
  */
 static double limit_now(const send_limit_t *limit, uint64_t now_us)
 {
@@ -71,8 +60,8 @@
 	limit->sent_us = now_us;
 	return (send_sample_t){.sent_us = now_us,
 			       .budget_us = budget_us,
-			       .was_limited = limit->limit &&
-					      outstanding + 2 > limit_now(limit, now_us)};
+			       .was_limited =
+				       limit->limit && outstanding + 2 > limit_now(limit, now_us)};
 }
 
 /* Sub-requests that were sent before the limit was last lowered saw the queue of that time. */
--- a/src/core/send_limit.h
+++ b/src/core/send_limit.h
@@ -3,9 +3,10 @@
  * Limit on the sub-requests that this VM may have outstanding at one searcher.
  *
  * A searcher queues what it can't process at once. Without a limit the VMs together fill its queue
- * until every answer comes after its target, and it rejects the rest. The limit applies from the
- * first late or rejected sub-request on: it is lowered by each further one and raised while answers
- * arrive within their budget, until it no longer binds. All VMs see the same queue at the searcher,
+ * until every answer comes after its target, and it rejects the rest. While the VM's
+ * searchers are overloaded (overload.h), the limit applies from the first late or rejected
+ * sub-request on: it is lowered by each further one and raised while answers arrive within their
+ * budget, until it no longer binds. All VMs see the same queue at the searcher,
  * so their limits adapt alike without messages.
  *
  * Answers for: load beyond what the searchers can do, and searchers of unequal or changing speed.
@@ -18,8 +19,8 @@
 
 /** Zeroed: no limit applies. */
 typedef struct send_limit_t {
-	double limit;	     /**< sub-requests; 0: none applies; below 1: one, with pauses between */
-	double start;	     /**< this VM's share of what the searcher can process and queue in time */
+	double limit; /**< sub-requests; 0: none applies; below 1: one, with pauses between */
+	double start; /**< this VM's share of what the searcher can process and queue in time */
 	double latency_us;   /**< recent average latency */
 	uint64_t lowered_us; /**< when it was last lowered */
 	uint64_t sent_us;    /**< when the last sub-request was sent */
@@ -45,8 +46,8 @@
 /** Record that a sub-request is sent beside @p outstanding others. */
 send_sample_t send_limit_note_sent(send_limit_t *limit, uint32_t outstanding, uint64_t budget_us,
 				   uint64_t now_us);
-/** Record that the searcher answered. @p load includes the answered sub-request. Returns whether the
- * answer was late. */
+/** Record that the searcher answered. @p load includes the answered sub-request. Returns whether
+ * the answer was late. */
 bool send_limit_note_answer(send_limit_t *limit, const send_sample_t *sample,
 			    const send_load_t *load, uint64_t now_us);
 /** Record that the searcher rejected the sub-request without running it. */
--- a/src/settings.c
+++ b/src/settings.c
@@ -382,7 +382,8 @@
 		if (!find_setting(*group, NULL)) {
 			add_error(reader, *group, NULL,
 				  "unknown section; known are vm, listen, platform, operators, "
-				  "peers, front, regions, retries, quotas, admission, store, stop, log and "
+				  "peers, front, regions, retries, quotas, admission, store, stop, "
+				  "log and "
 				  "policy");
 			continue;
 		}
