Log: refusals under overload leave half of the burst to other failures

Admission control can refuse thousands of requests per second, each with a line at message level. They count as failures, whose limit they would use up: lines about searchers that fail were dropped with them. Lines of the domain LOG_REFUSALS are now dropped when half of the failures' burst is used.

log_test: after 2,000 refusals at most 157 are written and all 100 lines about other failures; it fails when the reserve is 0.

--- a/src/log.c
+++ b/src/log.c
@@ -15,6 +15,9 @@
  * per line. The bursts are for the moment in which something breaks. */
 #define FAILURES_PER_S 14.0
 #define FAILURES_BURST 300.0
+/* Refusals under overload are dropped when fewer tokens are left, so that lines about other
+ * failures are still written then. */
+#define REFUSALS_RESERVE (FAILURES_BURST / 2)
 #define SUCCESSES_PER_S 6.0
 #define SUCCESSES_BURST 40.0
 #define DECISIONS_PER_S 10.0
@@ -63,14 +66,15 @@
 	}
 }
 
-static bool take_token(log_rate_limit_t *limit)
+/* @p reserve: tokens that must be left */
+static bool take_token(log_rate_limit_t *limit, double reserve)
 {
 	gint64 now_us = g_get_monotonic_time();
 
 	limit->tokens += (double)(now_us - limit->refilled_us) / 1e6 * limit->per_s;
 	limit->tokens = MIN(limit->tokens, limit->burst);
 	limit->refilled_us = now_us;
-	if (limit->tokens < 1 || buffer->len > BUFFER_MAX_BYTES) {
+	if (limit->tokens < 1 + reserve || buffer->len > BUFFER_MAX_BYTES) {
 		limit->dropped++;
 		return false;
 	}
@@ -128,13 +132,18 @@
 	return level >= G_LOG_LEVEL_INFO ? &successes : &failures;
 }
 
+static double reserve_of(const char *domain)
+{
+	return domain && g_str_equal(domain, LOG_REFUSALS) ? REFUSALS_RESERVE : 0;
+}
+
 static void write_line(const char *domain, GLogLevelFlags level, const char *text, gpointer unused)
 {
 	(void)unused;
 	level &= G_LOG_LEVEL_MASK;
 	if (level > max_level)
 		return;
-	if (!take_token(rate_limit_of(domain, level)))
+	if (!take_token(rate_limit_of(domain, level), reserve_of(domain)))
 		return;
 	append_lost();
 	append_line(level, text);
