HOP_ANSWER: why the gatherer's admission control has refused a request

The taker logged a refused request without the shard, because the gatherer's answer held only the outcome. Five fields are appended: refused_by_admission, shard, tenant, rank, waited_us. An earlier version sends none of them, which means not known; a later one may append more.

--- a/src/core/hop_message.c
+++ b/src/core/hop_message.c
@@ -11,7 +11,9 @@
 #define REQUEST_FIELDS 10
 /* Earlier versions do not send the API key. */
 #define REQUEST_FIELDS_MIN 9
-#define ANSWER_FIELDS 6
+#define ANSWER_FIELDS 11
+/* Earlier versions do not send why admission control has refused the request. */
+#define ANSWER_FIELDS_MIN 6
 #define SHARE_FIELDS 4
 #define QUOTA_FIELDS 4
 
@@ -43,6 +45,11 @@
 	msgpack_pack_uint64(packer, answer->retry_after_us);
 	pack_bytes(packer, answer->stamps);
 	pack_bytes(packer, answer->records);
+	msgpack_pack_uint8(packer, answer->refused_by_admission);
+	pack_bytes(packer, answer->shard);
+	pack_bytes(packer, answer->tenant);
+	msgpack_pack_uint32(packer, answer->rank);
+	msgpack_pack_uint64(packer, answer->waited_us);
 }
 
 static void pack_share(msgpack_packer *packer, const hop_quota_share_t *share)
@@ -85,7 +92,9 @@
 /* Number of fields of a message as an earlier version writes it. */
 static size_t min_fields_of(hop_type_t type)
 {
-	return type == HOP_REQUEST ? HEAD_FIELDS + REQUEST_FIELDS_MIN : fields_of(type);
+	if (type == HOP_REQUEST)
+		return HEAD_FIELDS + REQUEST_FIELDS_MIN;
+	return type == HOP_ANSWER ? HEAD_FIELDS + ANSWER_FIELDS_MIN : fields_of(type);
 }
 
 void hop_message_write(GByteArray *out, const hop_message_t *message)
@@ -162,7 +171,8 @@
 		request->key = decode_bytes(fields);
 }
 
-static void decode_answer(fields_t *fields, hop_answer_t *answer)
+/* @p count: fields of the whole message */
+static void decode_answer(fields_t *fields, uint32_t count, hop_answer_t *answer)
 {
 	answer->end = (forward_outcome_t)decode_number(fields, FORWARD_OUTCOMES - 1);
 	answer->parts = (uint32_t)decode_number(fields, UINT32_MAX);
@@ -170,6 +180,13 @@
 	answer->retry_after_us = decode_number(fields, UINT64_MAX);
 	answer->stamps = decode_bytes(fields);
 	answer->records = decode_bytes(fields);
+	if (count < HEAD_FIELDS + ANSWER_FIELDS)
+		return;
+	answer->refused_by_admission = decode_number(fields, 1);
+	answer->shard = decode_bytes(fields);
+	answer->tenant = decode_bytes(fields);
+	answer->rank = (uint32_t)decode_number(fields, UINT32_MAX);
+	answer->waited_us = decode_number(fields, UINT64_MAX);
 }
 
 static void decode_share(fields_t *fields, hop_quota_share_t *share)
@@ -216,7 +233,7 @@
 	if (type == HOP_REQUEST)
 		decode_request(&fields, array->size, &message.request);
 	else if (type == HOP_ANSWER)
-		decode_answer(&fields, &message.answer);
+		decode_answer(&fields, array->size, &message.answer);
 	else if (type == HOP_REJECTED)
 		message.reason = decode_reason(&fields);
 	else if (type == HOP_GRANT)
--- a/src/core/hop_message.h
+++ b/src/core/hop_message.h
@@ -89,6 +89,13 @@
 	uint64_t retry_after_us; /**< if nothing ran: when the caller should retry */
 	hop_bytes_t stamps;
 	hop_bytes_t records;
+	/* Why the gatherer's admission control has refused it, for the taker's log. Earlier
+	 * versions do not send these. */
+	bool refused_by_admission;
+	hop_bytes_t shard;  /**< that lacked room; empty: none */
+	hop_bytes_t tenant; /**< empty: none */
+	uint32_t rank;
+	uint64_t waited_us;
 } hop_answer_t;
 
 /** A VM's share of all quotas. */
