Forwarder: refusals by admission control name the shard, the wait, the rank and the tenant

A refusal for lack of room was logged as outcome=full with all parts as lost, though none was sent, and without the shard that decided. The log line now has reason=admission shard=NAME wait_us=N rank=N retry_after_us=N and tenant=NAME if there is one, in the lines of the gatherer and of the taker. The shard is the first one without room beyond those that the coverage allows to miss; 'none' if all had room when the request was refused. A request whose deadline comes before the end of its wait counts as refused by admission control, too.

Counters for metrics: started, refused by rank, refused after a wait.

--- a/src/core/forward.c
+++ b/src/core/forward.c
@@ -94,6 +94,10 @@
 {
 	forward_answer_t answer = {.outcome = outcome};
 
+	/* Its deadline may come before admission_expired() returns it. */
+	if (outcome == FORWARD_FULL && forward->admission.queued)
+		forward_note_refused(forward, now_us);
+	answer.refusal = forward->refusal;
 	if (outcome == FORWARD_NO_SEARCHER)
 		answer.retry_after_us = caller_retry_us(forward, MISSING_SEARCHERS, now_us);
 	else if (outcome == FORWARD_BLOCKED)
--- a/src/core/forward.h
+++ b/src/core/forward.h
@@ -132,6 +132,16 @@
 	FORWARD_OUTCOMES,
 } forward_outcome_t;
 
+/** Why admission control has refused a request; zeroed: it has not. For the log. */
+typedef struct forward_refusal_t {
+	bool by_admission;
+	const char *shard;  /**< the first one without room beyond those that the coverage allows to
+			       miss; NULL: all that it needs had room, which others before it got */
+	const char *tenant; /**< NULL: none */
+	uint32_t rank;
+	uint64_t waited_us;
+} forward_refusal_t;
+
 /** The answer to the caller. Valid only during the call. */
 typedef struct forward_answer_t {
 	forward_outcome_t outcome;
@@ -141,6 +151,7 @@
 	uint32_t parts, missing;  /**< gathers */
 	uint64_t retry_after_us; /**< outcomes without a run: how long the caller should wait before
 				    it retries */
+	forward_refusal_t refusal;
 } forward_answer_t;
 
 /** A request as the caller sent it. The owner keeps the texts until the request is over. */
@@ -189,6 +200,7 @@
 	bool has_lost_turn;    /**< the turn will not come before the caller's deadline */
 	uint64_t held_from_us; /**< since when it has waited for its turn; 0: it did not wait */
 	admission_entry_t admission; /**< its place among the requests that wait to start */
+	forward_refusal_t refusal;
 	bool finished;
 	void *owner;
 };
@@ -208,6 +220,9 @@
 	const poison_ops_t *poison;
 } forwarder_ops_t;
 
+/* Ranks that refusals are counted by; less urgent ones count with the last. */
+#define ADMISSION_RANKS_COUNTED 8
+
 /** Counters, for metrics. */
 typedef struct forwarder_counters_t {
 	uint64_t requests;
@@ -217,8 +232,11 @@
 	uint64_t firsts, hedges, retries, waited;
 	uint64_t shed; /**< parts left out because their shard is overloaded */
 	uint64_t sub_outcomes[SUB_UNKNOWN + 1];
-	uint64_t loads_reported;  /**< replies that reported their searcher's load */
-	uint64_t loads_malformed; /**< replies whose load could not be read */
+	uint64_t loads_reported;    /**< replies that reported their searcher's load */
+	uint64_t loads_malformed;   /**< replies whose load could not be read */
+	uint64_t admission_started; /**< requests that admission control let start */
+	uint64_t admission_expired; /**< requests that it refused after they had waited */
+	uint64_t admission_refused[ADMISSION_RANKS_COUNTED]; /**< all that it refused, by rank */
 } forwarder_counters_t;
 
 forwarder_t *forwarder_new(const forwarder_ops_t *ops, void *ctx, registry_t *registry,
@@ -286,6 +304,8 @@
 void forwarder_run(forwarder_t *forwarder, uint64_t now_us);
 uint32_t forwarder_open_requests(const forwarder_t *forwarder);
 const forwarder_counters_t *forwarder_counters(const forwarder_t *forwarder);
+/** The requests that wait to start; NULL: admission control is not enabled. */
+const admission_t *forwarder_admission(const forwarder_t *forwarder);
 /** Called with the latencies of the answers of @p route. */
 typedef void (*forwarder_latency_f)(void *ctx, const char *route, const latency_buckets_t *latency);
 /** Visit all routes that had requests since the start of this VM. */
--- a/src/core/forward_admission.c
+++ b/src/core/forward_admission.c
@@ -113,8 +113,37 @@
 	return forward->request.received_us + (uint64_t)wait_us;
 }
 
+/* The first shard without room beyond those that the coverage allows to miss; NULL: none. */
+static const char *find_short_shard(const forward_t *forward, uint64_t now_us)
+{
+	uint32_t with_room = forward->part_count;
+
+	for (uint32_t i = 0; i < forward->part_count; i++) {
+		if (has_room(&forward->parts[i], now_us))
+			continue;
+		if (!forward_has_enough(forward, --with_room))
+			return forward->parts[i].pool->service;
+	}
+	return NULL;
+}
+
+void forward_note_refused(forward_t *forward, uint64_t now_us)
+{
+	forwarder_counters_t *counters = &forward->forwarder->counters;
+	const admission_entry_t *entry = &forward->admission;
+
+	forward->refusal = (forward_refusal_t){.by_admission = true,
+					       .shard = find_short_shard(forward, now_us),
+					       .tenant = entry->tenant,
+					       .rank = entry->rank,
+					       .waited_us = now_us - entry->arrived_us};
+	counters->admission_refused[MIN(entry->rank, ADMISSION_RANKS_COUNTED - 1)]++;
+	counters->admission_expired += forward->refusal.waited_us > 0;
+}
+
 static void refuse(forward_t *forward, uint64_t now_us)
 {
+	forward_note_refused(forward, now_us);
 	forward_refuse(forward, FORWARD_FULL, now_us);
 }
 
@@ -155,7 +184,9 @@
 	verdict = offer(forward, now_us);
 	if (verdict == ADMISSION_REFUSE) {
 		refuse(forward, now_us);
-	} else if (verdict == ADMISSION_WAIT) {
+	} else if (verdict == ADMISSION_START) {
+		forwarder->counters.admission_started++;
+	} else {
 		forward_set_timer(forward, now_us);
 		timers_set(&forwarder->timers, &forwarder->admission_timer, now_us);
 	}
@@ -201,8 +232,10 @@
 
 	if (!forwarder->admission || !admission_waiting(forwarder->admission))
 		return;
-	while ((entry = admission_next(forwarder->admission, entry_can_start, &pass, now_us)))
+	while ((entry = admission_next(forwarder->admission, entry_can_start, &pass, now_us))) {
+		forwarder->counters.admission_started++;
 		forward_start(entry->owner, now_us);
+	}
 	while ((entry = admission_expired(forwarder->admission, now_us)))
 		refuse_entry(entry, now_us);
 	set_timer(forwarder, now_us);
@@ -218,3 +251,8 @@
 	forwarder->admission = admission_new();
 	forwarder->admission_timer = (timer_entry_t){.fire = on_timer, .ctx = forwarder};
 }
+
+const admission_t *forwarder_admission(const forwarder_t *forwarder)
+{
+	return forwarder->admission;
+}
--- a/src/core/forward_private.h
+++ b/src/core/forward_private.h
@@ -107,6 +107,8 @@
 bool forward_is_admission_controlled(const forward_t *forward);
 /** Whether the request starts now, waits, or was refused; it is freed in the last case. */
 admission_verdict_t forward_admit(forward_t *forward, uint64_t now_us);
+/** Record why admission control refuses the request, and count it. */
+void forward_note_refused(forward_t *forward, uint64_t now_us);
 /** Send the parts of a request that starts. Returns true if the request is over; it is freed then.
  */
 bool forward_start(forward_t *forward, uint64_t now_us);
--- a/src/core/send_limit.c
+++ b/src/core/send_limit.c
@@ -31,6 +31,9 @@
 #define RECOVERY_DOUBLING_US 500000.0
 #define SHARE 1
 #endif
+/* A limit up to this multiple of the minimum counts as at the minimum: one that recovers with time
+ * is exactly there only for a moment, which metrics would miss. */
+#define AT_MINIMUM_FACTOR 2
 /* Weight of one answer in the average latency. */
 #define LATENCY_WEIGHT 0.2
 
@@ -52,6 +55,16 @@
 	return MAX(limit->limit, MIN(recovered, limit->start));
 }
 
+double send_limit_now(const send_limit_t *limit, uint64_t now_us)
+{
+	return limit->limit > 0 ? limit_now(limit, now_us) : 0;
+}
+
+bool send_limit_is_at_minimum(const send_limit_t *limit, uint64_t now_us)
+{
+	return limit->limit > 0 && limit_now(limit, now_us) <= AT_MINIMUM_FACTOR * LIMIT_MIN;
+}
+
 bool send_limit_has_room(const send_limit_t *limit, uint32_t outstanding, uint64_t now_us)
 {
 	double most;
--- a/src/core/send_limit.h
+++ b/src/core/send_limit.h
@@ -40,6 +40,10 @@
 
 /** Set the share that a limit starts from: @p start sub-requests. */
 void send_limit_set_start(send_limit_t *limit, double start);
+/** The limit in force, in sub-requests; 0: none applies. */
+double send_limit_now(const send_limit_t *limit, uint64_t now_us);
+/** Whether the limit was lowered to its minimum and has hardly been raised since. */
+bool send_limit_is_at_minimum(const send_limit_t *limit, uint64_t now_us);
 /** Whether a sub-request may be sent beside @p outstanding others. */
 bool send_limit_has_room(const send_limit_t *limit, uint32_t outstanding, uint64_t now_us);
 /** Record that a sub-request is sent beside @p outstanding others. */
--- a/src/queries/front_log.c
+++ b/src/queries/front_log.c
@@ -4,6 +4,7 @@
  */
 #include "queries/front_log.h"
 
+#include "log.h"
 #include "net/loop.h"
 
 /* Limits how many of an answer's missing parts its log line lists. */
@@ -60,6 +61,40 @@
 	}
 }
 
+/* The shard, the time and the limits that decided about a request that admission control has
+ * refused. */
+static void append_refusal(GString *line, const forward_answer_t *answer)
+{
+	const forward_refusal_t *refusal = &answer->refusal;
+
+	if (!refusal->by_admission)
+		return;
+	g_string_append_printf(line,
+			       " reason=admission shard=%s wait_us=%" G_GUINT64_FORMAT
+			       " rank=%u retry_after_us=%" G_GUINT64_FORMAT,
+			       refusal->shard ? refusal->shard : "none", refusal->waited_us,
+			       refusal->rank, answer->retry_after_us);
+	if (refusal->tenant)
+		g_string_append_printf(line, " tenant=%s", refusal->tenant);
+}
+
+/* Searchers that the shard which lacked room had, but that were excluded. */
+static void append_short_shard_passed_over(GString *line, const forward_t *forward,
+					   const forward_refusal_t *refusal)
+{
+	for (uint32_t i = 0; refusal->shard && i < forward->part_count; i++)
+		if (g_str_equal(forward->parts[i].pool->service, refusal->shard))
+			append_passed_over(line, &forward->parts[i]);
+}
+
+static void write_answer(const GString *line, const forward_answer_t *answer)
+{
+	bool complete = answer->outcome == FORWARD_ANSWERED && !answer->missing;
+
+	g_log(answer->refusal.by_admission ? LOG_REFUSALS : NULL,
+	      complete ? G_LOG_LEVEL_INFO : G_LOG_LEVEL_MESSAGE, "%s", line->str);
+}
+
 void front_log_answer(const char *id, const forward_t *forward, const forward_answer_t *answer,
 		      int status, uint64_t store_age_us)
 {
@@ -76,16 +111,19 @@
 		forward_outcome_name(answer->outcome), status, took_us,
 		forward->request.patience_us, answer->parts, answer->missing,
 		forward->routing ? forward->routing->version : 0, store_age_us);
+	append_refusal(line, answer);
 	append_fingerprint(line, forward->request.fingerprint);
-	if (!complete)
+	/* Of a request that admission control refused, no part was sent. */
+	if (answer->refusal.by_admission)
+		append_short_shard_passed_over(line, forward, &answer->refusal);
+	else if (!complete)
 		append_missing(line, forward);
-	g_log(NULL, complete ? G_LOG_LEVEL_INFO : G_LOG_LEVEL_MESSAGE, "%s", line->str);
+	write_answer(line, answer);
 }
 
 void front_log_gathered(const forward_request_t *request, const handover_t *handover,
 			const forward_answer_t *answer, uint64_t store_age_us)
 {
-	bool complete = answer->outcome == FORWARD_ANSWERED && !answer->missing;
 	g_autoptr(GString) line = g_string_sized_new(256);
 	uint64_t now_us = loop_now_us();
 
@@ -99,8 +137,9 @@
 		request->patience_us, answer->parts, answer->missing,
 		handover->gatherer ? handover->gatherer->vm->name : "nobody", handover->tried->len,
 		handover->accepted, now_us - handover->begun_us, store_age_us);
+	append_refusal(line, answer);
 	append_fingerprint(line, request->fingerprint);
-	g_log(NULL, complete ? G_LOG_LEVEL_INFO : G_LOG_LEVEL_MESSAGE, "%s", line->str);
+	write_answer(line, answer);
 }
 
 void front_log_refused(const forward_request_t *request, forward_outcome_t outcome,
--- a/src/tasks/front_requests.c
+++ b/src/tasks/front_requests.c
@@ -31,14 +31,25 @@
 	return text ? (hop_bytes_t){.data = text->str, .bytes = text->len} : (hop_bytes_t){0};
 }
 
+static hop_bytes_t bytes_of_text(const char *text)
+{
+	return text ? (hop_bytes_t){.data = text, .bytes = strlen(text)} : (hop_bytes_t){0};
+}
+
 static void answer_taker(front_task_t *task, hop_job_t *job, const forward_answer_t *answer)
 {
+	const forward_refusal_t *refusal = &answer->refusal;
 	const hop_answer_t hop_answer = {.end = answer->outcome,
 					 .parts = answer->parts,
 					 .missing = answer->missing,
 					 .retry_after_us = answer->retry_after_us,
 					 .stamps = bytes_of(answer->stamps),
-					 .records = bytes_of(answer->records)};
+					 .records = bytes_of(answer->records),
+					 .refused_by_admission = refusal->by_admission,
+					 .shard = bytes_of_text(refusal->shard),
+					 .tenant = bytes_of_text(refusal->tenant),
+					 .rank = refusal->rank,
+					 .waited_us = refusal->waited_us};
 
 	hop_server_answer(task->hops, job, &hop_answer);
 }
@@ -232,6 +243,12 @@
 
 /* ---- gathers handed over to other VMs ---- */
 
+/* An empty text is none. The caller frees the result. */
+static char *text_of(hop_bytes_t bytes)
+{
+	return bytes.bytes ? g_strndup(bytes.data, bytes.bytes) : NULL;
+}
+
 static void on_gathered(void *ctx, relay_t *relay, const hop_answer_t *answer)
 {
 	front_task_t *task = ctx;
@@ -239,13 +256,21 @@
 		g_string_new_len(answer->stamps.data, (gssize)answer->stamps.bytes);
 	g_autoptr(GString) records =
 		g_string_new_len(answer->records.data, (gssize)answer->records.bytes);
+	g_autofree char *shard = text_of(answer->shard);
+	g_autofree char *tenant = text_of(answer->tenant);
 	bool answered = answer->end == FORWARD_ANSWERED;
-	const forward_answer_t forward_answer = {.outcome = answer->end,
-						 .stamps = answered ? stamps : NULL,
-						 .records = answered ? records : NULL,
-						 .parts = answer->parts,
-						 .missing = answer->missing,
-						 .retry_after_us = answer->retry_after_us};
+	const forward_answer_t forward_answer = {
+		.outcome = answer->end,
+		.stamps = answered ? stamps : NULL,
+		.records = answered ? records : NULL,
+		.parts = answer->parts,
+		.missing = answer->missing,
+		.retry_after_us = answer->retry_after_us,
+		.refusal = {.by_admission = answer->refused_by_admission,
+			    .shard = shard,
+			    .tenant = tenant,
+			    .rank = answer->rank,
+			    .waited_us = answer->waited_us}};
 
 	front_log_gathered(&relay->request, relay->handover, &forward_answer,
 			   store_sync_task_age_us(task->store_sync));
--- a/tests/forward_test.c
+++ b/tests/forward_test.c
@@ -22,6 +22,8 @@
  * - `list ID...`: the store sends its complete list
  * - `restored`: the store was restored from an older copy of its data
  * - `copied ID SERVICE local|far`: an outdated entry, from that copy
+ * - `admission`: requests start, wait and are refused as a whole; before `routing`
+ * - `counts`: print what admission control has counted
  * - `room ID CONNECTIONS`: set this VM's share of the searcher's connections
  * - `constant N`: set this VM's part of the constant of the retry bound
  * - `idle ID CONNECTIONS`: this VM has so many idle connections to the searcher
@@ -110,6 +112,16 @@
 	print_line(fixture, "cancel to=%s", sub->searcher->id);
 }
 
+static void append_refusal(GString *text, const forward_refusal_t *refusal)
+{
+	if (!refusal->by_admission)
+		return;
+	g_string_append_printf(text, " reason=admission shard=%s wait_ms=%" G_GUINT64_FORMAT,
+			       refusal->shard ? refusal->shard : "none", refusal->waited_us / 1000);
+	if (refusal->tenant)
+		g_string_append_printf(text, " tenant=%s", refusal->tenant);
+}
+
 static void on_answer(void *ctx, forward_t *forward, const forward_answer_t *answer)
 {
 	fixture_t *fixture = ctx;
@@ -123,6 +135,7 @@
 	if (answer->retry_after_us)
 		g_string_append_printf(text, " back_in_ms=%" G_GUINT64_FORMAT,
 				       answer->retry_after_us / 1000);
+	append_refusal(text, &answer->refusal);
 	print_line(fixture, "reply %s %s%s", forward->request.id,
 		   forward_outcome_name(answer->outcome), text->str);
 	g_hash_table_remove(fixture->forwards, forward->request.id);
@@ -478,6 +491,29 @@
 	registry_store_recovered(fixture->registry, fixture->now_us);
 }
 
+static void do_admission(void *ctx, char **words)
+{
+	(void)words;
+	forwarder_enable_admission(((fixture_t *)ctx)->forwarder);
+}
+
+static void do_counts(void *ctx, char **words)
+{
+	fixture_t *fixture = ctx;
+	const forwarder_counters_t *counters = forwarder_counters(fixture->forwarder);
+	g_autoptr(GString) refused = g_string_new(NULL);
+
+	(void)words;
+	for (uint32_t rank = 0; rank < ADMISSION_RANKS_COUNTED; rank++)
+		if (counters->admission_refused[rank])
+			g_string_append_printf(refused, " refused_%u=%" G_GUINT64_FORMAT, rank,
+					       counters->admission_refused[rank]);
+	print_line(fixture,
+		   "waiting=%u started=%" G_GUINT64_FORMAT " expired=%" G_GUINT64_FORMAT "%s",
+		   admission_waiting(forwarder_admission(fixture->forwarder)),
+		   counters->admission_started, counters->admission_expired, refused->str);
+}
+
 static void do_room(void *ctx, char **words)
 {
 	fixture_t *fixture = ctx;
@@ -762,6 +798,8 @@
 	{"restored", do_restored},
 	{"lost", do_store_lost},
 	{"back", do_store_recovered},
+	{"admission", do_admission},
+	{"counts", do_counts},
 	{"room", do_room},
 	{"constant", do_constant},
 	{"idle", do_idle},
