Metrics of admission control and of the send limits

dogwoodsaddle_admission_waiting, admission_started_total, admission_expired_total, admission_refused_total{rank} (ranks 0 to 6, and 7 with all less urgent ones), send_limit{service} and send_limit_searchers_at_minimum{service}. None is printed while admission control is not enabled. A searcher without a limit counts with its connections; a limit up to twice the minimum counts as at the minimum, because one that recovers with time is exactly there only for a moment.

--- a/src/queries/front_metrics.c
+++ b/src/queries/front_metrics.c
@@ -101,8 +101,58 @@
 	put_latency(ctx, "answer_latency_us", "route", route, latency);
 }
 
+/* Refusals by rank; the last label stands for all less urgent ranks, too. */
+static void put_refusals(GString *out, const forwarder_counters_t *counters)
+{
+	for (uint32_t rank = 0; rank < ADMISSION_RANKS_COUNTED; rank++) {
+		g_autofree char *label = g_strdup_printf(
+			"%u%s", rank, rank == ADMISSION_RANKS_COUNTED - 1 ? "+" : "");
+
+		put_metric(out, "admission_refused_total", "rank", label,
+			   counters->admission_refused[rank]);
+	}
+}
+
+static void put_admission(GString *out, const forwarder_t *forwarder)
+{
+	const forwarder_counters_t *counters = forwarder_counters(forwarder);
+	const admission_t *admission = forwarder_admission(forwarder);
+
+	if (!admission)
+		return;
+	put_metric(out, "admission_waiting", NULL, NULL, admission_waiting(admission));
+	put_metric(out, "admission_started_total", NULL, NULL, counters->admission_started);
+	put_metric(out, "admission_expired_total", NULL, NULL, counters->admission_expired);
+	put_refusals(out, counters);
+}
+
+/* Searchers to which no limit applies count with the connections that this VM may open. */
+static void put_send_limits(GString *out, const pool_t *pool, uint64_t now_us)
+{
+	char number[G_ASCII_DTOSTR_BUF_SIZE];
+	uint32_t at_minimum = 0;
+	double sum = 0;
+
+	for (guint i = 0; i < pool->searchers->len; i++) {
+		const searcher_t *searcher = g_ptr_array_index(pool->searchers, i);
+		double limit = send_limit_now(&searcher->send_limit, now_us);
+
+		if (!searcher_is_usable(searcher))
+			continue;
+		sum += limit > 0 ? MIN(limit, searcher->connections_max)
+				 : searcher->connections_max;
+		at_minimum += send_limit_is_at_minimum(&searcher->send_limit, now_us);
+	}
+	g_string_append_printf(out, "dogwoodsaddle_%s", "send_limit");
+	put_label(out, "service", pool->service);
+	g_string_append_printf(out, " %s\n", g_ascii_formatd(number, sizeof(number), "%.2f", sum));
+	put_metric(out, "send_limit_searchers_at_minimum", "service", pool->service, at_minimum);
+}
+
 static void put_service(GString *out, const pool_t *pool)
 {
+	if (pool->limits_sends)
+		put_send_limits(out, pool, loop_now_us());
 	if (!pool->latency.count)
 		return;
 	put_latency(out, "sub_reply_latency_us", "service", pool->service, &pool->latency);
@@ -214,6 +264,7 @@
 	put_metric(out, "vms", NULL, NULL, store_sync_task_vms(sources->store_sync)->len);
 	put_store(out, sources->store_sync, sources->store);
 	put_requests(out, sources->forwarder);
+	put_admission(out, sources->forwarder);
 	put_poison(out, forwarder_poison(sources->forwarder));
 	put_handovers(out, sources->handovers, sources->gathers_for_others);
 	put_links(out, sources->links);
--- a/tests/settings_test.c
+++ b/tests/settings_test.c
@@ -92,6 +92,7 @@
 		{"[store]\napply_ms = 99.9\n", "[store] apply_ms: must be a number from 100"},
 		{"[stop]\ngrace_s = 0.5\n", "[stop] grace_s: must be a number from 1"},
 		{"[quotas]\nwindow_s = 0.9\n", "[quotas] window_s: must be a number from 1"},
+		{"[admission]\nenabled = maybe\n", "[admission] enabled: "},
 		{"[quotas]\noverage = -0.1\n", "[quotas] overage: must be a number from 0 to 100"},
 	};
 
