explain: requests that admission control has refused

The tool told every outcome=full as a connection that would not become free, and of a refused request it knew no searcher to look at. It now says which shard lacked room, how long the request waited, its rank and tenant, what the caller was told, how many requests were refused around it by shard, and shows the searchers of that shard. Where a gatherer and the VM that handed the request over tell different outcomes, the latter's counts, because that is what the caller got.

--- a/src/tool/explain.c
+++ b/src/tool/explain.c
@@ -50,12 +50,22 @@
 	 "not run: no VM that pools quotas answered, and this VM's own share was used up"},
 };
 
+/* Meanings of outcome=full with reason=admission. */
+#define REFUSED_FOR_SHARD                                                                          \
+	"not run: admission control refused it as a whole, because too few of the shards that it " \
+	"needs had room"
+#define REFUSED_BEHIND_OTHERS                                                                      \
+	"not run: admission control refused it as a whole, because requests before it take the "   \
+	"room that comes free in time"
+#define NO_SHARD "none"
+
 /** A request that is being explained. */
 typedef struct explanation_t {
 	const GPtrArray *lines;
 	const char *request;
 	const log_line_t *answer;
 	GHashTable *searchers; /* ids of the searchers that the request was sent to */
+	char *shard;	       /* the one for which admission control has refused it, or NULL */
 	char *gatherer;	       /* the VM that the answering VM handed it over to, or NULL */
 } explanation_t;
 
@@ -79,8 +89,16 @@
 	return log_line_has(line, "event", event);
 }
 
+static bool is_refused_by_admission(const log_line_t *line)
+{
+	return is_event(line, "answer") && log_line_has(line, "reason", "admission");
+}
+
 static const char *meaning_of(const log_line_t *answer)
 {
+	if (is_refused_by_admission(answer))
+		return log_line_has(answer, "shard", NO_SHARD) ? REFUSED_BEHIND_OTHERS
+							       : REFUSED_FOR_SHARD;
 	for (size_t i = 0; i < G_N_ELEMENTS(meanings); i++)
 		if (log_line_has(answer, "outcome", meanings[i].outcome))
 			return meanings[i].text;
@@ -116,6 +134,17 @@
 	add_searchers_of_lost_parts(explanation, line->text);
 }
 
+/* How well a line of the request tells what its caller got. The VM that handed a request over has
+ * answered the caller, possibly otherwise than a gatherer has answered that VM. */
+static int answer_weight(const log_line_t *line)
+{
+	g_autofree char *gatherer = log_line_value(line, "gathered_by");
+
+	if (!is_event(line, "answer"))
+		return 0;
+	return gatherer ? 2 : 1;
+}
+
 /* Finds the last answer line of the request, or its last line when it has no answer line. */
 static bool find_answer(explanation_t *explanation)
 {
@@ -125,8 +154,8 @@
 		if (!log_line_has(line, "request", explanation->request))
 			continue;
 		add_searchers_of_line(explanation, line);
-		if (!explanation->answer || is_event(line, "answer") ||
-		    !is_event(explanation->answer, "answer"))
+		if (!explanation->answer ||
+		    answer_weight(line) >= answer_weight(explanation->answer))
 			explanation->answer = line;
 	}
 	return explanation->answer != NULL;
@@ -145,6 +174,122 @@
 	}
 }
 
+/* Prints the value of @p key, in us, as milliseconds. */
+static void print_ms(const log_line_t *line, const char *before, const char *key, const char *after)
+{
+	g_autofree char *value = log_line_value(line, key);
+
+	if (value)
+		printf("%s%" G_GUINT64_FORMAT " ms%s", before,
+		       g_ascii_strtoull(value, NULL, 10) / 1000, after);
+}
+
+static void print_word(const log_line_t *line, const char *before, const char *key)
+{
+	g_autofree char *value = log_line_value(line, key);
+
+	if (value)
+		printf("%s%s", before, value);
+}
+
+static void print_refusal(const explanation_t *explanation)
+{
+	const log_line_t *answer = explanation->answer;
+
+	if (explanation->shard)
+		printf("shard %s lacked room at its searchers", explanation->shard);
+	else
+		printf("no shard lacked room when it was refused");
+	if (log_line_has(answer, "wait_us", "0"))
+		printf("; refused on arrival");
+	else
+		print_ms(answer, "; it waited ", "wait_us", " for room");
+	print_word(answer, "; rank ", "rank");
+	print_word(answer, ", tenant ", "tenant");
+	print_word(answer, "\nthe caller was told ", "status");
+	print_ms(answer, " and to come back in ", "retry_after_us", "");
+	puts("");
+}
+
+static void print_counts(GHashTable *counts)
+{
+	g_autoptr(GList) names = g_list_sort(g_hash_table_get_keys(counts), (GCompareFunc)strcmp);
+
+	for (GList *item = names; item; item = item->next)
+		printf(" %s=%u", (const char *)item->data,
+		       GPOINTER_TO_UINT(g_hash_table_lookup(counts, item->data)));
+	puts(names ? "" : " none");
+}
+
+/* Takes ownership of @p name. */
+static void add_count(GHashTable *counts, char *name)
+{
+	guint count = GPOINTER_TO_UINT(g_hash_table_lookup(counts, name));
+
+	g_hash_table_insert(counts, name, GUINT_TO_POINTER(count + 1));
+}
+
+/* Whether the line is the first one of its request. Requests without an id can't be told apart. */
+static bool is_first_line(GHashTable *requests, const log_line_t *line)
+{
+	char *request = log_line_value(line, "request");
+
+	if (request && *request)
+		return g_hash_table_add(requests, request);
+	g_free(request);
+	return true;
+}
+
+/* Prints for which shards all VMs have refused requests around the answer. The gatherer and the VM
+ * that handed the request over log the same refusal. */
+static void print_refusals_around(const explanation_t *explanation)
+{
+	g_autoptr(GHashTable) counts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	g_autoptr(GHashTable) requests =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+
+	for (guint i = 0; i < explanation->lines->len; i++) {
+		const log_line_t *line = g_ptr_array_index(explanation->lines, i);
+
+		if (ABS(after_ms(explanation, line)) <= OUTCOMES_WITHIN_MS &&
+		    is_refused_by_admission(line) && is_first_line(requests, line))
+			add_count(counts, log_line_value(line, "shard"));
+	}
+	printf("requests refused by admission control, by shard, logged by all VMs within %.1f s:",
+	       OUTCOMES_WITHIN_MS / 1000.0);
+	print_counts(counts);
+}
+
+/* The request was sent to none of the shard's searchers; what became of them shows why it lacked
+ * room. */
+static void add_searchers_of_shard(explanation_t *explanation)
+{
+	for (guint i = 0; explanation->shard && i < explanation->lines->len; i++) {
+		const log_line_t *line = g_ptr_array_index(explanation->lines, i);
+		int64_t after = after_ms(explanation, line);
+		char *searcher;
+
+		if (after < -CAUSE_BEFORE_MS || after > CAUSE_AFTER_MS ||
+		    !log_line_has(line, "service", explanation->shard))
+			continue;
+		searcher = log_line_value(line, "searcher");
+		if (searcher)
+			g_hash_table_add(explanation->searchers, searcher);
+	}
+}
+
+static void explain_refusal(explanation_t *explanation)
+{
+	char *shard = log_line_value(explanation->answer, "shard");
+
+	explanation->shard = g_strcmp0(shard, NO_SHARD) ? shard : NULL;
+	if (!explanation->shard)
+		g_free(shard);
+	print_refusal(explanation);
+	print_refusals_around(explanation);
+	add_searchers_of_shard(explanation);
+}
+
 /* Prints the strikes and trials of the request on any VM. */
 static void print_poison(const explanation_t *explanation, const char *fingerprint)
 {
@@ -183,26 +328,18 @@
 static void print_searcher_outcomes(const explanation_t *explanation, const char *searcher)
 {
 	g_autoptr(GHashTable) counts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	GHashTableIter iter;
-	gpointer outcome, count;
 
 	for (guint i = 0; i < explanation->lines->len; i++) {
 		const log_line_t *line = g_ptr_array_index(explanation->lines, i);
-		char *value;
 
 		if (ABS(after_ms(explanation, line)) > OUTCOMES_WITHIN_MS ||
 		    !is_event(line, "sub-request") || !log_line_has(line, "searcher", searcher))
 			continue;
-		value = log_line_value(line, "outcome");
-		count = g_hash_table_lookup(counts, value);
-		g_hash_table_insert(counts, value, GUINT_TO_POINTER(GPOINTER_TO_UINT(count) + 1));
+		add_count(counts, log_line_value(line, "outcome"));
 	}
 	printf("searcher %s, sub-requests logged by all VMs within %.1f s:", searcher,
 	       OUTCOMES_WITHIN_MS / 1000.0);
-	g_hash_table_iter_init(&iter, counts);
-	while (g_hash_table_iter_next(&iter, &outcome, &count))
-		printf(" %s=%u", (const char *)outcome, GPOINTER_TO_UINT(count));
-	puts(g_hash_table_size(counts) ? "" : " none");
+	print_counts(counts);
 }
 
 /* All VMs log the same changes of a searcher, so only the first line of each event is printed. */
@@ -267,6 +404,8 @@
 		return false;
 	explanation.gatherer = log_line_value(explanation.answer, "gathered_by");
 	print_request(&explanation);
+	if (is_refused_by_admission(explanation.answer))
+		explain_refusal(&explanation);
 	print_attempts(&explanation);
 	g_hash_table_iter_init(&iter, searchers);
 	while (g_hash_table_iter_next(&iter, &searcher, NULL))
@@ -275,5 +414,6 @@
 	if (explanation.gatherer && !g_str_equal(explanation.gatherer, "nobody"))
 		print_vm(&explanation, explanation.gatherer);
 	g_free(explanation.gatherer);
+	g_free(explanation.shard);
 	return true;
 }
