--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -31,6 +31,8 @@
 	'the tenant of a request is not known without a list of searchers|src/core/forwarder.c|s/return access->route && !forwarder->shutting_down/return access->route \&\& registry_is_ready(forwarder->registry) \&\& !forwarder->shutting_down/'
 	'a caller without a route is told that its key may be new|src/core/forwarder.c|s/return route && !routing_authorize/return !route || !routing_authorize/'
 	'requests leave the regions that their tenant allows|src/core/placement.c|s/tenant_allows\(candidates->tenant, searcher->region\)/1/'
+	'a refusal names a shard that the coverage allows to miss|src/core/forward_admission.c|s/!forward_has_enough\(forward, --with_room\)/--with_room < forward->part_count/'
+	'the deadline of a waiting caller is not told as a refusal by admission control|src/core/forward.c|s/outcome == FORWARD_FULL && forward->admission.queued/0/'
 	'the rank of a tenant does not count|src/core/forward.c|s/tenant && tenant->has_rank \? tenant->rank : //'
 	'requests of two tenants have one fingerprint|src/core/fingerprint.c|s/if \(key\)/if (0)/'
 	'a VM takes a feeder that has not noticed the outage yet|src/core/store_sync_links.c|s/return !sync->feed \|\| link->last_answer_us/return 1 || link->last_answer_us/'
