--- a/src/queries/front_metrics.c
+++ b/src/queries/front_metrics.c
@@ -113,19 +113,6 @@
 	}
 }
 
-static void put_admission(GString *out, const forwarder_t *forwarder)
-{
-	const forwarder_counters_t *counters = forwarder_counters(forwarder);
-	const admission_t *admission = forwarder_admission(forwarder);
-
-	if (!admission)
-		return;
-	put_metric(out, "admission_waiting", NULL, NULL, admission_waiting(admission));
-	put_metric(out, "admission_started_total", NULL, NULL, counters->admission_started);
-	put_metric(out, "admission_expired_total", NULL, NULL, counters->admission_expired);
-	put_refusals(out, counters);
-}
-
 /* Searchers to which no limit applies count with the connections that this VM may open. */
 static void put_send_limits(GString *out, const pool_t *pool, uint64_t now_us)
 {
@@ -149,10 +136,34 @@
 	put_metric(out, "send_limit_searchers_at_minimum", "service", pool->service, at_minimum);
 }
 
+static void put_all_send_limits(GString *out, const registry_t *registry, uint64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer pool;
+
+	g_hash_table_iter_init(&iter, registry_pools((registry_t *)registry));
+	while (g_hash_table_iter_next(&iter, NULL, &pool))
+		if (((const pool_t *)pool)->limits_sends)
+			put_send_limits(out, pool, now_us);
+}
+
+void front_metrics_write_admission(GString *out, const forwarder_t *forwarder,
+				   const registry_t *registry, uint64_t now_us)
+{
+	const forwarder_counters_t *counters = forwarder_counters(forwarder);
+	const admission_t *admission = forwarder_admission(forwarder);
+
+	if (!admission)
+		return;
+	put_metric(out, "admission_waiting", NULL, NULL, admission_waiting(admission));
+	put_metric(out, "admission_started_total", NULL, NULL, counters->admission_started);
+	put_metric(out, "admission_expired_total", NULL, NULL, counters->admission_expired);
+	put_refusals(out, counters);
+	put_all_send_limits(out, registry, now_us);
+}
+
 static void put_service(GString *out, const pool_t *pool)
 {
-	if (pool->limits_sends)
-		put_send_limits(out, pool, loop_now_us());
 	if (!pool->latency.count)
 		return;
 	put_latency(out, "sub_reply_latency_us", "service", pool->service, &pool->latency);
@@ -264,7 +275,7 @@
 	put_metric(out, "vms", NULL, NULL, store_sync_task_vms(sources->store_sync)->len);
 	put_store(out, sources->store_sync, sources->store);
 	put_requests(out, sources->forwarder);
-	put_admission(out, sources->forwarder);
+	front_metrics_write_admission(out, sources->forwarder, sources->registry, loop_now_us());
 	put_poison(out, forwarder_poison(sources->forwarder));
 	put_handovers(out, sources->handovers, sources->gathers_for_others);
 	put_links(out, sources->links);
--- a/src/queries/front_metrics.h
+++ b/src/queries/front_metrics.h
@@ -29,6 +29,9 @@
 	GHashTable *tenants; /**< see core/tenant_counters.h */
 } front_metrics_sources_t;
 
+/** Append the metrics of admission control and of the send limits; none while it is not enabled. */
+void front_metrics_write_admission(GString *out, const forwarder_t *forwarder,
+				   const registry_t *registry, uint64_t now_us);
 /** @return text that the caller frees */
 GString *front_metrics_write(const front_metrics_sources_t *sources);
 
