--- a/src/core/send_limit.c
+++ b/src/core/send_limit.c
@@ -20,6 +20,9 @@
 #define START_FACTOR 4
 /* A limit below its start doubles in this time. */
 #define RECOVERY_DOUBLING_US 500000.0
+/* A limit up to this multiple of the minimum counts as at the minimum: one that recovers with time
+ * is exactly there only for a moment, which metrics would miss. */
+#define AT_MINIMUM_FACTOR 2
 /* Weight of one answer in the average latency. */
 #define LATENCY_WEIGHT 0.2
 
@@ -41,6 +44,16 @@
 	return MAX(limit->limit, MIN(recovered, limit->start));
 }
 
+double send_limit_now(const send_limit_t *limit, uint64_t now_us)
+{
+	return limit->limit > 0 ? limit_now(limit, now_us) : 0;
+}
+
+bool send_limit_is_at_minimum(const send_limit_t *limit, uint64_t now_us)
+{
+	return limit->limit > 0 && limit_now(limit, now_us) <= AT_MINIMUM_FACTOR * LIMIT_MIN;
+}
+
 bool send_limit_has_room(const send_limit_t *limit, uint32_t outstanding, uint64_t now_us)
 {
 	double most;
--- a/src/queries/front_metrics.c
+++ b/src/queries/front_metrics.c
@@ -101,6 +101,69 @@
 	put_latency(ctx, "answer_latency_us", "route", route, latency);
 }
 
+/* Refusals by rank; the last label stands for all less urgent ranks, too. */
+static void put_refusals(GString *out, const forwarder_counters_t *counters)
+{
+	for (uint32_t rank = 0; rank < ADMISSION_RANKS_COUNTED; rank++) {
+		g_autofree char *label = g_strdup_printf(
+			"%u%s", rank, rank == ADMISSION_RANKS_COUNTED - 1 ? "+" : "");
+
+		put_metric(out, "admission_refused_total", "rank", label,
+			   counters->admission_refused[rank]);
+	}
+}
+
+/* Searchers to which no limit applies count with the connections that this VM may open. */
+static void put_send_limits(GString *out, const pool_t *pool, uint64_t now_us)
+{
+	char number[G_ASCII_DTOSTR_BUF_SIZE];
+	uint32_t at_minimum = 0;
+	double sum = 0;
+
+	for (guint i = 0; i < pool->searchers->len; i++) {
+		const searcher_t *searcher = g_ptr_array_index(pool->searchers, i);
+		double limit = send_limit_now(&searcher->send_limit, now_us);
+
+		if (!searcher_is_usable(searcher))
+			continue;
+		sum += limit > 0 ? MIN(limit, searcher->connections_max)
+				 : searcher->connections_max;
+		at_minimum += send_limit_is_at_minimum(&searcher->send_limit, now_us);
+	}
+	g_string_append_printf(out, "dogwoodsaddle_%s", "send_limit");
+	put_label(out, "service", pool->service);
+	g_string_append_printf(out, " %s\n", g_ascii_formatd(number, sizeof(number), "%.2f", sum));
+	put_metric(out, "send_limit_searchers_at_minimum", "service", pool->service, at_minimum);
+}
+
+static void put_all_send_limits(GString *out, const registry_t *registry, uint64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer pool;
+
+	g_hash_table_iter_init(&iter, registry_pools((registry_t *)registry));
+	while (g_hash_table_iter_next(&iter, NULL, &pool))
+		if (((const pool_t *)pool)->overload)
+			put_send_limits(out, pool, now_us);
+}
+
+void front_metrics_write_admission(GString *out, const forwarder_t *forwarder,
+				   const registry_t *registry, uint64_t now_us)
+{
+	const forwarder_counters_t *counters = forwarder_counters(forwarder);
+	const admission_t *admission = forwarder_admission(forwarder);
+
+	if (!admission)
+		return;
+	put_metric(out, "overloaded", NULL, NULL,
+		   forwarder_overload((forwarder_t *)forwarder)->active);
+	put_metric(out, "admission_waiting", NULL, NULL, admission_waiting(admission));
+	put_metric(out, "admission_started_total", NULL, NULL, counters->admission_started);
+	put_metric(out, "admission_expired_total", NULL, NULL, counters->admission_expired);
+	put_refusals(out, counters);
+	put_all_send_limits(out, registry, now_us);
+}
+
 static void put_service(GString *out, const pool_t *pool)
 {
 	if (!pool->latency.count)
@@ -214,6 +277,7 @@
 	put_metric(out, "vms", NULL, NULL, store_sync_task_vms(sources->store_sync)->len);
 	put_store(out, sources->store_sync, sources->store);
 	put_requests(out, sources->forwarder);
+	front_metrics_write_admission(out, sources->forwarder, sources->registry, loop_now_us());
 	put_poison(out, forwarder_poison(sources->forwarder));
 	put_handovers(out, sources->handovers, sources->gathers_for_others);
 	put_links(out, sources->links);
