core/overload: an overload begins at 9 % of late sub-requests

Cause: VMs with few callers stayed below 12 % and went on sending without limits beside those that had limits.

--- a/src/core/overload.c
+++ b/src/core/overload.c
@@ -8,7 +8,7 @@
 #define LATE_WEIGHT 0.02
 /* Pauses of searchers make some 5 % of the sub-requests late. In an overload that nobody limits
  * most are; once it is limited, a tenth to a third. */
-#define LATE_SHARE_BEGIN 0.12
+#define LATE_SHARE_BEGIN 0.09
 #define LATE_SHARE_END 0.06
 /* The overload is over after this time without a sign of it. */
 #define CALM_US 1000000
