core/overload: the weight of one sub-request is 0.01

Cause: with 0.02 the share of late sub-requests varied by 0.02 around the 5 % that pauses cause, so that calm VMs took themselves for overloaded.

--- a/src/core/overload.c
+++ b/src/core/overload.c
@@ -5,7 +5,7 @@
 #include "core/overload.h"
 
 /* Weight of one sub-request in the share of late ones. */
-#define LATE_WEIGHT 0.02
+#define LATE_WEIGHT 0.01
 /* Pauses of searchers make some 5 % of the sub-requests late. In an overload that nobody limits
  * most are; once it is limited, a tenth to a third. */
 #define LATE_SHARE_BEGIN 0.09
