--- a/src/core/connection_share.h
+++ b/src/core/connection_share.h
@@ -28,8 +28,8 @@
 void vm_counts_set(vm_counts_t *counts, const GPtrArray *vms);
 void vm_counts_clear(vm_counts_t *counts);
 
-/** Set connections_max, and the start of the send limit, of all searchers of @p pool, each of which accepts @p connections from all
- * VMs together. */
+/** Set connections_max, and the start of the send limit, of all searchers of @p pool, each of which
+ * accepts @p connections from all VMs together. */
 void connection_share_set(pool_t *pool, uint32_t connections, const vm_counts_t *vms);
 
 #endif
--- a/src/core/part.c
+++ b/src/core/part.c
@@ -360,8 +360,7 @@
 
 bool part_is_held(const part_t *part)
 {
-	return part->state == PART_WAITING && !part->is_queued &&
-	       !part->forward->admission.queued;
+	return part->state == PART_WAITING && !part->is_queued && !part->forward->admission.queued;
 }
 
 void part_resume(part_t *part, uint64_t now_us)
