core/forward_admission: a request without room at its target no longer stands for its route

Cause: a pass over the waiting requests took a route as blocked once one of its requests lacked room. Where the route has several targets, requests for another target then waited, and were refused, while that one had room; the same held after a gather that had lost a shard. Change: only gathers that have lost no shard, and requests of routes with one target, stand for their route. Measured: tests/forward/admission_targets.txt: 0 of 3 requests for the free target started before, 3 of 3 now.

--- a/src/core/forward_admission.c
+++ b/src/core/forward_admission.c
@@ -28,7 +28,8 @@
 /** One pass over the waiting requests. */
 typedef struct start_pass_t {
 	uint64_t now_us;
-	/* Requests of one route need the same shards: once one lacks room, the others do. */
+	/* Once a gather that has lost no shard lacks room, so do the others of its route. Requests
+	 * with one of several targets may have room at another. */
 	const route_t *blocked[BLOCKED_MAX];
 	uint32_t blocked_count;
 } start_pass_t;
@@ -198,6 +199,14 @@
 	return false;
 }
 
+/* Whether all requests of the route lack room if this one does. */
+static bool stands_for_route(const forward_t *forward)
+{
+	uint32_t targets = forward->route->gathers ? 1 : forward->route->targets->len;
+
+	return targets == 1 && !forward->lost && !forward_is_bound(forward);
+}
+
 static bool entry_can_start(void *ctx, admission_entry_t *entry)
 {
 	start_pass_t *pass = ctx;
@@ -207,7 +216,7 @@
 		return false;
 	if (can_start(forward, pass->now_us))
 		return true;
-	if (!forward_is_bound(forward) && pass->blocked_count < BLOCKED_MAX)
+	if (stands_for_route(forward) && pass->blocked_count < BLOCKED_MAX)
 		pass->blocked[pass->blocked_count++] = forward->route;
 	return false;
 }
