core/forwarder: parts are dispatched after the pause of a send limit below 1

Cause: a limit below 1 allows the next sub-request after a pause, which no answer announces. A part that its request needs waited in its pool to its deadline, and no request that needs the shard could start behind it. Change: while an idle searcher of the pool is in such a pause, the queue is tried again each 5 ms, if its first part is one that its request needs. The timer is the one for cold searchers.

--- a/src/core/forward_private.h
+++ b/src/core/forward_private.h
@@ -23,7 +23,7 @@
 	timers_t hang_timers; /* of sub-requests in flight; they do not change the course of a
 				 request */
 	timer_entry_t
-		cold_timer; /* when waiting parts may be sent to a searcher that is cold now */
+		dispatch_timer; /* when waiting parts may be sent to a cold or paused searcher */
 	GRand *rand;
 	uint32_t open;
 	bool shutting_down;
@@ -35,8 +35,9 @@
 	forwarder_counters_t counters;
 };
 
-/** Dispatch waiting parts at @p at_us, even if no sub-request ends before. */
-void forwarder_dispatch_at(forwarder_t *forwarder, uint64_t at_us);
+/** Dispatch waiting parts when a searcher for @p part may be sent to again, even if no sub-request
+ * ends before: it is cold, or its send limit demands a pause. */
+void forwarder_dispatch_later(forwarder_t *forwarder, const part_t *part, uint64_t now_us);
 /** Share with the other VMs what this VM observed of the searcher of @p sub. */
 void forwarder_share_observation(forwarder_t *forwarder, const subrequest_t *sub,
 				 observation_type_t type, uint64_t now_us);
--- a/src/core/forwarder.c
+++ b/src/core/forwarder.c
@@ -5,6 +5,7 @@
 #include "core/forward_private.h"
 
 #include "core/retry_after.h"
+#include "core/shedding.h"
 
 /* A request's deadline and target are this much before those of its caller. The caller's clock
  * started when it sent the request; the network delay in each direction (some ms) and an iteration
@@ -15,8 +16,11 @@
 /* When a caller has disconnected, searchers must not work for it for half a second: its
  * sub-requests are cancelled well before that. */
 #define ABANDONED_CANCEL_US 250000
+/* When to try parts again that wait for the end of a pause between sub-requests (send_limit.h). */
+#define PAUSE_RECHECK_US 5000
 
-static void on_cold_timer(void *ctx, uint64_t now_us);
+static void on_dispatch_timer(void *ctx, uint64_t now_us);
+static void dispatch_after_pause(forwarder_t *forwarder, const pool_t *pool, uint64_t now_us);
 
 forwarder_t *forwarder_new(const forwarder_ops_t *ops, void *ctx, registry_t *registry,
 			   uint32_t seed)
@@ -32,7 +36,7 @@
 	forwarder->poison = poison_new(ops->poison, ctx, seed);
 	timers_init(&forwarder->timers);
 	timers_init(&forwarder->hang_timers);
-	forwarder->cold_timer = (timer_entry_t){.fire = on_cold_timer, .ctx = forwarder};
+	forwarder->dispatch_timer = (timer_entry_t){.fire = on_dispatch_timer, .ctx = forwarder};
 	return forwarder;
 }
 
@@ -373,20 +377,39 @@
 			forward_set_timer(forward, now_us);
 	}
 	lose_without_candidates(pool, now_us);
+	dispatch_after_pause(forwarder, pool, now_us);
 }
 
-void forwarder_dispatch_at(forwarder_t *forwarder, uint64_t at_us)
+static void dispatch_at(forwarder_t *forwarder, uint64_t at_us)
 {
-	timer_entry_t *timer = &forwarder->cold_timer;
+	timer_entry_t *timer = &forwarder->dispatch_timer;
 
 	if (at_us != UINT64_MAX && (!timer->heap_position || at_us < timer->at_us))
 		timers_set(&forwarder->timers, timer, at_us);
 }
 
+/* Only for parts that their requests need, which come first in the queue: others would take the
+ * room of requests that have not started. */
+static void dispatch_after_pause(forwarder_t *forwarder, const pool_t *pool, uint64_t now_us)
+{
+	const part_t *first = pool->waiting.head ? pool->waiting.head->data : NULL;
+
+	if (first && !shedding_is_allowed(first->forward) && placement_has_paused(pool, now_us))
+		dispatch_at(forwarder, now_us + PAUSE_RECHECK_US);
+}
+
+void forwarder_dispatch_later(forwarder_t *forwarder, const part_t *part, uint64_t now_us)
+{
+	const candidates_t candidates = part_candidates(part);
+
+	dispatch_at(forwarder, placement_next_cold_send_us(&candidates, now_us));
+	dispatch_after_pause(forwarder, part->pool, now_us);
+}
+
 /* Waiting parts are normally dispatched when an answer frees a connection. A cold searcher that is
- * sent nothing sends no answer, so without this timer parts that wait for it would wait to their
- * deadline. */
-static void on_cold_timer(void *ctx, uint64_t now_us)
+ * sent nothing sends no answer, nor does one whose send limit demands a pause, so without this
+ * timer parts that wait for it would wait to their deadline. */
+static void on_dispatch_timer(void *ctx, uint64_t now_us)
 {
 	forwarder_t *forwarder = ctx;
 	g_autoptr(GList) pools = g_hash_table_get_values(registry_pools(forwarder->registry));
@@ -396,12 +419,8 @@
 
 		if (pool->waiting.length)
 			forwarder_dispatch_waiting(forwarder, pool->service, now_us);
-		if (pool->waiting.length) {
-			const candidates_t candidates = part_candidates(pool->waiting.head->data);
-
-			forwarder_dispatch_at(forwarder,
-					      placement_next_cold_send_us(&candidates, now_us));
-		}
+		if (pool->waiting.length)
+			forwarder_dispatch_later(forwarder, pool->waiting.head->data, now_us);
 	}
 }
 
--- a/src/core/part.c
+++ b/src/core/part.c
@@ -145,11 +145,8 @@
 
 static void part_queue(part_t *part, uint64_t now_us)
 {
-	const candidates_t candidates = part_candidates(part);
-
 	part_insert(part);
-	forwarder_dispatch_at(part->forward->forwarder,
-			      placement_next_cold_send_us(&candidates, now_us));
+	forwarder_dispatch_later(part->forward->forwarder, part, now_us);
 	part->state = PART_WAITING;
 	part->forward->forwarder->counters.waited++;
 }
@@ -360,8 +357,7 @@
 
 bool part_is_held(const part_t *part)
 {
-	return part->state == PART_WAITING && !part->is_queued &&
-	       !part->forward->admission.queued;
+	return part->state == PART_WAITING && !part->is_queued && !part->forward->admission.queued;
 }
 
 void part_resume(part_t *part, uint64_t now_us)
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -339,6 +339,18 @@
 	return false;
 }
 
+bool placement_has_paused(const pool_t *pool, uint64_t now_us)
+{
+	for (guint i = 0; i < pool->searchers->len; i++) {
+		const searcher_t *searcher = g_ptr_array_index(pool->searchers, i);
+
+		if (!searcher->outstanding.length && searcher_is_usable(searcher) &&
+		    searcher_has_capacity(searcher) && !has_room(searcher, pool, now_us))
+			return true;
+	}
+	return false;
+}
+
 bool placement_has_candidate(const candidates_t *candidates)
 {
 	const GPtrArray *searchers = candidates->pool->searchers;
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -65,6 +65,9 @@
 passed_over_t placement_passed_over(const candidates_t *candidates, uint64_t now_us);
 /** Records that a sub-request is sent to @p searcher. */
 void placement_record_send(const pool_t *pool, searcher_t *searcher, uint64_t now_us);
+/** Whether a searcher of the pool is idle but its send limit, below 1, demands a pause: no answer
+ * will announce the end of it. */
+bool placement_has_paused(const pool_t *pool, uint64_t now_us);
 /** Whether there is any candidate, with or without capacity. */
 bool placement_has_candidate(const candidates_t *candidates);
 
