--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -33,6 +33,10 @@
 	'requests leave the regions that their tenant allows|src/core/placement.c|s/tenant_allows\(candidates->tenant, searcher->region\)/1/'
 	'a refusal names a shard that the coverage allows to miss|src/core/forward_admission.c|s/!forward_has_enough\(forward, --with_room\)/--with_room < forward->part_count/'
 	'the deadline of a waiting caller is not told as a refusal by admission control|src/core/forward.c|s/outcome == FORWARD_FULL && forward->admission.queued/0/'
+	'a request that lacks room at its target keeps others from theirs|src/core/forward_admission.c|s/return targets == 1 \&\& /return /'
+	'parts that wait for the end of a pause wait to their deadline|src/core/forwarder.c|s/\(first \&\& !shedding_is_allowed\(first->forward\) \&\& placement_has_paused/(0 \&\& placement_has_paused/'
+	'late answers of one moment each lower a limit|src/core/send_limit.c|s/if \(sample->sent_us < limit->lowered_us\)\n\t\treturn;//'
+	'an overload ends while requests wait or are refused|src/core/overload.c|s/(void overload_note_shortage[^}]*)overload->seen_us = now_us;/$1/'
 	'the rank of a tenant does not count|src/core/forward.c|s/tenant && tenant->has_rank \? tenant->rank : //'
 	'requests of two tenants have one fingerprint|src/core/fingerprint.c|s/if \(key\)/if (0)/'
 	'a VM takes a feeder that has not noticed the outage yet|src/core/store_sync_links.c|s/return !sync->feed \|\| link->last_answer_us/return 1 || link->last_answer_us/'
@@ -238,9 +242,9 @@
 LIBS="$(pkg-config --libs glib-2.0 jansson libxxhash msgpack) -lcmocka -lm"
 
 # Test programs in the order in which they are tried, and what each is linked with besides src/core.
-TESTS="forward_test poison_test store_sync_test handover_test fleet_test parts_test message_test gossip_test script_test load_test random_test front_random_test front_fleet_test member_sync_test quota_test"
+TESTS="forward_test send_limit_test poison_test store_sync_test handover_test fleet_test parts_test message_test gossip_test script_test load_test random_test front_random_test front_fleet_test member_sync_test quota_test"
 declare -A SEEN_BY=(
-	[forward_test]='the forwarding scripts' [store_sync_test]='the store sync tests' [member_sync_test]='the tests of the list of VMs'
+	[forward_test]='the forwarding scripts' [send_limit_test]='the tests of the send limits' [store_sync_test]='the store sync tests' [member_sync_test]='the tests of the list of VMs'
 	[handover_test]='the hand-over scripts' [quota_test]='the tests of quotas'
 	[fleet_test]='the fleet tests' [parts_test]='the unit tests of small modules' [message_test]='the HTTP message tests'
 	[load_test]='the load scenarios' [poison_test]='the tests of poison records'
