--- a/src/core/overload.c
+++ b/src/core/overload.c
@@ -11,7 +11,7 @@
 #define LATE_SHARE_BEGIN 0.09
 #define LATE_SHARE_END 0.06
 /* The overload is over after this time without a sign of it. */
-#define CALM_US 1000000
+#define CALM_US 800000
 
 void overload_note_shortage(overload_t *overload, uint64_t now_us)
 {
