--- a/tests/system/front_metrics.sh
+++ b/tests/system/front_metrics.sh
@@ -2,7 +2,8 @@
 # the caller did: three merged answers and one single answer, each with its latency; then a tenant with a quota sends one
 # request within it and more beyond it.
 . tests/front_lib.sh
-fronts_start 1
+# The metrics of admission control are served only where it is enabled.
+ADMISSION=yes fronts_start 1
 for n in 1 2 3; do find_all "m$n" >/dev/null; done
 get_one m4 /get/x >/dev/null
 curl -s -m 2 "http://127.0.0.1:$((FRONT_FROM + 2))/metrics" >"$RUN/metrics"
--- a/tests/system/settings.sh
+++ b/tests/system/settings.sh
@@ -15,7 +15,7 @@
 FILE:6: [listen] callers_port: must be a whole number from 1 to 65535, not "70000"
 FILE:13: [operators] token: must be a secret of at least 16 characters
 FILE:20: [policy] hegde: unknown key
-FILE:23: [nonsense] : unknown section; known are vm, listen, platform, operators, peers, front, regions, retries, quotas, store, stop, log and policy
+FILE:23: [nonsense] : unknown section; known are vm, listen, platform, operators, peers, front, regions, retries, quotas, admission, store, stop, log and policy
 EXPECTED
 diff "$RUN/wanted" "$RUN/got" || fail "--check reports other errors"
 "$BUILD/dogwoodsaddled" --config /nonexistent --check 2>/dev/null
