--- a/review/standins/client.c
+++ b/review/standins/client.c
@@ -2,7 +2,8 @@
  * @file client.c
  * Clients that send requests at a steady rate, each attempt with an id of its own, and print what
  * they send and get: "MS sent ID PORT" and "MS answered ID PORT STATUS BYTES PARTS MISSING", with
- * status 0 for a connection that ended and -1 for no answer in time.
+ * status 0 for a connection that ended, -1 for no answer in time, and "garbage" with the first
+ * bytes for bytes that are no answer in HTTP/1.1.
  */
 #define _GNU_SOURCE
 #include "peer.h"
@@ -57,6 +58,30 @@
 	pthread_mutex_unlock(&lock);
 }
 
+/* Whether the line is "HTTP/1.1 " and a status code of three digits. */
+static bool is_status_line(const char *line)
+{
+	const char *status = line + strlen("HTTP/1.1 ");
+
+	return !strncmp(line, "HTTP/1.1 ", strlen("HTTP/1.1 ")) &&
+	       strspn(status, "0123456789") == 3 && *status >= '1' &&
+	       (status[3] == ' ' || !status[3]);
+}
+
+static void report_garbage(const char *id, int port, const char *line)
+{
+	pthread_mutex_lock(&lock);
+	printf("%lld garbage %s %d \"%.48s\"\n", (long long)peer_now_ms(), id, port, line);
+	fflush(stdout);
+	pthread_mutex_unlock(&lock);
+}
+
+/* Answers with these statuses have no body, whatever their headers say. */
+static bool has_no_body(const char *status)
+{
+	return !strcmp(status, "204") || !strcmp(status, "304");
+}
+
 /* Returns whether the connection may be used again. */
 static bool ask(peer_t *peer, int port, const char *id)
 {
@@ -80,7 +105,15 @@
 		report(id, port, got ? "-1" : "0", NULL);
 		return false;
 	}
+	if (!is_status_line(reply.start)) {
+		report_garbage(id, port, reply.start);
+		return false;
+	}
 	sscanf(reply.start, "HTTP/1.1 %15s", status);
+	if (has_no_body(status)) {
+		reply.total_bytes -= reply.body_bytes;
+		reply.body_bytes = 0;
+	}
 	peer_header(&reply, "Connection", connection, sizeof(connection));
 	report(id, port, status, &reply);
 	peer_consume(peer, &reply);
--- a/review/standins/platform.c
+++ b/review/standins/platform.c
@@ -76,7 +76,7 @@
 static uint32_t mutes[PORTS_MAX]; /* how often the connections to a port were muted */
 static searcher_t searchers[SEARCHERS_MAX];
 static int searcher_count, store_ports[PORTS_MAX], store_count;
-static int slots = 2, queue = 4, work_ms = 20, extra_percent, shed_percent;
+static int slots = 2, queue = 4, work_ms = 20, extra_percent, shed_percent, spoil_percent;
 static unsigned int seed = 1;
 
 static void record(const char *format, ...)
@@ -352,6 +352,21 @@
 	return twice;
 }
 
+/* Replaces one byte of the status code by a digit or a space. */
+static void spoil(const searcher_t *searcher, char *reply)
+{
+	static const char wrong[] = "0123456789 ";
+	size_t status_at = strlen("HTTP/1.1 ");
+
+	pthread_mutex_lock(&lock);
+	if (searcher->faulty && (int)(rand_r(&seed) % 100) < spoil_percent) {
+		reply[status_at + (size_t)rand_r(&seed) % 3] =
+			wrong[(size_t)rand_r(&seed) % (sizeof(wrong) - 1)];
+		record("spoiled %s %.12s", searcher->id, reply);
+	}
+	pthread_mutex_unlock(&lock);
+}
+
 static void write_body(const searcher_t *searcher, char *body)
 {
 	for (int i = 0; i < RECORDS; i++)
@@ -405,6 +420,8 @@
 	while (peer_read(peer, &request, peer_now_ms() + IDLE_MS) == 1) {
 		answer(searcher, peer, &request, reply, sizeof(reply));
 		peer_consume(peer, &request);
+		if (*reply)
+			spoil(searcher, reply);
 		if (*late) {
 			record("extra %s", searcher->id);
 			if (!peer_write(peer, late, strlen(late)))
@@ -510,6 +527,9 @@
 	} else if (!strcmp(word, "extra")) {
 		extra_percent = atoi(first);
 		record("faulty searchers send %d in 100 answers twice", extra_percent);
+	} else if (!strcmp(word, "spoil")) {
+		spoil_percent = atoi(first);
+		record("faulty searchers spoil %d in 100 answers", spoil_percent);
 	} else if (!strcmp(word, "shed")) {
 		shed_percent = atoi(first);
 		record("faulty searchers refuse %d in 100 requests", shed_percent);
