net/http_message: a spoiled status or a body without leave is no reply

Cause: http-parser skips spaces before a status code, takes any number up to 999, and reads a body behind a 1xx or 204 that states a length. http_message.c passed all of that on, and write_reply() wrote a length and a body whatever the status was.

An answer matched to a wrong request would show another searcher's bytes: none does.

Fix: the status line is checked byte by byte before http-parser sees it: one space, three digits from 100 to 599. A 1xx or 204 with a body, a 101, and a transfer coding but chunked are invalid; a 304 ends with its head. An invalid reply closes its connection and is an unknown outcome, as any garbage: an action is answered 502, others are sent once more. Answers to callers follow their status: no length and no body for 204 and 304, no length that is not known for HEAD.

Looked at: http_conn.c and http_pool.c, which read the replies of searchers, the store, upstreams and members through http_message.c; headers.c, which takes outcome and body from it; hop_message.c, whose outcome is bounded when read and mapped to a constant status; relay.c, caller_task.c, admin_task.c and front_task.c, which write through write_reply() and use constants beside a searcher's status; the feed, which has no statuses.

--- a/src/net/http_message.c
+++ b/src/net/http_message.c
@@ -61,6 +61,11 @@
 	GString *body;
 };
 
+bool http_status_has_body(int status)
+{
+	return status / 100 != 1 && status != 204 && status != 304;
+}
+
 static http_message_t *message_of(http_parser *parser)
 {
 	return parser->data;
@@ -116,6 +121,22 @@
 	return 0;
 }
 
+/* http-parser reads a body by its length or in chunks whatever the status is. */
+static bool has_valid_framing(const http_message_t *message)
+{
+	const http_parser *parser = &message->parser;
+	const char *coding = http_message_header(message, "Transfer-Encoding");
+	bool has_length = parser->content_length && parser->content_length != UINT64_MAX;
+
+	if (message->kind == HTTP_MESSAGE_REQUEST)
+		return true;
+	/* No request asks for another protocol (101). */
+	if (parser->status_code == 101 || (coding && g_ascii_strcasecmp(coding, "chunked")))
+		return false;
+	return http_status_has_body(parser->status_code) || parser->status_code == 304 ||
+	       (!coding && !has_length);
+}
+
 static int end_head(http_parser *parser)
 {
 	http_message_t *message = message_of(parser);
@@ -123,8 +144,11 @@
 	message->has_head = true;
 	message->is_chunked = parser->flags & F_CHUNKED;
 	end_value(message);
-	if (parser->http_major != 1)
+	if (parser->http_major != 1 || !has_valid_framing(message))
 		return -1;
+	/* Its length is that of the body which a 200 would have had. */
+	if (message->kind == HTTP_MESSAGE_REPLY && parser->status_code == 304)
+		message->no_body = true;
 	/* A request to upgrade the protocol is ignored and served as an ordinary request. */
 	parser->upgrade = 0;
 	if (parser->content_length != UINT64_MAX &&
@@ -204,6 +228,29 @@
 	message->no_body = true;
 }
 
+/* http-parser skips spaces before a status code and accepts any number of its digits. */
+static bool is_valid_in_status_line(size_t at, char byte)
+{
+	static const char version[] = "HTTP/1.";
+
+	if (at < strlen(version))
+		return byte == version[at];
+	switch (at - strlen(version)) {
+	case 0: /* minor version */
+	case 3: /* second and third digit of the status code */
+	case 4:
+		return g_ascii_isdigit(byte);
+	case 1:
+		return byte == ' ';
+	case 2:
+		return byte >= '1' && byte <= '5';
+	case 5:
+		return byte == ' ' || byte == '\r' || byte == '\n';
+	default:
+		return true;
+	}
+}
+
 /* Returns false when another parser might read the head differently. */
 static bool scan_byte(head_scan_t *scan, char byte)
 {
@@ -237,7 +284,11 @@
 	size_t i = 0;
 
 	while (i < bytes && message->scan.in_head) {
-		if (!scan_byte(&message->scan, data[i++])) {
+		const head_scan_t *scan = &message->scan;
+		bool in_status_line = message->kind == HTTP_MESSAGE_REPLY && !scan->has_line;
+
+		if ((in_status_line && !is_valid_in_status_line(scan->line_bytes, data[i])) ||
+		    !scan_byte(&message->scan, data[i++])) {
 			message->state = HTTP_MESSAGE_INVALID;
 			return 0;
 		}
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -4,7 +4,8 @@
  *
  * http-parser does the parsing. This module also rejects obsolete line folding, bare CR or LF, and
  * spaces in a header's name: two parsers that read these differently see different requests on one
- * connection.
+ * connection. In a reply it also rejects a status that is not of three digits from 100 to 599, a
+ * body where the status allows none (RFC 9112, section 6.3), and transfer codings but "chunked".
  */
 #ifndef DS_HTTP_MESSAGE_H
 #define DS_HTTP_MESSAGE_H
@@ -40,6 +41,8 @@
 
 http_message_t *http_message_new(http_message_kind_t kind, http_message_limits_t limits);
 void http_message_free(http_message_t *message);
+/** Whether a reply with this status has a body, if the request was not HEAD. */
+bool http_status_has_body(int status);
 /** Discard the parsed content and prepare for the next message. */
 void http_message_reset(http_message_t *message);
 /** The next reply answers a HEAD request: it has no body, whatever its headers say. */
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -130,8 +130,11 @@
 				    (gssize)exchange->reply_headers->len);
 	if (close_after)
 		g_string_append(text, "Connection: close\r\n");
-	g_string_append_printf(text, "Content-Length: %zu\r\n\r\n", body_bytes);
-	if (!is_head(exchange))
+	/* The length of the body that a relayed reply to HEAD left out is not known here. */
+	if (http_status_has_body(status) && (body_bytes || !is_head(exchange)))
+		g_string_append_printf(text, "Content-Length: %zu\r\n", body_bytes);
+	g_string_append(text, "\r\n");
+	if (http_status_has_body(status) && !is_head(exchange))
 		g_string_append_len(text, body, (gssize)body_bytes);
 	sock_write(exchange->connection->sock, text->str, text->len);
 	g_string_free(text, TRUE);
--- a/standins/proxy.c
+++ b/standins/proxy.c
@@ -8,6 +8,9 @@
  * GET /do?mode=pass|delay|silent|oneway at the control port sets the mode of open and of new
  * connections, or with &open=1 of open connections only; mode=cut closes all connections. "silent"
  * drops data in both directions, "oneway" drops what the target sends.
+ *
+ * Targets that answer in HTTP: status=TEXT replaces the three bytes of the status code of their
+ * answers, until status= is empty.
  */
 #include "net/http_server.h"
 #include "net/sock.h"
@@ -17,6 +20,8 @@
 #include <string.h>
 
 #define DELAY_US 150000
+#define STATUS_LINE_START "HTTP/1.1 "
+#define STATUS_BYTES 3
 
 typedef enum proxy_mode_t { PROXY_PASS, PROXY_DELAY, PROXY_SILENT, PROXY_ONE_WAY } proxy_mode_t;
 
@@ -24,6 +29,7 @@
 	loop_t *loop;
 	GPtrArray *pipes;
 	proxy_mode_t mode;
+	char status[STATUS_BYTES + 1]; /* empty: status codes stay as they are */
 } proxy_t;
 
 /* One of the two sockets of a proxied connection. */
@@ -86,6 +92,22 @@
 	free_if_closed(pipe);
 }
 
+static bool begins_answer(const char *data, size_t bytes)
+{
+	return bytes >= strlen(STATUS_LINE_START) + STATUS_BYTES &&
+	       !strncmp(data, STATUS_LINE_START, strlen(STATUS_LINE_START));
+}
+
+static void write_answer(pipe_t *pipe, const char *data, size_t bytes)
+{
+	const proxy_t *proxy = pipe->proxy;
+	g_autofree char *answer = g_memdup2(data, bytes);
+
+	if (*proxy->status)
+		memcpy(answer + strlen(STATUS_LINE_START), proxy->status, STATUS_BYTES);
+	write_to_side(&pipe->caller, answer, bytes);
+}
+
 static void on_received(void *ctx, const char *data, size_t bytes)
 {
 	side_t *from = ctx;
@@ -95,6 +117,10 @@
 
 	if (pipe->mode == PROXY_SILENT || (pipe->mode == PROXY_ONE_WAY && !from->is_caller))
 		return;
+	if (pipe->mode == PROXY_PASS && !from->is_caller && begins_answer(data, bytes)) {
+		write_answer(pipe, data, bytes);
+		return;
+	}
 	if (pipe->mode == PROXY_PASS) {
 		write_to_side(to, data, bytes);
 		return;
@@ -157,8 +183,12 @@
 	static const char *const names[] = {"pass", "delay", "silent", "oneway"};
 	proxy_t *proxy = ctx;
 	const char *mode_name = http_exchange_param(exchange, "mode");
+	const char *status = http_exchange_param(exchange, "status");
 	bool only_open = http_exchange_param(exchange, "open") != NULL;
 
+	if (status && (!*status || strlen(status) == STATUS_BYTES))
+		g_strlcpy(proxy->status, status, sizeof(proxy->status));
+
 	for (size_t i = 0; mode_name && i < G_N_ELEMENTS(names); i++) {
 		if (!g_str_equal(mode_name, names[i]))
 			continue;
--- a/tests/message_test.c
+++ b/tests/message_test.c
@@ -76,6 +76,38 @@
 	{"reply cut short", REPLY, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab", INCOMPLETE},
 	{"reply without a length", REPLY, "HTTP/1.1 200 OK\r\n\r\nab", INCOMPLETE},
 	{"reply that is none", REPLY, "garbage\r\n\r\n", INVALID},
+	{"reply to a conditional request", REPLY, "HTTP/1.1 304 No\r\nContent-Length: 5\r\n\r\n",
+	 COMPLETE, "", true},
+	{"reply without a reason phrase", REPLY, "HTTP/1.1 200\r\nContent-Length: 1\r\n\r\na",
+	 COMPLETE, "a", true},
+	{"empty reply of length 0", REPLY, "HTTP/1.1 204 No\r\nContent-Length: 0\r\n\r\n", COMPLETE,
+	 "", true},
+};
+
+#define LENGTH "Content-Length: 2\r\n\r\nab"
+#define CHUNKS "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"
+
+/* Bytes of a searcher that are no answer and were relayed to the caller as one, or that made the
+ * caller take the body for the next answer. */
+static const message_case_t not_replies[] = {
+	{"status of two digits", REPLY, "HTTP/1.1 20  OK\r\n" LENGTH, INVALID},
+	{"status of two digits after a space", REPLY, "HTTP/1.1  00 OK\r\n" LENGTH, INVALID},
+	{"status of one digit", REPLY, "HTTP/1.1 2 0 OK\r\n" LENGTH, INVALID},
+	{"status of four digits", REPLY, "HTTP/1.1 0200 OK\r\n" LENGTH, INVALID},
+	{"status after two spaces", REPLY, "HTTP/1.1  200 OK\r\n" LENGTH, INVALID},
+	{"status 0", REPLY, "HTTP/1.1 000 OK\r\n" LENGTH, INVALID},
+	{"status above 599", REPLY, "HTTP/1.1 600 OK\r\n" LENGTH, INVALID},
+	{"no status", REPLY, "HTTP/1.1 \r\n" LENGTH, INVALID},
+	{"status line that ends early", REPLY, "HTTP/1.1 20\r\n" LENGTH, INVALID},
+	{"empty line first", REPLY, "\r\nHTTP/1.1 200 OK\r\n" LENGTH, INVALID},
+	{"other version", REPLY, "HTTP/2.0 200 OK\r\n" LENGTH, INVALID},
+	{"204 with a length", REPLY, "HTTP/1.1 204 OK\r\n" LENGTH, INVALID},
+	{"204 with chunks", REPLY, "HTTP/1.1 204 OK\r\n" CHUNKS, INVALID},
+	{"interim reply with a length", REPLY, "HTTP/1.1 100 OK\r\n" LENGTH, INVALID},
+	{"interim reply with chunks", REPLY, "HTTP/1.1 103 OK\r\n" CHUNKS, INVALID},
+	{"other protocol", REPLY, "HTTP/1.1 101 OK\r\n\r\n", INVALID},
+	{"compressed chunks", REPLY,
+	 "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", INVALID},
 };
 
 static http_message_t *message_new(http_message_kind_t kind)
@@ -96,29 +128,40 @@
 	assert_int_equal(http_message_keeps_alive(message), row->keeps_alive);
 }
 
+/* Parses the bytes in reads of @p step bytes. */
+static void check_case(const message_case_t *row, size_t step)
+{
+	http_message_t *message = message_new(row->kind);
+	size_t bytes = strlen(row->bytes);
+
+	for (size_t at = 0; at < bytes; at += step)
+		http_message_parse(message, row->bytes + at, MIN(step, bytes - at));
+	check(row, message);
+	http_message_free(message);
+}
+
 static void test_cases(void **state)
 {
 	(void)state;
-	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		http_message_t *message = message_new(cases[i].kind);
-
-		http_message_parse(message, cases[i].bytes, strlen(cases[i].bytes));
-		check(&cases[i], message);
-		http_message_free(message);
-	}
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		check_case(&cases[i], strlen(cases[i].bytes));
 }
 
 /* The result does not depend on how the bytes are split into reads. */
 static void test_byte_by_byte(void **state)
 {
 	(void)state;
-	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		http_message_t *message = message_new(cases[i].kind);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		check_case(&cases[i], 1);
+}
 
-		for (const char *byte = cases[i].bytes; *byte; byte++)
-			http_message_parse(message, byte, 1);
-		check(&cases[i], message);
-		http_message_free(message);
+/* Callers got statuses of one or two digits, and bodies that came before the next answer. */
+static void test_spoiled_reply_is_invalid(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(not_replies); i++) {
+		check_case(&not_replies[i], strlen(not_replies[i].bytes));
+		check_case(&not_replies[i], 1);
 	}
 }
 
@@ -184,9 +227,13 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_cases),	     cmocka_unit_test(test_byte_by_byte),
-		cmocka_unit_test(test_head_limit),   cmocka_unit_test(test_pipelined),
-		cmocka_unit_test(test_closed_reply), cmocka_unit_test(test_headers),
+		cmocka_unit_test(test_cases),
+		cmocka_unit_test(test_byte_by_byte),
+		cmocka_unit_test(test_spoiled_reply_is_invalid),
+		cmocka_unit_test(test_head_limit),
+		cmocka_unit_test(test_pipelined),
+		cmocka_unit_test(test_closed_reply),
+		cmocka_unit_test(test_headers),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
