tasks/link_task: a connection carries a request that was refused only once

Cause: a reply is matched to its request by the connection and, on it, by the request's id. A part may return to a searcher that refused it, and idle_conn() took the connection that was used last, the one of the refusal. A late copy of that refusal bears the same id, so it counted as the answer to the second sending, which ran.

A sending without any reply before it would be a timer of this VM: there is none.

Fix: such a request takes a connection that has carried nothing since the request came to this VM; if there is none, an idle one is closed for a new one.

Looked at, all that may send a request again: hedges and retries (part.c), which go to searchers that have not had it but in allow_retry_at(); parts that wait or are held (part_send_waiting(), part_resume()), which keep the mark; link_task.c, which sends nothing by itself; handover.c, where each sending has a serial number and a gatherer its own connections; claims and store writes, one call at a time on a connection that ends when its reply is lost; http_pool.c and upstream_task.c, where an action takes a connection of its own.

--- a/src/core/forward.h
+++ b/src/core/forward.h
@@ -68,7 +68,9 @@
 	bool superseded; /**< another searcher has answered the part in the meantime */
 	searcher_t *searcher;
 	pool_t *pool;
-	void *connection;      /**< the connection; set by the task that owns it */
+	bool resent;		    /**< the searcher may have refused this request before */
+	void *connection;	    /**< the connection; set by the task that owns it */
+	uint64_t connection_serial; /**< number of the connection, for the log; 0: none */
 	bool opens_connection; /**< no connection was idle: its latency includes the time to connect
 				*/
 	timer_entry_t cancel_timer; /**< fires when the sub-request is cancelled because its answer
@@ -107,6 +109,7 @@
 	bool queue_too_long;  /**< refused because its wait for a free connection would have passed
 				 the deadline */
 	bool outcome_unknown; /**< some sub-request may have run, but its outcome is not known */
+	bool refused_may_retry; /**< a searcher that refused it may be sent it again */
 } part_t;
 
 /** The outcome of a request, which decides its answer. */
--- a/src/core/part.c
+++ b/src/core/part.c
@@ -452,9 +452,11 @@
  */
 static void allow_retry_at(part_t *part, searcher_t *searcher, uint64_t now_us)
 {
-	if (failure_rate_now(&searcher->failure_rate, now_us) > REFUSAL_RATE_MIN &&
-	    !is_possible(part))
-		g_ptr_array_remove(part->tried, searcher);
+	if (failure_rate_now(&searcher->failure_rate, now_us) <= REFUSAL_RATE_MIN ||
+	    is_possible(part))
+		return;
+	g_ptr_array_remove(part->tried, searcher);
+	part->refused_may_retry = true;
 }
 
 void part_take_reply(part_t *part, subrequest_t *sub, sub_reply_t *reply, uint64_t now_us)
--- a/src/core/subrequest.c
+++ b/src/core/subrequest.c
@@ -126,6 +126,7 @@
 	sub->route = part->forward->state;
 	sub->part = (uint32_t)(part - part->forward->parts);
 	sub->purpose = purpose;
+	sub->resent = part->refused_may_retry;
 	clear_isolated(searcher);
 	sub->isolated = part->forward->probe == part && !searcher->outstanding.length;
 	searcher->probes += sub->isolated;
--- a/src/queries/front_log.c
+++ b/src/queries/front_log.c
@@ -175,12 +175,13 @@
 	line = g_string_sized_new(256);
 	g_string_append_printf(line,
 			       "event=sub-request request=%s service=%s searcher=%s purpose=%s "
-			       "outcome=%s status=%d took_us=%" G_GUINT64_FORMAT " out=%u",
+			       "outcome=%s status=%d took_us=%" G_GUINT64_FORMAT
+			       " out=%u connection=%" G_GUINT64_FORMAT,
 			       sub->forward ? sub->forward->request.id : "-", sub->pool->service,
 			       sub->searcher->id, sub_purpose_name(sub->purpose),
 			       sub_outcome_name(reply->outcome), reply->status,
 			       loop_now_us() - sub->sending.sent_us,
-			       sub->searcher->outstanding.length);
+			       sub->searcher->outstanding.length, sub->connection_serial);
 	append_load(line, &sub->searcher->load);
 	append_fingerprint(line, sub->fingerprint);
 	g_log(NULL, failed ? G_LOG_LEVEL_MESSAGE : G_LOG_LEVEL_INFO, "%s", line->str);
--- a/src/tasks/link_task.c
+++ b/src/tasks/link_task.c
@@ -24,7 +24,9 @@
 	subrequest_t *sub; /* NULL when idle */
 	char *id;	   /* of the request in flight */
 	loop_timer_t connect_timer;
+	uint64_t serial;
 	uint64_t begun_us, used_us;
+	uint64_t sent_us; /* when it last carried a request; 0: never */
 	bool opened;
 	bool answered; /* at least one reply came over this connection */
 } link_conn_t;
@@ -43,6 +45,7 @@
 	const link_task_ops_t *ops;
 	void *ctx;
 	GString *head;
+	uint64_t last_serial;
 	link_counters_t counters;
 };
 
@@ -237,6 +240,7 @@
 	link_conn_t *conn = g_new0(link_conn_t, 1);
 
 	conn->link = link;
+	conn->serial = ++link->task->last_serial;
 	conn->begun_us = conn->used_us = loop_now_us();
 	conn->conn = http_conn_open(link->task->loop, searcher->address, searcher->port, &conn_ops,
 				    conn);
@@ -258,26 +262,48 @@
 	remove_conn(conn);
 }
 
-/* The most recently used idle connection. Idle connections found on the way that the searcher is
- * about to close are closed. */
-static link_conn_t *idle_conn(link_t *link, uint64_t now_us)
+/* The most recently used idle connection that has carried no request since @p unused_since_us. Idle
+ * connections found on the way that the searcher is about to close are closed. */
+static link_conn_t *idle_conn(link_t *link, uint64_t unused_since_us, uint64_t now_us)
 {
 	for (guint i = link->conns->len; i-- > 0;) {
 		link_conn_t *conn = g_ptr_array_index(link->conns, i);
 
 		if (conn->sub)
 			continue;
-		if (!http_conn_is_stale(conn->conn, now_us))
+		if (http_conn_is_stale(conn->conn, now_us))
+			close_conn(conn);
+		else if (conn->sent_us < unused_since_us)
 			return conn;
-		close_conn(conn);
 	}
 	return NULL;
 }
 
+/*
+ * A reply is matched to its request by the connection and the request's id. A searcher may send a
+ * second copy of a reply later, so a connection must not carry the same id twice: a late copy of
+ * the refusal would count as the reply to the request that was sent again, and runs.
+ */
+static link_conn_t *idle_conn_for(link_t *link, const subrequest_t *sub, uint64_t now_us)
+{
+	link_conn_t *conn;
+
+	if (!sub->resent)
+		return idle_conn(link, UINT64_MAX, now_us);
+	conn = idle_conn(link, sub->forward->request.received_us, now_us);
+	if (conn)
+		return conn;
+	/* The new connection takes the place of an idle one: their number is limited. */
+	conn = idle_conn(link, UINT64_MAX, now_us);
+	if (conn)
+		close_conn(conn);
+	return NULL;
+}
+
 static link_conn_t *pick_conn(link_t *link, subrequest_t *sub)
 {
 	uint64_t now_us = loop_now_us();
-	link_conn_t *conn = idle_conn(link, now_us);
+	link_conn_t *conn = idle_conn_for(link, sub, now_us);
 
 	if (conn && sub->purpose != SUB_FIRST && now_us - conn->used_us > RETRY_IDLE_MAX_US) {
 		close_conn(conn);
@@ -313,6 +339,8 @@
 		return;
 	}
 	conn->sub = sub;
+	conn->sent_us = loop_now_us();
+	sub->connection_serial = conn->serial;
 	g_free(conn->id);
 	conn->id = g_strdup(task->ops->id(task->ctx, sub));
 	g_ptr_array_remove(link->conns, conn);
--- a/standins/proxy.c
+++ b/standins/proxy.c
@@ -10,7 +10,8 @@
  * drops data in both directions, "oneway" drops what the target sends.
  *
  * Targets that answer in HTTP: status=TEXT replaces the three bytes of the status code of their
- * answers, until status= is empty.
+ * answers, until status= is empty; late=1 sends each answer a second time, when the next answer on
+ * its connection is due, until late=0.
  */
 #include "net/http_server.h"
 #include "net/sock.h"
@@ -30,6 +31,7 @@
 	GPtrArray *pipes;
 	proxy_mode_t mode;
 	char status[STATUS_BYTES + 1]; /* empty: status codes stay as they are */
+	bool copies_late;
 } proxy_t;
 
 /* One of the two sockets of a proxied connection. */
@@ -44,6 +46,7 @@
 	proxy_mode_t mode;
 	side_t caller, target;
 	uint32_t delayed_chunks; /* received and not yet written */
+	GBytes *late;		 /* copy of the last answer; NULL: none */
 } pipe_t;
 
 typedef struct chunk_t {
@@ -62,6 +65,7 @@
 	if (pipe->caller.sock || pipe->target.sock || pipe->delayed_chunks)
 		return;
 	g_ptr_array_remove_fast(pipe->proxy->pipes, pipe);
+	g_clear_pointer(&pipe->late, g_bytes_unref);
 	g_free(pipe);
 }
 
@@ -98,6 +102,18 @@
 	       !strncmp(data, STATUS_LINE_START, strlen(STATUS_LINE_START));
 }
 
+static void write_late_copy(pipe_t *pipe)
+{
+	gsize bytes;
+	const char *data;
+
+	if (!pipe->late)
+		return;
+	data = g_bytes_get_data(pipe->late, &bytes);
+	write_to_side(&pipe->caller, data, bytes);
+	g_clear_pointer(&pipe->late, g_bytes_unref);
+}
+
 static void write_answer(pipe_t *pipe, const char *data, size_t bytes)
 {
 	const proxy_t *proxy = pipe->proxy;
@@ -105,6 +121,9 @@
 
 	if (*proxy->status)
 		memcpy(answer + strlen(STATUS_LINE_START), proxy->status, STATUS_BYTES);
+	write_late_copy(pipe);
+	if (proxy->copies_late)
+		pipe->late = g_bytes_new(answer, bytes);
 	write_to_side(&pipe->caller, answer, bytes);
 }
 
@@ -184,10 +203,13 @@
 	proxy_t *proxy = ctx;
 	const char *mode_name = http_exchange_param(exchange, "mode");
 	const char *status = http_exchange_param(exchange, "status");
+	const char *late = http_exchange_param(exchange, "late");
 	bool only_open = http_exchange_param(exchange, "open") != NULL;
 
 	if (status && (!*status || strlen(status) == STATUS_BYTES))
 		g_strlcpy(proxy->status, status, sizeof(proxy->status));
+	if (late)
+		proxy->copies_late = g_str_equal(late, "1");
 
 	for (size_t i = 0; mode_name && i < G_N_ELEMENTS(names); i++) {
 		if (!g_str_equal(mode_name, names[i]))
--- a/standins/users_platform.c
+++ b/standins/users_platform.c
@@ -54,6 +54,7 @@
 	SEARCHER_MODE_OK,
 	SEARCHER_MODE_HANG,
 	SEARCHER_MODE_SHED,
+	SEARCHER_MODE_SHED_FIRST, /* refuses each request id once, then runs it */
 	SEARCHER_MODE_FAIL,
 	SEARCHER_MODE_FOREIGN,
 	SEARCHER_MODE_DISCONNECT, /* closes the connection instead of answering */
@@ -143,6 +144,7 @@
 	loop_timer_t restart_timer;
 	searcher_mode_t mode;
 	uint32_t slow_factor; /* multiplies the work time */
+	GHashTable *refused;  /* request ids that SEARCHER_MODE_SHED_FIRST has refused */
 	uint32_t running;
 	GQueue waiting; /* job_t */
 	uint64_t runs;
@@ -669,17 +671,35 @@
 	http_server_free(server);
 }
 
+static void echo_id(http_exchange_t *exchange)
+{
+	const char *id = http_exchange_header(exchange, "Dogwoodsaddle-Request-Id");
+
+	if (id)
+		http_exchange_add_header(exchange, "Dogwoodsaddle-Request-Id", id);
+}
+
+static bool refuses(searcher_t *searcher, const char *id)
+{
+	if (searcher->mode == SEARCHER_MODE_SHED_FIRST)
+		return id && g_hash_table_add(searcher->refused, g_strdup(id));
+	return searcher->mode == SEARCHER_MODE_SHED || is_full(searcher);
+}
+
 static void on_searcher(void *ctx, http_exchange_t *exchange)
 {
 	searcher_t *searcher = ctx;
 	const char *expected = http_exchange_header(exchange, "Dogwoodsaddle-Expected-Instance");
+	const char *id = http_exchange_header(exchange, "Dogwoodsaddle-Request-Id");
 
 	if (expected && !g_str_equal(expected, searcher->id)) {
+		echo_id(exchange);
 		http_exchange_reply(exchange, 421, NULL, "", 0);
 	} else if (is_overloaded(searcher)) {
 		crash_overloaded(searcher);
-	} else if (searcher->mode == SEARCHER_MODE_SHED || is_full(searcher)) {
+	} else if (refuses(searcher, id)) {
 		searcher->platform->rejected += is_full(searcher);
+		echo_id(exchange);
 		http_exchange_add_header(exchange, "Dogwoodsaddle-Not-Executed", "1");
 		http_exchange_reply(exchange, 503, NULL, "", 0);
 	} else {
@@ -747,6 +767,7 @@
 	searcher->platform = platform;
 	searcher->number = number;
 	searcher->slow_factor = 1;
+	searcher->refused = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	g_queue_init(&searcher->waiting);
 	searcher->port = platform->first_searcher_port + (int)platform->searchers->len;
 	searcher->data_centre = names[data_centre];
@@ -965,7 +986,8 @@
 
 static void on_control(void *ctx, http_exchange_t *exchange)
 {
-	static const char *const modes[] = {"ok", "hang", "shed", "fail", "foreign", "cut"};
+	static const char *const modes[] = {"ok",   "hang",    "shed", "shed-first",
+					    "fail", "foreign", "cut"};
 	users_platform_t *platform = ctx;
 	const char *action = http_exchange_param(exchange, "action");
 	const char *id = http_exchange_param(exchange, "id");
--- a/tests/forward_test.c
+++ b/tests/forward_test.c
@@ -98,10 +98,11 @@
 
 	g_ptr_array_add(fixture->subs, sub);
 	sub->searcher->connections++;
-	print_line(fixture, "send %s part=%u %s to=%s left_ms=%" G_GUINT64_FORMAT "%s%s",
+	print_line(fixture, "send %s part=%u %s to=%s left_ms=%" G_GUINT64_FORMAT "%s%s%s",
 		   sub->forward->request.id, sub->part, sub_purpose_name(sub->purpose),
 		   sub->searcher->id, subrequest_time_left_us(sub, fixture->now_us) / 1000,
-		   tenant ? " tenant=" : "", tenant ? tenant->name : "");
+		   tenant ? " tenant=" : "", tenant ? tenant->name : "",
+		   sub->resent ? " resent" : "");
 }
 
 static void on_cancel(void *ctx, subrequest_t *sub)
--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -166,6 +166,22 @@
 	}
 }
 
+/* A late copy of a reply to another request was taken for the reply to a request without an id. */
+static void test_reply_with_id_to_request_without(void **state)
+{
+	http_message_t *message = message_of(HTTP_MESSAGE_REPLY, "HTTP/1.1 200 OK\r\n" SIGNED
+								 "Dogwoodsaddle-Request-Id: id\r\n"
+								 "Content-Length: 0\r\n\r\n");
+	bool foreign = false;
+	sub_reply_t *reply = headers_read_reply(message, NULL, &foreign);
+
+	(void)state;
+	assert_true(foreign);
+	assert_int_equal(reply->outcome, SUB_UNKNOWN);
+	sub_reply_free(reply);
+	http_message_free(message);
+}
+
 static const char configuration[] =
 	"{\"version\":7,\"routes\":["
 	"{\"name\":\"g\",\"host\":\"h.example\",\"path-prefix\":\"/a/b/"
@@ -727,6 +743,7 @@
 		cmocka_unit_test(test_no_tenants),
 		cmocka_unit_test(test_invalid_tenants),
 		cmocka_unit_test(test_replies),
+		cmocka_unit_test(test_reply_with_id_to_request_without),
 		cmocka_unit_test(test_loads),
 		cmocka_unit_test(test_routing),
 		cmocka_unit_test(test_regions_without_data_centre),
