core/forwarder: the stop of a VM is a deadline of its requests

Causes: new requests were refused in the last 2.5 s of the grace time only, whatever their deadlines were; and the end of the process closed what was open then without an answer.

Evidence: of the actions sent 3.0 to 3.5 s after the signal 21 were cut and none refused, from 3.5 s on all were refused; the 21 ran from 4.6 to 5.6 s on; all cuts come 5.857 to 5.860 s after the signal, where a process with open requests ends. Searchers or callers that close first would not do so at once.

Fix: 0.1 s before the process ends, each request of a caller gets its answer: 504 if it was sent to a searcher, else 503. One that searchers are expected to answer later is refused as it comes, or when its turn to be sent comes; once half of the grace time is over, so is one whose own deadline is later. The bound of 2.5 s is gone: requests with short deadlines are served to the end.

Looked at, all for which a stopping process ends a connection: answers with Connection: close, idle connections after drain_ms, and the end when all is quiet, which leave nothing open; the end of the grace time, for requests of callers, for gathers handed over (handover.c), both fixed, for gathers of other VMs, which hand them to a third one when the connection ends, and for the product's own interface (caller_task.c), which now refuses requests whose deadline is after the stop; answers that their callers do not read, which are still cut; limits of size and time. SIGHUP during a stop moves the deadline with grace_s.

--- a/src/core/forward.c
+++ b/src/core/forward.c
@@ -44,7 +44,7 @@
 	}
 	g_free(forward->parts);
 	routing_unref(forward->routing);
-	forward->forwarder->open--;
+	g_queue_unlink(&forward->forwarder->open, &forward->link);
 	g_free(forward);
 }
 
@@ -113,6 +113,8 @@
 		answer.retry_after_us = full_retry_us(forward, now_us);
 	else if (outcome == FORWARD_TOO_LATE || outcome == FORWARD_REJECTED)
 		answer.retry_after_us = caller_retry_us(forward, MISSING_CAPACITY, now_us);
+	else if (outcome == FORWARD_SHUTTING_DOWN)
+		answer.retry_after_us = caller_retry_us(forward, MISSING_VM, now_us);
 	forward_finish(forward, &answer, now_us);
 }
 
@@ -199,7 +201,7 @@
 static forward_outcome_t unsent_outcome(const part_t *part)
 {
 	if (part->queue_too_long)
-		return FORWARD_FULL;
+		return part->forward->ends_at_stop ? FORWARD_SHUTTING_DOWN : FORWARD_FULL;
 	return part->refusals ? FORWARD_REJECTED : FORWARD_NO_SEARCHER;
 }
 
@@ -279,8 +281,12 @@
 		gather_answer(forward, now_us);
 		return;
 	}
-	forward_refuse(forward, forward_may_have_run(forward) ? FORWARD_TIMEOUT : FORWARD_FULL,
-		       now_us);
+	if (forward_may_have_run(forward))
+		forward_refuse(forward, FORWARD_TIMEOUT, now_us);
+	else
+		forward_refuse(forward,
+			       forward->ends_at_stop ? FORWARD_SHUTTING_DOWN : FORWARD_FULL,
+			       now_us);
 }
 
 void forward_on_timer(void *ctx, uint64_t now_us)
--- a/src/core/forward.h
+++ b/src/core/forward.h
@@ -170,6 +170,7 @@
 				  its route allows */
 	bool is_resend; /**< another VM may have sent sub-requests of it already: the first ones of
 			   this VM count as retries */
+	bool handed_over; /**< by another VM, which hands it to a third one when this VM stops */
 } forward_request_t;
 
 /** The time limits of a request on its route. */
@@ -188,8 +189,10 @@
 	struct route_state_t *state;
 	uint32_t max_attempts; /**< how many searchers of a shard may run it */
 	uint64_t deadline_us;
+	bool ends_at_stop;   /**< its deadline is when this VM stops, before that of its caller */
 	uint64_t partial_us; /**< from then on, an incomplete answer is given if its coverage is
 				enough */
+	GList link;	     /**< in the forwarder's list of open requests */
 	timer_entry_t timer;
 	part_t *parts;
 	uint32_t part_count;
@@ -255,8 +258,17 @@
 void forwarder_set_routing(forwarder_t *forwarder, routing_t *routing);
 const routing_t *forwarder_routing(const forwarder_t *forwarder);
 
-/** Refuse new requests as not run. Requests in progress continue. */
-void forwarder_stop_accepting(forwarder_t *forwarder);
+/**
+ * This VM stops at @p stop_us: until then each request gets its answer, and one that is not
+ * expected to get it from a searcher by then is refused as not run, if nothing was sent. May be
+ * called again with another time.
+ */
+void forwarder_stop_at(forwarder_t *forwarder, uint64_t stop_us, uint64_t now_us);
+/** From now on refuse new requests, as not run, whose callers may have to wait beyond the stop.
+ * Call after forwarder_stop_at(). */
+void forwarder_refuse_long(forwarder_t *forwarder);
+/** Whether the request is not refused for that. */
+bool forwarder_takes(const forwarder_t *forwarder, const forward_request_t *request);
 /** Accept a request. Returns NULL if the request was answered before the return. */
 forward_t *forwarder_submit(forwarder_t *forwarder, const forward_request_t *request, void *owner,
 			    uint64_t now_us);
--- a/src/core/forward_private.h
+++ b/src/core/forward_private.h
@@ -25,8 +25,9 @@
 	timer_entry_t
 		dispatch_timer; /* when waiting parts may be sent to a cold or paused searcher */
 	GRand *rand;
-	uint32_t open;
-	bool shutting_down;
+	GQueue open;	  /* forward_t */
+	uint64_t stop_us; /* when this VM stops; UINT64_MAX: not known */
+	bool refuses_long;
 	observation_filter_t observation_filter;
 	poison_t *poison;
 	admission_t *admission; /* NULL: each request starts as it arrives */
@@ -64,6 +65,8 @@
 bool part_start(part_t *part, sub_purpose_t purpose, uint64_t now_us);
 /** Whether a free connection would come too late for the caller's deadline. */
 bool part_would_miss_deadline(const part_t *part, uint64_t now_us);
+/** Whether this VM is expected to stop before a searcher with a free connection has answered. */
+bool part_would_outlast_stop(const part_t *part, uint64_t now_us);
 /** Queue a part for which no searcher has a free connection, or give it up. */
 void part_wait(part_t *part, uint64_t now_us);
 /** Send a hedge if it is due and allowed; otherwise set when to check again. */
--- a/src/core/forwarder.c
+++ b/src/core/forwarder.c
@@ -33,6 +33,8 @@
 	forwarder->states =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, route_state_free);
 	forwarder->rand = g_rand_new_with_seed(seed);
+	forwarder->stop_us = UINT64_MAX;
+	g_queue_init(&forwarder->open);
 	forwarder->poison = poison_new(ops->poison, ctx, seed);
 	timers_init(&forwarder->timers);
 	timers_init(&forwarder->hang_timers);
@@ -96,9 +98,37 @@
 	return MIN(next_timer_us, poison_next_us(forwarder->poison));
 }
 
-void forwarder_stop_accepting(forwarder_t *forwarder)
+static void end_at_stop(forward_t *forward)
 {
-	forwarder->shutting_down = true;
+	uint64_t stop_us = forward->forwarder->stop_us;
+
+	if (forward->request.handed_over || forward->deadline_us <= stop_us)
+		return;
+	forward->deadline_us = stop_us;
+	forward->ends_at_stop = true;
+}
+
+void forwarder_stop_at(forwarder_t *forwarder, uint64_t stop_us, uint64_t now_us)
+{
+	forwarder->stop_us = stop_us;
+	for (GList *item = forwarder->open.head; item; item = item->next) {
+		end_at_stop(item->data);
+		forward_set_timer(item->data, now_us);
+	}
+}
+
+void forwarder_refuse_long(forwarder_t *forwarder)
+{
+	forwarder->refuses_long = true;
+}
+
+/* Whether the request's caller may have to wait beyond the stop of this VM, and it is too late to
+ * take such requests. */
+static bool is_refused_as_long(const forwarder_t *forwarder, const forward_request_t *request,
+			       const route_t *route)
+{
+	return forwarder->refuses_long && !request->handed_over &&
+	       forward_times(request, route).deadline_us > forwarder->stop_us;
 }
 
 void forwarder_run(forwarder_t *forwarder, uint64_t now_us)
@@ -110,7 +140,7 @@
 
 uint32_t forwarder_open_requests(const forwarder_t *forwarder)
 {
-	return forwarder->open;
+	return forwarder->open.length;
 }
 
 const forwarder_counters_t *forwarder_counters(const forwarder_t *forwarder)
@@ -246,11 +276,19 @@
 		       : NULL;
 }
 
+bool forwarder_takes(const forwarder_t *forwarder, const forward_request_t *request)
+{
+	const route_t *route = route_of(forwarder, request);
+
+	return !forwarder->refuses_long ||
+	       (route && !is_refused_as_long(forwarder, request, route));
+}
+
 bool forwarder_look_up(const forwarder_t *forwarder, const forward_request_t *request,
 		       uint64_t now_us, forward_access_t *access)
 {
 	*access = (forward_access_t){.route = route_of(forwarder, request)};
-	return access->route && !forwarder->shutting_down &&
+	return access->route && !is_refused_as_long(forwarder, request, access->route) &&
 	       poison_check(forwarder->poison, request->fingerprint, now_us) != POISON_BLOCKED &&
 	       routing_authorize(forwarder->routing, access->route, request->key, &access->tenant);
 }
@@ -495,6 +533,7 @@
 
 	forward->deadline_us = times.deadline_us;
 	forward->partial_us = times.partial_us;
+	end_at_stop(forward);
 }
 
 static void answer_unrouted(forwarder_t *forwarder, const forward_request_t *request, void *owner,
@@ -515,7 +554,7 @@
 }
 
 /*
- * Whether so many parts would wait past the deadline that the others are not enough. If this were
+ * Whether so many parts would not be answered in time that the others are not enough. If this were
  * found only after the others were sent, the request could no longer be refused as not run:
  * searchers would have worked for nothing, and the caller would get a failure instead of a retry
  * delay.
@@ -528,7 +567,11 @@
 		const part_t *part = &forward->parts[i];
 		const candidates_t candidates = part_candidates(part);
 
-		if (part->state == PART_WAITING && !placement_has_capacity(&candidates, now_us))
+		if (part->state != PART_WAITING)
+			continue;
+		if (placement_has_capacity(&candidates, now_us))
+			lost_or_late += part_would_outlast_stop(part, now_us);
+		else
 			lost_or_late += part_would_miss_deadline(part, now_us);
 	}
 	return !forward_has_enough(forward, forward->part_count - lost_or_late);
@@ -601,10 +644,6 @@
 	forward_t *forward;
 
 	forwarder->counters.requests++;
-	if (forwarder->shutting_down) {
-		answer_unrouted(forwarder, request, owner, FORWARD_SHUTTING_DOWN);
-		return NULL;
-	}
 	if (!forwarder->routing || !registry_is_ready(forwarder->registry)) {
 		answer_unrouted(forwarder, request, owner, FORWARD_NOT_READY);
 		return NULL;
@@ -618,6 +657,10 @@
 		answer_unrouted(forwarder, request, owner, FORWARD_UNAUTHORIZED);
 		return NULL;
 	}
+	if (is_refused_as_long(forwarder, request, route)) {
+		answer_unrouted(forwarder, request, owner, FORWARD_SHUTTING_DOWN);
+		return NULL;
+	}
 	forward = g_new0(forward_t, 1);
 	forward->forwarder = forwarder;
 	forward->request = *request;
@@ -631,7 +674,8 @@
 	forward->max_attempts = request->max_attempts
 					? MIN(request->max_attempts, route->max_attempts)
 					: route->max_attempts;
-	forwarder->open++;
+	forward->link.data = forward;
+	g_queue_push_tail_link(&forwarder->open, &forward->link);
 	set_times(forward);
 	create_parts(forward, now_us);
 	/* The request was read late, after a long iteration of the event loop: a searcher would
@@ -644,7 +688,9 @@
 	if (forward_try_answer(forward, now_us))
 		return NULL;
 	if (is_coverage_unreachable(forward, now_us)) {
-		forward_refuse(forward, FORWARD_FULL, now_us);
+		forward_refuse(forward,
+			       forward->ends_at_stop ? FORWARD_SHUTTING_DOWN : FORWARD_FULL,
+			       now_us);
 		return NULL;
 	}
 	return admit_or_start(forward, now_us);
--- a/src/core/handover.c
+++ b/src/core/handover.c
@@ -27,6 +27,7 @@
 	GHashTable *open;     /* serial to handover_t */
 	uint64_t last_serial;
 	uint64_t version; /* latest configuration version that a gatherer has used */
+	uint64_t stop_us; /* when this VM stops; UINT64_MAX: not known */
 	timers_t timers;
 	handover_counters_t counters;
 };
@@ -41,6 +42,7 @@
 	all->ctx = ctx;
 	all->gatherers = g_ptr_array_new_with_free_func((GDestroyNotify)gatherer_unref);
 	all->open = g_hash_table_new(g_int64_hash, g_int64_equal);
+	all->stop_us = UINT64_MAX;
 	timers_init(&all->timers);
 	return all;
 }
@@ -132,9 +134,14 @@
 	return best;
 }
 
+static uint64_t end_us(const handover_t *handover)
+{
+	return MIN(handover->limits.deadline_us + FINAL_ANSWER_MARGIN_US, handover->all->stop_us);
+}
+
 static void arm(handover_t *handover, uint64_t now_us)
 {
-	uint64_t next_us = handover->limits.deadline_us + FINAL_ANSWER_MARGIN_US;
+	uint64_t next_us = end_us(handover);
 	uint64_t wait_us = gatherer_timeout_us(handover->gatherer, handover->limits.target_us);
 
 	if (!handover->accepted)
@@ -269,7 +276,7 @@
 {
 	handover_t *handover = ctx;
 
-	if (now_us >= handover->limits.deadline_us + FINAL_ANSWER_MARGIN_US) {
+	if (now_us >= end_us(handover)) {
 		handover->all->ops->cancel(handover->all->ctx, handover);
 		finish_with(handover, FORWARD_TIMEOUT);
 	} else if (now_us > handover->timer.at_us + LATE_TIMER_US) {
@@ -279,6 +286,17 @@
 	}
 }
 
+void handovers_stop_at(handovers_t *all, uint64_t stop_us, uint64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer handover;
+
+	all->stop_us = stop_us;
+	g_hash_table_iter_init(&iter, all->open);
+	while (g_hash_table_iter_next(&iter, NULL, &handover))
+		arm(handover, now_us);
+}
+
 /* ---- messages from gatherers ---- */
 
 /*
--- a/src/core/handover.h
+++ b/src/core/handover.h
@@ -82,6 +82,8 @@
 /** Hands a request over; NULL when no gatherer is available now. */
 handover_t *handover_begin(handovers_t *all, const handover_limits_t *limits, void *owner,
 			   uint64_t now_us);
+/** This VM stops at @p stop_us: hand-overs end by then, also those begun later. */
+void handovers_stop_at(handovers_t *all, uint64_t stop_us, uint64_t now_us);
 /** Cancels a hand-over whose caller has left. */
 void handover_abandon(handover_t *handover);
 
--- a/src/core/part.c
+++ b/src/core/part.c
@@ -203,6 +203,12 @@
 	       part->forward->deadline_us;
 }
 
+bool part_would_outlast_stop(const part_t *part, uint64_t now_us)
+{
+	return part->forward->ends_at_stop &&
+	       now_us + (uint64_t)placement_typical_us(part->pool) > part->forward->deadline_us;
+}
+
 void part_wait(part_t *part, uint64_t now_us)
 {
 	shedding_note_wait(part->pool, now_us);
@@ -244,6 +250,8 @@
 	part_unqueue(part);
 	if (shedding_is_allowed(part->forward) && shedding_is_too_late(part, now_us))
 		part_shed(part);
+	else if (part_would_outlast_stop(part, now_us))
+		part_refuse_queueing(part);
 	else
 		part_send(part, searcher, part->refusals || part->runs ? SUB_RETRY : SUB_FIRST,
 			  now_us);
--- a/src/dogwoodsaddled.c
+++ b/src/dogwoodsaddled.c
@@ -19,13 +19,15 @@
 
 #define EXIT_BAD_SETTINGS 2
 #define STOP_CHECK_US 20000
-/* The longest time that callers of a search wait: requests that are accepted less than this before
- * the process is killed might not be answered in time. */
-#define LAST_REQUEST_BEFORE_END_US 2500000
+/* Share of the grace time in which any request is accepted, so that the load balancer can find
+ * other VMs first. Later, only requests that are over before the process ends. */
+#define ACCEPT_ANY_SHARE 0.5
 /* Any change has to be in force within 3 s, also one of the settings file. */
 #define FILE_CHECK_US 2000000
 /* The daemon stops by itself this long before the grace time ends and the process is killed. */
 #define GRACE_MARGIN_US 150000
+/* Time for the last answers to reach their callers before the process ends. */
+#define LAST_ANSWERS_US 100000
 
 const char *argp_program_version = "dogwoodsaddled " DS_VERSION;
 
@@ -96,14 +98,15 @@
 	g_log(NULL, G_LOG_LEVEL_MESSAGE, "%s hlc=%" G_GUINT64_FORMAT, text, at);
 }
 
-/* Whether to stop accepting requests: a request that arrives from now on could be cut off when the
- * process is killed. */
-static bool is_grace_time_ending(const daemon_t *self, uint64_t now_us)
+static uint64_t grace_us(const daemon_t *self)
 {
-	uint64_t grace_us = (uint64_t)self->settings->grace_s * 1000000;
-	uint64_t draining_us = now_us - self->drain_start_us;
+	return (uint64_t)self->settings->grace_s * 1000000;
+}
 
-	return draining_us + LAST_REQUEST_BEFORE_END_US >= grace_us;
+/* When the daemon ends at the latest. */
+static uint64_t stop_us(const daemon_t *self)
+{
+	return self->drain_start_us + grace_us(self) - GRACE_MARGIN_US;
 }
 
 /*
@@ -124,14 +127,14 @@
 				       : caller_task_last_request_us(self->callers);
 	bool drained = now - self->drain_start_us >= (uint64_t)self->settings->drain_ms * 1000;
 	bool quiet = now - last_us >= quiet_us;
-	bool over = now - self->drain_start_us >=
-		    (uint64_t)self->settings->grace_s * 1000000 - GRACE_MARGIN_US;
+	uint64_t any_until_us =
+		self->drain_start_us + (uint64_t)(ACCEPT_ANY_SHARE * (double)grace_us(self));
 
 	if (self->front && drained)
 		front_task_close_idle(self->front);
-	if (self->front && drained && is_grace_time_ending(self, now))
-		front_task_stop_accepting(self->front);
-	if ((drained && quiet && idle) || over) {
+	if (self->front && now >= any_until_us)
+		front_task_refuse_long(self->front);
+	if ((drained && quiet && idle) || now >= stop_us(self)) {
 		timeline_add(self->timeline, "event=stopped");
 		loop_stop(self->loop);
 		return;
@@ -139,6 +142,17 @@
 	loop_timer_set(self->loop, &self->stop_timer, STOP_CHECK_US);
 }
 
+/* Requests that would last longer get their answer shortly before the process ends. */
+static void set_end_of_requests(daemon_t *self)
+{
+	uint64_t end_us = stop_us(self) - LAST_ANSWERS_US;
+
+	if (self->front)
+		front_task_stop_at(self->front, end_us);
+	else
+		caller_task_stop_at(self->callers, end_us);
+}
+
 static void begin_drain(daemon_t *self)
 {
 	if (self->source.leaving)
@@ -153,6 +167,7 @@
 		peer_task_leave(self->peers);
 	}
 	self->stop_timer = (loop_timer_t){.fire = check_drained, .ctx = self};
+	set_end_of_requests(self);
 	loop_timer_set(self->loop, &self->stop_timer, STOP_CHECK_US);
 }
 
@@ -172,6 +187,8 @@
 	self->settings->grace_s = updated->grace_s;
 	if (self->front)
 		front_task_configure(self->front, updated);
+	if (self->source.leaving)
+		set_end_of_requests(self);
 	g_free(self->settings->operators_token);
 	self->settings->operators_token = g_steal_pointer(&updated->operators_token);
 	settings_free(updated);
--- a/src/tasks/caller_task.c
+++ b/src/tasks/caller_task.c
@@ -14,6 +14,8 @@
 #define BODY_LIMIT_BYTES 65536
 #define TIMEOUT_MAX_MS 600000
 #define ID_LIMIT 128
+/* The load balancer has other VMs for the caller's next attempt. */
+#define STOPPING_RETRY_AFTER_US 1000000
 
 struct caller_task_t {
 	loop_t *loop;
@@ -22,6 +24,7 @@
 	char *vm_name;
 	uint64_t last_id;
 	uint64_t last_request_us;
+	uint64_t stop_us; /* when the process ends; UINT64_MAX: not known */
 };
 
 /** One kind of request that callers may send. */
@@ -155,10 +158,15 @@
 	if (read_id(task, exchange, request, &err) && read_class(exchange, request, &err) &&
 	    read_deadline(exchange, service, request, &err) &&
 	    route->parse(exchange, id, request, &err)) {
-		submit(task, exchange, request);
-		return;
+		if (request->deadline_us <= task->stop_us) {
+			submit(task, exchange, request);
+			return;
+		}
+		reply_problem(exchange, REFUSAL_NO_TIME, "this VM stops before the deadline",
+			      request->id, STOPPING_RETRY_AFTER_US);
+	} else {
+		reply_problem(exchange, REFUSAL_BAD_REQUEST, err.text, request->id, 0);
 	}
-	reply_problem(exchange, REFUSAL_BAD_REQUEST, err.text, request->id, 0);
 	request_free(request);
 }
 
@@ -277,6 +285,7 @@
 	task->loop = loop;
 	task->queries = queries;
 	task->vm_name = g_strdup(settings->vm_name);
+	task->stop_us = UINT64_MAX;
 	task->last_id = loop_wall_ms() << 8; /* ids aren't reused after a restart */
 	query_task_set_ops(queries, &query_ops, task);
 	task->server =
@@ -294,6 +303,11 @@
 	http_server_drain(task->server);
 }
 
+void caller_task_stop_at(caller_task_t *task, uint64_t stop_us)
+{
+	task->stop_us = stop_us;
+}
+
 uint32_t caller_task_open_requests(const caller_task_t *task)
 {
 	return http_server_open_exchanges(task->server);
--- a/src/tasks/caller_task.h
+++ b/src/tasks/caller_task.h
@@ -19,6 +19,8 @@
  * served.
  */
 void caller_task_drain(caller_task_t *task);
+/** The process ends at @p stop_us: requests whose deadline is later are refused as not run. */
+void caller_task_stop_at(caller_task_t *task, uint64_t stop_us);
 /** Requests that have not been answered yet. */
 uint32_t caller_task_open_requests(const caller_task_t *task);
 /** When the last request arrived; 0 before the first. */
--- a/src/tasks/front_private.h
+++ b/src/tasks/front_private.h
@@ -41,7 +41,7 @@
 	char *data_centre;
 	GHashTable *regions; /* data centre to region */
 	bool draining;
-	bool stopped_accepting;
+	bool refuses_long; /* see front_task_refuse_long() */
 };
 
 /* ---- front_task.c ---- */
--- a/src/tasks/front_requests.c
+++ b/src/tasks/front_requests.c
@@ -206,8 +206,6 @@
 	forward_access_t access;
 	relay_t *relay;
 
-	if (!task->stopped_accepting)
-		task->last_request_us = loop_now_us();
 	if (*http_message_target(message) != '/' ||
 	    http_message_header_occurrences(message, "Host") != 1) {
 		reply_bad_request(exchange, "a path and one Host are required");
@@ -215,6 +213,8 @@
 	}
 	relay = relay_from_caller(exchange);
 	http_exchange_set_data(exchange, relay);
+	if (forwarder_takes(task->forwarder, &relay->request))
+		task->last_request_us = loop_now_us();
 	/* The key may be one that the newer configuration adds. A caller retries after a 503, but
 	 * not after a 401. */
 	if (forwarder_lacks_key(task->forwarder, &relay->request) && is_config_behind(task))
@@ -310,7 +310,7 @@
 		*reason = HOP_NOT_READY;
 		return false;
 	}
-	if (task->stopped_accepting) {
+	if (task->refuses_long) {
 		*reason = HOP_STOPPING;
 		return false;
 	}
--- a/src/tasks/front_task.c
+++ b/src/tasks/front_task.c
@@ -469,10 +469,17 @@
 	hop_server_drain(task->hops);
 }
 
-void front_task_stop_accepting(front_task_t *task)
+void front_task_stop_at(front_task_t *task, uint64_t stop_us)
 {
-	task->stopped_accepting = true;
-	forwarder_stop_accepting(task->forwarder);
+	forwarder_stop_at(task->forwarder, stop_us, loop_now_us());
+	gather_task_stop_at(task->gathers, stop_us);
+	front_arm_forwarder(task);
+}
+
+void front_task_refuse_long(front_task_t *task)
+{
+	task->refuses_long = true;
+	forwarder_refuse_long(task->forwarder);
 }
 
 void front_task_close_idle(front_task_t *task)
--- a/src/tasks/front_task.h
+++ b/src/tasks/front_task.h
@@ -18,8 +18,12 @@
 void front_task_refresh(front_task_t *task);
 /** Begin a planned stop: report not ready, tell callers to close, but still serve requests. */
 void front_task_drain(front_task_t *task);
-/** Refuse new requests as not run; they no longer count as requests. */
-void front_task_stop_accepting(front_task_t *task);
+/** The process ends at @p stop_us: requests get their answers by then, or are refused as not run.
+ */
+void front_task_stop_at(front_task_t *task, uint64_t stop_us);
+/** Refuse, as not run, new requests that may last beyond the stop. They do not count for
+ * front_task_last_request_us(). */
+void front_task_refuse_long(front_task_t *task);
 /** Near the end of a planned stop: close keep-alive connections on which no request has begun. */
 void front_task_close_idle(front_task_t *task);
 /** Number of requests that are not yet answered completely. */
--- a/src/tasks/gather_task.c
+++ b/src/tasks/gather_task.c
@@ -188,6 +188,12 @@
 	return relay->handover != NULL;
 }
 
+void gather_task_stop_at(gather_task_t *task, uint64_t stop_us)
+{
+	handovers_stop_at(task->handovers, stop_us, loop_now_us());
+	arm(task);
+}
+
 void gather_task_abandon(gather_task_t *task, relay_t *relay)
 {
 	handover_abandon(relay->handover);
--- a/src/tasks/relay.c
+++ b/src/tasks/relay.c
@@ -41,6 +41,7 @@
 				    .received_us = job->received_us,
 				    .patience_us = job->patience_us,
 				    .max_attempts = 1,
+				    .handed_over = true,
 				    .is_resend = job->is_resend};
 	return relay;
 }
--- a/standins/users_platform.c
+++ b/standins/users_platform.c
@@ -40,6 +40,7 @@
 #define SHARDS_MAX 16
 #define RECORDS 8
 #define SLOTS 2
+#define ROUTE_TIMEOUT_MS 1500
 #define HISTORY_MAX 512
 #define DATA_CENTRES 2
 #define BODY_MAX_BYTES (1u << 20)
@@ -86,6 +87,7 @@
 	store_endpoint_t endpoints[STORE_ENDPOINTS];
 	int second_store_port; /* of the second endpoint; 0: there is none */
 	int padding_routes;    /* extra routes in each later configuration */
+	int act_timeout_ms;    /* time-out of the route of actions */
 	int store_port, control_port, first_searcher_port, shards, work_ms, advertise_offset,
 		restart_delay_ms;
 	int cold_per_s; /* rate limit of a cold searcher, requests a second; 0: no limit */
@@ -788,7 +790,7 @@
 static json_t *route(const char *name, const char *host, const char *prefix, const char *type)
 {
 	return json_pack("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:i,s:i,s:f}", "name", name, "host", host,
-			 "path-prefix", prefix, "route-type", type, "timeout-ms", 1500,
+			 "path-prefix", prefix, "route-type", type, "timeout-ms", ROUTE_TIMEOUT_MS,
 			 "target-latency-ms", 300, "priority", 1, "max-attempts", 2, "top-k", 5,
 			 "min-coverage", 0.6);
 }
@@ -870,6 +872,7 @@
 	json_object_set_new(find, "fanout-services", shards);
 	json_object_set_new(get, "service", json_string("single"));
 	json_object_set_new(act, "service", json_string("single"));
+	json_object_set_new(act, "timeout-ms", json_integer(platform->act_timeout_ms));
 	json_object_set_new(open, "service", json_string("single"));
 	json_object_set_new(open, "public", json_true());
 	put(platform, "config", "main",
@@ -1050,6 +1053,7 @@
 	{"shards", 'n', "COUNT", 0, "shards of the route that gathers", 0},
 	{"advertise", 'a', "OFFSET", 0, "searchers register ports higher by this", 0},
 	{"work-ms", 'w', "MS", 0, "how long a searcher works", 0},
+	{"timeout-ms", 't', "MS", 0, "time-out of the route of actions", 0},
 	{"back-ms", 'b', "MS", 0, "from a searcher's end to its next start", 0},
 	{"cold-per-s", 'k', "COUNT", 0, "requests a second that a cold searcher bears", 0},
 	{"queue", 'q', "COUNT", 0, "requests that wait at a searcher; 0: slots are not limited", 0},
@@ -1065,6 +1069,7 @@
 			       ['f'] = &platform->first_searcher_port,
 			       ['n'] = &platform->shards,
 			       ['w'] = &platform->work_ms,
+			       ['t'] = &platform->act_timeout_ms,
 			       ['a'] = &platform->advertise_offset,
 			       ['b'] = &platform->restart_delay_ms,
 			       ['k'] = &platform->cold_per_s,
@@ -1112,6 +1117,7 @@
 	static const http_server_ops_t control = {.request = on_control};
 	users_platform_t platform = {.shards = 3,
 				     .work_ms = 5,
+				     .act_timeout_ms = ROUTE_TIMEOUT_MS,
 				     .restart_delay_ms = 1000,
 				     .born_ms = (uint64_t)g_get_real_time() / 1000};
 
--- a/tests/forward_test.c
+++ b/tests/forward_test.c
@@ -35,6 +35,8 @@
  * - `with KEY`: further requests carry this API key; `with -`: none
  * - `access HOST TARGET`: print what the configuration in force says of a request
  * - `leave ID`: the caller of a request disconnects
+ * - `stops MS`: this VM stops at MS
+ * - `late`: so late before the stop that requests which may last longer are refused
  * - `at MS`: advance the clock to MS
  * - `answer SEARCHER ID [BODY]`: a sub-request ends; also: fail, refuse, replaced, unsent, cut
  * - `breaks SEARCHER ID`: the connection of a sub-request closes without an answer
@@ -58,6 +60,7 @@
 #include <string.h>
 
 #define SCRIPTS "tests/forward"
+#define START_US 1000000000ull
 #define BOUND_WINDOW_US 10000000
 
 typedef struct fixture_t {
@@ -621,10 +624,25 @@
 	g_hash_table_remove(fixture->forwards, words[1]);
 }
 
+static void do_stops(void *ctx, char **words)
+{
+	fixture_t *fixture = ctx;
+
+	forwarder_stop_at(fixture->forwarder, START_US + strtoull(words[1], NULL, 10) * 1000,
+			  fixture->now_us);
+}
+
+static void do_late(void *ctx, char **words)
+{
+	(void)words;
+	forwarder_refuse_long(((fixture_t *)ctx)->forwarder);
+}
+
 static void do_at(void *ctx, char **words)
 {
 	fixture_t *fixture = ctx;
-	advance_to(fixture, 1000000000 + strtoull(words[1], NULL, 10) * 1000);
+
+	advance_to(fixture, START_US + strtoull(words[1], NULL, 10) * 1000);
 }
 
 static subrequest_t *find_sub(fixture_t *fixture, const char *searcher, const char *id)
@@ -816,6 +834,8 @@
 	{"request", do_request},
 	{"access", do_access},
 	{"leave", do_leave},
+	{"stops", do_stops},
+	{"late", do_late},
 	{"at", do_at},
 	{"answer", do_end},
 	{"fail", do_end},
--- a/tests/front_matrix_test.c
+++ b/tests/front_matrix_test.c
@@ -15,6 +15,8 @@
 #define CALLER_TIMEOUT_US 800000
 #define HEAL_AFTER_US 1500000
 #define SETTLE_US 8000000
+/* Shorter than the time-out of the routes. */
+#define STOP_US 500000
 #define SUSPEND_US 1000000
 
 typedef struct scenario_t scenario_t;
@@ -103,7 +105,7 @@
 
 static void vm_stops_accepting(scenario_t *scenario)
 {
-	forwarder_stop_accepting(scenario->world->forwarder);
+	front_world_stop(scenario->world, STOP_US);
 }
 
 static void vm_suspended(scenario_t *scenario)
--- a/tests/front_world.c
+++ b/tests/front_world.c
@@ -551,6 +551,12 @@
 	run_until(world, world->now_us + us);
 }
 
+void front_world_stop(front_world_t *world, uint64_t us)
+{
+	forwarder_stop_at(world->forwarder, world->now_us + us, world->now_us);
+	forwarder_refuse_long(world->forwarder);
+}
+
 void front_world_suspend(front_world_t *world, uint64_t us)
 {
 	world->now_us += us;
--- a/tests/front_world.h
+++ b/tests/front_world.h
@@ -120,6 +120,8 @@
 void front_world_abandon(front_world_t *world, test_request_t *test_request);
 /** Advances the clock by @p us and handles all replies, timers and restarts that are due. */
 void front_world_advance(front_world_t *world, uint64_t us);
+/** The VM stops @p us from now on, and refuses requests that may last longer. */
+void front_world_stop(front_world_t *world, uint64_t us);
 /** Suspends the VM: the clock advances, but the VM handles nothing until it is resumed. */
 void front_world_suspend(front_world_t *world, uint64_t us);
 fake_searcher_t *front_world_searcher(const front_world_t *world, const char *id);
--- a/tests/handover_test.c
+++ b/tests/handover_test.c
@@ -13,6 +13,7 @@
  *     leave ID                          the caller leaves
  *     at MS                             advances the clock to MS, firing each timer when it is due
  *     stand MS                          this VM is suspended until MS
+ *     ends MS                           this VM stops at MS
  */
 #include "core/handover.h"
 #include "script_runner.h"
@@ -271,13 +272,21 @@
 	handovers_run(fixture->all, fixture->now_us);
 }
 
+static void do_ends(void *ctx, char **words)
+{
+	fixture_t *fixture = ctx;
+
+	handovers_stop_at(fixture->all, START_US + strtoull(words[1], NULL, 10) * 1000,
+			  fixture->now_us);
+}
+
 static const script_command_t commands[] = {
 	{"gatherers", do_gatherers}, {"there", do_there},
 	{"request", do_request},     {"taken", do_taken},
 	{"refuses", do_refuses},     {"answer", do_answer},
 	{"leaving", do_leaving},     {"lost", do_lost},
 	{"leave", do_leave},	     {"at", do_at},
-	{"stand", do_stand},
+	{"stand", do_stand},	     {"ends", do_ends},
 };
 
 int main(void)
