--- a/standins/users_platform.c
+++ b/standins/users_platform.c
@@ -144,6 +144,8 @@
 	uint64_t seq;		   /* sequence number of its entry */
 	uint64_t cold_ms;	   /* cold time that its next entry reports */
 	loop_timer_t restart_timer;
+	loop_timer_t crash_timer;
+	bool crashing; /* requests that arrive get no answer */
 	searcher_mode_t mode;
 	uint32_t slow_factor; /* multiplies the work time */
 	GHashTable *refused;  /* request ids that SEARCHER_MODE_SHED_FIRST has refused */
@@ -661,10 +663,13 @@
 }
 
 /* The searcher terminates, and is cold after its restart. */
-static void crash_overloaded(searcher_t *searcher)
+static void crash_overloaded(void *ctx)
 {
+	searcher_t *searcher = ctx;
 	http_server_t *server = searcher->server;
 
+	if (!server) /* a poison request has crashed it in the meantime */
+		return;
 	searcher->overload_crashes++;
 	searcher->server = NULL;
 	searcher->cold_ms = OVERLOAD_COLD_MS;
@@ -694,11 +699,15 @@
 	const char *expected = http_exchange_header(exchange, "Dogwoodsaddle-Expected-Instance");
 	const char *id = http_exchange_header(exchange, "Dogwoodsaddle-Request-Id");
 
+	if (searcher->crashing)
+		return;
 	if (expected && !g_str_equal(expected, searcher->id)) {
 		echo_id(exchange);
 		http_exchange_reply(exchange, 421, NULL, "", 0);
 	} else if (is_overloaded(searcher)) {
-		crash_overloaded(searcher);
+		/* Its server must not be freed in a callback of the server. */
+		searcher->crashing = true;
+		loop_timer_set(searcher->platform->loop, &searcher->crash_timer, 0);
 	} else if (refuses(searcher, id)) {
 		searcher->platform->rejected += is_full(searcher);
 		echo_id(exchange);
@@ -755,6 +764,7 @@
 	searcher_t *searcher = ctx;
 
 	searcher->born_ms++;
+	searcher->crashing = false;
 	if (!listen_at_port(searcher))
 		g_error("event=searcher-failed port=%d", searcher->port);
 	register_searcher(searcher, "ready");
@@ -778,6 +788,7 @@
 	searcher->born_ms = platform->born_ms;
 	searcher->cold_arrivals_us = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	searcher->restart_timer = (loop_timer_t){.fire = restart_searcher, .ctx = searcher};
+	searcher->crash_timer = (loop_timer_t){.fire = crash_overloaded, .ctx = searcher};
 	g_ptr_array_add(platform->searchers, searcher);
 	if (!listen_at_port(searcher))
 		return false;
