--- a/Makefile
+++ b/Makefile
@@ -61,12 +61,14 @@
 	@dpkg -s gnuplot-nox >/dev/null 2>&1 || apt-get install -y -qq gnuplot-nox >/dev/null
 	@scripts/loads.sh $(or $(REV),HEAD) $(or $(SEEDS),8)
 
-# Runs random schedules of src/core, and real processes under faults with new seeds each time, without and with overload.
+# Runs random schedules of src/core, and real processes under faults with new seeds each time: without and with overload, and
+# under planned stops.
 soak: san
 	@$(SAN_BUILD)/random_test $(or $(SEEDS),20000)
 	@$(SAN_BUILD)/front_random_test $(or $(SEEDS),20000) $$(date +%s)
 	@from=$$((1000 + $$(date +%s) % 980)); BUILD=$(SAN_BUILD) tests/soak/run.sh $$from $$((from + 19)) 8
 	@from=$$(date +%s); BUILD=$(SAN_BUILD) tests/soak/run.sh $$from $$((from + 19)) 8
+	@from=$$(date +%s); SOAK=stop_soak.sh BUILD=$(SAN_BUILD) tests/soak/run.sh $$from $$((from + 19)) 12
 
 fuzz: setup-check
 	@scripts/fuzz.sh $(or $(SECONDS_EACH),30)
--- a/tests/front_lib.sh
+++ b/tests/front_lib.sh
@@ -102,3 +102,10 @@
 # crashes PATH ended|reached|late: prints how many searchers crashed while they ran PATH (ended), how many attempts
 # reached a searcher (reached), and how many did so long after the third crash (late).
 crashes() { users none | jq ".crashes[\"$1\"].$2 // 0"; }
+# Fails the test if a sanitizer has reported a fault in any process, or the stand-in of the platform has ended.
+processes_are_sound() {
+	local report
+	report=$(grep -h -A 8 'ERROR: AddressSanitizer\|runtime error:' "$RUN"/*.log | head -n 12)
+	[ -z "$report" ] || fail "${SEED:+seed $SEED: }a sanitizer's report: $report"
+	[ -n "$(users none)" ] || fail "${SEED:+seed $SEED: }the stand-in of the platform has ended: $(tail -n 3 "$RUN/users.log")"
+}
