core/forward: the part of a forwarded request is a forward_part_t; fuzzing builds again

make fuzz did not compile: tests/fuzz.c includes core/query.h and core/hop_message.h, and both ended in a part_t, the engine's part of a search and the forwarder's part of a request; it also held the target hop twice. The forwarder's is renamed.

New target replies: all that a searcher sends on a connection, up to the bytes that callers get, which must be one whole answer.

--- a/src/core/forward.c
+++ b/src/core/forward.c
@@ -17,7 +17,7 @@
 void forward_release(forward_t *forward, uint64_t within_us, uint64_t now_us)
 {
 	for (uint32_t i = 0; i < forward->part_count; i++) {
-		part_t *part = &forward->parts[i];
+		forward_part_t *part = &forward->parts[i];
 
 		part_unqueue(part);
 		for (guint j = 0; part->in_flight && j < part->in_flight->len; j++)
@@ -34,7 +34,7 @@
 	if (forward->admission.queued)
 		admission_withdraw(forward->forwarder->admission, &forward->admission);
 	for (uint32_t i = 0; i < forward->part_count; i++) {
-		part_t *part = &forward->parts[i];
+		forward_part_t *part = &forward->parts[i];
 
 		if (part->tried) {
 			g_ptr_array_unref(part->tried);
@@ -68,7 +68,7 @@
 bool forward_may_have_run(const forward_t *forward)
 {
 	for (uint32_t i = 0; i < forward->part_count; i++) {
-		const part_t *part = &forward->parts[i];
+		const forward_part_t *part = &forward->parts[i];
 
 		if (part->outcome_unknown || (part->in_flight && part->in_flight->len) ||
 		    part->state == PART_ANSWERED ||
@@ -154,7 +154,7 @@
 				   .missing = forward->part_count - forward->answered};
 
 	for (uint32_t i = 0; i < forward->part_count; i++) {
-		const part_t *part = &forward->parts[i];
+		const forward_part_t *part = &forward->parts[i];
 
 		if (part->state != PART_ANSWERED)
 			continue;
@@ -198,7 +198,7 @@
 }
 
 /* Why a part that no searcher ran is lost. */
-static forward_outcome_t unsent_outcome(const part_t *part)
+static forward_outcome_t unsent_outcome(const forward_part_t *part)
 {
 	if (part->queue_too_long)
 		return part->forward->ends_at_stop ? FORWARD_SHUTTING_DOWN : FORWARD_FULL;
@@ -208,7 +208,7 @@
 /* Returns true if the request is over. */
 static bool single_try_answer(forward_t *forward, uint64_t now_us)
 {
-	part_t *part = &forward->parts[0];
+	forward_part_t *part = &forward->parts[0];
 
 	if (part->state == PART_ANSWERED) {
 		note_served(forward, now_us);
@@ -265,7 +265,7 @@
 	if (forward->partial_us > now_us)
 		next_us = MIN(next_us, forward->partial_us);
 	for (uint32_t i = 0; i < forward->part_count; i++) {
-		const part_t *part = &forward->parts[i];
+		const forward_part_t *part = &forward->parts[i];
 
 		if (part->state == PART_SENT && part->hedge_us)
 			next_us = MIN(next_us, part->hedge_us);
@@ -300,7 +300,7 @@
 	if (forward_try_answer(forward, now_us))
 		return;
 	for (uint32_t i = 0; i < forward->part_count; i++) {
-		part_t *part = &forward->parts[i];
+		forward_part_t *part = &forward->parts[i];
 
 		if (part->state == PART_SENT && part->hedge_us && part->hedge_us <= now_us)
 			part_hedge(part, now_us);
--- a/src/core/forward.h
+++ b/src/core/forward.h
@@ -89,7 +89,7 @@
 } part_state_t;
 
 /** The part of a request that one service answers. */
-typedef struct part_t {
+typedef struct forward_part_t {
 	pool_t *pool;
 	part_state_t state;
 	forward_t *forward;
@@ -110,7 +110,7 @@
 				 the deadline */
 	bool outcome_unknown; /**< some sub-request may have run, but its outcome is not known */
 	bool refused_may_retry; /**< a searcher that refused it may be sent it again */
-} part_t;
+} forward_part_t;
 
 /** The outcome of a request, which decides its answer. */
 typedef enum forward_outcome_t {
@@ -194,12 +194,12 @@
 				enough */
 	GList link;	     /**< in the forwarder's list of open requests */
 	timer_entry_t timer;
-	part_t *parts;
+	forward_part_t *parts;
 	uint32_t part_count;
 	uint32_t answered;
 	uint32_t lost;
-	part_t *probe;	/**< the part that is sent alone, because searchers have crashed while
-			   running the request */
+	forward_part_t *probe; /**< the part that is sent alone, because searchers have crashed
+			  while running the request */
 	bool has_turn;	/**< this attempt's turn among the attempts at the same request has come */
 	bool has_trial; /**< this attempt holds the trial; the other attempts wait until the trial
 			   is over */
@@ -312,7 +312,7 @@
  * free connection again. */
 void forwarder_dispatch_waiting(forwarder_t *forwarder, const char *service, uint64_t now_us);
 /** Searchers that @p part was not sent to, counted by reason. */
-passed_over_t forward_passed_over(const part_t *part, uint64_t now_us);
+passed_over_t forward_passed_over(const forward_part_t *part, uint64_t now_us);
 /** The time left to the deadline. */
 uint64_t forward_time_left_us(const forward_t *forward, uint64_t now_us);
 /** How long the searcher may work on @p sub, sent to it as its deadline. */
--- a/src/core/forward_admission.c
+++ b/src/core/forward_admission.c
@@ -35,7 +35,7 @@
 } start_pass_t;
 
 /* Latency of a sub-request of the request's route while the shard's searchers have little to do. */
-static double unloaded_us(const part_t *part)
+static double unloaded_us(const forward_part_t *part)
 {
 	const quantile_t *relative = &part->forward->state->relative_latency;
 	double share = relative->value_us > 0 ? relative->value_us / ROUTE_LATENCY_UNIT : 1;
@@ -43,7 +43,7 @@
 	return placement_unloaded_us(part->pool) * share;
 }
 
-uint64_t part_send_budget_us(const part_t *part)
+uint64_t part_send_budget_us(const forward_part_t *part)
 {
 	const forward_t *forward = part->forward;
 	double target_us = (double)(forward->partial_us - forward->request.received_us);
@@ -59,7 +59,7 @@
 	       forward->route->target_us;
 }
 
-static bool has_room(const part_t *part, uint64_t now_us)
+static bool has_room(const forward_part_t *part, uint64_t now_us)
 {
 	const candidates_t candidates = part_candidates(part);
 
--- a/src/core/forward_private.h
+++ b/src/core/forward_private.h
@@ -38,13 +38,13 @@
 
 /** Dispatch waiting parts when a searcher for @p part may be sent to again, even if no sub-request
  * ends before: it is cold, or its send limit demands a pause. */
-void forwarder_dispatch_later(forwarder_t *forwarder, const part_t *part, uint64_t now_us);
+void forwarder_dispatch_later(forwarder_t *forwarder, const forward_part_t *part, uint64_t now_us);
 /** Share with the other VMs what this VM observed of the searcher of @p sub. */
 void forwarder_share_observation(forwarder_t *forwarder, const subrequest_t *sub,
 				 observation_type_t type, uint64_t now_us);
 
 /** Create a sub-request to @p searcher, for the request and the service of @p part. */
-subrequest_t *subrequest_new(part_t *part, searcher_t *searcher, sub_purpose_t purpose,
+subrequest_t *subrequest_new(forward_part_t *part, searcher_t *searcher, sub_purpose_t purpose,
 			     uint64_t now_us);
 void subrequest_free(subrequest_t *sub);
 /** Detach @p sub from its request, which is over. It is cancelled after @p within_us; if it ends
@@ -52,41 +52,41 @@
 void subrequest_release(subrequest_t *sub, uint64_t within_us, uint64_t now_us);
 
 /** The searchers that the part's next sub-request may be sent to. */
-candidates_t part_candidates(const part_t *part);
+candidates_t part_candidates(const forward_part_t *part);
 /** Whether the part is held back until it is known whether searchers survive its request. */
-bool part_is_held(const part_t *part);
+bool part_is_held(const forward_part_t *part);
 /** Send the sub-request that was held back, the first or a retry; otherwise queue the part or give
  * it up. */
-void part_resume(part_t *part, uint64_t now_us);
+void part_resume(forward_part_t *part, uint64_t now_us);
 /** The searcher for the part's next sub-request, or NULL if none has a free connection. */
-searcher_t *part_choose(const part_t *part, uint64_t now_us);
+searcher_t *part_choose(const forward_part_t *part, uint64_t now_us);
 /** Send the part's next sub-request, or give the part up if no searcher is left. Returns false if
  * no searcher has a free connection now. */
-bool part_start(part_t *part, sub_purpose_t purpose, uint64_t now_us);
+bool part_start(forward_part_t *part, sub_purpose_t purpose, uint64_t now_us);
 /** Whether a free connection would come too late for the caller's deadline. */
-bool part_would_miss_deadline(const part_t *part, uint64_t now_us);
+bool part_would_miss_deadline(const forward_part_t *part, uint64_t now_us);
 /** Whether this VM is expected to stop before a searcher with a free connection has answered. */
-bool part_would_outlast_stop(const part_t *part, uint64_t now_us);
+bool part_would_outlast_stop(const forward_part_t *part, uint64_t now_us);
 /** Queue a part for which no searcher has a free connection, or give it up. */
-void part_wait(part_t *part, uint64_t now_us);
+void part_wait(forward_part_t *part, uint64_t now_us);
 /** Send a hedge if it is due and allowed; otherwise set when to check again. */
-void part_hedge(part_t *part, uint64_t now_us);
+void part_hedge(forward_part_t *part, uint64_t now_us);
 /** More searchers may run the request than before: set when to check for a hedge. */
-void part_allow_attempts(part_t *part, uint64_t now_us);
+void part_allow_attempts(forward_part_t *part, uint64_t now_us);
 /** A sub-request of the part is over; takes ownership of @p reply. */
-void part_take_reply(part_t *part, subrequest_t *sub, sub_reply_t *reply, uint64_t now_us);
+void part_take_reply(forward_part_t *part, subrequest_t *sub, sub_reply_t *reply, uint64_t now_us);
 /** Send a waiting part to @p searcher, which has a free connection, unless it is too late.
  */
-void part_send_waiting(part_t *part, searcher_t *searcher, uint64_t now_us);
+void part_send_waiting(forward_part_t *part, searcher_t *searcher, uint64_t now_us);
 /** Remove the part from its pool's queue. */
-void part_unqueue(part_t *part);
+void part_unqueue(forward_part_t *part);
 /** Give the part up: it is lost. */
-void part_lose(part_t *part);
+void part_lose(forward_part_t *part);
 
 /** Whether the request is suspect, and no searcher has answered this attempt at it. */
 bool forward_is_suspect(const forward_t *forward, uint64_t now_us);
 /** Whether a sub-request sent for @p part now belongs to a claimed trial. */
-bool forward_is_on_trial(const part_t *part);
+bool forward_is_on_trial(const forward_part_t *part);
 /** The sub-request that was sent alone is over with the result @p end. */
 void forward_probe_ended(forward_t *forward, const trial_result_t *end, uint64_t now_us);
 /** Give up all parts that are held back. */
@@ -108,7 +108,7 @@
 /** Its rank in queues: that of its tenant, if the tenant has one, else that of its route. */
 uint32_t forward_rank(const forward_t *forward);
 /** Latency of a sub-request at which its answer is still of use. */
-uint64_t part_send_budget_us(const part_t *part);
+uint64_t part_send_budget_us(const forward_part_t *part);
 /** Whether the request starts only when enough of its shards have room. */
 bool forward_is_admission_controlled(const forward_t *forward);
 /** Whether the request starts now, waits, or was refused; it is freed in the last case. */
--- a/src/core/forward_suspect.c
+++ b/src/core/forward_suspect.c
@@ -28,14 +28,14 @@
 
 /* Prefers the held-back part of the shard whose searcher crashed last: an answer from another shard
  * would prove nothing. */
-static part_t *held_part(const forward_t *forward)
+static forward_part_t *held_part(const forward_t *forward)
 {
 	const char *service =
 		poison_last_service(forward->forwarder->poison, forward->request.fingerprint);
-	part_t *held = NULL;
+	forward_part_t *held = NULL;
 
 	for (uint32_t i = 0; i < forward->part_count; i++) {
-		part_t *part = &forward->parts[i];
+		forward_part_t *part = &forward->parts[i];
 
 		if (!part_is_held(part))
 			continue;
@@ -89,7 +89,7 @@
 	       poison_has_claimed_trial(forward->forwarder->poison, forward->request.fingerprint);
 }
 
-bool forward_is_on_trial(const part_t *part)
+bool forward_is_on_trial(const forward_part_t *part)
 {
 	return part->forward->probe == part && has_claimed_trial(part->forward);
 }
@@ -119,7 +119,7 @@
 /* Sends one held-back part alone once this attempt has permission to send. */
 static void probe(forward_t *forward, uint64_t now_us)
 {
-	part_t *part = held_part(forward);
+	forward_part_t *part = held_part(forward);
 	const candidates_t candidates = part_candidates(part);
 
 	if (forward->probe || placement_all_probed(&candidates))
--- a/src/core/forwarder.c
+++ b/src/core/forwarder.c
@@ -364,10 +364,10 @@
 }
 
 /* The first waiting part for which no searcher is left, or NULL. */
-static part_t *part_without_candidates(const pool_t *pool)
+static forward_part_t *part_without_candidates(const pool_t *pool)
 {
 	for (GList *item = pool->waiting.head; item; item = item->next) {
-		part_t *part = item->data;
+		forward_part_t *part = item->data;
 		const candidates_t candidates = part_candidates(part);
 
 		if (!placement_has_candidate(&candidates))
@@ -380,7 +380,7 @@
  * to its deadline. */
 static void lose_without_candidates(pool_t *pool, uint64_t now_us)
 {
-	part_t *part;
+	forward_part_t *part;
 
 	while ((part = part_without_candidates(pool))) {
 		forward_t *forward = part->forward;
@@ -397,7 +397,7 @@
 	GList *next;
 
 	for (GList *item = pool->waiting.head; item; item = next) {
-		part_t *part = item->data;
+		forward_part_t *part = item->data;
 		forward_t *forward = part->forward;
 		searcher_t *searcher = part_choose(part, now_us);
 
@@ -430,13 +430,13 @@
  * room of requests that have not started. */
 static void dispatch_after_pause(forwarder_t *forwarder, const pool_t *pool, uint64_t now_us)
 {
-	const part_t *first = pool->waiting.head ? pool->waiting.head->data : NULL;
+	const forward_part_t *first = pool->waiting.head ? pool->waiting.head->data : NULL;
 
 	if (first && !shedding_is_allowed(first->forward) && placement_has_paused(pool, now_us))
 		dispatch_at(forwarder, now_us + PAUSE_RECHECK_US);
 }
 
-void forwarder_dispatch_later(forwarder_t *forwarder, const part_t *part, uint64_t now_us)
+void forwarder_dispatch_later(forwarder_t *forwarder, const forward_part_t *part, uint64_t now_us)
 {
 	const candidates_t candidates = part_candidates(part);
 
@@ -466,7 +466,7 @@
 
 static void part_init(forward_t *forward, uint32_t index, const char *service, uint64_t now_us)
 {
-	part_t *part = &forward->parts[index];
+	forward_part_t *part = &forward->parts[index];
 
 	part->forward = forward;
 	part->pool = registry_pool(forward->forwarder->registry, service);
@@ -484,7 +484,7 @@
 	const GArray *targets = forward->route->targets;
 
 	forward->part_count = forward->route->gathers ? targets->len : 1;
-	forward->parts = g_new0(part_t, forward->part_count);
+	forward->parts = g_new0(forward_part_t, forward->part_count);
 	if (!forward->route->gathers) {
 		uint32_t chosen = targets->len > 1
 					  ? route_state_choose_target(forward->state, targets,
@@ -503,7 +503,7 @@
 static void lose_unservable(forward_t *forward)
 {
 	for (uint32_t i = 0; i < forward->part_count; i++) {
-		part_t *part = &forward->parts[i];
+		forward_part_t *part = &forward->parts[i];
 		const candidates_t candidates = part_candidates(part);
 
 		if (part->state == PART_WAITING && !placement_has_candidate(&candidates))
@@ -564,7 +564,7 @@
 	uint32_t lost_or_late = forward->lost;
 
 	for (uint32_t i = 0; i < forward->part_count; i++) {
-		const part_t *part = &forward->parts[i];
+		const forward_part_t *part = &forward->parts[i];
 		const candidates_t candidates = part_candidates(part);
 
 		if (part->state != PART_WAITING)
@@ -577,7 +577,7 @@
 	return !forward_has_enough(forward, forward->part_count - lost_or_late);
 }
 
-static double wait_us(const part_t *part, uint64_t now_us)
+static double wait_us(const forward_part_t *part, uint64_t now_us)
 {
 	const candidates_t candidates = part_candidates(part);
 
@@ -585,12 +585,12 @@
 }
 
 /* The part without a free connection that would wait longest, or NULL. */
-static part_t *longest_wait(const forward_t *forward, uint64_t now_us)
+static forward_part_t *longest_wait(const forward_t *forward, uint64_t now_us)
 {
-	part_t *longest = NULL;
+	forward_part_t *longest = NULL;
 
 	for (uint32_t i = 0; i < forward->part_count; i++) {
-		part_t *part = &forward->parts[i];
+		forward_part_t *part = &forward->parts[i];
 
 		if (part->state != PART_WAITING || part->is_queued)
 			continue;
@@ -608,7 +608,7 @@
  */
 static void start_parts(forward_t *forward, uint64_t now_us)
 {
-	part_t *part;
+	forward_part_t *part;
 
 	for (uint32_t i = 0; i < forward->part_count; i++)
 		if (forward->parts[i].state == PART_WAITING)
--- a/src/core/part.c
+++ b/src/core/part.c
@@ -30,7 +30,7 @@
  * for a moment. */
 #define REFUSAL_RATE_MIN 0.3
 
-candidates_t part_candidates(const part_t *part)
+candidates_t part_candidates(const forward_part_t *part)
 {
 	return (candidates_t){.pool = part->pool,
 			      .route = part->forward->route,
@@ -38,14 +38,14 @@
 			      .tried = part->tried};
 }
 
-static bool is_possible(const part_t *part)
+static bool is_possible(const forward_part_t *part)
 {
 	const candidates_t candidates = part_candidates(part);
 
 	return placement_has_candidate(&candidates);
 }
 
-static bool may_run_again(const part_t *part)
+static bool may_run_again(const forward_part_t *part)
 {
 	return part->forward->route->idempotent && part->runs < part->forward->max_attempts;
 }
@@ -60,7 +60,7 @@
  * few extra sub-requests for a shard. If they were spent early, none would be left when a searcher
  * pauses.
  */
-static uint64_t hedge_due_us(part_t *part, uint64_t now_us)
+static uint64_t hedge_due_us(forward_part_t *part, uint64_t now_us)
 {
 	const searcher_t *latest = g_ptr_array_index(part->tried, part->tried->len - 1);
 	const retry_bound_t *bound = &part->pool->bound;
@@ -80,7 +80,8 @@
 	return forward->partial_us > need_us ? forward->partial_us - need_us : 0;
 }
 
-static void part_send(part_t *part, searcher_t *searcher, sub_purpose_t purpose, uint64_t now_us)
+static void part_send(forward_part_t *part, searcher_t *searcher, sub_purpose_t purpose,
+		      uint64_t now_us)
 {
 	forward_t *forward = part->forward;
 	forwarder_t *forwarder = forward->forwarder;
@@ -108,7 +109,7 @@
 
 /* ---- waiting for a free connection ---- */
 
-void part_unqueue(part_t *part)
+void part_unqueue(forward_part_t *part)
 {
 	if (part->is_queued)
 		g_queue_unlink(&part->pool->waiting, &part->waiting);
@@ -120,7 +121,7 @@
  * Otherwise a part of a request that has already left out as many parts as it may would wait behind
  * parts that their requests can do without.
  */
-static bool goes_before(const part_t *part, const part_t *other)
+static bool goes_before(const forward_part_t *part, const forward_part_t *other)
 {
 	bool spare = shedding_is_allowed(part->forward);
 
@@ -129,7 +130,7 @@
 	return forward_rank(part->forward) < forward_rank(other->forward);
 }
 
-static void part_insert(part_t *part)
+static void part_insert(forward_part_t *part)
 {
 	GList *before = part->pool->waiting.tail;
 
@@ -143,7 +144,7 @@
 	part->is_queued = true;
 }
 
-static void part_queue(part_t *part, uint64_t now_us)
+static void part_queue(forward_part_t *part, uint64_t now_us)
 {
 	part_insert(part);
 	forwarder_dispatch_later(part->forward->forwarder, part, now_us);
@@ -152,13 +153,13 @@
 }
 
 /* Moves a waiting part up when its request can no longer do without it. */
-static void part_move_up(part_t *part)
+static void part_move_up(forward_part_t *part)
 {
 	part_unqueue(part);
 	part_insert(part);
 }
 
-void part_lose(part_t *part)
+void part_lose(forward_part_t *part)
 {
 	forward_t *forward = part->forward;
 	bool before = shedding_is_allowed(forward);
@@ -175,13 +176,13 @@
 			part_move_up(&forward->parts[i]);
 }
 
-static void part_refuse_queueing(part_t *part)
+static void part_refuse_queueing(forward_part_t *part)
 {
 	part->queue_too_long = true;
 	part_lose(part);
 }
 
-static void part_shed(part_t *part)
+static void part_shed(forward_part_t *part)
 {
 	part->forward->forwarder->counters.shed++;
 	part->shed = true;
@@ -191,7 +192,7 @@
 
 /* A caller that is refused now can retry in time; if its part waited, it would be refused at the
  * deadline. */
-bool part_would_miss_deadline(const part_t *part, uint64_t now_us)
+bool part_would_miss_deadline(const forward_part_t *part, uint64_t now_us)
 {
 	const candidates_t candidates = part_candidates(part);
 	double usual_us = placement_typical_us(part->pool);
@@ -203,13 +204,13 @@
 	       part->forward->deadline_us;
 }
 
-bool part_would_outlast_stop(const part_t *part, uint64_t now_us)
+bool part_would_outlast_stop(const forward_part_t *part, uint64_t now_us)
 {
 	return part->forward->ends_at_stop &&
 	       now_us + (uint64_t)placement_typical_us(part->pool) > part->forward->deadline_us;
 }
 
-void part_wait(part_t *part, uint64_t now_us)
+void part_wait(forward_part_t *part, uint64_t now_us)
 {
 	shedding_note_wait(part->pool, now_us);
 	if (shedding_is_allowed(part->forward) && shedding_waits_too_long(part, now_us))
@@ -222,7 +223,7 @@
 
 /* Suspects are placed apart: if two ran at one searcher, nobody could tell which of them crashed
  * it. */
-searcher_t *part_choose(const part_t *part, uint64_t now_us)
+searcher_t *part_choose(const forward_part_t *part, uint64_t now_us)
 {
 	const candidates_t candidates = part_candidates(part);
 	GRand *rand = part->forward->forwarder->rand;
@@ -232,7 +233,7 @@
 	return placement_choose(&candidates, rand, now_us);
 }
 
-bool part_start(part_t *part, sub_purpose_t purpose, uint64_t now_us)
+bool part_start(forward_part_t *part, sub_purpose_t purpose, uint64_t now_us)
 {
 	searcher_t *searcher = part_choose(part, now_us);
 
@@ -245,7 +246,7 @@
 	return true;
 }
 
-void part_send_waiting(part_t *part, searcher_t *searcher, uint64_t now_us)
+void part_send_waiting(forward_part_t *part, searcher_t *searcher, uint64_t now_us)
 {
 	part_unqueue(part);
 	if (shedding_is_allowed(part->forward) && shedding_is_too_late(part, now_us))
@@ -289,7 +290,7 @@
 
 /* Without an idle connection, a hedge is sent only at the latest time: connecting costs the
  * searcher a handshake, and many parts tend to be late at once. */
-static uint64_t hedge_at_us(part_t *part, const searcher_t *searcher, uint64_t late_us,
+static uint64_t hedge_at_us(forward_part_t *part, const searcher_t *searcher, uint64_t late_us,
 			    uint64_t now_us)
 {
 	uint64_t due_us = hedge_due_us(part, now_us);
@@ -299,7 +300,7 @@
 	return searcher->idle ? MIN(due_us, late_us) : late_us;
 }
 
-void part_hedge(part_t *part, uint64_t now_us)
+void part_hedge(forward_part_t *part, uint64_t now_us)
 {
 	const candidates_t candidates = part_candidates(part);
 	forwarder_t *forwarder = part->forward->forwarder;
@@ -336,7 +337,7 @@
 	return outcome == SUB_NOT_RUN || outcome == SUB_REPLACED || outcome == SUB_NOT_SENT;
 }
 
-static bool may_retry(part_t *part, sub_outcome_t outcome, uint64_t now_us)
+static bool may_retry(forward_part_t *part, sub_outcome_t outcome, uint64_t now_us)
 {
 	const retry_bound_t *bound = &part->pool->bound;
 
@@ -351,7 +352,7 @@
  * A failure from a searcher means that the request ran. A refusal of a later retry must not replace
  * it, or the caller would be told that the request has not run.
  */
-static void part_store_reply(part_t *part, sub_reply_t *reply)
+static void part_store_reply(forward_part_t *part, sub_reply_t *reply)
 {
 	if (part->reply && part->reply->outcome == SUB_FAILED && has_not_run(reply->outcome)) {
 		sub_reply_free(reply);
@@ -363,12 +364,12 @@
 
 /* ---- suspect requests ---- */
 
-bool part_is_held(const part_t *part)
+bool part_is_held(const forward_part_t *part)
 {
 	return part->state == PART_WAITING && !part->is_queued && !part->forward->admission.queued;
 }
 
-void part_resume(part_t *part, uint64_t now_us)
+void part_resume(forward_part_t *part, uint64_t now_us)
 {
 	bool again = part->runs || part->refusals;
 
@@ -385,14 +386,15 @@
  * the next sub-request waits until the one before has shown that a searcher survives the request.
  * If a sub-request that was sent alone is lost as well, no others follow.
  */
-static void part_hold(part_t *part, bool gives_up)
+static void part_hold(forward_part_t *part, bool gives_up)
 {
 	part->state = PART_WAITING;
 	if (gives_up)
 		forward_lose_held_parts(part->forward);
 }
 
-static void part_failed(part_t *part, const subrequest_t *sub, sub_reply_t *reply, uint64_t now_us)
+static void part_failed(forward_part_t *part, const subrequest_t *sub, sub_reply_t *reply,
+			uint64_t now_us)
 {
 	sub_outcome_t outcome = reply->outcome;
 	forward_t *forward = part->forward;
@@ -424,19 +426,19 @@
 }
 
 /* Schedules the hedges that were held until a first part was answered. */
-static void hedge_others(const part_t *answered, uint64_t now_us)
+static void hedge_others(const forward_part_t *answered, uint64_t now_us)
 {
 	forward_t *forward = answered->forward;
 
 	for (uint32_t i = 0; i < forward->part_count; i++) {
-		part_t *part = &forward->parts[i];
+		forward_part_t *part = &forward->parts[i];
 
 		if (part->state == PART_SENT && part->hedge_us)
 			part->hedge_us = MIN(part->hedge_us, hedge_due_us(part, now_us));
 	}
 }
 
-static void part_answered(part_t *part, const subrequest_t *sub, sub_reply_t *reply,
+static void part_answered(forward_part_t *part, const subrequest_t *sub, sub_reply_t *reply,
 			  uint64_t now_us)
 {
 	sub_reply_free(part->reply);
@@ -458,7 +460,7 @@
  * A searcher that refuses a share of its requests may accept the same part the next time. A
  * searcher that has refused only once is full for now.
  */
-static void allow_retry_at(part_t *part, searcher_t *searcher, uint64_t now_us)
+static void allow_retry_at(forward_part_t *part, searcher_t *searcher, uint64_t now_us)
 {
 	if (failure_rate_now(&searcher->failure_rate, now_us) <= REFUSAL_RATE_MIN ||
 	    is_possible(part))
@@ -467,7 +469,7 @@
 	part->refused_may_retry = true;
 }
 
-void part_take_reply(part_t *part, subrequest_t *sub, sub_reply_t *reply, uint64_t now_us)
+void part_take_reply(forward_part_t *part, subrequest_t *sub, sub_reply_t *reply, uint64_t now_us)
 {
 	g_ptr_array_remove_fast(part->in_flight, sub);
 	if (reply->outcome == SUB_NOT_RUN)
@@ -480,14 +482,14 @@
 		part_failed(part, sub, reply, now_us);
 }
 
-void part_allow_attempts(part_t *part, uint64_t now_us)
+void part_allow_attempts(forward_part_t *part, uint64_t now_us)
 {
 	if (part->state != PART_SENT || part->hedge_us || !may_run_again(part))
 		return;
 	part->hedge_us = MAX(hedge_due_us(part, now_us), now_us);
 }
 
-passed_over_t forward_passed_over(const part_t *part, uint64_t now_us)
+passed_over_t forward_passed_over(const forward_part_t *part, uint64_t now_us)
 {
 	const candidates_t candidates = part_candidates(part);
 
--- a/src/core/shedding.c
+++ b/src/core/shedding.c
@@ -27,7 +27,7 @@
 	return forward->route->gathers && left > 1 && forward_has_enough(forward, left - 1);
 }
 
-bool shedding_waits_too_long(const part_t *part, uint64_t now_us)
+bool shedding_waits_too_long(const forward_part_t *part, uint64_t now_us)
 {
 	const candidates_t candidates = part_candidates(part);
 	const pool_t *pool = part->pool;
@@ -38,7 +38,7 @@
 	return now_us + (uint64_t)(wait_factor * expected_us) > part->forward->partial_us;
 }
 
-bool shedding_is_too_late(const part_t *part, uint64_t now_us)
+bool shedding_is_too_late(const forward_part_t *part, uint64_t now_us)
 {
 	return now_us + (uint64_t)placement_typical_us(part->pool) > part->forward->partial_us;
 }
--- a/src/core/shedding.h
+++ b/src/core/shedding.h
@@ -18,9 +18,9 @@
 /** Whether the request would still reach its required coverage without one more part. */
 bool shedding_is_allowed(const forward_t *forward);
 /** Whether a part that has to wait for a free connection now would be answered after the target. */
-bool shedding_waits_too_long(const part_t *part, uint64_t now_us);
+bool shedding_waits_too_long(const forward_part_t *part, uint64_t now_us);
 /** Whether a part sent now would be answered after the target. */
-bool shedding_is_too_late(const part_t *part, uint64_t now_us);
+bool shedding_is_too_late(const forward_part_t *part, uint64_t now_us);
 /** A part of the shard found no free connection. */
 void shedding_note_wait(pool_t *pool, uint64_t now_us);
 /** A part of the shard was sent, or shed. */
--- a/src/core/subrequest.c
+++ b/src/core/subrequest.c
@@ -115,7 +115,7 @@
 	}
 }
 
-subrequest_t *subrequest_new(part_t *part, searcher_t *searcher, sub_purpose_t purpose,
+subrequest_t *subrequest_new(forward_part_t *part, searcher_t *searcher, sub_purpose_t purpose,
 			     uint64_t now_us)
 {
 	subrequest_t *sub = g_new0(subrequest_t, 1);
--- a/src/queries/front_log.c
+++ b/src/queries/front_log.c
@@ -18,7 +18,7 @@
 	g_string_append_printf(line, " fingerprint=%s", text);
 }
 
-static void append_tried_searchers(GString *line, const part_t *part)
+static void append_tried_searchers(GString *line, const forward_part_t *part)
 {
 	if (!part->tried || !part->tried->len)
 		g_string_append(line, "nobody");
@@ -29,7 +29,7 @@
 
 /* Counts the searchers that could have taken the part, but were excluded by the route's regions, by
  * an evacuation or by the rate limit on cold searchers. */
-static void append_passed_over(GString *line, const part_t *part)
+static void append_passed_over(GString *line, const forward_part_t *part)
 {
 	const passed_over_t passed = forward_passed_over(part, loop_now_us());
 
@@ -45,7 +45,7 @@
 	uint32_t logged = 0;
 
 	for (uint32_t i = 0; i < forward->part_count && logged < MISSING_PARTS_LOGGED; i++) {
-		const part_t *part = &forward->parts[i];
+		const forward_part_t *part = &forward->parts[i];
 
 		if (part->state == PART_ANSWERED)
 			continue;
--- a/tests/fuzz.c
+++ b/tests/fuzz.c
@@ -2,7 +2,8 @@
  * @file fuzz.c
  * Fuzzes each parser of data from outside the process: searchers' replies and health pages,
  * callers' searches and idempotency keys, operators' configurations, peers' frames, pages of the
- * users' store, and feed and hand-over messages between VMs. FUZZ_TARGET selects the parser.
+ * users' store, feed and hand-over messages between VMs, and all that a searcher sends on a
+ * connection, up to the bytes that callers get. FUZZ_TARGET selects the parser.
  */
 #include "commands/action.h"
 #include "commands/propose.h"
@@ -11,6 +12,8 @@
 #include "core/frame.h"
 #include "core/json_salvage.h"
 #include "core/reply.h"
+#include "headers.h"
+#include "net/http_message.h"
 #include "queries/search.h"
 #include "store.h"
 
@@ -18,23 +21,8 @@
 #include <string.h>
 
 #define KEY "a-key-of-at-least-16"
-
-static void take_hop(void *ctx, const hop_message_t *message)
-{
-	(void)ctx;
-	hop_reason_name(message->reason);
-	forward_outcome_status(message->answer.end);
-}
-
-static void fuzz_hop(const uint8_t *data, size_t bytes)
-{
-	g_autoptr(GByteArray) frame = g_byte_array_new();
-	size_t used = 0;
-
-	hop_message_read(data, bytes, &used, take_hop, NULL);
-	framing_append(frame, (const char *)data, bytes);
-	hop_message_read(frame->data, frame->len, &used, take_hop, NULL);
-}
+#define REQUEST_ID "id"
+#define REPLY_MAX_BYTES 65536
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t bytes);
 
@@ -162,6 +150,67 @@
 	hop_message_read(frame->data, frame->len, &used, take_hop, NULL);
 }
 
+static http_message_t *reply_message_new(void)
+{
+	return http_message_new(HTTP_MESSAGE_REPLY,
+				(http_message_limits_t){.head_bytes = REPLY_MAX_BYTES,
+							.body_bytes = REPLY_MAX_BYTES});
+}
+
+/* The answer to the caller, as the HTTP server writes it. */
+static GString *format_answer(const sub_reply_t *reply)
+{
+	GString *text = g_string_new(NULL);
+
+	g_string_append_printf(text, "HTTP/1.1 %d Status\r\n%s", reply->status, reply->headers);
+	if (http_status_has_body(reply->status))
+		g_string_append_printf(text, "Content-Length: %zu\r\n", reply->body->len);
+	g_string_append(text, "\r\n");
+	if (http_status_has_body(reply->status))
+		g_string_append_len(text, reply->body->str, (gssize)reply->body->len);
+	return text;
+}
+
+/* What reaches a caller is one whole answer: nothing before it, nothing behind it. */
+static void check_answer(const sub_reply_t *reply)
+{
+	g_autoptr(GString) text = format_answer(reply);
+	http_message_t *answer = reply_message_new();
+	size_t taken = http_message_parse(answer, text->str, text->len);
+
+	if (http_message_state(answer) != HTTP_MESSAGE_COMPLETE || taken != text->len ||
+	    http_message_status(answer) != reply->status ||
+	    !g_string_equal(http_message_body(answer), reply->body))
+		abort();
+	http_message_free(answer);
+}
+
+/* The first byte says how long the reads are. */
+static void fuzz_replies(const uint8_t *data, size_t bytes)
+{
+	http_message_t *message = reply_message_new();
+	size_t step = bytes ? (size_t)data[0] + 1 : 1, at = 1;
+
+	while (at < bytes) {
+		size_t taken =
+			http_message_parse(message, (const char *)data + at, MIN(step, bytes - at));
+		bool foreign;
+		sub_reply_t *reply;
+
+		at += taken;
+		if (http_message_state(message) == HTTP_MESSAGE_INCOMPLETE)
+			continue;
+		if (http_message_state(message) != HTTP_MESSAGE_COMPLETE)
+			break;
+		reply = headers_read_reply(message, REQUEST_ID, &foreign);
+		if (reply->outcome == SUB_ANSWERED || reply->outcome == SUB_FAILED)
+			check_answer(reply);
+		sub_reply_free(reply);
+		http_message_reset(message);
+	}
+	http_message_free(message);
+}
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t bytes)
 {
 	static const struct {
@@ -169,7 +218,7 @@
 		void (*run)(const uint8_t *data, size_t bytes);
 	} targets[] = {{"reply", fuzz_reply},	{"health", fuzz_health}, {"search", fuzz_search},
 		       {"config", fuzz_config}, {"frame", fuzz_frame},	 {"page", fuzz_page},
-		       {"feed", fuzz_feed},	{"hop", fuzz_hop}};
+		       {"feed", fuzz_feed},	{"hop", fuzz_hop},	 {"replies", fuzz_replies}};
 	const char *wanted = getenv("FUZZ_TARGET");
 
 	for (size_t i = 0; i < G_N_ELEMENTS(targets); i++)
