--- a/tests/run-all.sh
+++ b/tests/run-all.sh
@@ -7,6 +7,7 @@
 make --no-print-directory unit
 make --no-print-directory overload
 make --no-print-directory system
+scripts/fuzz.sh 3 1
 # Real processes under faults, with the seeds of seeds.txt. `make soak` runs more seeds, new ones each time.
 grep -v '^#' tests/soak/seeds.txt | while read -r soak build seed seconds _; do
 	SOAK=${soak}_soak.sh BUILD=$build tests/soak/run.sh "$seed" "$seed" "$seconds" </dev/null || exit 1
