--- a/tests/front_lib.sh
+++ b/tests/front_lib.sh
@@ -65,6 +65,18 @@
 	for ((i = 0; i < $1; i++)); do wait_until knows_vms "$i"; done
 }
 
+# fronts_start_behind_proxy COUNT: the same, with a proxy before all searchers.
+# proxy_searchers PARAMETER=VALUE: sets what the proxy does; see standins/proxy.c.
+SEARCHERS_PROXY=$((PORT_BASE + 3)) BEHIND_PROXY=50
+fronts_start_behind_proxy() {
+	local i mappings=()
+	for ((i = 0; i < 8; i++)); do mappings+=("$((SHARDS_FROM + BEHIND_PROXY + i)):$((SHARDS_FROM + i))"); done
+	"$BUILD/standin-proxy" "$SEARCHERS_PROXY" "${mappings[@]}" >>"$RUN/proxy.log" 2>&1 &
+	PIDS+=($!)
+	USERS_ARGS="--advertise $BEHIND_PROXY ${USERS_ARGS:-}" fronts_start "$1"
+}
+proxy_searchers() { curl -s -m 2 -G --data-urlencode "$1" "http://127.0.0.1:$SEARCHERS_PROXY/do" >/dev/null; }
+
 knows_vms() { [ "$(metric dogwoodsaddle_vms "$1")" -ge 1 ]; }
 
 # find_all ID [curl arguments]: sends a gather to VM 0; headers go to $RUN/head, the body to standard output.
--- a/tests/soak/stop_soak.sh
+++ b/tests/soak/stop_soak.sh
@@ -17,16 +17,11 @@
 RANDOM=$SEED
 # Processes end with what they have allocated.
 export ASAN_OPTIONS=detect_leaks=0
-VMS_RUN=3 OFFSET=100 PROXY=$((PORT_BASE + 3)) GRACE_MS=5000
+VMS_RUN=3 GRACE_MS=5000
 pick() { local -a all=("$@"); picked=${all[RANDOM % ${#all[@]}]}; }
-proxy() { curl -s -m 2 -G --data-urlencode "$1" "http://127.0.0.1:$PROXY/do" >/dev/null; }
-mappings=()
-for ((i = 0; i < 8; i++)); do mappings+=("$((SHARDS_FROM + OFFSET + i)):$((SHARDS_FROM + i))"); done
-"$BUILD/standin-proxy" "$PROXY" "${mappings[@]}" >>"$RUN/proxy.log" 2>&1 &
-PIDS+=($!)
 pick 20 200 700
-USERS_ARGS="--advertise $OFFSET --log-runs --timeout-ms 15000 --queue 8 --work-ms $picked" fronts_start $VMS_RUN
 work_ms=$picked version=1
+USERS_ARGS="--log-runs --timeout-ms 15000 --queue 8 --work-ms $work_ms" fronts_start_behind_proxy $VMS_RUN
 
 now_ms() { echo $((${EPOCHREALTIME/./} / 1000)); }
 # A process of this shell's own is a zombie until it is waited for; kill -0 succeeds on it.
@@ -59,10 +54,10 @@
 spoil_answers() {
 	pick late=1 status=204 status='20 '
 	[ "$picked" != late=1 ] || users shed-first i-single >/dev/null
-	proxy "$picked"
+	proxy_searchers "$picked"
 	sleep 0.5
-	proxy late=0
-	proxy status=
+	proxy_searchers late=0
+	proxy_searchers status=
 	users ok i-single >/dev/null
 }
 event() {
--- a/tests/system/front_invalid_answers.sh
+++ b/tests/system/front_invalid_answers.sh
@@ -1,13 +1,8 @@
 # Searchers whose answers have a spoiled status: bytes that are no answer must not reach callers, who took them, or the
 # body behind a status without one, for the beginning of their next answer.
 . tests/front_lib.sh
-PROXY=$((PORT_BASE + 3)) OFFSET=50
-mappings=()
-for ((i = 0; i < 8; i++)); do mappings+=("$((SHARDS_FROM + OFFSET + i)):$((SHARDS_FROM + i))"); done
-"$BUILD/standin-proxy" "$PROXY" "${mappings[@]}" >>"$RUN/proxy.log" 2>&1 &
-PIDS+=($!)
-USERS_ARGS="--advertise $OFFSET" fronts_start 1
-spoil() { curl -s -m 2 -G --data-urlencode "status=$1" "http://127.0.0.1:$PROXY/do" >/dev/null; }
+fronts_start_behind_proxy 1
+spoil() { proxy_searchers "status=$1"; }
 # raw METHOD PATH [BODY]: sends a request and writes all bytes that come within 0.3 s to $RUN/raw.
 raw() {
 	exec 3<>"/dev/tcp/127.0.0.1/$FRONT_FROM"
--- a/tests/system/front_late_refusal.sh
+++ b/tests/system/front_late_refusal.sh
@@ -1,22 +1,16 @@
 # A searcher's refusal comes a second time, late, when the action that it refused has been sent to it once more: taken for
 # the answer to that, the action ran twice, or was answered 503 and ran.
 . tests/front_lib.sh
-PROXY=$((PORT_BASE + 3)) OFFSET=50
-mappings=()
-for ((i = 0; i < 8; i++)); do mappings+=("$((SHARDS_FROM + OFFSET + i)):$((SHARDS_FROM + i))"); done
-"$BUILD/standin-proxy" "$PROXY" "${mappings[@]}" >>"$RUN/proxy.log" 2>&1 &
-PIDS+=($!)
-USERS_ARGS="--advertise $OFFSET --log-runs" fronts_start 1
-proxy() { curl -s -m 2 "http://127.0.0.1:$PROXY/do?$1" >/dev/null; }
+USERS_ARGS='--log-runs' fronts_start_behind_proxy 1
 act() { attempt 0 get.example /get/act/x -d body -w '%{http_code}\n'; }
 # Searchers that refuse a share of their requests are asked again.
 users shed i-single >/dev/null
 for ((i = 0; i < 3; i++)); do act >/dev/null; done
 users shed-first i-single >/dev/null
-proxy late=1
+proxy_searchers late=1
 : >"$RUN/answers"
 for ((i = 0; i < 6; i++)); do
-	proxy mode=cut
+	proxy_searchers mode=cut
 	echo "$ATTEMPT-$((ATTEMPTS + 1)) $(act)" >>"$RUN/answers"
 	ATTEMPTS=$((ATTEMPTS + 1))
 done
