tests/store_sync: virtual time never goes back

test_silent_connections_of_some_hide_a_change ran 3.3 s past the last silence, then to the moment of the change, which lies 0 to 6 s after that silence: where it was earlier than 3.3 s, the simulated clock was set back. Events of those 3.3 s had run by then, so a watch sent "later" decided whether a change of "earlier" was received.

The gap now lies between the silences only, and run_until() fails when time would go back.

--- a/tests/store_sync_test.c
+++ b/tests/store_sync_test.c
@@ -493,6 +493,7 @@
 
 static void run_until(sim_t *sim, uint64_t end_us)
 {
+	assert_true(end_us >= sim->now_us);
 	for (;;) {
 		uint64_t next_us = timers_next_us(&sim->timers);
 
@@ -726,9 +727,10 @@
 				set_all_vms(sim, watchers);
 				run_until(sim, START_US + at_ms * MS_US);
 				for (uint32_t time = 0; time < times; time++) {
+					if (time > 0)
+						run_until(sim, silent_us + gap_ms * MS_US);
 					silent_us = sim->now_us;
 					silence_connections(sim, some[j]);
-					run_until(sim, sim->now_us + gap_ms * MS_US);
 				}
 				run_until(sim, silent_us + at_ms * 7 % 6000 * MS_US);
 				change_all(sim);
