core/store_sync: after an outage the age of the data is known at once

A VM that leaves its feed reads lists from the store itself just as the store recovers, when it has the most to do.

Hypotheses: (a) a feeder reports reliable with an age of the other kind that grows; (b) statuses come late under load and the stale timer fires; (c) the backup feeder lost the store again.

Cause: when the store answers the probed kind again, the other kinds are requested again, with the state "failing" reset before the call is made: so by a watch that waits, 3.5 s here, and the data counts as old as the last answer before the outage for all that time. The same on a related path: where another kind's watch shows first that the store is back, the probed kind waited for its retry, then sent a watch that waits.

Change: kinds that determine the age are requested once without a wait when the store answers again, those that wait for a retry at once. One more short call per such kind and outage on the VMs that watch the store.

Test: test_data_counts_as_old_after_an_outage, five failures, outages of 50 ms to 14 s, eight bounds; from 0.3 s (the longest reply) after the store is back the data is never older than a watch and its slack. Before: "1720000 is not within the range 0-1200000".

Looked at: watch_store() (reads lists, which never wait), a feeder's status, evaluate_feed() and evaluate_candidate() (judge the age as reported), the stale timer, retry_announced() (fed VMs only; does not count for the age).

--- a/src/core/store_sync.c
+++ b/src/core/store_sync.c
@@ -50,12 +50,14 @@
 	sync_kind_t *kind = ctx;
 	store_sync_t *sync = kind->sync;
 	const feed_timing_t *timing = &sync->timing;
-	bool list = kind->list_watch.list_due, brief = list || sync->failing || kind->failures;
+	bool list = kind->list_watch.list_due;
+	bool brief = list || sync->failing || kind->failures || kind->resumed;
 	store_sync_call_t call = {.list = list, .timeout_us = timing->probe_timeout_us};
 
 	if (!brief)
 		call.timeout_us = (kind->config.wait_ms + FEED_WATCH_SLACK_MS) * 1000ull;
 	call.wait_ms = brief ? PROBE_WAIT_MS : kind->config.wait_ms;
+	kind->resumed = false;
 	kind->pending = true;
 	kind->pending_watch = !brief;
 	if (sync->probing && !store_sync_timer_is_set(&sync->backup_timer))
@@ -91,15 +93,19 @@
 
 /* Repeats the calls that may have got lost while the store did not reply, and starts the postponed
  * ones. A watch with a long wait may have lost its connection while no other call was pending that
- * would have shown it. */
+ * would have shown it. Kinds that determine the age of the data are requested without a wait: until
+ * they are answered, the data counts as older than the outage. */
 static void resume_calls(store_sync_t *sync, const sync_kind_t *answered, uint64_t now_us)
 {
 	for (uint32_t i = 0; i < sync->count; i++) {
 		sync_kind_t *kind = &sync->kinds[i];
 		bool may_be_lost = kind->pending && (sync->timed_out || !kind->config.frequent);
+		bool waits_to_retry = kind->failures && !kind->pending;
 
-		if (kind->postponed || (may_be_lost && kind != answered))
+		if (kind != answered && (kind->postponed || may_be_lost || waits_to_retry)) {
+			kind->resumed = kind->config.frequent;
 			call_after(kind, 0, now_us);
+		}
 		kind->postponed = false;
 		kind->failures = 0;
 	}
--- a/src/core/store_sync_private.h
+++ b/src/core/store_sync_private.h
@@ -20,6 +20,7 @@
 	bool pending_watch;	 /* the pending call is a watch that waits for a change */
 	bool list_read;		 /* the list was read since this VM began to watch the store */
 	bool postponed;		 /* to be requested once the store answers */
+	bool resumed;		 /* to be requested without a wait: the store answers again */
 	uint32_t failures;	 /* in a row */
 	uint64_t last_answer_us; /* when the store last answered for it */
 	timer_entry_t next;
--- a/tests/store_sync_test.c
+++ b/tests/store_sync_test.c
@@ -1124,9 +1124,44 @@
 	}
 }
 
+static void run_age_after_outage(const bounds_t *bounds, failure_t failure, uint64_t outage_ms)
+{
+	const feed_timing_t timing = timing_of(bounds);
+	uint64_t max_us = (timing.watch_ms + FEED_WATCH_SLACK_MS) * MS_US;
+	sim_t *sim = sim_new(&timing, 1, 1, (uint32_t)outage_ms);
+	store_sync_t *sync = sim->nodes[0].sync;
+	uint64_t replies_due_us = 0;
+
+	set_all_vms(sim, 1);
+	run_until(sim, START_US + 9000 * MS_US);
+	add_outage(sim, failure, ALL_VMS, sim->now_us, outage_ms * MS_US);
+	run_until(sim, sim->now_us + outage_ms * MS_US);
+	for (uint64_t end_us = sim->now_us + 10000 * MS_US; sim->now_us < end_us;) {
+		run_until(sim, sim->now_us + 10 * MS_US);
+		if (store_sync_is_unreachable(sync))
+			replies_due_us = sim->now_us + FEED_REPLY_MAX_MS * MS_US;
+		else if (sim->now_us > replies_due_us)
+			assert_in_range(store_sync_age_us(sync, sim->now_us), 0, max_us);
+	}
+	sim_free(sim);
+}
+
+/* Guards against a kind that is requested again after an outage by a watch that waits: the VM's
+ * data counts as old for all of that wait, and its subscribers leave it just as the store recovers.
+ */
+static void test_data_counts_as_old_after_an_outage(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(all_bounds); i++)
+		for (int failure = 0; failure < FAILURES; failure++)
+			for (uint64_t outage_ms = 50; outage_ms < 14000; outage_ms += 137)
+				run_age_after_outage(&all_bounds[i], (failure_t)failure, outage_ms);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_data_counts_as_old_after_an_outage),
 		cmocka_unit_test(test_change_after_an_outage_is_late),
 		cmocka_unit_test(test_change_after_an_outage_is_late_on_fed_vms),
 		cmocka_unit_test(test_silent_connections_hide_a_change),
