net/http_message: a head is bounded by its bytes, not by a number of lines

What callers saw: 400 for a request of more than 100 header lines within max-header-bytes, and no second try, since nothing is sent again after a 400; a searcher's reply of that kind counted as lost.

Cause: a fixed array of 100 lines; the next one ended the parse as invalid.

Change: the table of lines grows. The bound in bytes, checked before the parser sees a byte, bounds it to twice the head. Beside it http-parser's own limit of 80 KB per head, which also answered 400, follows the largest setting; trailers and the lines of chunk sizes keep a bound.

Looked at: add_name and add_value (requests and replies), header_at, the lookups by name, http_conn's replies (the same parser), what writes heads (strings that grow), the trailers (not stored).

--- a/src/net/http_message.c
+++ b/src/net/http_message.c
@@ -8,9 +8,6 @@
 #include <http_parser.h>
 #include <string.h>
 
-/* Maximum header lines; more than any of the service's callers sends. */
-#define HEADERS_MAX 100
-
 /* Offsets of a header's name and value in `text`, whose buffer moves as it grows. */
 typedef struct header_offsets_t {
 	uint32_t name;
@@ -52,9 +49,8 @@
 	head_scan_t scan;
 	chunk_scan_t chunks;
 	bool is_chunked;
-	GString *text; /* NUL-terminated strings: the target, then names and values */
-	header_offsets_t headers[HEADERS_MAX];
-	uint32_t header_count;
+	GString *text;	 /* NUL-terminated strings: the target, then names and values */
+	GArray *headers; /* header_offsets_t; as many as the head's limit in bytes allows */
 	bool in_value;
 	bool has_head;
 	bool no_body;
@@ -86,6 +82,11 @@
 		g_string_truncate(text, text->len - 1);
 }
 
+static header_offsets_t *header_at(const http_message_t *message, size_t index)
+{
+	return &g_array_index(message->headers, header_offsets_t, index);
+}
+
 static int add_name(http_parser *parser, const char *at, size_t length)
 {
 	http_message_t *message = message_of(parser);
@@ -94,13 +95,14 @@
 		return 0;
 	if (memchr(at, ' ', length) || memchr(at, '\t', length))
 		return -1;
-	if (message->in_value || message->header_count == 0) {
+	if (message->in_value || message->headers->len == 0) {
+		header_offsets_t header = {0};
+
 		end_value(message);
-		if (message->header_count == HEADERS_MAX)
-			return -1;
 		g_string_append_c(message->text, '\0');
 		message->in_value = false;
-		message->headers[message->header_count++].name = (uint32_t)message->text->len;
+		header.name = (uint32_t)message->text->len;
+		g_array_append_val(message->headers, header);
 	}
 	g_string_append_len(message->text, at, (gssize)length);
 	return 0;
@@ -115,7 +117,7 @@
 	if (!message->in_value) {
 		g_string_append_c(message->text, '\0');
 		message->in_value = true;
-		message->headers[message->header_count - 1].value = (uint32_t)message->text->len;
+		header_at(message, message->headers->len - 1)->value = (uint32_t)message->text->len;
 	}
 	g_string_append_len(message->text, at, (gssize)length);
 	return 0;
@@ -187,13 +189,27 @@
 	.on_message_complete = end_message,
 };
 
+/* http-parser has one limit for all messages. It also holds for trailers and the line of a chunk's
+ * size, which the limit on the head does not cover. */
+static void allow_in_parser(size_t head_bytes)
+{
+	static size_t allowed_bytes = HTTP_MAX_HEADER_SIZE;
+
+	if (head_bytes <= allowed_bytes)
+		return;
+	allowed_bytes = MIN(head_bytes, UINT32_MAX);
+	http_parser_set_max_header_size((uint32_t)allowed_bytes);
+}
+
 http_message_t *http_message_new(http_message_kind_t kind, http_message_limits_t limits)
 {
 	http_message_t *message = g_new0(http_message_t, 1);
 
 	message->kind = kind;
 	message->limits = limits;
+	allow_in_parser(limits.head_bytes);
 	message->text = g_string_sized_new(512);
+	message->headers = g_array_new(FALSE, FALSE, sizeof(header_offsets_t));
 	message->body = g_string_sized_new(512);
 	http_message_reset(message);
 	return message;
@@ -202,6 +218,7 @@
 void http_message_free(http_message_t *message)
 {
 	g_string_free(message->text, TRUE);
+	g_array_unref(message->headers);
 	g_string_free(message->body, TRUE);
 	g_free(message);
 }
@@ -215,7 +232,7 @@
 	message->scan = (head_scan_t){.in_head = true};
 	message->chunks = (chunk_scan_t){0};
 	message->is_chunked = false;
-	message->header_count = 0;
+	g_array_set_size(message->headers, 0);
 	message->in_value = false;
 	message->has_head = false;
 	message->no_body = false;
@@ -439,12 +456,12 @@
 
 size_t http_message_header_count(const http_message_t *message)
 {
-	return message->header_count;
+	return message->headers->len;
 }
 
 http_header_t http_message_header_at(const http_message_t *message, size_t index)
 {
-	const header_offsets_t *offsets = &message->headers[index];
+	const header_offsets_t *offsets = header_at(message, index);
 
 	return (http_header_t){.name = message->text->str + offsets->name,
 			       .value = message->text->str + offsets->value};
@@ -452,9 +469,9 @@
 
 const char *http_message_header(const http_message_t *message, const char *name)
 {
-	for (uint32_t i = 0; i < message->header_count; i++)
-		if (!g_ascii_strcasecmp(message->text->str + message->headers[i].name, name))
-			return message->text->str + message->headers[i].value;
+	for (uint32_t i = 0; i < message->headers->len; i++)
+		if (!g_ascii_strcasecmp(message->text->str + header_at(message, i)->name, name))
+			return message->text->str + header_at(message, i)->value;
 	return NULL;
 }
 
@@ -462,8 +479,9 @@
 {
 	size_t times = 0;
 
-	for (uint32_t i = 0; i < message->header_count; i++)
-		times += !g_ascii_strcasecmp(message->text->str + message->headers[i].name, name);
+	for (uint32_t i = 0; i < message->headers->len; i++)
+		times +=
+			!g_ascii_strcasecmp(message->text->str + header_at(message, i)->name, name);
 	return times;
 }
 
--- a/tests/message_test.c
+++ b/tests/message_test.c
@@ -177,6 +177,40 @@
 	http_message_free(message);
 }
 
+static http_message_state_t parse_lines(size_t lines, size_t head_bytes)
+{
+	const http_message_limits_t limits = {.head_bytes = head_bytes};
+	http_message_t *message = http_message_new(REQUEST, limits);
+	GString *text = g_string_new("GET / HTTP/1.1\r\n");
+	http_message_state_t state;
+
+	for (size_t i = 0; i < lines; i++)
+		g_string_append_printf(text, "X-%zu: %zu\r\n", i, i);
+	g_string_append(text, "\r\n");
+	http_message_parse(message, text->str, text->len);
+	state = http_message_state(message);
+	if (state == COMPLETE) {
+		http_header_t last = http_message_header_at(message, lines - 1);
+
+		assert_int_equal(http_message_header_count(message), lines);
+		assert_string_equal(http_message_header(message, last.name), last.value);
+		assert_string_equal(http_message_header(message, "x-0"), "0");
+	}
+	http_message_free(message);
+	g_string_free(text, TRUE);
+	return state;
+}
+
+/* A request of more than a hundred header lines got 400, though its head was within its limit. */
+static void test_head_of_many_lines(void **state)
+{
+	(void)state;
+	assert_int_equal(parse_lines(101, 4096), COMPLETE);
+	assert_int_equal(parse_lines(300, 4096), COMPLETE);
+	assert_int_equal(parse_lines(400, 4096), HTTP_MESSAGE_HEAD_TOO_LARGE);
+	assert_int_equal(parse_lines(10000, 256 * 1024), COMPLETE);
+}
+
 /* Two requests on one connection: parsing the first consumes no bytes of the second. */
 static void test_pipelined(void **state)
 {
@@ -231,6 +265,7 @@
 		cmocka_unit_test(test_byte_by_byte),
 		cmocka_unit_test(test_spoiled_reply_is_invalid),
 		cmocka_unit_test(test_head_limit),
+		cmocka_unit_test(test_head_of_many_lines),
 		cmocka_unit_test(test_pipelined),
 		cmocka_unit_test(test_closed_reply),
 		cmocka_unit_test(test_headers),
--- a/tests/system/front_input.sh
+++ b/tests/system/front_input.sh
@@ -10,7 +10,7 @@
 	printf "$2" >&3
 	read -r -t 4 line <&3
 	exec 3>&-
-	[[ $line == "HTTP/1.1 $1 "* ]] || fail "expected status $1 for $2, got: $line"
+	[[ $line == "HTTP/1.1 $1 "* ]] || fail "expected status $1 for ${2:0:200}, got: $line"
 }
 H='Host: get.example\r\n'
 raw 400 "POST /get/x HTTP/1.1\r\n${H}Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
@@ -23,12 +23,16 @@
 raw 400 "GET /get/x HTTP/1.1\r\n${H}${H}\r\n"
 raw 400 "nonsense\r\n\r\n"
 raw 431 "GET /get/x HTTP/1.1\r\n${H}X: $(head -c 5000 /dev/zero | tr '\0' x)\r\n\r\n"
+raw 431 "GET /get/x HTTP/1.1\r\n${H}$(printf 'X: y%.0s\\r\\n' {1..1000})\r\n"
 raw 413 "POST /get/x HTTP/1.1\r\n${H}Content-Length: 9000\r\n\r\n"
 raw 404 "GET /else/ HTTP/1.1\r\n${H}\r\n"
 raw 408 "GET /get/x HTTP/1.1\r\n${H}"
 runs=$(users none | jq '[.runs[]] | add')
 [ "$runs" = 0 ] || fail "invalid requests reached searchers: $runs"
 
+# A head of many short lines is within the limit: it is counted in bytes.
+raw 200 "GET /get/x HTTP/1.1\r\n${H}Dogwoodsaddle-Request-Id: many-lines\r\n$(printf 'X: y%.0s\\r\\n' {1..200})\r\n"
+
 # A chunked body is forwarded completely, and so are pipelined requests.
 get_one q1 /get/x -X POST -H 'Transfer-Encoding: chunked' -d body >/dev/null
 [ "$(status)" = 200 ] || fail "a chunked body gets status $(status)"
