core/registry: a removal after connections went silent is not held back

Hypotheses: (a) the removal is known too late; (b) it is known in time and held back for lapsed entries to come back; (c) it is known and requests in flight go on.

Cause: registry_remove() takes every store that was unreachable for one that had been away, during which entries lapse. The settle time is spent on finding the silence, so 2.3 s more can't fit.

Change: a store that answers within 1 s after it was noticed as lost may have worked all the while. Then removals are believed at once as long as a pool keeps two ready searchers for each one that goes; more than that at once is what a lapse looks like, and waits as before, as do all removals after longer losses and restores. Removals that a feeder's news bring before its status are reconsidered when the status comes.

Looked at: registry_put (clears a held removal), put_unreadable (at once), list_end (calls registry_remove), draining (at once), registry_run, restored (unchanged: always held).

--- a/src/core/registry.c
+++ b/src/core/registry.c
@@ -8,6 +8,13 @@
  * of its recovery; the rest allows for network delay. This is well below the time for which a
  * draining searcher goes on serving. */
 #define REREGISTER_GRACE_US 2300000
+/* If the store answers within this time after it was noticed as lost, the connections to it may
+ * have gone silent while the store itself worked and no entry lapsed. A feeder's next status comes
+ * within this time, too. */
+#define BRIEF_LOSS_US 1000000
+/* Removals after a brief loss are believed as long as a pool keeps this many searchers for each one
+ * that is removed. */
+#define KEPT_PER_REMOVED 2
 /* A restored store removes the entries of searchers that have left after three missed heartbeats,
  * of one to two seconds each. Until then it may list them again. */
 #define RESTORED_GUARD_US 12000000
@@ -42,6 +49,8 @@
 				       * register again */
 	GHashTable *evacuated;	      /* set of evacuated data centres */
 	uint64_t grace_end_us;
+	uint64_t lost_us;		/* when the store was noticed as unreachable */
+	bool brief_loss;		/* the grace follows a brief loss */
 	uint64_t restored_guard_end_us; /* until then, the store may list entries from an older copy
 					 * that were removed since */
 	bool store_unreachable;
@@ -293,19 +302,48 @@
 	remove_entry(registry, id);
 }
 
+/* Whether the pool keeps enough ready searchers if one more entry was removed, not lapsed. */
+static bool can_spare_one(const pool_t *pool)
+{
+	uint32_t ready = 0;
+
+	for (guint i = 0; i < pool->searchers->len; i++)
+		ready += ((searcher_t *)g_ptr_array_index(pool->searchers, i))->state ==
+			 SEARCHER_READY;
+	return ready > KEPT_PER_REMOVED * (pool->removed_in_grace + 1);
+}
+
 /*
  * While the store is unreachable, entries lapse although their searchers are alive. When it
  * recovers, all of them seem to be gone at once, and every request would be rejected. So a removal
  * soon after the recovery waits for the searcher to register again.
+ *
+ * If only the connections to the store had gone silent, nothing has lapsed: a removed searcher has
+ * left, and the time to notice the silence is all that this VM may take to know it.
  */
+static bool may_be_lapsed(registry_t *registry, const searcher_t *searcher, uint64_t now_us)
+{
+	pool_t *pool = registry_pool(registry, searcher->service);
+
+	if (searcher->state != SEARCHER_READY)
+		return false;
+	if (registry->store_unreachable)
+		return true;
+	if (now_us >= registry->grace_end_us)
+		return false;
+	if (!registry->brief_loss || !can_spare_one(pool))
+		return true;
+	pool->removed_in_grace++;
+	return false;
+}
+
 void registry_remove(registry_t *registry, const char *id, uint64_t born_ms, uint64_t now_us)
 {
 	searcher_t *searcher = g_hash_table_lookup(registry->by_id, id);
-	bool may_be_lapsed = registry->store_unreachable || now_us < registry->grace_end_us;
 
 	if (!searcher || (born_ms && is_outdated(registry, id, born_ms)))
 		return;
-	if (may_be_lapsed && searcher->state == SEARCHER_READY)
+	if (may_be_lapsed(registry, searcher, now_us))
 		g_hash_table_add(registry->pending_removals, g_strdup(id));
 	else
 		remove_entry(registry, id);
@@ -394,21 +432,44 @@
 		registry_remove(registry, g_ptr_array_index(missing, i), 0, now_us);
 }
 
-void registry_store_lost(registry_t *registry)
+void registry_store_lost(registry_t *registry, uint64_t now_us)
 {
+	if (!registry->store_unreachable)
+		registry->lost_us = now_us;
 	registry->store_unreachable = true;
 }
 
+/* News of a feeder may arrive before its status says that it reaches the store again. */
+static void reconsider_removals(registry_t *registry, uint64_t now_us)
+{
+	g_autofree gpointer *ids = NULL;
+	g_autoptr(GHashTable) held = g_steal_pointer(&registry->pending_removals);
+
+	registry->pending_removals = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	ids = g_hash_table_get_keys_as_array(held, NULL);
+	for (gpointer *id = ids; *id; id++)
+		registry_remove(registry, *id, 0, now_us);
+}
+
 void registry_store_recovered(registry_t *registry, uint64_t now_us)
 {
+	GHashTableIter iter;
+	gpointer pool;
+
 	if (!registry->store_unreachable)
 		return;
 	registry->store_unreachable = false;
+	registry->brief_loss = now_us < registry->lost_us + BRIEF_LOSS_US;
 	registry->grace_end_us = now_us + REREGISTER_GRACE_US;
+	g_hash_table_iter_init(&iter, registry->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &pool))
+		((pool_t *)pool)->removed_in_grace = 0;
+	reconsider_removals(registry, now_us);
 }
 
 void registry_store_restored(registry_t *registry, uint64_t now_us)
 {
+	registry->brief_loss = false;
 	registry->grace_end_us = now_us + REREGISTER_GRACE_US;
 	registry->restored_guard_end_us = now_us + RESTORED_GUARD_US;
 }
--- a/src/core/registry.h
+++ b/src/core/registry.h
@@ -37,6 +37,8 @@
 	cold_limit_t cold;	    /**< rate limit on sub-requests to cold searchers */
 	uint64_t cold_us;	    /**< assumed cold time of a searcher after its data centre's
 				     * evacuation has ended */
+	uint32_t removed_in_grace;  /**< searchers whose removal was believed since the store last
+				     * recovered */
 	uint64_t last_sent_us;	    /**< when this VM last sent a sub-request to it; 0: never */
 	uint64_t last_exhausted_us; /**< when a part last found no capacity; 0: never */
 } pool_t;
@@ -84,7 +86,7 @@
 			    uint64_t now_us);
 /** Records that the store did not answer; removals soon after its recovery may be lapsed entries of
  * live searchers. */
-void registry_store_lost(registry_t *registry);
+void registry_store_lost(registry_t *registry, uint64_t now_us);
 void registry_store_recovered(registry_t *registry, uint64_t now_us);
 /**
  * Records that the store was restored from an older copy: searchers that are missing from its lists
--- a/src/tasks/store_reader.c
+++ b/src/tasks/store_reader.c
@@ -215,7 +215,7 @@
 
 void store_reader_store_lost(store_reader_t *reader)
 {
-	registry_store_lost(reader->registry);
+	registry_store_lost(reader->registry, loop_now_us());
 }
 
 void store_reader_store_recovered(store_reader_t *reader)
--- a/tests/forward_test.c
+++ b/tests/forward_test.c
@@ -486,7 +486,7 @@
 {
 	fixture_t *fixture = ctx;
 	(void)words;
-	registry_store_lost(fixture->registry);
+	registry_store_lost(fixture->registry, fixture->now_us);
 }
 
 static void do_store_recovered(void *ctx, char **words)
--- a/tests/front_matrix_test.c
+++ b/tests/front_matrix_test.c
@@ -87,7 +87,7 @@
 
 static void entries_lapse(scenario_t *scenario)
 {
-	registry_store_lost(scenario->world->registry);
+	registry_store_lost(scenario->world->registry, scenario->world->now_us);
 	registry_store_recovered(scenario->world->registry, scenario->world->now_us);
 	both_removed(scenario);
 }
--- a/tests/front_random_test.c
+++ b/tests/front_random_test.c
@@ -97,7 +97,7 @@
 
 static void lose_store(front_world_t *world)
 {
-	registry_store_lost(world->registry);
+	registry_store_lost(world->registry, world->now_us);
 }
 
 static void recover_store(front_world_t *world)
