net/loop: signals that arrive while a VM starts are kept

What was seen: in stop_soak a SIGTERM in the first 10 ms of a process ended it with 143; a SIGHUP, which an operator sends to all VMs after a change of their settings, was suspected to end a VM that starts, and does.

Cause: the handlers were set by loop_run(), after the settings are read and the listeners are open.

Change: the daemon keeps SIGTERM, SIGINT and SIGHUP from the first line of main() on; loop_run() delivers what came before it waits for events.

What remains is the time until main() is reached, while libraries are loaded; the soak still allows 129 and 143 of a process that has logged nothing.

--- a/src/dogwoodsaddled.c
+++ b/src/dogwoodsaddled.c
@@ -286,6 +286,7 @@
 					 0};
 	daemon_t self = {0};
 
+	loop_hold_signals();
 	self.arguments.config = getenv("DOGWOODSADDLE_CONFIG");
 	argp_parse(&argp, argc, argv, 0, NULL, &self.arguments);
 	self.settings = read_settings(self.arguments.config);
--- a/src/net/loop.c
+++ b/src/net/loop.c
@@ -55,6 +55,7 @@
 };
 
 /* Signal handlers get no context argument, so the flags and the context to wake are globals. */
+static const int handled_signals[] = {SIGTERM, SIGINT, SIGHUP};
 static volatile sig_atomic_t pending_signals[32];
 static struct lws_context *volatile wake_context;
 
@@ -337,16 +338,31 @@
 		loop->resumed(loop->resumed_ctx, now_us - loop->armed_us);
 }
 
-void loop_run(loop_t *loop, void (*on_signal)(void *ctx, int signal_number), void *ctx)
+void loop_hold_signals(void)
 {
-	static const int handled[] = {SIGTERM, SIGINT, SIGHUP};
-
-	wake_context = loop->context;
 	signal(SIGPIPE, SIG_IGN);
-	for (size_t i = 0; i < G_N_ELEMENTS(handled); i++)
-		signal(handled[i], record_signal);
+	for (size_t i = 0; i < G_N_ELEMENTS(handled_signals); i++)
+		signal(handled_signals[i], record_signal);
+}
+
+static void deliver_signals(void (*on_signal)(void *ctx, int signal_number), void *ctx)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(handled_signals); i++) {
+		int number = handled_signals[i];
 
+		if (!pending_signals[number])
+			continue;
+		pending_signals[number] = 0;
+		on_signal(ctx, number);
+	}
+}
+
+void loop_run(loop_t *loop, void (*on_signal)(void *ctx, int signal_number), void *ctx)
+{
+	wake_context = loop->context;
+	loop_hold_signals();
 	loop->stopping = false;
+	deliver_signals(on_signal, ctx);
 	run_messages_and_timers(loop);
 	while (!loop->stopping) {
 		arm_timerfd(loop);
@@ -359,12 +375,7 @@
 			break;
 		if (loop->resumed)
 			check_suspension(loop);
-		for (size_t i = 0; i < G_N_ELEMENTS(handled); i++) {
-			if (!pending_signals[handled[i]])
-				continue;
-			pending_signals[handled[i]] = 0;
-			on_signal(ctx, handled[i]);
-		}
+		deliver_signals(on_signal, ctx);
 		run_messages_and_timers(loop);
 	}
 	wake_context = NULL;
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -67,6 +67,9 @@
 /** Call @p resumed after the machine did not run for a while, for example when it was suspended. */
 void loop_set_resumed(loop_t *loop, void (*resumed)(void *ctx, uint64_t suspended_us), void *ctx);
 
+/** Keep each SIGTERM, SIGINT and SIGHUP from now on for loop_run(); without this, one that arrives
+ * before loop_run() ends the process. */
+void loop_hold_signals(void);
 /** Run until loop_stop(); @p on_signal is called with each SIGTERM, SIGINT or SIGHUP. */
 void loop_run(loop_t *loop, void (*on_signal)(void *ctx, int signal_number), void *ctx);
 void loop_stop(loop_t *loop);
