--- a/src/core/forward.c
+++ b/src/core/forward.c
@@ -197,11 +197,16 @@
 	forward_finish(forward, &answer, now_us);
 }
 
+forward_outcome_t forward_no_room_outcome(const forward_t *forward)
+{
+	return forward->ends_at_stop ? FORWARD_SHUTTING_DOWN : FORWARD_FULL;
+}
+
 /* Why a part that no searcher ran is lost. */
 static forward_outcome_t unsent_outcome(const forward_part_t *part)
 {
 	if (part->queue_too_long)
-		return part->forward->ends_at_stop ? FORWARD_SHUTTING_DOWN : FORWARD_FULL;
+		return forward_no_room_outcome(part->forward);
 	return part->refusals ? FORWARD_REJECTED : FORWARD_NO_SEARCHER;
 }
 
@@ -284,9 +289,7 @@
 	if (forward_may_have_run(forward))
 		forward_refuse(forward, FORWARD_TIMEOUT, now_us);
 	else
-		forward_refuse(forward,
-			       forward->ends_at_stop ? FORWARD_SHUTTING_DOWN : FORWARD_FULL,
-			       now_us);
+		forward_refuse(forward, forward_no_room_outcome(forward), now_us);
 }
 
 void forward_on_timer(void *ctx, uint64_t now_us)
--- a/src/core/forward_private.h
+++ b/src/core/forward_private.h
@@ -128,6 +128,9 @@
 void forward_set_timer(forward_t *forward, uint64_t now_us);
 /** End the request with an answer that does not come from a searcher. */
 void forward_refuse(forward_t *forward, forward_outcome_t outcome, uint64_t now_us);
+/** The outcome of a request that found no room at a searcher within its deadline, which may be the
+ * stop of this VM. */
+forward_outcome_t forward_no_room_outcome(const forward_t *forward);
 /** Detach the sub-requests in flight; they are cancelled after @p within_us. */
 void forward_release(forward_t *forward, uint64_t within_us, uint64_t now_us);
 void forward_free(forward_t *forward, uint64_t now_us);
--- a/src/core/forwarder.c
+++ b/src/core/forwarder.c
@@ -688,9 +688,7 @@
 	if (forward_try_answer(forward, now_us))
 		return NULL;
 	if (is_coverage_unreachable(forward, now_us)) {
-		forward_refuse(forward,
-			       forward->ends_at_stop ? FORWARD_SHUTTING_DOWN : FORWARD_FULL,
-			       now_us);
+		forward_refuse(forward, forward_no_room_outcome(forward), now_us);
 		return NULL;
 	}
 	return admit_or_start(forward, now_us);
--- a/src/tasks/caller_task.c
+++ b/src/tasks/caller_task.c
@@ -147,27 +147,32 @@
 	query_task_submit(task->queries, ticket, request);
 }
 
+static bool parse_request(caller_task_t *task, http_exchange_t *exchange, const route_t *route,
+			  const service_t *service, const char *id, request_t *request, err_t *err)
+{
+	request->service = g_strdup(service->name);
+	request->kind = service->kind;
+	return read_id(task, exchange, request, err) && read_class(exchange, request, err) &&
+	       read_deadline(exchange, service, request, err) &&
+	       route->parse(exchange, id, request, err);
+}
+
 static void serve(caller_task_t *task, http_exchange_t *exchange, const route_t *route,
 		  const service_t *service, const char *id)
 {
 	request_t *request = request_new();
 	err_t err = {0};
 
-	request->service = g_strdup(service->name);
-	request->kind = service->kind;
-	if (read_id(task, exchange, request, &err) && read_class(exchange, request, &err) &&
-	    read_deadline(exchange, service, request, &err) &&
-	    route->parse(exchange, id, request, &err)) {
-		if (request->deadline_us <= task->stop_us) {
-			submit(task, exchange, request);
-			return;
-		}
+	if (!parse_request(task, exchange, route, service, id, request, &err)) {
+		reply_problem(exchange, REFUSAL_BAD_REQUEST, err.text, request->id, 0);
+		request_free(request);
+	} else if (request->deadline_us > task->stop_us) {
 		reply_problem(exchange, REFUSAL_NO_TIME, "this VM stops before the deadline",
 			      request->id, STOPPING_RETRY_AFTER_US);
+		request_free(request);
 	} else {
-		reply_problem(exchange, REFUSAL_BAD_REQUEST, err.text, request->id, 0);
+		submit(task, exchange, request);
 	}
-	request_free(request);
 }
 
 /* "/v1/services/NAME/RESOURCE[/ID]" */
