--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -111,6 +111,7 @@
 		seeds = $seeds
 		[stop]
 		drain_ms = ${DRAIN_MS:-1000}
+		$([ -z "${GRACE_S:-}" ] || printf 'grace_s = %d\n' "$GRACE_S")
 		[policy]
 		hedge = ${HEDGE:-1}
 		choose_by_cost = ${CHOOSE:-1}
