front_requests: a VM answers nothing by an older version than its gatherers have shown its callers

Hypotheses: (a) gatherers take turns with older ones: ruled out, each hand-over names the latest version; (b) the VM's own version goes back: it doesn't, it stays until the change arrives; (c) requests that are not gathered don't ask whether the VM is behind. (c): route_request() submitted them unchecked.

Within 0.2 s the VM has mostly read the change, so usual changes refuse nothing.

Looked at: gathers that come back (at once, as before), missing keys (503 in place of 401 at once, as before), hop_accepts, routes not found (503 too: the later version may have them), sub-requests of requests that have begun (keep their version).

--- a/src/core/handover.c
+++ b/src/core/handover.c
@@ -20,14 +20,20 @@
  * first gatherer are worth more. */
 #define RESERVE_ONE_FROM 3
 
+/* A request may be answered by the former configuration this long after another was by a later one.
+ * Until then this VM has mostly read the later one, too. */
+#define REGRESS_SLACK_US 200000
+
 struct handovers_t {
 	const handover_ops_t *ops;
 	void *ctx;
 	GPtrArray *gatherers; /* gatherer_t */
 	GHashTable *open;     /* serial to handover_t */
 	uint64_t last_serial;
-	uint64_t version; /* latest configuration version that a gatherer has used */
-	uint64_t stop_us; /* when this VM stops; UINT64_MAX: not known */
+	uint64_t version;	  /* latest configuration version that a gatherer has used */
+	uint64_t own_version;	  /* of the configuration in force on this VM */
+	uint64_t behind_since_us; /* when a gatherer first used a later one */
+	uint64_t stop_us;	  /* when this VM stops; UINT64_MAX: not known */
 	timers_t timers;
 	handover_counters_t counters;
 };
@@ -304,10 +310,12 @@
  * new version must not be answered by the old one afterwards, so from now on no gatherer with an
  * older version accepts a request.
  */
-static void record_version(handovers_t *all, uint64_t version)
+static void record_version(handovers_t *all, uint64_t version, uint64_t now_us)
 {
 	if (version <= all->version)
 		return;
+	if (!handovers_is_behind(all))
+		all->behind_since_us = now_us;
 	all->version = version;
 	all->ops->newer_version(all->ctx, version);
 }
@@ -374,7 +382,7 @@
 
 	update_state(gatherer, message->type);
 	if (message->type == HOP_ACCEPTED)
-		record_version(all, message->version);
+		record_version(all, message->version, now_us);
 	if (!handover) /* it has ended */
 		return;
 	if (handover->gatherer != gatherer) {
@@ -411,6 +419,21 @@
 	return all->version;
 }
 
+void handovers_set_own_version(handovers_t *all, uint64_t version)
+{
+	all->own_version = version;
+}
+
+bool handovers_is_behind(const handovers_t *all)
+{
+	return all->own_version < all->version;
+}
+
+bool handovers_is_long_behind(const handovers_t *all, uint64_t now_us)
+{
+	return handovers_is_behind(all) && now_us >= all->behind_since_us + REGRESS_SLACK_US;
+}
+
 uint64_t handovers_next_us(const handovers_t *all)
 {
 	return timers_next_us(&all->timers);
--- a/src/core/handover.h
+++ b/src/core/handover.h
@@ -95,6 +95,12 @@
 
 /** The latest configuration version that a gatherer has used for this VM; 0: none. */
 uint64_t handovers_version(const handovers_t *all);
+/** Sets the version of the configuration in force on this VM. */
+void handovers_set_own_version(handovers_t *all, uint64_t version);
+/** Whether a gatherer has used a later configuration than that of this VM. */
+bool handovers_is_behind(const handovers_t *all);
+/** The same, for so long that callers would take an answer by the older one for a regress. */
+bool handovers_is_long_behind(const handovers_t *all, uint64_t now_us);
 
 uint64_t handovers_next_us(const handovers_t *all);
 void handovers_run(handovers_t *all, uint64_t now_us);
--- a/src/tasks/front_requests.c
+++ b/src/tasks/front_requests.c
@@ -110,8 +110,7 @@
 
 static bool is_config_behind(const front_task_t *task)
 {
-	return forwarder_routing(task->forwarder)->version <
-	       handovers_version(gather_task_handovers(task->gathers));
+	return handovers_is_behind(gather_task_handovers(task->gathers));
 }
 
 static void on_gather_here(void *ctx, relay_t *relay)
@@ -143,6 +142,8 @@
 		return;
 	if (found && access.route->gathers)
 		on_gather_here(task, relay);
+	else if (handovers_is_long_behind(gather_task_handovers(task->gathers), loop_now_us()))
+		reject_config_behind(task, relay);
 	else
 		submit(task, relay);
 }
--- a/src/tasks/front_task.c
+++ b/src/tasks/front_task.c
@@ -272,6 +272,7 @@
 					     .idle_us = routing->limits.idle_us};
 
 	http_server_set_limits(task->callers, &limits);
+	gather_task_set_version(task->gathers, routing->version);
 	quota_task_set_routing(task->quotas, routing);
 	fleet_changed(task);
 }
--- a/src/tasks/gather_task.c
+++ b/src/tasks/gather_task.c
@@ -201,6 +201,11 @@
 	arm(task);
 }
 
+void gather_task_set_version(gather_task_t *task, uint64_t version)
+{
+	handovers_set_own_version(task->handovers, version);
+}
+
 const handovers_t *gather_task_handovers(const gather_task_t *task)
 {
 	return task->handovers;
--- a/src/tasks/gather_task.h
+++ b/src/tasks/gather_task.h
@@ -33,6 +33,8 @@
 			   uint64_t version);
 /** This VM stops at @p stop_us: requests handed over are answered by then. */
 void gather_task_stop_at(gather_task_t *task, uint64_t stop_us);
+/** Sets the version of the configuration in force on this VM. */
+void gather_task_set_version(gather_task_t *task, uint64_t version);
 /** The caller has disconnected: cancel the hand-over. */
 void gather_task_abandon(gather_task_t *task, relay_t *relay);
 const handovers_t *gather_task_handovers(const gather_task_t *task);
--- a/tests/handover_test.c
+++ b/tests/handover_test.c
@@ -280,13 +280,39 @@
 			  fixture->now_us);
 }
 
+static void do_own(void *ctx, char **words)
+{
+	handovers_set_own_version(((fixture_t *)ctx)->all, strtoull(words[1], NULL, 10));
+}
+
+static void do_behind(void *ctx, char **words)
+{
+	const fixture_t *fixture = ctx;
+	bool behind = handovers_is_behind(fixture->all);
+	bool for_long = handovers_is_long_behind(fixture->all, fixture->now_us);
+
+	(void)words;
+	g_string_append_printf(fixture->out, "> behind %s\n",
+			       for_long ? "long"
+			       : behind ? "yes"
+					: "no");
+}
+
 static const script_command_t commands[] = {
-	{"gatherers", do_gatherers}, {"there", do_there},
-	{"request", do_request},     {"taken", do_taken},
-	{"refuses", do_refuses},     {"answer", do_answer},
-	{"leaving", do_leaving},     {"lost", do_lost},
-	{"leave", do_leave},	     {"at", do_at},
-	{"stand", do_stand},	     {"ends", do_ends},
+	{"gatherers", do_gatherers},
+	{"there", do_there},
+	{"request", do_request},
+	{"taken", do_taken},
+	{"refuses", do_refuses},
+	{"answer", do_answer},
+	{"leaving", do_leaving},
+	{"lost", do_lost},
+	{"leave", do_leave},
+	{"at", do_at},
+	{"stand", do_stand},
+	{"ends", do_ends},
+	{"own", do_own},
+	{"behind", do_behind},
 };
 
 int main(void)
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -15,6 +15,8 @@
 	'a removal after connections went silent waits as if the entry had lapsed|src/core/registry.c|s/brief_loss = now_us < registry->lost_us \+ BRIEF_LOSS_US;/brief_loss = false;/'
 	'all removals after a short outage are believed|src/core/registry.c|s/ \|\| !can_spare_one\(pool\)//'
 	'removals that arrive just before a feeder reaches the store again wait|src/core/registry.c|s/\treconsider_removals\(registry, now_us\);//'
+	'a second change of the configuration lets callers see the first one reverted for longer|src/core/handover.c|s/if \(!handovers_is_behind\(all\)\)\n\t\tall->behind_since_us/all->behind_since_us/'
+	'callers see a change reverted as long as this VM has not read it|src/core/handover.c|s/return handovers_is_behind\(all\) && now_us >= .*?;/return false;/'
 	'postponed kinds are not requested after the store recovers|src/core/store_sync.c|s/\(kind->postponed \|\| may_be_lost/(may_be_lost/'
 	'a kind is requested by a watch that waits as soon as the store answers again|src/core/store_sync.c|s/kind->resumed = kind->config.frequent;//'
 	'a kind that waits for its retry stays behind as the store answers again|src/core/store_sync.c|s/kind->failures && !kind->pending;/false;/'
