net: a VM that runs out of descriptors refuses connections instead of spinning

What callers saw (trial, 80 descriptors and 120 idle connections): new connections are neither served nor closed (no answer in 2 s), and the VM uses a processor fully (1.99 s in 2 s).

Change: callers' connections take at most 3/4 of the descriptors; beyond that the longest idle one is closed for a new one, or the new one is closed at once. With none left at all a spare descriptor is given up to accept and close what waits. http_server's limit of connections, which only a stand-in used, has become a call; metrics caller_connections and caller_connections_refused_total, event=connections-refused.

Test: front_descriptors, 3 of 3 runs; on the code before, with its two checks of the new metrics left out: "the VM used 1010 ms of processor time while there are too many of callers". front_metrics, front_path, planned_stop pass.

Looked at: all callers of listener_new(); sock_connect() (a sub-request that is not sent, a call that fails); feeds and hand-overs (closed, tried again).

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -23,6 +23,9 @@
 /* Time allowed from connecting to the first request: a round trip plus a busy caller's delay. */
 #define NEW_CONNECTION_GRACE_US 300000
 
+/* Share of the process's descriptors that connections take at most if they are to leave some. */
+#define DESCRIPTORS_SHARE 0.75
+
 /* One accepted connection. */
 struct connection_t {
 	http_server_t *server;
@@ -45,6 +48,9 @@
 	http_server_limits_t limits;
 	GQueue connections;
 	uint32_t connections_peak;
+	uint32_t connections_max;
+	bool replaces_idle;
+	uint64_t connections_refused;
 	uint32_t open_exchanges;
 	uint64_t last_serial;
 	loop_timer_t sweep;
@@ -322,13 +328,49 @@
 static const sock_ops_t connection_ops = {
 	.received = on_received, .flushed = on_flushed, .ended = on_ended};
 
+static void drop_connection(connection_t *connection)
+{
+	sock_close(connection->sock);
+	on_ended(connection, SOCK_CLOSED);
+}
+
+static bool is_idle(const connection_t *connection, uint64_t now_us)
+{
+	return !connection->exchange && !connection->lingering &&
+	       !http_message_started(connection->message) &&
+	       now_us >= connection->state_since_us + NEW_CONNECTION_GRACE_US;
+}
+
+/* Returns whether one more connection may be accepted. */
+static bool make_room(http_server_t *server)
+{
+	uint64_t now_us = loop_now_us();
+	connection_t *longest_idle = NULL;
+
+	if (server->connections.length < server->connections_max)
+		return true;
+	server->connections_refused++;
+	if (!server->replaces_idle)
+		return false;
+	for (GList *item = server->connections.head; item; item = item->next) {
+		connection_t *connection = item->data;
+
+		if (is_idle(connection, now_us) &&
+		    (!longest_idle || connection->state_since_us < longest_idle->state_since_us))
+			longest_idle = connection;
+	}
+	if (!longest_idle)
+		return false;
+	drop_connection(longest_idle);
+	return true;
+}
+
 static void on_accepted(void *ctx, sock_t *sock)
 {
 	http_server_t *server = ctx;
 	connection_t *connection;
 
-	if (server->ops->connection_limit &&
-	    server->connections.length >= server->ops->connection_limit) {
+	if (!make_room(server)) {
 		sock_close(sock);
 		return;
 	}
@@ -344,12 +386,6 @@
 	sock_set_ops(sock, &connection_ops, connection);
 }
 
-static void drop_connection(connection_t *connection)
-{
-	sock_close(connection->sock);
-	on_ended(connection, SOCK_CLOSED);
-}
-
 void http_exchange_abort(http_exchange_t *exchange)
 {
 	if (exchange->connection)
@@ -401,6 +437,7 @@
 	server->ctx = ctx;
 	server->loop = loop;
 	server->limits = *limits;
+	server->connections_max = UINT32_MAX;
 	g_queue_init(&server->connections);
 	server->sweep = (loop_timer_t){.fire = sweep, .ctx = server};
 	server->listener = listener_new(loop, address, port, on_accepted, server);
@@ -443,13 +480,6 @@
 
 /* A connection that was just established doesn't count as idle: its first request is probably in
  * transit, and closing the connection would leave the caller without any answer. */
-static bool is_idle(const connection_t *connection, uint64_t now_us)
-{
-	return !connection->exchange && !connection->lingering &&
-	       !http_message_started(connection->message) &&
-	       now_us >= connection->state_since_us + NEW_CONNECTION_GRACE_US;
-}
-
 void http_server_close_idle(http_server_t *server)
 {
 	uint64_t now_us = loop_now_us();
@@ -459,6 +489,24 @@
 			linger(item->data);
 }
 
+void http_server_limit_connections(http_server_t *server, uint32_t max, bool replaces_idle)
+{
+	server->connections_max = max;
+	server->replaces_idle = replaces_idle;
+}
+
+void http_server_leave_descriptors(http_server_t *server)
+{
+	double max = DESCRIPTORS_SHARE * sock_descriptors_max();
+
+	http_server_limit_connections(server, (uint32_t)max, true);
+}
+
+uint64_t http_server_connections_refused(const http_server_t *server)
+{
+	return server->connections_refused;
+}
+
 uint32_t http_server_open_exchanges(const http_server_t *server)
 {
 	return server->open_exchanges;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -21,8 +21,6 @@
 	char *(*error_body)(void *ctx, int status, const char *detail);
 	/** Reject chunked bodies with 411. */
 	bool requires_length;
-	/** Maximum open connections; further ones are closed. 0: no limit. */
-	uint32_t connection_limit;
 } http_server_ops_t;
 
 /** Size and time limits for callers. */
@@ -46,6 +44,19 @@
 void http_server_free(http_server_t *server);
 /** Replace the limits for future requests. */
 void http_server_set_limits(http_server_t *server, const http_server_limits_t *limits);
+/**
+ * Accept at most @p max connections at a time; further ones are closed.
+ * @param replaces_idle close the connection that has been idle the longest instead, if any is idle
+ */
+void http_server_limit_connections(http_server_t *server, uint32_t max, bool replaces_idle);
+/**
+ * Leave descriptors of this process for other uses: callers that open connections without end would
+ * take all of them, and none could be served. The connection that has been idle the longest is
+ * closed for a new one.
+ */
+void http_server_leave_descriptors(http_server_t *server);
+/** Number of connections that were closed for a limit. */
+uint64_t http_server_connections_refused(const http_server_t *server);
 /** The current and the peak number of open connections. */
 uint32_t http_server_connections(const http_server_t *server);
 uint32_t http_server_connections_peak(const http_server_t *server);
--- a/src/net/sock.c
+++ b/src/net/sock.c
@@ -7,8 +7,10 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <fcntl.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -172,6 +174,43 @@
 	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms, sizeof(limit_ms));
 }
 
+/* Kept open so that a connection can be accepted, and closed, when no descriptor is left. Otherwise
+ * it would stay in the kernel's queue, where its caller waits, and the listener would be reported
+ * as readable again and again. */
+static int spare_descriptor = -1;
+
+static void open_spare_descriptor(void)
+{
+	if (spare_descriptor < 0)
+		spare_descriptor = open("/dev/null", O_RDONLY | O_CLOEXEC);
+}
+
+/* Returns false when there was no connection to refuse. */
+static bool refuse_one(int listener_fd)
+{
+	int fd;
+
+	if (spare_descriptor < 0)
+		return false;
+	close(spare_descriptor);
+	spare_descriptor = -1;
+	fd = accept4(listener_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+	if (fd >= 0)
+		close(fd);
+	open_spare_descriptor();
+	return fd >= 0;
+}
+
+static void refuse_all(int listener_fd)
+{
+	uint32_t count = 0;
+
+	while (refuse_one(listener_fd))
+		count++;
+	if (count)
+		g_warning("event=connections-refused reason=descriptors count=%u", count);
+}
+
 static bool listener_event(fd_watch_t *watch, fd_event_t event)
 {
 	listener_t *listener = (listener_t *)watch;
@@ -195,6 +234,8 @@
 		}
 		listener->accepted(listener->ctx, sock);
 	}
+	if (errno == EMFILE || errno == ENFILE)
+		refuse_all(watch->fd);
 	return true;
 }
 
@@ -284,6 +325,15 @@
 		loop_unwatch(&sock->watch);
 }
 
+uint32_t sock_descriptors_max(void)
+{
+	struct rlimit limit;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit))
+		return UINT32_MAX;
+	return (uint32_t)MIN(limit.rlim_cur, UINT32_MAX);
+}
+
 listener_t *listener_new(loop_t *loop, const char *address, uint16_t port,
 			 listener_accepted_f accepted, void *ctx)
 {
@@ -302,6 +352,7 @@
 		close(fd);
 		return NULL;
 	}
+	open_spare_descriptor();
 	listener = g_new0(listener_t, 1);
 	*listener = (listener_t){.watch = {.fd = fd, .event = listener_event},
 				 .loop = loop,
--- a/src/net/sock.h
+++ b/src/net/sock.h
@@ -53,6 +53,8 @@
 /** Listen on an IPv4 address; NULL when binding to it fails. */
 listener_t *listener_new(loop_t *loop, const char *address, uint16_t port,
 			 listener_accepted_f accepted, void *ctx);
+/** The number of descriptors that this process may have open. */
+uint32_t sock_descriptors_max(void);
 /** Stop listening and free the listener; later connection attempts are refused. */
 void listener_close(listener_t *listener);
 
--- a/src/queries/front_metrics.c
+++ b/src/queries/front_metrics.c
@@ -65,6 +65,13 @@
 	put_metric(out, "poison_dropped_total", NULL, NULL, counters->dropped);
 }
 
+static void put_callers(GString *out, const front_metrics_sources_t *sources)
+{
+	put_metric(out, "caller_connections", NULL, NULL, sources->caller_connections);
+	put_metric(out, "caller_connections_refused_total", NULL, NULL,
+		   sources->caller_connections_refused);
+}
+
 static void put_links(GString *out, const link_counters_t *links)
 {
 	put_metric(out, "connections_opened_total", NULL, NULL, links->opened);
@@ -280,6 +287,7 @@
 	front_metrics_write_admission(out, sources->forwarder, sources->registry, loop_now_us());
 	put_poison(out, forwarder_poison(sources->forwarder));
 	put_handovers(out, sources->handovers, sources->gathers_for_others);
+	put_callers(out, sources);
 	put_links(out, sources->links);
 	put_quotas(out, sources->quotas, sources->tenants);
 	forwarder_visit_latency(sources->forwarder, put_route_latency, out);
--- a/src/queries/front_metrics.h
+++ b/src/queries/front_metrics.h
@@ -22,6 +22,8 @@
 	const store_sync_task_t *store_sync;
 	const platform_counters_t *store;
 	const handovers_t *handovers;
+	uint32_t caller_connections;	     /**< open now */
+	uint64_t caller_connections_refused; /**< closed because there were too many */
 	uint32_t
 		gathers_for_others; /**< open requests that other VMs have handed over to this VM */
 	store_reader_counters_t reader;
--- a/src/tasks/caller_task.c
+++ b/src/tasks/caller_task.c
@@ -296,8 +296,10 @@
 	task->server =
 		http_server_new(loop, settings->listen_address, (uint16_t)settings->callers_port,
 				&HTTP_SERVER_INTERNAL_LIMITS(BODY_LIMIT_BYTES), &server_ops, task);
-	if (task->server)
+	if (task->server) {
+		http_server_leave_descriptors(task->server);
 		return task;
+	}
 	g_free(task->vm_name);
 	g_free(task);
 	return NULL;
--- a/src/tasks/front_task.c
+++ b/src/tasks/front_task.c
@@ -333,16 +333,19 @@
 static void on_metrics_request(void *ctx, http_exchange_t *exchange)
 {
 	front_task_t *task = ctx;
-	const front_metrics_sources_t sources = {.forwarder = task->forwarder,
-						 .registry = task->registry,
-						 .links = link_task_counters(task->links),
-						 .store_sync = task->store_sync,
-						 .store = platform_task_counters(task->platform),
-						 .handovers = gather_task_handovers(task->gathers),
-						 .gathers_for_others = hop_server_open(task->hops),
-						 .reader = store_reader_counters(task->reader),
-						 .quotas = task->quotas,
-						 .tenants = task->tenant_counters};
+	const front_metrics_sources_t sources = {
+		.forwarder = task->forwarder,
+		.registry = task->registry,
+		.links = link_task_counters(task->links),
+		.store_sync = task->store_sync,
+		.store = platform_task_counters(task->platform),
+		.handovers = gather_task_handovers(task->gathers),
+		.caller_connections = http_server_connections(task->callers),
+		.caller_connections_refused = http_server_connections_refused(task->callers),
+		.gathers_for_others = hop_server_open(task->hops),
+		.reader = store_reader_counters(task->reader),
+		.quotas = task->quotas,
+		.tenants = task->tenant_counters};
 	g_autoptr(GString) text = front_metrics_write(&sources);
 
 	http_exchange_reply(exchange, 200, "text/plain; version=0.0.4", text->str, text->len);
@@ -361,6 +364,8 @@
 
 	task->callers = http_server_new(task->loop, front->address, front->port, &INITIAL_LIMITS,
 					&front_caller_ops, task);
+	if (task->callers)
+		http_server_leave_descriptors(task->callers);
 	task->hops =
 		hop_server_new(task->loop, gather->address, gather->port, &front_hop_ops, task);
 	return task->callers && task->hops &&
--- a/standins/searcher.c
+++ b/standins/searcher.c
@@ -490,14 +490,13 @@
 			       .connection_limit = 25,
 			       .work_us = 5000,
 			       .records = 400};
-	http_server_ops_t ops = {
+	static const http_server_ops_t ops = {
 		.request = on_request,
 		.disconnected = on_disconnected,
 	};
-	http_server_ops_t control = {.request = on_control};
+	static const http_server_ops_t control = {.request = on_control};
 
 	argp_parse(&argp, argc, argv, 0, NULL, &searcher);
-	ops.connection_limit = searcher.connection_limit;
 	searcher.rand = g_rand_new_with_seed((guint32)searcher.port);
 	searcher.actions_by_key = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	g_queue_init(&searcher.queue);
@@ -512,6 +511,8 @@
 			   searcher.control_port);
 		return 1;
 	}
+	if (searcher.connection_limit)
+		http_server_limit_connections(searcher.server, searcher.connection_limit, false);
 	loop_run(searcher.loop, on_signal, &searcher);
 	return 0;
 }
