--- a/tests/soak/front_soak.sh
+++ b/tests/soak/front_soak.sh
@@ -24,6 +24,12 @@
 #   429. No tenant runs more than its quota, by the tolerance of the settings. Afterwards, in a burst on a slow shard, a
 #   caller whose parts were answered is answered, also long after the target of its route.
 #
+# If the seed is at least 800000, there are seven VMs, of which some feed the others, each has few descriptors, and at times a
+# VM gets more idle connections than it has descriptors:
+#
+#   A caller beside idle connections is answered or refused, in time. Afterwards a change of the configuration is in force
+#   everywhere within the apply time.
+#
 # In half of the seeds callers wait after a refusal, so that more requests are served than refused.
 #
 #   tests/soak/front_soak.sh SEED [SECONDS]
@@ -35,9 +41,18 @@
 PORT_BASE=${PORT_BASE:-$((15000 + SEED % 8 * 600))}
 . tests/front_lib.sh
 RANDOM=$SEED
-VMS_RUN=3 SHARDS=3 OFFSET=100
-PATIENT=$((SEED / 2 % 2)) REGION_FAULTS=$((SEED >= 1000)) OVERLOAD=$((SEED >= 2000))
+VMS_RUN=3 SHARDS=3 OFFSET=100 APPLY_S=3 SETTLE_S=5 DESCRIPTORS=150
+PATIENT=$((SEED / 2 % 2)) REGION_FAULTS=$((SEED >= 1000)) OVERLOAD=$((SEED >= 2000)) SCARCE=$((SEED >= 800000))
 [ $REGION_FAULTS = 0 ] || EVACUATE_MS=5000
+if [ $SCARCE = 1 ]; then
+	VMS_RUN=7
+	front_start() { # index
+		front_settings "$1"
+		(ulimit -n $DESCRIPTORS && exec "$BUILD/dogwoodsaddled" --config "$RUN/front-$1.ini") >>"$RUN/front-$1.log" 2>&1 &
+		FRONT_PID[$1]=$!
+		PIDS+=($!)
+	}
+fi
 # If the seed is odd, two large VMs gather for a small one.
 front_size() {
 	[ $((SEED % 2)) = 1 ] || return 0
@@ -198,6 +213,19 @@
 	esac
 }
 
+# Opens more connections to a VM than it has descriptors, in two processes, and closes them again.
+hoard() { # index
+	local port=$((FRONT_FROM + 10 * $1)) code
+	for _ in 1 2; do
+		( for ((n = 0; n < 100; n++)); do exec {fd}<>"/dev/tcp/127.0.0.1/$port" || exit; done; sleep 3.5 ) 2>/dev/null &
+	done
+	sleep 0.7
+	curl -s -m 2.5 -o /dev/null -H 'Host: get.example' -H "Dogwoodsaddle-Request-Id: beside-$1-$RANDOM" \
+		-H 'Dogwoodsaddle-Request-Deadline: 1500' "${KEY[@]}" "http://127.0.0.1:$port/get/x"
+	code=$?
+	[ $code != 28 ] || ended "$1" || echo "VM $1 neither serves nor refuses a caller beside idle connections" >>"$RUN/wrong"
+}
+
 # Eighteen more callers for a time: four times the usual number.
 bursts=0
 burst() { # seconds
@@ -227,6 +255,7 @@
 end=$(($(date +%s) + SECONDS_RUN))
 while [ "$(date +%s)" -lt $end ]; do
 	[ $OVERLOAD = 0 ] || overload
+	[ $SCARCE = 0 ] || [ $((RANDOM % 3)) != 0 ] || hoard $((RANDOM % VMS_RUN))
 	fault
 	supervise
 	sleep "0.$((RANDOM % 6))"
@@ -249,6 +278,13 @@
 	done
 	[ $served -ge 5 ] || fail "seed $SEED: VM $i served $served of 10 after the faults:$(grep -o "event=answer request=end$i.*" "$RUN/front-$i.log" | grep -o ' outcome=[a-z-]*' | sort | uniq -c | xargs)"
 done
+if [ $SCARCE = 1 ]; then
+	sleep $SETTLE_S
+	configure
+	sleep $APPLY_S
+	all_configured $version $VMS_RUN ||
+		fail "seed $SEED: versions $(for ((i = 0; i < VMS_RUN; i++)); do metric configuration_version "$i"; done | xargs) after the faults, not $version; fed: $(for ((i = 0; i < VMS_RUN; i++)); do metric store_is_fed "$i"; done | xargs)"
+fi
 # The poison requests are known by now or soon: each VM gets a few attempts, and a few more after the settle time.
 each_poison_request() { # times
 	local n path
