scripts/site: settings without GRACE_S are as before, line by line

It names the lines of faults, and the optional grace_s of "at the product's own interface a stopping VM refuses" left an empty line where it wasn't set. It is written within the line before now. settings and stop_refuses_long pass.

--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -110,8 +110,7 @@
 		key = $KEY
 		seeds = $seeds
 		[stop]
-		drain_ms = ${DRAIN_MS:-1000}
-		$([ -z "${GRACE_S:-}" ] || printf 'grace_s = %d\n' "$GRACE_S")
+		drain_ms = ${DRAIN_MS:-1000}$([ -z "${GRACE_S:-}" ] || printf '\ngrace_s = %d' "$GRACE_S")
 		[policy]
 		hedge = ${HEDGE:-1}
 		choose_by_cost = ${CHOOSE:-1}
