--- a/tests/soak/front_soak.sh
+++ b/tests/soak/front_soak.sh
@@ -217,10 +217,10 @@
 hoard() { # index
 	local port=$((FRONT_FROM + 10 * $1)) code
 	for _ in 1 2; do
-		( for ((n = 0; n < 100; n++)); do exec {fd}<>"/dev/tcp/127.0.0.1/$port" || exit; done; sleep 3.5 ) 2>/dev/null &
+		( for ((n = 0; n < 100; n++)); do exec {fd}<>"/dev/tcp/127.0.0.1/$port" || exit; done; sleep 6 ) 2>/dev/null &
 	done
 	sleep 0.7
-	curl -s -m 2.5 -o /dev/null -H 'Host: get.example' -H "Dogwoodsaddle-Request-Id: beside-$1-$RANDOM" \
+	curl -s -m 4.5 -o /dev/null -H 'Host: get.example' -H "Dogwoodsaddle-Request-Id: beside-$1-$RANDOM" \
 		-H 'Dogwoodsaddle-Request-Deadline: 1500' "${KEY[@]}" "http://127.0.0.1:$port/get/x"
 	code=$?
 	[ $code != 28 ] || ended "$1" || echo "VM $1 neither serves nor refuses a caller beside idle connections" >>"$RUN/wrong"
