link_task: the end of a sub-request goes with the sub-request

Cause: when a searcher's process has ended, abort_outstanding() closed its connections and posted a message with a plain pointer to each sub-request. The forwarder may cancel and free a sub-request before that message is delivered: link_task_cancel() left an end that was under way alone. It happens when a VM reads the searcher's later start from its feeder as it wakes up, and overdue timers run (on_resumed()) before posted messages. The message then ends whichever sub-request has got the memory, and its connection keeps a pointer to the next owner.

Hypotheses: (a) the posted message outlives its sub-request; (b) a reply is matched to a wrong request by its id; (c) the answer goes to a wrong caller. No log line or metric told them apart. Trial with log lines at the post, the cancel, the delivery and the match (Release): the posted, the cancelled and the delivered sub-request have one address, which by then belongs to after0-0; the reply to waiting0-1 arrives on the connection that carried waiting0-1, and that connection's sub-request names another connection. So (a); (b) is ruled out, as the id fits, and (c), as the part itself is of the other request. With the sanitizers 12 of 12 freezes end with heap-use-after-free in report_connection_lost(), freed by cancel_unneeded() from on_resumed(). Added: event=sub-requests-lost.

Change: an end without a connection is an object of the sub-request with a timer of its own, which is dropped when the sub-request is cancelled. From send() to its end a sub-request has either a connection or such an end. loop.h says what may be posted: a message that nobody but the queue can free.

Test: link_test, on the code before 2 of 4 failed ("0x1 != 0": a cancelled sub-request was reported).

Looked at, posted messages: report_not_sent() (same fault, if the VM stands still within one iteration: mended with it); http_pool deliver_call() (owns the call; a call that is cancelled later is left alone); platform_task receive_call(), upstream_task receive_request(), receive_probe(), query_task receive_submit(), receive_config(), receive_leave_notice(), peer_task receive_dial() (own their message); upstream_task receive_cancel() (by an id that is never used again); query_task receive_abandon(), caller_task receive_reply() (hold a reference to the ticket, which holds the exchange); peer_task receive_failed() (owns the exchange; the websocket library's connection forgets it if it is known by then); hop_server process_pending() (the server lasts, cancelled jobs leave its list). Timers: those of link_conn_t, pending_end_t, subrequest_t (two), forward_t, admission entries, handover_t, quota asks and transfers, poison records, attempts, queries, platform and probe calls, exchanges of peers, feed clients and HTTP servers are cancelled where their object is freed; the others belong to objects that last as long as the process. Places that give up, cancel or match a sub-request: link_task on_replied() (by connection, then id), on_ended(), connect_timeout(), close_idle() and idle_conn() (idle connections only), link_task_cancel(); forwarder: cancel_unneeded() is the only caller of cancel(), subrequest_release() takes the request away from the sub-request before the request is freed, take_reply() takes the sub-request from its part before it is freed. Hand-overs: by a serial number that is looked up; gatherers: by connection and serial number. follower.c: by the outstanding call, which frees itself. Attempts of the product's own interface: by an id that is looked up.

--- a/src/core/forward.h
+++ b/src/core/forward.h
@@ -68,8 +68,11 @@
 	bool superseded; /**< another searcher has answered the part in the meantime */
 	searcher_t *searcher;
 	pool_t *pool;
-	bool resent;		    /**< the searcher may have refused this request before */
-	void *connection;	    /**< the connection; set by the task that owns it */
+	bool resent; /**< the searcher may have refused this request before */
+	/** The connection, or, once that is closed, the end that is still to be reported. Both
+	 * belong to the task that sends sub-requests; from send() until ended() or cancel() one is
+	 * set. */
+	void *connection, *pending_end;
 	uint64_t connection_serial; /**< number of the connection, for the log; 0: none */
 	bool opens_connection; /**< no connection was idle: its latency includes the time to connect
 				*/
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -55,7 +55,12 @@
 loop_t *loop_new(void);
 struct lws_context *loop_context(loop_t *loop);
 
-/** Queue a message; it is never delivered before the caller returns to the loop. */
+/**
+ * Queue a message; it is never delivered before the caller returns to the loop, and it can't be
+ * withdrawn. So nobody but the queue may free what @p receive uses of @p message before it is
+ * delivered: the receiver owns the message or a reference to it. For an object that its owner may
+ * free earlier, set a timer of that object, and cancel it when the object is freed.
+ */
 void loop_post(loop_t *loop, loop_receive_f receive, void *task, void *message);
 
 /** Fire @p timer once after @p delay_us; replaces the timer's earlier setting. */
--- a/src/tasks/link_task.c
+++ b/src/tasks/link_task.c
@@ -40,6 +40,14 @@
 	uint64_t last_broken_us;
 } link_t;
 
+/* The end of a sub-request that has no connection, to be reported once the caller has returned. */
+typedef struct pending_end_t {
+	link_task_t *task;
+	subrequest_t *sub;
+	sub_reply_t *reply;
+	loop_timer_t timer;
+} pending_end_t;
+
 struct link_task_t {
 	loop_t *loop;
 	const link_task_ops_t *ops;
@@ -120,6 +128,46 @@
 		sub_reply_free(reply);
 }
 
+/* ---- ends without a connection ---- */
+
+static void report_pending_end(void *ctx)
+{
+	pending_end_t *end = ctx;
+	link_task_t *task = end->task;
+	subrequest_t *sub = end->sub;
+	sub_reply_t *reply = end->reply;
+
+	sub->pending_end = NULL;
+	g_free(end);
+	finish_subrequest(task, sub, reply);
+}
+
+/* A timer and not loop_post(): the sub-request may be cancelled and freed before it is reported. */
+static void report_later(link_task_t *task, subrequest_t *sub, sub_reply_t *reply)
+{
+	pending_end_t *end = g_new0(pending_end_t, 1);
+
+	end->task = task;
+	end->sub = sub;
+	end->reply = reply;
+	end->timer = (loop_timer_t){.fire = report_pending_end, .ctx = end};
+	sub->connection = NULL;
+	sub->pending_end = end;
+	loop_timer_set(task->loop, &end->timer, 0);
+}
+
+static void drop_pending_end(subrequest_t *sub)
+{
+	pending_end_t *end = sub->pending_end;
+
+	loop_timer_cancel(&end->timer);
+	sub_reply_free(end->reply);
+	g_free(end);
+	sub->pending_end = NULL;
+}
+
+/* ---- connections ---- */
+
 static void on_opened(void *ctx)
 {
 	link_conn_t *conn = ctx;
@@ -315,12 +363,7 @@
 	return open_conn(link);
 }
 
-static void report_not_sent(void *self, void *message)
-{
-	link_task_t *task = self;
-
-	finish_subrequest(task, message, sub_reply_new(SUB_NOT_SENT));
-}
+/* ---- sub-requests ---- */
 
 void link_task_send(link_task_t *task, subrequest_t *sub)
 {
@@ -332,12 +375,12 @@
 	searcher_ref(sub->searcher);
 	conn = pick_conn(link, sub);
 	searcher_unref(sub->searcher);
-	sub->connection = conn;
 	if (!conn) {
 		g_warning("event=send-failed searcher=%s reason=descriptors", sub->searcher->id);
-		loop_post(task->loop, report_not_sent, task, sub);
+		report_later(task, sub, sub_reply_new(SUB_NOT_SENT));
 		return;
 	}
+	sub->connection = conn;
 	conn->sub = sub;
 	conn->sent_us = loop_now_us();
 	sub->connection_serial = conn->serial;
@@ -354,21 +397,22 @@
 
 void link_task_cancel(link_task_t *task, subrequest_t *sub)
 {
-	link_conn_t *conn = sub->connection;
-
-	if (!conn) /* a posted message already reports its end */
+	if (sub->pending_end) {
+		drop_pending_end(sub);
 		return;
+	}
 	task->counters.cancelled++;
-	close_conn(conn);
+	close_conn(sub->connection);
 }
 
-static void report_connection_lost(void *self, void *message)
+/* ---- changes of searchers ---- */
+
+static sub_reply_t *connection_lost(void)
 {
-	link_task_t *task = self;
 	sub_reply_t *reply = sub_reply_new(SUB_UNKNOWN);
 
 	reply->broken = true;
-	finish_subrequest(task, message, reply);
+	return reply;
 }
 
 /*
@@ -376,21 +420,27 @@
  * partition they stay open and deliver nothing, and callers would wait until their deadline for an
  * answer that can't come.
  */
-static void abort_outstanding(link_t *link)
+static void abort_outstanding(const searcher_t *searcher)
 {
-	while (link->conns->len) {
-		link_conn_t *conn = g_ptr_array_index(link->conns, link->conns->len - 1);
-		bool last = link->conns->len == 1;
+	link_t *link = searcher->link;
+	guint open = link->conns->len;
+	uint32_t lost = 0;
+
+	if (!open)
+		free_link_if_unused(link);
+	/* Closing the last connection frees the link. */
+	while (open--) {
+		link_conn_t *conn = g_ptr_array_index(link->conns, open);
 
 		if (conn->sub) {
-			conn->sub->connection = NULL;
-			loop_post(link->task->loop, report_connection_lost, link->task, conn->sub);
+			lost++;
+			report_later(link->task, conn->sub, connection_lost());
 		}
 		close_conn(conn);
-		if (last)
-			return;
 	}
-	free_link_if_unused(link);
+	if (lost)
+		g_message("event=sub-requests-lost searcher=%s reason=ended count=%u", searcher->id,
+			  lost);
 }
 
 static void close_idle(link_t *link)
@@ -422,7 +472,7 @@
 
 	if (searcher->state != SEARCHER_READY) {
 		if (link && searcher->state == SEARCHER_ENDED)
-			abort_outstanding(link);
+			abort_outstanding(searcher);
 		else if (link)
 			close_idle(link);
 		return;
--- a/tests/run-unit.sh
+++ b/tests/run-unit.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs the tests that use no sockets. Their results depend on their inputs and seeds only.
+# Runs the tests that start no processes. Their results depend on their inputs and seeds only.
 set -eu
 cd "$(dirname "$0")/.."
 "$BUILD/script_test"
@@ -8,6 +8,7 @@
 "$BUILD/parts_test"
 "$BUILD/platform_test"
 "$BUILD/forward_test"
+"$BUILD/link_test"
 "$BUILD/poison_test"
 "$BUILD/store_sync_test"
 "$BUILD/member_sync_test"
