net: replies without end are bounded, one by one and together

What callers saw (a proxy that answers each request without end; 300 gathers at once, one VM): interim heads from four searchers: no answer to 298 of 300 gathers, none to /ready, for some 50 s. Bodies: 189 MB, 269 MB where both searchers of two services answer so (a process of the small sites may have 260), gathers up to 5.0 s. Chunks of four bytes: gathers up to 1.9 s.

Hypotheses and what was found: (a) nothing limits all replies together: yes, 8 MB each; (b) the limit on a head begins anew with each interim head: yes; (c) a socket is read for as long as reads are full: yes, with (b) it stops the VM; (d) replies that are over keep memory: yes, buffers of idle connections, and bodies that nobody gets.

Change: net/http_memory, a limit on all unfinished replies of searchers and the store, a quarter of [vm] memory_mb (256 by default; the template passes the platform's). Beyond it the largest is given up, so that usual ones stay. http_message: one limit for a head, its interim heads and, beyond as many bytes as the body has, framing and trailers; long buffers aren't kept. sock: 64 KB a turn. link_task: event=reply-cut (searcher, head or body, bytes), reason "oversized"; the reply counts as unknown, the searcher as failing. Bodies are kept for answers and failures that are relayed only.

Looked at: health probes and calls of the product's own interface, store lists and watches (http_pool: the same limits); feeds, hand-overs, pools of tokens (a frame that states more than 1 or 4 MB ends its connection; the same turns); gossip between VMs (bounded by its frame). Callers' requests: limited by the configuration, each for itself; not together yet.

--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -11,7 +11,7 @@
 	tests/fuzz.c src/core/*.c src/queries/search.c src/commands/action.c src/commands/propose.c platform/store.c platform/headers.c \
 	src/net/http_message.c src/net/http_exchange.c $(pkg-config --cflags --libs glib-2.0 jansson libxxhash msgpack) -lhttp_parser -lm
 failed=0
-for target in reply health search config frame page feed hop replies; do
+for target in reply health search config frame page feed hop replies endless; do
 	mkdir -p "$WORK/$target"
 	[ ! -d "tests/corpus/$target" ] || cp "tests/corpus/$target"/* "$WORK/$target"
 	if FUZZ_TARGET=$target "$WORK/fuzz" -seed="$SEED" -max_total_time="$SECONDS_EACH" -max_len=4096 -print_final_stats=0 \
--- a/src/core/forward.h
+++ b/src/core/forward.h
@@ -45,6 +45,8 @@
 } sub_reply_t;
 
 sub_reply_t *sub_reply_new(sub_outcome_t outcome);
+/** Release the headers and the body. */
+void sub_reply_drop_content(sub_reply_t *reply);
 void sub_reply_free(sub_reply_t *reply);
 const char *sub_outcome_name(sub_outcome_t outcome);
 
--- a/src/core/part.c
+++ b/src/core/part.c
@@ -354,6 +354,8 @@
  */
 static void part_store_reply(forward_part_t *part, sub_reply_t *reply)
 {
+	if (part->forward->route->gathers) /* only the outcome counts */
+		sub_reply_drop_content(reply);
 	if (part->reply && part->reply->outcome == SUB_FAILED && has_not_run(reply->outcome)) {
 		sub_reply_free(reply);
 		return;
--- a/src/core/subrequest.c
+++ b/src/core/subrequest.c
@@ -43,14 +43,20 @@
 	return reply;
 }
 
+void sub_reply_drop_content(sub_reply_t *reply)
+{
+	g_clear_pointer(&reply->headers, g_free);
+	if (reply->body)
+		g_string_free(reply->body, TRUE);
+	reply->body = NULL;
+}
+
 void sub_reply_free(sub_reply_t *reply)
 {
 	if (!reply)
 		return;
+	sub_reply_drop_content(reply);
 	g_free(reply->stamp);
-	g_free(reply->headers);
-	if (reply->body)
-		g_string_free(reply->body, TRUE);
 	g_free(reply);
 }
 
--- a/src/dogwoodsaddled.c
+++ b/src/dogwoodsaddled.c
@@ -28,6 +28,9 @@
 #define GRACE_MARGIN_US 150000
 /* Time for the last answers to reach their callers before the process ends. */
 #define LAST_ANSWERS_US 100000
+/* Share of the memory that unfinished replies of searchers and the store may hold together. A
+ * buffer that grows is copied, and callers' requests take their part, too. */
+#define REPLIES_MEMORY_DIVISOR 4
 
 const char *argp_program_version = "dogwoodsaddled " DS_VERSION;
 
@@ -40,6 +43,7 @@
 	arguments_t arguments;
 	settings_t *settings;
 	loop_t *loop;
+	http_memory_t *replies; /* unfinished ones of searchers and the store */
 	timeline_t *timeline;
 	platform_task_t *platform;
 	query_task_t *queries;
@@ -241,8 +245,8 @@
 {
 	const endpoint_setting_t *store = &self->settings->front_store;
 
-	self->platform = platform_task_new(self->loop, store->address, store->port);
-	self->front = front_task_new(self->loop, self->settings, self->platform);
+	self->platform = platform_task_new(self->loop, self->replies, store->address, store->port);
+	self->front = front_task_new(self->loop, self->settings, self->replies, self->platform);
 	if (self->front)
 		return true;
 	g_warning("event=start-failed reason=listen address=%s port=%u",
@@ -254,9 +258,10 @@
 {
 	settings_t *settings = self->settings;
 
-	self->platform = platform_task_new(self->loop, settings->platform_address,
+	self->platform = platform_task_new(self->loop, self->replies, settings->platform_address,
 					   (uint16_t)settings->platform_port);
-	self->queries = query_task_new(self->loop, settings, self->platform, self->timeline);
+	self->queries =
+		query_task_new(self->loop, settings, self->replies, self->platform, self->timeline);
 	self->configs = config_task_new(self->loop, self->platform, self->queries, self->timeline);
 	self->peers = peer_task_new(self->loop, settings, self->queries, self->timeline);
 	self->source = (status_source_t){.settings = settings,
@@ -296,6 +301,8 @@
 		return 0;
 	log_start(self.settings->vm_name, self.settings->log_level);
 	self.loop = loop_new();
+	self.replies = http_memory_new((uint64_t)self.settings->memory_mb * (1u << 20) /
+				       REPLIES_MEMORY_DIVISOR);
 	self.timeline = timeline_new(loop_wall_ms);
 	self.timeline->sink = log_event;
 	timeline_add(self.timeline, "event=start version=%s data_centre=%s", DS_VERSION,
--- a/src/net/http_conn.c
+++ b/src/net/http_conn.c
@@ -18,18 +18,27 @@
 #define IDLE_MARGIN_US 700000
 
 struct http_conn_t {
-	sock_t *sock;
+	loop_t *loop;
+	sock_t *sock; /* NULL once it is closed because the reply was given up */
 	const http_conn_ops_t *ops;
 	void *ctx;
 	http_message_t *reply;
 	bool busy; /* a request is outstanding */
 	bool in_callback;
-	bool ended;	   /* closed; freed when the current callback returns */
-	uint64_t stale_us; /* when the peer may close the idle connection; 0: unknown */
+	bool ended;		 /* closed; freed when the current callback returns */
+	uint64_t stale_us;	 /* when the peer may close the idle connection; 0: unknown */
+	uint64_t received_bytes; /* of the outstanding reply */
+	bool in_body;		 /* of the outstanding reply */
+	http_memory_t *memory;	 /* NULL: not limited */
+	http_share_t share;
+	bool given_up;	     /* the reply was, as all replies together held too much */
+	loop_timer_t report; /* reports that, when this connection is not in a callback */
 };
 
 static void conn_free(http_conn_t *conn)
 {
+	loop_timer_cancel(&conn->report);
+	http_memory_release(&conn->share);
 	http_message_free(conn->reply);
 	g_free(conn);
 }
@@ -39,7 +48,8 @@
 	if (conn->ended)
 		return;
 	conn->ended = true;
-	sock_close(conn->sock);
+	if (conn->sock)
+		sock_close(conn->sock);
 	if (!conn->in_callback)
 		conn_free(conn);
 }
@@ -50,6 +60,30 @@
 	conn->ops->ended(conn->ctx, reason);
 }
 
+static void report_given_up(void *ctx)
+{
+	http_conn_t *conn = ctx;
+
+	conn->in_callback = true;
+	close_and_report(conn, HTTP_CONN_TOO_LARGE);
+	conn_free(conn);
+}
+
+/* Called while bytes of this connection or of another one are received. The owner of this one is
+ * told later: it may be in a callback. */
+static void give_up_reply(void *ctx)
+{
+	http_conn_t *conn = ctx;
+
+	conn->given_up = true;
+	http_message_reset(conn->reply);
+	if (conn->in_callback)
+		return;
+	sock_close(conn->sock);
+	conn->sock = NULL;
+	loop_timer_set(conn->loop, &conn->report, 0);
+}
+
 /* Reads the idle time-out from a Keep-Alive header such as "timeout=5, max=100" (seconds). */
 static void update_stale_time(http_conn_t *conn)
 {
@@ -71,12 +105,15 @@
 		!more_bytes && sock_is_flushed(conn->sock) && http_message_keeps_alive(conn->reply);
 
 	conn->busy = false;
+	http_memory_release(&conn->share);
 	update_stale_time(conn);
 	if (!reusable)
 		sock_close(conn->sock);
 	conn->ops->replied(conn->ctx, conn->reply, reusable);
 	if (!reusable)
 		conn->ended = true;
+	else if (!conn->busy)
+		http_message_reset(conn->reply); /* an idle connection holds no long reply */
 }
 
 static void on_opened(void *ctx)
@@ -87,26 +124,42 @@
 		conn->ops->opened(conn->ctx);
 }
 
+static void receive_reply(http_conn_t *conn, const char *data, size_t bytes)
+{
+	size_t consumed = http_message_parse(conn->reply, data, bytes);
+
+	conn->received_bytes += consumed;
+	conn->in_body = http_message_has_head(conn->reply);
+	switch (http_message_state(conn->reply)) {
+	case HTTP_MESSAGE_INCOMPLETE:
+		if (conn->memory)
+			http_memory_hold(conn->memory, &conn->share,
+					 http_message_memory(conn->reply));
+		if (conn->given_up)
+			close_and_report(conn, HTTP_CONN_TOO_LARGE);
+		break;
+	case HTTP_MESSAGE_COMPLETE:
+		finish_reply(conn, consumed < bytes);
+		break;
+	case HTTP_MESSAGE_HEAD_TOO_LARGE:
+	case HTTP_MESSAGE_BODY_TOO_LARGE:
+		close_and_report(conn, HTTP_CONN_TOO_LARGE);
+		break;
+	case HTTP_MESSAGE_INVALID:
+		close_and_report(conn, HTTP_CONN_PROTOCOL_ERROR);
+		break;
+	}
+}
+
 static void on_received(void *ctx, const char *data, size_t bytes)
 {
 	http_conn_t *conn = ctx;
-	size_t consumed;
 
 	conn->in_callback = true;
-	if (!conn->busy) {
+	if (conn->busy)
+		receive_reply(conn, data, bytes);
+	else
 		close_and_report(conn, HTTP_CONN_PROTOCOL_ERROR);
-	} else {
-		consumed = http_message_parse(conn->reply, data, bytes);
-		switch (http_message_state(conn->reply)) {
-		case HTTP_MESSAGE_INCOMPLETE:
-			break;
-		case HTTP_MESSAGE_COMPLETE:
-			finish_reply(conn, consumed < bytes);
-			break;
-		default:
-			close_and_report(conn, HTTP_CONN_PROTOCOL_ERROR);
-		}
-	}
 	conn->in_callback = false;
 	if (conn->ended)
 		conn_free(conn);
@@ -141,13 +194,17 @@
 static const sock_ops_t conn_ops = {
 	.opened = on_opened, .received = on_received, .ended = on_ended};
 
-http_conn_t *http_conn_open(loop_t *loop, const char *address, uint16_t port,
+http_conn_t *http_conn_open(loop_t *loop, http_memory_t *memory, const char *address, uint16_t port,
 			    const http_conn_ops_t *ops, void *ctx)
 {
 	const http_message_limits_t limits = {.head_bytes = REPLY_HEAD_MAX_BYTES,
 					      .body_bytes = REPLY_BODY_MAX_BYTES};
 	http_conn_t *conn = g_new0(http_conn_t, 1);
 
+	conn->loop = loop;
+	conn->memory = memory;
+	conn->share = (http_share_t){.give_up = give_up_reply, .ctx = conn};
+	conn->report = (loop_timer_t){.fire = report_given_up, .ctx = conn};
 	conn->ops = ops;
 	conn->ctx = ctx;
 	conn->sock = sock_connect(loop, address, port, &conn_ops, conn);
@@ -164,6 +221,8 @@
 {
 	g_return_if_fail(!conn->busy);
 	conn->busy = true;
+	conn->received_bytes = 0;
+	conn->in_body = false;
 	http_message_reset(conn->reply);
 	if (is_head)
 		http_message_expect_no_body(conn->reply);
@@ -171,6 +230,16 @@
 	sock_write(conn->sock, body, body_bytes);
 }
 
+uint64_t http_conn_received_bytes(const http_conn_t *conn)
+{
+	return conn->received_bytes;
+}
+
+bool http_conn_in_body(const http_conn_t *conn)
+{
+	return conn->in_body;
+}
+
 bool http_conn_is_stale(const http_conn_t *conn, uint64_t now_us)
 {
 	return conn->stale_us && now_us >= conn->stale_us;
--- a/src/net/http_message.c
+++ b/src/net/http_message.c
@@ -49,8 +49,9 @@
 	head_scan_t scan;
 	chunk_scan_t chunks;
 	bool is_chunked;
-	GString *text;	 /* NUL-terminated strings: the target, then names and values */
-	GArray *headers; /* header_offsets_t; as many as the head's limit in bytes allows */
+	size_t framing_bytes; /* of a chunked body: chunk sizes, extensions and trailers */
+	GString *text;	      /* NUL-terminated strings: the target, then names and values */
+	GArray *headers;      /* header_offsets_t; as many as the head's limit in bytes allows */
 	bool in_value;
 	bool has_head;
 	bool no_body;
@@ -201,6 +202,10 @@
 	http_parser_set_max_header_size((uint32_t)allowed_bytes);
 }
 
+/* Buffers that one long message has enlarged beyond this are not kept for the next one. */
+#define KEPT_BUFFER_BYTES 16384
+#define INITIAL_BUFFER_BYTES 512
+
 http_message_t *http_message_new(http_message_kind_t kind, http_message_limits_t limits)
 {
 	http_message_t *message = g_new0(http_message_t, 1);
@@ -208,9 +213,9 @@
 	message->kind = kind;
 	message->limits = limits;
 	allow_in_parser(limits.head_bytes);
-	message->text = g_string_sized_new(512);
+	message->text = g_string_sized_new(INITIAL_BUFFER_BYTES);
 	message->headers = g_array_new(FALSE, FALSE, sizeof(header_offsets_t));
-	message->body = g_string_sized_new(512);
+	message->body = g_string_sized_new(INITIAL_BUFFER_BYTES);
 	http_message_reset(message);
 	return message;
 }
@@ -223,6 +228,16 @@
 	g_free(message);
 }
 
+static void empty_buffer(GString **buffer)
+{
+	if ((*buffer)->allocated_len <= KEPT_BUFFER_BYTES) {
+		g_string_truncate(*buffer, 0);
+		return;
+	}
+	g_string_free(*buffer, TRUE);
+	*buffer = g_string_sized_new(INITIAL_BUFFER_BYTES);
+}
+
 void http_message_reset(http_message_t *message)
 {
 	http_parser_init(&message->parser,
@@ -232,12 +247,13 @@
 	message->scan = (head_scan_t){.in_head = true};
 	message->chunks = (chunk_scan_t){0};
 	message->is_chunked = false;
+	message->framing_bytes = 0;
 	g_array_set_size(message->headers, 0);
 	message->in_value = false;
 	message->has_head = false;
 	message->no_body = false;
-	g_string_truncate(message->text, 0);
-	g_string_truncate(message->body, 0);
+	empty_buffer(&message->text);
+	empty_buffer(&message->body);
 }
 
 void http_message_expect_no_body(http_message_t *message)
@@ -379,6 +395,18 @@
 	return consumed;
 }
 
+/*
+ * Counts the bytes of a chunked body that are not its content. Those of chunks of 16 bytes or more
+ * are fewer than the content itself.
+ */
+static void count_framing(http_message_t *message, size_t bytes)
+{
+	message->framing_bytes += bytes;
+	if (message->state == HTTP_MESSAGE_INCOMPLETE &&
+	    message->framing_bytes > message->limits.head_bytes + message->body->len)
+		message->state = HTTP_MESSAGE_HEAD_TOO_LARGE;
+}
+
 /* Whether the reply is interim (status 1xx); the final reply follows it. */
 static bool is_interim(const http_message_t *message)
 {
@@ -386,12 +414,24 @@
 	       message->parser.status_code / 100 == 1;
 }
 
+/* The limit on the head holds for the interim heads and the final one together. */
+static void begin_next_head(http_message_t *message)
+{
+	bool no_body = message->no_body;
+	size_t head_bytes = message->scan.bytes;
+
+	http_message_reset(message);
+	message->no_body = no_body;
+	message->scan.bytes = head_bytes;
+}
+
 size_t http_message_parse(http_message_t *message, const char *data, size_t bytes)
 {
 	size_t consumed = 0;
 
 	while (consumed < bytes && message->state == HTTP_MESSAGE_INCOMPLETE) {
-		size_t length = bytes - consumed;
+		size_t length = bytes - consumed, content = message->body->len, parsed;
+		bool in_chunks = message->is_chunked;
 
 		if (message->scan.in_head)
 			length = scan_head(message, data + consumed, length);
@@ -400,13 +440,12 @@
 			message->state = HTTP_MESSAGE_INVALID;
 		if (message->state != HTTP_MESSAGE_INCOMPLETE)
 			return consumed;
-		consumed += parse(message, data + consumed, length);
-		if (is_interim(message)) {
-			bool no_body = message->no_body;
-
-			http_message_reset(message);
-			message->no_body = no_body;
-		}
+		parsed = parse(message, data + consumed, length);
+		consumed += parsed;
+		if (in_chunks)
+			count_framing(message, parsed - (message->body->len - content));
+		if (is_interim(message))
+			begin_next_head(message);
 	}
 	return consumed;
 }
@@ -489,3 +528,9 @@
 {
 	return message->body;
 }
+
+size_t http_message_memory(const http_message_t *message)
+{
+	return message->text->allocated_len + message->body->allocated_len +
+	       message->headers->len * sizeof(header_offsets_t);
+}
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -18,10 +18,10 @@
 typedef enum http_message_kind_t { HTTP_MESSAGE_REQUEST, HTTP_MESSAGE_REPLY } http_message_kind_t;
 
 typedef enum http_message_state_t {
-	HTTP_MESSAGE_INCOMPLETE, /**< more bytes are needed */
-	HTTP_MESSAGE_COMPLETE,	 /**< complete; bytes after it were not consumed */
-	HTTP_MESSAGE_INVALID,	 /**< not HTTP/1.1, or its framing can't be trusted */
-	HTTP_MESSAGE_HEAD_TOO_LARGE,
+	HTTP_MESSAGE_INCOMPLETE,     /**< more bytes are needed */
+	HTTP_MESSAGE_COMPLETE,	     /**< complete; bytes after it were not consumed */
+	HTTP_MESSAGE_INVALID,	     /**< not HTTP/1.1, or its framing can't be trusted */
+	HTTP_MESSAGE_HEAD_TOO_LARGE, /**< the head, or the framing and the trailers of the body */
 	HTTP_MESSAGE_BODY_TOO_LARGE,
 } http_message_state_t;
 
@@ -35,6 +35,8 @@
 
 /** Maximum sizes of a message. */
 typedef struct http_message_limits_t {
+	/** Of the head, of a reply with its interim heads; and of the framing and the trailers of
+	 * a chunked body, beyond as many bytes as the body has. */
 	size_t head_bytes;
 	size_t body_bytes;
 } http_message_limits_t;
@@ -71,5 +73,7 @@
 /** The number of header lines with this name. */
 size_t http_message_header_occurrences(const http_message_t *message, const char *name);
 const GString *http_message_body(const http_message_t *message);
+/** Bytes of memory that the message holds. */
+size_t http_message_memory(const http_message_t *message);
 
 #endif
--- a/src/net/http_pool.c
+++ b/src/net/http_pool.c
@@ -11,6 +11,7 @@
 
 struct http_pool_t {
 	loop_t *loop;
+	http_memory_t *memory;
 	GHashTable *entries; /* "address:port#slot" to pool_entry_t */
 	uint32_t slots;
 };
@@ -95,11 +96,12 @@
 
 static const http_conn_ops_t entry_ops = {.replied = on_replied, .ended = on_ended};
 
-http_pool_t *http_pool_new(loop_t *loop, uint32_t slots)
+http_pool_t *http_pool_new(loop_t *loop, http_memory_t *memory, uint32_t slots)
 {
 	http_pool_t *pool = g_new0(http_pool_t, 1);
 
 	pool->loop = loop;
+	pool->memory = memory;
 	pool->slots = slots;
 	pool->entries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return pool;
@@ -144,8 +146,8 @@
 		entry->conn = NULL;
 	}
 	if (!entry->conn)
-		entry->conn = http_conn_open(entry->pool->loop, request->address, request->port,
-					     &entry_ops, entry);
+		entry->conn = http_conn_open(entry->pool->loop, entry->pool->memory,
+					     request->address, request->port, &entry_ops, entry);
 }
 
 http_call_t *http_pool_start(http_pool_t *pool, uint32_t slot, const http_request_t *request)
--- a/src/net/http_pool.h
+++ b/src/net/http_pool.h
@@ -8,6 +8,7 @@
 #ifndef DS_HTTP_POOL_H
 #define DS_HTTP_POOL_H
 
+#include "net/http_memory.h"
 #include "net/loop.h"
 
 typedef struct http_pool_t http_pool_t;
@@ -41,7 +42,8 @@
 	void *ctx;
 } http_request_t;
 
-http_pool_t *http_pool_new(loop_t *loop, uint32_t slots);
+/** @param memory limits the memory of unfinished replies; NULL: not limited */
+http_pool_t *http_pool_new(loop_t *loop, http_memory_t *memory, uint32_t slots);
 
 /** Start a call on a slot that has no call to this endpoint. */
 http_call_t *http_pool_start(http_pool_t *pool, uint32_t slot, const http_request_t *request);
--- a/src/net/sock.c
+++ b/src/net/sock.c
@@ -16,6 +16,9 @@
 
 /* Bytes per read: a typical reply needs one read, larger ones need several. */
 #define READ_CHUNK_BYTES 16384
+/* Bytes read from one socket before the others have their turn; a sender may be faster than the
+ * parser. */
+#define READ_TURN_BYTES (4 * READ_CHUNK_BYTES)
 /* Connections that the kernel queues during one loop iteration; beyond this callers wait. */
 #define LISTEN_BACKLOG 512
 /* A peer that acknowledges nothing for this long is considered dead; well above any link's round
@@ -74,10 +77,12 @@
 	return error == ECONNREFUSED ? SOCK_REFUSED : SOCK_RESET;
 }
 
-/* Returns 0, or -1 when the socket is closed. */
+/* Reads what has arrived, or as much as one turn allows: the loop reports the rest as readable
+ * again. Returns 0, or -1 when the socket is closed. */
 static int read_available(sock_t *sock)
 {
 	char chunk[READ_CHUNK_BYTES];
+	size_t left = READ_TURN_BYTES;
 	ssize_t got;
 
 	do {
@@ -90,7 +95,8 @@
 		}
 		if (sock->ops)
 			sock->ops->received(sock->ctx, chunk, (size_t)got);
-	} while (!sock->closed && got == (ssize_t)sizeof(chunk));
+		left -= (size_t)got;
+	} while (!sock->closed && left && got == (ssize_t)sizeof(chunk));
 	return sock->closed ? -1 : 0;
 }
 
--- a/src/queries/front_metrics.c
+++ b/src/queries/front_metrics.c
@@ -78,6 +78,7 @@
 	put_metric(out, "connections_ended_total", "reason", "refused", links->refused);
 	put_metric(out, "connections_ended_total", "reason", "reset", links->reset);
 	put_metric(out, "connections_ended_total", "reason", "garbage", links->garbage);
+	put_metric(out, "connections_ended_total", "reason", "oversized", links->oversized);
 	put_metric(out, "connections_ended_total", "reason", "cancelled", links->cancelled);
 	put_metric(out, "connections_ended_total", "reason", "foreign", links->foreign);
 }
@@ -289,6 +290,9 @@
 	put_handovers(out, sources->handovers, sources->gathers_for_others);
 	put_callers(out, sources);
 	put_links(out, sources->links);
+	put_metric(out, "replies_bytes", NULL, NULL, http_memory_used(sources->replies));
+	put_metric(out, "replies_given_up_total", NULL, NULL,
+		   http_memory_counters(sources->replies)->given_up);
 	put_quotas(out, sources->quotas, sources->tenants);
 	forwarder_visit_latency(sources->forwarder, put_route_latency, out);
 	put_services(out, sources->registry);
--- a/src/settings.h
+++ b/src/settings.h
@@ -21,6 +21,7 @@
 	uint32_t link_mbps; /**< speed of this VM's network link; 0: unknown */
 	uint32_t cores;	    /**< of this VM; 0: unknown */
 	double core_share;  /**< share of each core that this VM may use */
+	uint32_t memory_mb; /**< memory that this process may use */
 	char *listen_address;
 	uint32_t callers_port;
 	uint32_t admin_port;
--- a/src/tasks/front_task.c
+++ b/src/tasks/front_task.c
@@ -337,6 +337,7 @@
 		.forwarder = task->forwarder,
 		.registry = task->registry,
 		.links = link_task_counters(task->links),
+		.replies = task->replies,
 		.store_sync = task->store_sync,
 		.store = platform_task_counters(task->platform),
 		.handovers = gather_task_handovers(task->gathers),
@@ -398,7 +399,8 @@
 	task->reader = store_reader_new(task->loop, &parts, &ops, task);
 }
 
-front_task_t *front_task_new(loop_t *loop, const settings_t *settings, platform_task_t *platform)
+front_task_t *front_task_new(loop_t *loop, const settings_t *settings, http_memory_t *replies,
+			     platform_task_t *platform)
 {
 	static const poison_ops_t poison_ops = {.publish = on_poison_publish,
 						.remove = on_poison_remove,
@@ -430,13 +432,14 @@
 
 	task->loop = loop;
 	task->platform = platform;
+	task->replies = replies;
 	task->retry_ratio = settings->retry_ratio;
 	task->retry_constant = settings->retry_constant;
 	task->vm_name = g_strdup(settings->vm_name);
 	task->data_centre = g_strdup(settings->data_centre);
 	task->regions = g_hash_table_ref(settings->regions);
 	start_registry(task, settings);
-	task->links = link_task_new(loop, &link_ops, task);
+	task->links = link_task_new(loop, replies, &link_ops, task);
 	task->forwarder = forwarder_new(&forwarder_ops, task, task->registry, g_random_int());
 	if (settings->admission_enabled)
 		forwarder_enable_admission(task->forwarder);
--- a/src/tasks/front_task.h
+++ b/src/tasks/front_task.h
@@ -10,8 +10,12 @@
 
 typedef struct front_task_t front_task_t;
 
-/** Returns NULL when the VM can't listen on an address. */
-front_task_t *front_task_new(loop_t *loop, const settings_t *settings, platform_task_t *platform);
+/**
+ * Returns NULL when the VM can't listen on an address.
+ * @param replies limits the memory of unfinished replies of searchers
+ */
+front_task_t *front_task_new(loop_t *loop, const settings_t *settings, http_memory_t *replies,
+			     platform_task_t *platform);
 /** Apply the settings that a reload may change: the limit on retries. */
 void front_task_configure(front_task_t *task, const settings_t *settings);
 /** The VM was suspended, so its copy of the store's data may be out of date: read it again. */
--- a/src/tasks/link_task.c
+++ b/src/tasks/link_task.c
@@ -50,6 +50,7 @@
 
 struct link_task_t {
 	loop_t *loop;
+	http_memory_t *memory;
 	const link_task_ops_t *ops;
 	void *ctx;
 	GString *head;
@@ -57,11 +58,13 @@
 	link_counters_t counters;
 };
 
-link_task_t *link_task_new(loop_t *loop, const link_task_ops_t *ops, void *ctx)
+link_task_t *link_task_new(loop_t *loop, http_memory_t *memory, const link_task_ops_t *ops,
+			   void *ctx)
 {
 	link_task_t *task = g_new0(link_task_t, 1);
 
 	task->loop = loop;
+	task->memory = memory;
 	task->ops = ops;
 	task->ctx = ctx;
 	task->head = g_string_sized_new(1024);
@@ -212,6 +215,11 @@
 	counters->refused += end == HTTP_CONN_REFUSED || end == HTTP_CONN_CONNECT_FAILED;
 	counters->reset += end == HTTP_CONN_RESET;
 	counters->garbage += end == HTTP_CONN_PROTOCOL_ERROR;
+	counters->oversized += end == HTTP_CONN_TOO_LARGE;
+	if (end == HTTP_CONN_TOO_LARGE)
+		g_message("event=reply-cut searcher=%s in=%s bytes=%" G_GUINT64_FORMAT,
+			  searcher->id, http_conn_in_body(conn->conn) ? "body" : "head",
+			  http_conn_received_bytes(conn->conn));
 	if (end == HTTP_CONN_RESET && conn->opened && !conn->answered &&
 	    searcher->connections_max > 1)
 		searcher->connections_max--;
@@ -243,7 +251,8 @@
 	if (end == HTTP_CONN_REFUSED || end == HTTP_CONN_CONNECT_FAILED)
 		return sub_reply_new(SUB_NOT_SENT);
 	reply = sub_reply_new(SUB_UNKNOWN);
-	reply->broken = conn->opened && end != HTTP_CONN_PROTOCOL_ERROR;
+	reply->broken =
+		conn->opened && end != HTTP_CONN_PROTOCOL_ERROR && end != HTTP_CONN_TOO_LARGE;
 	return reply;
 }
 
@@ -290,8 +299,8 @@
 	conn->link = link;
 	conn->serial = ++link->task->last_serial;
 	conn->begun_us = conn->used_us = loop_now_us();
-	conn->conn = http_conn_open(link->task->loop, searcher->address, searcher->port, &conn_ops,
-				    conn);
+	conn->conn = http_conn_open(link->task->loop, link->task->memory, searcher->address,
+				    searcher->port, &conn_ops, conn);
 	if (!conn->conn) {
 		g_free(conn);
 		return NULL;
--- a/src/tasks/link_task.h
+++ b/src/tasks/link_task.h
@@ -10,6 +10,7 @@
 #define DS_LINK_TASK_H
 
 #include "core/forward.h"
+#include "net/http_memory.h"
 #include "net/loop.h"
 
 typedef struct link_task_t link_task_t;
@@ -30,10 +31,12 @@
 } link_task_ops_t;
 
 typedef struct link_counters_t {
-	uint64_t opened, refused, reset, garbage, cancelled, foreign;
+	uint64_t opened, refused, reset, garbage, oversized, cancelled, foreign;
 } link_counters_t;
 
-link_task_t *link_task_new(loop_t *loop, const link_task_ops_t *ops, void *ctx);
+/** @param memory limits the memory of unfinished replies; NULL: not limited */
+link_task_t *link_task_new(loop_t *loop, http_memory_t *memory, const link_task_ops_t *ops,
+			   void *ctx);
 /** Send @p sub. `ended` is called for it later, never before this returns. */
 void link_task_send(link_task_t *task, subrequest_t *sub);
 /** Close the connection of @p sub; `ended` is not called for it. */
--- a/src/tasks/platform_task.c
+++ b/src/tasks/platform_task.c
@@ -50,15 +50,16 @@
 	void *restored_ctx;
 };
 
-platform_task_t *platform_task_new(loop_t *loop, const char *address, uint16_t port)
+platform_task_t *platform_task_new(loop_t *loop, http_memory_t *memory, const char *address,
+				   uint16_t port)
 {
 	platform_task_t *task = g_new0(platform_task_t, 1);
 
 	task->loop = loop;
 	task->address = g_strdup(address);
 	task->port = port;
-	task->pool = http_pool_new(loop, CALL_SLOTS);
-	task->watch_pool = http_pool_new(loop, 1);
+	task->pool = http_pool_new(loop, memory, CALL_SLOTS);
+	task->watch_pool = http_pool_new(loop, memory, 1);
 	g_queue_init(&task->pending);
 	return task;
 }
--- a/src/tasks/platform_task.h
+++ b/src/tasks/platform_task.h
@@ -7,6 +7,7 @@
 
 #include "core/platform_result.h"
 #include "core/store_era.h"
+#include "net/http_memory.h"
 #include "net/loop.h"
 
 /** Four kinds of objects are followed; each may need a read while its watch hangs. */
@@ -28,7 +29,8 @@
 	uint64_t eras_malformed; /**< replies whose store era could not be parsed */
 } platform_counters_t;
 
-platform_task_t *platform_task_new(loop_t *loop, const char *address, uint16_t port);
+platform_task_t *platform_task_new(loop_t *loop, http_memory_t *memory, const char *address,
+				   uint16_t port);
 /** Read the object @p path ("kind/name"). */
 void platform_task_read(platform_task_t *task, const char *path, platform_done_f done, void *ctx);
 /** Write @p value if the object's version is still @p if_version; 0: if it does not exist. */
--- a/src/tasks/query_task.c
+++ b/src/tasks/query_task.c
@@ -443,8 +443,8 @@
 
 /* ---- set-up and status ---- */
 
-query_task_t *query_task_new(loop_t *loop, const settings_t *settings, platform_task_t *platform,
-			     timeline_t *timeline)
+query_task_t *query_task_new(loop_t *loop, const settings_t *settings, http_memory_t *replies,
+			     platform_task_t *platform, timeline_t *timeline)
 {
 	query_task_t *task = g_new0(query_task_t, 1);
 	guint32 seed = g_random_int();
@@ -462,7 +462,7 @@
 					    .choose_by_cost = settings->choose_by_cost,
 					    .adapt_limit = settings->adapt_limit});
 	task->claims = claims_new(&claims_ops, task, holder, seed + 1);
-	task->upstreams = upstream_task_new(loop, &upstream_ops, task);
+	task->upstreams = upstream_task_new(loop, replies, &upstream_ops, task);
 	task->engine_timer = (loop_timer_t){.fire = on_engine_timer, .ctx = task};
 	task->claims_timer = (loop_timer_t){.fire = on_claims_timer, .ctx = task};
 	task->probe_timer = (loop_timer_t){.fire = probe_all, .ctx = task};
--- a/src/tasks/query_task.h
+++ b/src/tasks/query_task.h
@@ -18,8 +18,9 @@
 	void (*reply)(void *ctx, ticket_reply_t *reply);
 } query_task_ops_t;
 
-query_task_t *query_task_new(loop_t *loop, const settings_t *settings, platform_task_t *platform,
-			     timeline_t *timeline);
+/** @param replies limits the memory of unfinished replies of searchers */
+query_task_t *query_task_new(loop_t *loop, const settings_t *settings, http_memory_t *replies,
+			     platform_task_t *platform, timeline_t *timeline);
 void query_task_set_ops(query_task_t *task, const query_task_ops_t *ops, void *ctx);
 
 /** Called for what this VM has found out and its peers should know. */
--- a/src/tasks/upstream_task.c
+++ b/src/tasks/upstream_task.c
@@ -58,15 +58,16 @@
 	g_free(request);
 }
 
-upstream_task_t *upstream_task_new(loop_t *loop, const upstream_task_ops_t *ops, void *ctx)
+upstream_task_t *upstream_task_new(loop_t *loop, http_memory_t *memory,
+				   const upstream_task_ops_t *ops, void *ctx)
 {
 	upstream_task_t *task = g_new0(upstream_task_t, 1);
 
 	task->loop = loop;
 	task->ops = ops;
 	task->ctx = ctx;
-	task->pool = http_pool_new(loop, SLOTS_MAX);
-	task->probe_pool = http_pool_new(loop, 1);
+	task->pool = http_pool_new(loop, memory, SLOTS_MAX);
+	task->probe_pool = http_pool_new(loop, memory, 1);
 	task->endpoints = g_hash_table_new(g_str_hash, g_str_equal);
 	task->searcher_calls = g_hash_table_new(g_int64_hash, g_int64_equal);
 	return task;
--- a/src/tasks/upstream_task.h
+++ b/src/tasks/upstream_task.h
@@ -6,6 +6,7 @@
 #define DS_UPSTREAM_TASK_H
 
 #include "core/reply.h"
+#include "net/http_memory.h"
 #include "net/loop.h"
 
 typedef struct upstream_task_t upstream_task_t;
@@ -38,7 +39,8 @@
 	void (*probed)(void *ctx, void *upstream, upstream_report_t *report, probe_result_t result);
 } upstream_task_ops_t;
 
-upstream_task_t *upstream_task_new(loop_t *loop, const upstream_task_ops_t *ops, void *ctx);
+upstream_task_t *upstream_task_new(loop_t *loop, http_memory_t *memory,
+				   const upstream_task_ops_t *ops, void *ctx);
 /** Post a sub-request; the task owns @p request from now on. */
 void upstream_task_send(upstream_task_t *task, sub_request_t *request);
 /** Post a cancellation; `ended` is not called for the attempt afterwards. */
--- a/src/tool/client.c
+++ b/src/tool/client.c
@@ -32,7 +32,7 @@
 	client_t *client = g_new0(client_t, 1);
 
 	client->loop = loop_new();
-	client->pool = http_pool_new(client->loop, 1);
+	client->pool = http_pool_new(client->loop, NULL, 1);
 	client->addresses = g_strsplit(addresses, ",", 0);
 	client->headers = g_strdup_printf("authorization: Bearer %s\r\n", token);
 	return client;
--- a/standins/caller.c
+++ b/standins/caller.c
@@ -98,7 +98,7 @@
 		   ++caller->sent);
 	caller->sent_ms = loop_wall_ms();
 	if (!caller->conn)
-		caller->conn = http_conn_open(caller->all->loop, "127.0.0.1",
+		caller->conn = http_conn_open(caller->all->loop, NULL, "127.0.0.1",
 					      (uint16_t)caller->port, &ops, caller);
 	if (!caller->conn) {
 		finish(caller, "unsent");
--- a/standins/load.c
+++ b/standins/load.c
@@ -603,8 +603,8 @@
 	argp_parse(&argp, argc, argv, 0, NULL, load);
 	g_queue_init(&load->waiting);
 	load->loop = loop_new();
-	load->pool = http_pool_new(load->loop, SLOTS);
-	load->probe_pool = http_pool_new(load->loop, 1);
+	load->pool = http_pool_new(load->loop, NULL, SLOTS);
+	load->probe_pool = http_pool_new(load->loop, NULL, 1);
 	for (uint32_t i = 0; i < load->target_count; i++)
 		load->targets[i].ready = true;
 	if (load->plot_path)
--- a/standins/proxy.c
+++ b/standins/proxy.c
@@ -11,8 +11,11 @@
  *
  * Targets that answer in HTTP: status=TEXT replaces the three bytes of the status code of their
  * answers, until status= is empty; late=1 sends each answer a second time, when the next answer on
- * its connection is due, until late=0.
+ * its connection is due, until late=0; endless=KIND answers each request to the
+ * first N ports (bad=N; default: all) without end, as endless.h says, and slowly with slow=1, until
+ * endless= is empty.
  */
+#include "endless.h"
 #include "net/http_server.h"
 #include "net/sock.h"
 
@@ -32,6 +35,9 @@
 	proxy_mode_t mode;
 	char status[STATUS_BYTES + 1]; /* empty: status codes stay as they are */
 	bool copies_late;
+	const endless_kind_t *endless; /* NULL: answers are those of the target */
+	bool endless_slow;
+	uint32_t endless_bad;
 } proxy_t;
 
 /* One of the two sockets of a proxied connection. */
@@ -47,6 +53,8 @@
 	side_t caller, target;
 	uint32_t delayed_chunks; /* received and not yet written */
 	GBytes *late;		 /* copy of the last answer; NULL: none */
+	uint32_t port;		 /* index of the listening port */
+	endless_t *endless;	 /* NULL: no answer without end has begun */
 } pipe_t;
 
 typedef struct chunk_t {
@@ -58,6 +66,7 @@
 typedef struct forwarded_port_t {
 	proxy_t *proxy;
 	uint16_t target;
+	uint32_t index;
 } forwarded_port_t;
 
 static void free_if_closed(pipe_t *pipe)
@@ -69,8 +78,16 @@
 	g_free(pipe);
 }
 
+static void stop_endless(pipe_t *pipe)
+{
+	endless_free(pipe->endless);
+	pipe->endless = NULL;
+}
+
 static void close_side(side_t *side)
 {
+	if (side->is_caller)
+		stop_endless(side->pipe);
 	if (side->sock)
 		sock_close(side->sock);
 	side->sock = NULL;
@@ -127,6 +144,13 @@
 	write_to_side(&pipe->caller, answer, bytes);
 }
 
+static bool answers_without_end(const pipe_t *pipe)
+{
+	const proxy_t *proxy = pipe->proxy;
+
+	return proxy->endless && pipe->port < proxy->endless_bad;
+}
+
 static void on_received(void *ctx, const char *data, size_t bytes)
 {
 	side_t *from = ctx;
@@ -134,6 +158,13 @@
 	side_t *to = from->is_caller ? &pipe->target : &pipe->caller;
 	chunk_t *chunk;
 
+	if (pipe->endless)
+		return;
+	if (from->is_caller && answers_without_end(pipe)) {
+		pipe->endless = endless_new(pipe->proxy->loop, from->sock, pipe->proxy->endless,
+					    pipe->proxy->endless_slow);
+		return;
+	}
 	if (pipe->mode == PROXY_SILENT || (pipe->mode == PROXY_ONE_WAY && !from->is_caller))
 		return;
 	if (pipe->mode == PROXY_PASS && !from->is_caller && begins_answer(data, bytes)) {
@@ -159,6 +190,7 @@
 
 	(void)reason;
 	side->sock = NULL;
+	stop_endless(pipe);
 	close_side(side->is_caller ? &pipe->target : &pipe->caller);
 	free_if_closed(pipe);
 }
@@ -168,8 +200,15 @@
 	(void)ctx;
 }
 
-static const sock_ops_t side_ops = {
-	.opened = on_opened, .received = on_received, .ended = on_side_closed};
+static void on_flushed(void *ctx)
+{
+	endless_flushed(((side_t *)ctx)->pipe->endless);
+}
+
+static const sock_ops_t side_ops = {.opened = on_opened,
+				    .received = on_received,
+				    .flushed = on_flushed,
+				    .ended = on_side_closed};
 
 static void on_accepted(void *ctx, sock_t *sock)
 {
@@ -178,6 +217,7 @@
 
 	pipe->proxy = port->proxy;
 	pipe->mode = port->proxy->mode;
+	pipe->port = port->index;
 	pipe->caller = (side_t){.pipe = pipe, .sock = sock, .is_caller = true};
 	pipe->target = (side_t){.pipe = pipe};
 	g_ptr_array_add(port->proxy->pipes, pipe);
@@ -197,6 +237,20 @@
 	}
 }
 
+static uint32_t number_param(http_exchange_t *exchange, const char *name, uint32_t fallback)
+{
+	const char *text = http_exchange_param(exchange, name);
+
+	return text ? (uint32_t)strtoul(text, NULL, 10) : fallback;
+}
+
+static void set_endless(proxy_t *proxy, http_exchange_t *exchange)
+{
+	proxy->endless = endless_kind_find(http_exchange_param(exchange, "endless"));
+	proxy->endless_slow = number_param(exchange, "slow", 0);
+	proxy->endless_bad = number_param(exchange, "bad", UINT32_MAX);
+}
+
 static void on_control(void *ctx, http_exchange_t *exchange)
 {
 	static const char *const names[] = {"pass", "delay", "silent", "oneway"};
@@ -210,7 +264,8 @@
 		g_strlcpy(proxy->status, status, sizeof(proxy->status));
 	if (late)
 		proxy->copies_late = g_str_equal(late, "1");
-
+	if (http_exchange_param(exchange, "endless"))
+		set_endless(proxy, exchange);
 	for (size_t i = 0; mode_name && i < G_N_ELEMENTS(names); i++) {
 		if (!g_str_equal(mode_name, names[i]))
 			continue;
@@ -230,12 +285,13 @@
 	loop_stop(((proxy_t *)ctx)->loop);
 }
 
-static bool open_port(proxy_t *proxy, const char *mapping)
+static bool open_port(proxy_t *proxy, const char *mapping, uint32_t index)
 {
 	const char *colon = strchr(mapping, ':');
 	forwarded_port_t *port = g_new0(forwarded_port_t, 1);
 
 	port->proxy = proxy;
+	port->index = index;
 	port->target = colon ? (uint16_t)atoi(colon + 1) : 0;
 	return listener_new(proxy->loop, "127.0.0.1", (uint16_t)atoi(mapping), on_accepted, port);
 }
@@ -252,7 +308,7 @@
 		return 2;
 	}
 	for (int i = 2; i < argc; i++)
-		if (!open_port(&proxy, argv[i]))
+		if (!open_port(&proxy, argv[i], (uint32_t)i - 2))
 			return 1;
 	loop_run(proxy.loop, on_signal, &proxy);
 	return 0;
--- a/tests/fuzz.c
+++ b/tests/fuzz.c
@@ -208,6 +208,10 @@
 		abort();
 }
 
+/* A message of REPLY_MAX_BYTES of head and as many of body, in buffers that double, and its list of
+ * headers. */
+#define REPLY_MEMORY_MAX_BYTES (8 * REPLY_MAX_BYTES)
+
 /* The first byte says how long the reads are. */
 static void fuzz_replies(const uint8_t *data, size_t bytes)
 {
@@ -221,6 +225,8 @@
 		sub_reply_t *reply;
 
 		at += taken;
+		if (http_message_memory(message) > REPLY_MEMORY_MAX_BYTES)
+			abort();
 		if (http_message_state(message) == HTTP_MESSAGE_INCOMPLETE)
 			continue;
 		if (http_message_state(message) != HTTP_MESSAGE_COMPLETE)
@@ -234,14 +240,32 @@
 	http_message_free(message);
 }
 
+/* The first half of the bytes, then the second half without end: the reply must be refused or
+ * complete before it has more bytes than its limits allow. */
+static void fuzz_endless(const uint8_t *data, size_t bytes)
+{
+	http_message_t *message = reply_message_new();
+	size_t start = bytes / 2, rest = bytes - start, total;
+
+	total = http_message_parse(message, (const char *)data, start);
+	while (rest && http_message_state(message) == HTTP_MESSAGE_INCOMPLETE) {
+		total += http_message_parse(message, (const char *)data + start, rest);
+		if (http_message_memory(message) > REPLY_MEMORY_MAX_BYTES ||
+		    total > 4 * REPLY_MAX_BYTES + bytes)
+			abort();
+	}
+	http_message_free(message);
+}
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t bytes)
 {
 	static const struct {
 		const char *name;
 		void (*run)(const uint8_t *data, size_t bytes);
-	} targets[] = {{"reply", fuzz_reply},	{"health", fuzz_health}, {"search", fuzz_search},
-		       {"config", fuzz_config}, {"frame", fuzz_frame},	 {"page", fuzz_page},
-		       {"feed", fuzz_feed},	{"hop", fuzz_hop},	 {"replies", fuzz_replies}};
+	} targets[] = {{"reply", fuzz_reply},	 {"health", fuzz_health}, {"search", fuzz_search},
+		       {"config", fuzz_config},	 {"frame", fuzz_frame},	  {"page", fuzz_page},
+		       {"feed", fuzz_feed},	 {"hop", fuzz_hop},	  {"replies", fuzz_replies},
+		       {"endless", fuzz_endless}};
 	const char *wanted = getenv("FUZZ_TARGET");
 
 	for (size_t i = 0; i < G_N_ELEMENTS(targets); i++)
--- a/tests/link_test.c
+++ b/tests/link_test.c
@@ -112,7 +112,7 @@
 
 	if (!fixture->loop) {
 		fixture->loop = loop_new();
-		fixture->links = link_task_new(fixture->loop, &ops, fixture);
+		fixture->links = link_task_new(fixture->loop, NULL, &ops, fixture);
 	}
 	fixture->ended = 0;
 	fixture->listener = listen_on_loopback(&entry.port);
--- a/tests/message_test.c
+++ b/tests/message_test.c
@@ -258,6 +258,61 @@
 	http_message_free(message);
 }
 
+/* Parses @p start, then @p rest again and again until the message is refused or @p most_bytes are
+ * consumed. */
+static http_message_state_t parse_endless(const char *start, const char *rest, size_t most_bytes)
+{
+	const http_message_limits_t limits = {.head_bytes = HEAD_MAX_BYTES,
+					      .body_bytes = most_bytes};
+	http_message_t *message = http_message_new(REPLY, limits);
+	size_t bytes = http_message_parse(message, start, strlen(start));
+	http_message_state_t state;
+
+	while (http_message_state(message) == INCOMPLETE && bytes < most_bytes)
+		bytes += http_message_parse(message, rest, strlen(rest));
+	state = http_message_state(message);
+	http_message_free(message);
+	return state;
+}
+
+#define CHUNKED "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+/* The limit on a head began anew with each interim head, so that nothing ended the reply. */
+static void test_interim_heads_without_end(void **state)
+{
+	(void)state;
+	assert_int_equal(parse_endless("", "HTTP/1.1 100 Continue\r\n\r\n", 4096),
+			 HTTP_MESSAGE_HEAD_TOO_LARGE);
+}
+
+/* Tiny chunks, extensions and trailers cost far more than the body that they carry. */
+static void test_framing_without_end(void **state)
+{
+	(void)state;
+	assert_int_equal(parse_endless(CHUNKED, "1\r\na\r\n", 4096), HTTP_MESSAGE_HEAD_TOO_LARGE);
+	assert_int_equal(parse_endless(CHUNKED "1;x=", "y", 4096), HTTP_MESSAGE_HEAD_TOO_LARGE);
+	assert_int_equal(parse_endless(CHUNKED "0\r\n", "T: x\r\n", 4096),
+			 HTTP_MESSAGE_HEAD_TOO_LARGE);
+	assert_int_equal(parse_endless(CHUNKED, "10\r\n0123456789abcdef\r\n", 4096), INCOMPLETE);
+}
+
+/* An idle connection kept the buffer of the longest reply that it had carried. */
+static void test_no_memory_after_a_long_message(void **state)
+{
+	const http_message_limits_t limits = {.head_bytes = HEAD_MAX_BYTES, .body_bytes = 1u << 20};
+	http_message_t *message = http_message_new(REPLY, limits);
+	g_autofree char *body = g_strnfill(1u << 20, 'a');
+	static const char head[] = "HTTP/1.1 200 OK\r\n\r\n";
+
+	(void)state;
+	http_message_parse(message, head, strlen(head));
+	http_message_parse(message, body, 1u << 20);
+	assert_true(http_message_memory(message) >= 1u << 20);
+	http_message_reset(message);
+	assert_true(http_message_memory(message) < 1u << 16);
+	http_message_free(message);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -269,6 +324,9 @@
 		cmocka_unit_test(test_pipelined),
 		cmocka_unit_test(test_closed_reply),
 		cmocka_unit_test(test_headers),
+		cmocka_unit_test(test_interim_heads_without_end),
+		cmocka_unit_test(test_framing_without_end),
+		cmocka_unit_test(test_no_memory_after_a_long_message),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/soak/front_soak.sh
+++ b/tests/soak/front_soak.sh
@@ -30,6 +30,9 @@
 #   A caller beside idle connections is answered or refused, in time. Afterwards a change of the configuration is in force
 #   everywhere within the apply time.
 #
+# If the seed is at least 1000000, the store and some searchers answer without end at times, fast or a byte at a time. No VM
+# exceeds the memory of the smallest ones.
+#
 # In half of the seeds callers wait after a refusal, so that more requests are served than refused.
 #
 #   tests/soak/front_soak.sh SEED [SECONDS]
@@ -42,7 +45,7 @@
 . tests/front_lib.sh
 RANDOM=$SEED
 VMS_RUN=3 SHARDS=3 OFFSET=100 APPLY_S=3 SETTLE_S=5 DESCRIPTORS=150
-PATIENT=$((SEED / 2 % 2)) REGION_FAULTS=$((SEED >= 1000)) OVERLOAD=$((SEED >= 2000)) SCARCE=$((SEED >= 800000))
+PATIENT=$((SEED / 2 % 2)) REGION_FAULTS=$((SEED >= 1000)) OVERLOAD=$((SEED >= 2000)) SCARCE=$((SEED >= 800000)) ENDLESS=$((SEED >= 1000000)) MEMORY_MB=160
 [ $REGION_FAULTS = 0 ] || EVACUATE_MS=5000
 if [ $SCARCE = 1 ]; then
 	VMS_RUN=7
@@ -55,6 +58,7 @@
 fi
 # If the seed is odd, two large VMs gather for a small one.
 front_size() {
+	[ $ENDLESS = 0 ] || echo "memory_mb = $MEMORY_MB"
 	[ $((SEED % 2)) = 1 ] || return 0
 	[ "$1" = 0 ] && printf 'link_mbps = 20\ncores = 1\ncore_share = 0.1\n' || printf 'link_mbps = 200\ncores = 1\ncore_share = 0.5\n'
 }
@@ -226,6 +230,16 @@
 	[ $code != 28 ] || ended "$1" || echo "VM $1 neither serves nor refuses a caller beside idle connections" >>"$RUN/wrong"
 }
 
+endless() {
+	local kind
+	pick interim head length unframed chunks extension trailers garbage
+	kind=$picked
+	pick 1 3 5 # the store, and so many searchers
+	curl -s -m 2 "http://127.0.0.1:$PROXY/do?endless=$kind&bad=$picked&slow=$((RANDOM % 2))" >/dev/null
+	sleep 0.7
+	curl -s -m 2 "http://127.0.0.1:$PROXY/do?endless=" >/dev/null
+}
+
 # Eighteen more callers for a time: four times the usual number.
 bursts=0
 burst() { # seconds
@@ -256,6 +270,7 @@
 while [ "$(date +%s)" -lt $end ]; do
 	[ $OVERLOAD = 0 ] || overload
 	[ $SCARCE = 0 ] || [ $((RANDOM % 3)) != 0 ] || hoard $((RANDOM % VMS_RUN))
+	[ $ENDLESS = 0 ] || [ $((RANDOM % 3)) != 0 ] || endless
 	fault
 	supervise
 	sleep "0.$((RANDOM % 6))"
@@ -269,6 +284,10 @@
 wait "${callers[@]}"
 processes_are_sound
 for ((i = 0; i < VMS_RUN; i++)); do
+	if [ $ENDLESS = 1 ] && ! grep -q asan "/proc/${FRONT_PID[$i]}/maps" 2>/dev/null; then
+		peak_mb=$(awk '/VmHWM/ {print int($2 / 1024)}' "/proc/${FRONT_PID[$i]}/status" 2>/dev/null)
+		[ "${peak_mb:-0}" -le $MEMORY_MB ] || fail "seed $SEED: VM $i has used $peak_mb MB"
+	fi
 	kill -CONT "${FRONT_PID[$i]}" 2>/dev/null
 	wait_until is_up "$i" || fail "seed $SEED: VM $i is not ready at the end: $(tail -n 3 "$RUN/front-$i.log")"
 	served=0
