store_sync_task: a connection that could not be opened isn't read after it was freed

Cause: on_open() freed the connection and then read its client for the result.

Change: the result comes before, and link->data is set only once there is a connection.

Looked at: the other places that free what they could not open: link_task open_conn(), hop_client link_open(), quota_link open_link(), feed_client_new(), http_conn_open(), sock_connect(): none reads it afterwards.

--- a/src/tasks/store_sync_task.c
+++ b/src/tasks/store_sync_task.c
@@ -418,16 +418,20 @@
 	static const feed_client_ops_t ops = {.message = on_feed_message, .ended = on_feed_ended};
 	store_sync_task_t *task = ctx;
 	const vm_t *vm = member_sync_find(member_task_sync(task->members), link->vm);
-	feed_connection_t *connection = g_new0(feed_connection_t, 1);
+	feed_connection_t *connection;
 
+	if (!vm)
+		return false;
+	connection = g_new0(feed_connection_t, 1);
 	*connection = (feed_connection_t){.task = task, .link = link};
 	connection->client =
-		vm ? feed_client_new(task->loop, vm->address, vm->feed_port, &ops, connection)
-		   : NULL;
-	link->data = connection;
-	if (!connection->client)
+		feed_client_new(task->loop, vm->address, vm->feed_port, &ops, connection);
+	if (!connection->client) {
 		g_free(connection);
-	return connection->client != NULL;
+		return false;
+	}
+	link->data = connection;
+	return true;
 }
 
 static void on_close(void *ctx, store_sync_link_t *link, const char *reason)
--- a/tests/run-all.sh
+++ b/tests/run-all.sh
@@ -8,7 +8,7 @@
 make --no-print-directory overload
 make --no-print-directory system
 # Tests of failures that only the sanitizers show for certain.
-BUILD=build-san TESTS="tests/system/front_restart_while_suspended.sh" tests/run-system.sh
+BUILD=build-san TESTS="tests/system/front_restart_while_suspended.sh tests/system/front_feed_descriptors.sh" tests/run-system.sh
 scripts/fuzz.sh 3 1
 # Real processes under faults, with the seeds of seeds.txt. `make soak` runs more seeds, new ones each time.
 grep -v '^#' tests/soak/seeds.txt | while read -r soak build seed seconds _; do
