net/http_server: callers' unfinished requests are bounded together

What callers could do: each connection may hold a body of the configuration's limit that is never finished, and 1 MB behind a request that is being answered; three quarters of 4,100 descriptors make that 0.8 GB, and 3 GB, of a process that may have 160 MB.

Change: an eighth of [vm] memory_mb for all of them; beyond it the largest one is given up: an unfinished request is answered 503 with Retry-After (it has not run), what follows a request that is being answered is dropped and its connection closed after the answer. Metrics requests_bytes, requests_given_up_total.

--- a/src/dogwoodsaddled.c
+++ b/src/dogwoodsaddled.c
@@ -28,9 +28,6 @@
 #define GRACE_MARGIN_US 150000
 /* Time for the last answers to reach their callers before the process ends. */
 #define LAST_ANSWERS_US 100000
-/* Share of the memory that unfinished replies of searchers and the store may hold together. A
- * buffer that grows is copied, and callers' requests take their part, too. */
-#define REPLIES_MEMORY_DIVISOR 4
 
 const char *argp_program_version = "dogwoodsaddled " DS_VERSION;
 
@@ -301,8 +298,7 @@
 		return 0;
 	log_start(self.settings->vm_name, self.settings->log_level);
 	self.loop = loop_new();
-	self.replies = http_memory_new((uint64_t)self.settings->memory_mb * (1u << 20) /
-				       REPLIES_MEMORY_DIVISOR);
+	self.replies = http_memory_new(settings_replies_bytes(self.settings));
 	self.timeline = timeline_new(loop_wall_ms);
 	self.timeline->sink = log_event;
 	timeline_add(self.timeline, "event=start version=%s data_centre=%s", DS_VERSION,
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -23,6 +23,9 @@
 /* Time allowed from connecting to the first request: a round trip plus a busy caller's delay. */
 #define NEW_CONNECTION_GRACE_US 300000
 
+/* By then the requests that held the memory have been received or given up. */
+#define MEMORY_RETRY_AFTER_S "1"
+
 /* Share of the process's descriptors that connections take at most if they are to leave some. */
 #define DESCRIPTORS_SHARE 0.75
 
@@ -37,7 +40,9 @@
 	uint64_t state_since_us; /* when it began to idle, receive, reply or linger */
 	bool lingering;
 	bool parsing;
-	GList link; /* in the server's list */
+	bool cut;	    /* what follows the request being answered was dropped */
+	http_share_t share; /* of the unfinished request and of pipelined bytes */
+	GList link;	    /* in the server's list */
 };
 
 struct http_server_t {
@@ -46,6 +51,7 @@
 	loop_t *loop;
 	listener_t *listener;
 	http_server_limits_t limits;
+	http_memory_t *memory; /* NULL: unfinished requests together are not limited */
 	GQueue connections;
 	uint32_t connections_peak;
 	uint32_t connections_max;
@@ -156,7 +162,8 @@
 	exchange->replied = true;
 	if (!connection)
 		return;
-	close_after = exchange->server->draining || !http_message_keeps_alive(exchange->message);
+	close_after = exchange->server->draining || connection->cut ||
+		      !http_message_keeps_alive(exchange->message);
 	write_reply(exchange, status, content_type, body, body_bytes, close_after);
 	connection->state_since_us = loop_now_us();
 	if (close_after)
@@ -184,11 +191,52 @@
 		body = server->ops->error_body(server->ctx, status, detail);
 	g_info("event=request-refused status=%d connection=%" G_GUINT64_FORMAT " reason=\"%s\"",
 	       status, connection->serial, detail);
+	if (status == 503)
+		http_exchange_add_header(&error_exchange, "Retry-After", MEMORY_RETRY_AFTER_S);
 	write_reply(&error_exchange, status, body ? "application/problem+json" : "text/plain",
 		    body ? body : detail, strlen(body ? body : detail), true);
+	if (error_exchange.reply_headers)
+		g_string_free(error_exchange.reply_headers, TRUE);
 	linger(connection);
 }
 
+static void drop_pipelined(connection_t *connection)
+{
+	if (connection->pipelined)
+		g_byte_array_unref(connection->pipelined);
+	connection->pipelined = NULL;
+}
+
+/* A request that is being answered is still answered; what follows it is dropped. */
+static void give_up_request(void *ctx)
+{
+	connection_t *connection = ctx;
+
+	if (connection->exchange) {
+		g_info("event=caller-cut connection=%" G_GUINT64_FORMAT " reason=memory",
+		       connection->serial);
+		drop_pipelined(connection);
+		connection->cut = true;
+		return;
+	}
+	reject(connection, 503, "the requests being received take too much memory");
+	http_message_reset(connection->message);
+}
+
+/* Counts what the connection holds of requests that have not begun. */
+static void count_memory(connection_t *connection)
+{
+	http_server_t *server = connection->server;
+	uint64_t bytes = connection->pipelined ? connection->pipelined->len : 0;
+
+	if (!connection->exchange && http_message_started(connection->message))
+		bytes += http_message_memory(connection->message);
+	if (!bytes || connection->lingering)
+		http_memory_release(&connection->share);
+	else if (server->memory)
+		http_memory_hold(server->memory, &connection->share, bytes);
+}
+
 static void begin_exchange(connection_t *connection)
 {
 	http_server_t *server = connection->server;
@@ -200,6 +248,7 @@
 	exchange->message = connection->message;
 	exchange->serial = connection->serial;
 	exchange->start_us = connection->state_since_us;
+	http_memory_release(&connection->share);
 	connection->message = http_message_new(HTTP_MESSAGE_REQUEST, server->limits.message);
 	connection->exchange = exchange;
 	server->open_exchanges++;
@@ -265,6 +314,7 @@
 	connection->parsing = false;
 	if (bytes && connection->exchange)
 		buffer_pipelined(connection, data, bytes);
+	count_memory(connection);
 }
 
 /* ---- connections ---- */
@@ -272,9 +322,9 @@
 static void connection_free(connection_t *connection)
 {
 	g_queue_unlink(&connection->server->connections, &connection->link);
+	http_memory_release(&connection->share);
 	http_message_free(connection->message);
-	if (connection->pipelined)
-		g_byte_array_unref(connection->pipelined);
+	drop_pipelined(connection);
 	g_free(connection);
 }
 
@@ -282,7 +332,7 @@
 {
 	connection_t *connection = ctx;
 
-	if (connection->lingering)
+	if (connection->lingering || connection->cut)
 		return;
 	if (!connection->exchange) {
 		parse(connection, data, bytes);
@@ -294,6 +344,7 @@
 		       connection->serial);
 		linger(connection);
 	}
+	count_memory(connection);
 }
 
 static void on_flushed(void *ctx)
@@ -381,6 +432,7 @@
 	connection->serial = ++server->last_serial;
 	connection->state_since_us = loop_now_us();
 	connection->link.data = connection;
+	connection->share = (http_share_t){.give_up = give_up_request, .ctx = connection};
 	g_queue_push_tail_link(&server->connections, &connection->link);
 	server->connections_peak = MAX(server->connections_peak, server->connections.length);
 	sock_set_ops(sock, &connection_ops, connection);
@@ -495,6 +547,11 @@
 	server->replaces_idle = replaces_idle;
 }
 
+void http_server_limit_memory(http_server_t *server, http_memory_t *memory)
+{
+	server->memory = memory;
+}
+
 void http_server_leave_descriptors(http_server_t *server)
 {
 	double max = DESCRIPTORS_SHARE * sock_descriptors_max();
--- a/src/queries/front_metrics.c
+++ b/src/queries/front_metrics.c
@@ -293,6 +293,9 @@
 	put_metric(out, "replies_bytes", NULL, NULL, http_memory_used(sources->replies));
 	put_metric(out, "replies_given_up_total", NULL, NULL,
 		   http_memory_counters(sources->replies)->given_up);
+	put_metric(out, "requests_bytes", NULL, NULL, http_memory_used(sources->requests));
+	put_metric(out, "requests_given_up_total", NULL, NULL,
+		   http_memory_counters(sources->requests)->given_up);
 	put_quotas(out, sources->quotas, sources->tenants);
 	forwarder_visit_latency(sources->forwarder, put_route_latency, out);
 	put_services(out, sources->registry);
--- a/src/settings.c
+++ b/src/settings.c
@@ -48,6 +48,12 @@
 	setting_rounding_t rounding;
 } setting_t;
 
+#define MB (1u << 20)
+/* Shares of the memory. Buffers that grow are copied, and requests that have begun, with the parts
+ * of their answers, need most of the rest. */
+#define REPLIES_MEMORY_DIVISOR 4
+#define REQUESTS_MEMORY_DIVISOR 8
+
 #define FRONT_GROUP "front"
 #define REGIONS_GROUP "regions"
 #define AT(field) offsetof(settings_t, field)
@@ -595,6 +601,16 @@
 	return (uint32_t)(settings->cores * settings->core_share * 1000);
 }
 
+uint64_t settings_replies_bytes(const settings_t *settings)
+{
+	return (uint64_t)settings->memory_mb * MB / REPLIES_MEMORY_DIVISOR;
+}
+
+uint64_t settings_requests_bytes(const settings_t *settings)
+{
+	return (uint64_t)settings->memory_mb * MB / REQUESTS_MEMORY_DIVISOR;
+}
+
 void settings_free(settings_t *settings)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(known); i++)
--- a/src/settings.h
+++ b/src/settings.h
@@ -67,6 +67,10 @@
 settings_t *settings_read(const char *path, GPtrArray *errors);
 /** @return processor time of this VM per second, in thousandths of a core; 0: unknown */
 uint32_t settings_processor_milli(const settings_t *settings);
+/** @return memory that unfinished replies of searchers and the store may hold together */
+uint64_t settings_replies_bytes(const settings_t *settings);
+/** @return memory that unfinished requests of callers may hold together */
+uint64_t settings_requests_bytes(const settings_t *settings);
 void settings_free(settings_t *settings);
 
 #endif
