net/http_server: a request has the limits that are in force when it begins

Hypotheses: (a) the VM has not read the version: ruled out, new connections get 200 at the same time; (b) the message of the next request keeps the limits of when it was made, as the request before it began: yes, begin_exchange() and on_accepted().

Change: limits and the time for a request to arrive are taken at its first byte and kept until it is complete.

--- a/src/net/http_message.c
+++ b/src/net/http_message.c
@@ -206,13 +206,18 @@
 #define KEPT_BUFFER_BYTES 16384
 #define INITIAL_BUFFER_BYTES 512
 
+void http_message_set_limits(http_message_t *message, http_message_limits_t limits)
+{
+	message->limits = limits;
+	allow_in_parser(limits.head_bytes);
+}
+
 http_message_t *http_message_new(http_message_kind_t kind, http_message_limits_t limits)
 {
 	http_message_t *message = g_new0(http_message_t, 1);
 
 	message->kind = kind;
-	message->limits = limits;
-	allow_in_parser(limits.head_bytes);
+	http_message_set_limits(message, limits);
 	message->text = g_string_sized_new(INITIAL_BUFFER_BYTES);
 	message->headers = g_array_new(FALSE, FALSE, sizeof(header_offsets_t));
 	message->body = g_string_sized_new(INITIAL_BUFFER_BYTES);
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -43,6 +43,8 @@
 
 http_message_t *http_message_new(http_message_kind_t kind, http_message_limits_t limits);
 void http_message_free(http_message_t *message);
+/** Replace the limits; only before the first byte of a message. */
+void http_message_set_limits(http_message_t *message, http_message_limits_t limits);
 /** Whether a reply with this status has a body, if the request was not HEAD. */
 bool http_status_has_body(int status);
 /** Discard the parsed content and prepare for the next message. */
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -38,6 +38,7 @@
 	GByteArray *pipelined; /* bytes received while a request is being answered; NULL: none */
 	uint64_t serial;
 	uint64_t state_since_us; /* when it began to idle, receive, reply or linger */
+	uint64_t receive_us;	 /* time allowed for the request being received */
 	bool lingering;
 	bool parsing;
 	bool cut;	    /* what follows the request being answered was dropped */
@@ -297,6 +298,16 @@
 	g_byte_array_append(connection->pipelined, (const guint8 *)data, (guint)bytes);
 }
 
+/* The request keeps the limits that are in force now. */
+static void begin_message(connection_t *connection)
+{
+	const http_server_t *server = connection->server;
+
+	connection->state_since_us = loop_arrival_us(server->loop);
+	connection->receive_us = server->limits.receive_us;
+	http_message_set_limits(connection->message, server->limits.message);
+}
+
 static void parse(connection_t *connection, const char *data, size_t bytes)
 {
 	connection->parsing = true;
@@ -304,7 +315,7 @@
 		size_t consumed;
 
 		if (!http_message_started(connection->message))
-			connection->state_since_us = loop_arrival_us(connection->server->loop);
+			begin_message(connection);
 		consumed = http_message_parse(connection->message, data, bytes);
 		data += consumed;
 		bytes -= consumed;
@@ -459,7 +470,7 @@
 	} else if (connection->exchange) {
 		return;
 	} else if (http_message_started(connection->message)) {
-		if (age_us > limits->receive_us)
+		if (age_us > connection->receive_us)
 			reject(connection, 408, "the request did not arrive in time");
 	} else if (age_us > limits->idle_us) {
 		drop_connection(connection);
--- a/standins/users_platform.c
+++ b/standins/users_platform.c
@@ -87,6 +87,7 @@
 	store_endpoint_t endpoints[STORE_ENDPOINTS];
 	int second_store_port; /* of the second endpoint; 0: there is none */
 	int padding_routes;    /* extra routes in each later configuration */
+	int body_max_bytes;    /* of the requests that each later configuration allows */
 	int act_timeout_ms;    /* time-out of the route of actions */
 	int store_port, control_port, first_searcher_port, shards, work_ms, advertise_offset,
 		restart_delay_ms;
@@ -889,8 +890,8 @@
 	put(platform, "config", "main",
 	    json_pack("{s:i,s:o,s:o,s:o*,s:{s:i,s:i,s:i,s:i}}", "version", version, "routes",
 		      routes, "services", services, "tenants", tenants_json(platform), "limits",
-		      "max-header-bytes", 4096, "max-body-bytes", 8192, "header-timeout-ms", 1000,
-		      "idle-timeout-ms", 5000));
+		      "max-header-bytes", 4096, "max-body-bytes", platform->body_max_bytes,
+		      "header-timeout-ms", 1000, "idle-timeout-ms", 5000));
 }
 
 /* ---- control ---- */
@@ -1027,6 +1028,8 @@
 		set_endpoint(&platform->endpoints[0], ENDPOINT_SILENT, strtoull(number, NULL, 10));
 	else if (!g_strcmp0(action, "side"))
 		set_endpoint(&platform->endpoints[1], endpoint_state_by_name(id), 0);
+	else if (!g_strcmp0(action, "body-max"))
+		platform->body_max_bytes = atoi(number);
 	else if (!g_strcmp0(action, "pad"))
 		platform->padding_routes = atoi(number);
 	else if (!g_strcmp0(action, "forget"))
@@ -1128,6 +1131,7 @@
 	static const http_server_ops_t control = {.request = on_control};
 	users_platform_t platform = {.shards = 3,
 				     .work_ms = 5,
+				     .body_max_bytes = 8192,
 				     .act_timeout_ms = ROUTE_TIMEOUT_MS,
 				     .restart_delay_ms = 1000,
 				     .born_ms = (uint64_t)g_get_real_time() / 1000};
