net/http_server: a stopping VM answers the requests that it has received on a connection

Hypotheses: (a) the bytes are dropped as the connection closes behind the answer in progress: yes, close_after while the server drains, then linger(); (b) they are parsed and refused: ruled out, they get no bytes at all.

Change: while bytes of further requests have been received, an answer doesn't close the connection. Nothing is processed after an answer with "Connection: close". The bound is the grace time, as for all open requests.

Looked at: reject() (closes: what follows can't be trusted), http_server_close_idle() (idle connections only), a request that has arrived in part (its rest is waited for, as on other connections), the product's own interface (the same server).

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -163,7 +163,9 @@
 	exchange->replied = true;
 	if (!connection)
 		return;
-	close_after = exchange->server->draining || connection->cut ||
+	/* A caller takes the answer with "Connection: close" for the last one: not while another of
+	 * its requests has been received. */
+	close_after = (exchange->server->draining && !connection->pipelined) || connection->cut ||
 		      !http_message_keeps_alive(exchange->message);
 	write_reply(exchange, status, content_type, body, body_bytes, close_after);
 	connection->state_since_us = loop_now_us();
