--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -41,6 +41,7 @@
 	uint64_t receive_us;	 /* time allowed for the request being received */
 	bool lingering;
 	bool parsing;
+	bool more;	    /* further bytes follow the request that is being parsed */
 	bool cut;	    /* what follows the request being answered was dropped */
 	http_share_t share; /* of the unfinished request and of pipelined bytes */
 	GList link;	    /* in the server's list */
@@ -153,6 +154,12 @@
 	g_string_free(text, TRUE);
 }
 
+/* Whether bytes behind the request that is being answered have been received. */
+static bool has_more(const connection_t *connection)
+{
+	return connection->more || connection->pipelined;
+}
+
 void http_exchange_reply(http_exchange_t *exchange, int status, const char *content_type,
 			 const char *body, size_t body_bytes)
 {
@@ -165,7 +172,7 @@
 		return;
 	/* A caller takes the answer with "Connection: close" for the last one: not while another of
 	 * its requests has been received. */
-	close_after = (exchange->server->draining && !connection->pipelined) || connection->cut ||
+	close_after = (exchange->server->draining && !has_more(connection)) || connection->cut ||
 		      !http_message_keeps_alive(exchange->message);
 	write_reply(exchange, status, content_type, body, body_bytes, close_after);
 	connection->state_since_us = loop_now_us();
@@ -321,10 +328,12 @@
 		consumed = http_message_parse(connection->message, data, bytes);
 		data += consumed;
 		bytes -= consumed;
+		connection->more = bytes > 0;
 		if (!handle_message_state(connection))
 			break;
 	}
 	connection->parsing = false;
+	connection->more = false;
 	if (bytes && connection->exchange)
 		buffer_pipelined(connection, data, bytes);
 	count_memory(connection);
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -56,10 +56,10 @@
  * closed for a new one.
  */
 void http_server_leave_descriptors(http_server_t *server);
-/** Number of connections that were closed for a limit. */
 /** Limit the memory of unfinished requests and of pipelined bytes; a request that is given up gets
  * 503 with Retry-After. */
 void http_server_limit_memory(http_server_t *server, http_memory_t *memory);
+/** Number of connections that were closed for a limit. */
 uint64_t http_server_connections_refused(const http_server_t *server);
 /** The current and the peak number of open connections. */
 uint32_t http_server_connections(const http_server_t *server);
