net/http_message: chunks of any size are taken; extensions and trailers are bounded

Change: eight bytes of framing with each byte of content are allowed beyond the limit on a head; chunks without extensions have five at most. Only extensions and trailers can go beyond that.

--- a/src/net/http_message.c
+++ b/src/net/http_message.c
@@ -400,15 +400,16 @@
 	return consumed;
 }
 
-/*
- * Counts the bytes of a chunked body that are not its content. Those of chunks of 16 bytes or more
- * are fewer than the content itself.
- */
+/* More than any chunks without extensions have: five bytes with each byte of content. */
+#define FRAMING_PER_CONTENT 8
+
+/* Counts the bytes of a chunked body that are not its content. */
 static void count_framing(http_message_t *message, size_t bytes)
 {
 	message->framing_bytes += bytes;
 	if (message->state == HTTP_MESSAGE_INCOMPLETE &&
-	    message->framing_bytes > message->limits.head_bytes + message->body->len)
+	    message->framing_bytes >
+		    message->limits.head_bytes + FRAMING_PER_CONTENT * message->body->len)
 		message->state = HTTP_MESSAGE_HEAD_TOO_LARGE;
 }
 
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -35,8 +35,8 @@
 
 /** Maximum sizes of a message. */
 typedef struct http_message_limits_t {
-	/** Of the head, of a reply with its interim heads; and of the framing and the trailers of
-	 * a chunked body, beyond as many bytes as the body has. */
+	/** Of the head, of a reply with its interim heads; and of the extensions and the trailers
+	 * of a chunked body. */
 	size_t head_bytes;
 	size_t body_bytes;
 } http_message_limits_t;
