net/http_server: requests that are being answered are bounded together

Callers saw: with many whole requests of legal size (262144 bytes) at once a VM exceeds its memory and is killed.

Each request now holds a share of a second account, a quarter of memory_mb, from its last byte to its answer. One that needs more than a sixteenth of what is left is refused before it is routed, with 503 and Retry-After: it has not run. So many large requests leave room for small ones, and one alone is always taken. Requests that run are never given up.

Two related causes: a connection that lingers after a refusal kept the refused request's buffers for a second, and the C library raised the size from which buffers go back to the system, so that freed ones stayed with the process.

--- a/src/dogwoodsaddled.c
+++ b/src/dogwoodsaddled.c
@@ -12,6 +12,7 @@
 #include "version.h"
 
 #include <argp.h>
+#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -29,6 +30,11 @@
 /* Time for the last answers to reach their callers before the process ends. */
 #define LAST_ANSWERS_US 100000
 
+/* Buffers from this size on go back to the system as soon as they are freed. By default the C
+ * library raises the threshold, and memory once used for many large requests would stay with the
+ * process. */
+#define LARGE_BUFFER_BYTES (128 << 10)
+
 const char *argp_program_version = "dogwoodsaddled " DS_VERSION;
 
 typedef struct arguments_t {
@@ -288,6 +294,7 @@
 					 0};
 	daemon_t self = {0};
 
+	mallopt(M_MMAP_THRESHOLD, LARGE_BUFFER_BYTES);
 	loop_hold_signals();
 	self.arguments.config = getenv("DOGWOODSADDLE_CONFIG");
 	argp_parse(&argp, argc, argv, 0, NULL, &self.arguments);
--- a/src/net/http_exchange.c
+++ b/src/net/http_exchange.c
@@ -24,6 +24,7 @@
 	if (exchange->reply_headers)
 		g_string_free(exchange->reply_headers, TRUE);
 	http_message_free(exchange->message);
+	http_memory_release(&exchange->share);
 	g_free(exchange);
 }
 
--- a/src/net/http_exchange_private.h
+++ b/src/net/http_exchange_private.h
@@ -22,6 +22,7 @@
 	uint64_t start_us;
 	bool replied;
 	GString *reply_headers; /* complete header lines; NULL when there are none */
+	http_memory_share_t share;
 };
 
 #endif
--- a/src/net/http_memory.c
+++ b/src/net/http_memory.c
@@ -4,6 +4,10 @@
  */
 #include "net/http_memory.h"
 
+/* A message is admitted if it takes at most this part of what is left, so that small ones are still
+ * admitted beside many large ones. */
+#define LEFT_DIVISOR 16
+
 struct http_memory_t {
 	uint64_t max_bytes;
 	uint64_t used_bytes;
@@ -44,7 +48,7 @@
 	for (const GList *item = memory->shares.head; item; item = item->next) {
 		http_memory_share_t *share = item->data;
 
-		if (!largest || share->bytes > largest->bytes)
+		if (share->give_up && (!largest || share->bytes > largest->bytes))
 			largest = share;
 	}
 	return largest;
@@ -68,6 +72,16 @@
 	}
 }
 
+bool http_memory_admit(http_memory_t *memory, uint64_t bytes)
+{
+	uint64_t left = memory->max_bytes - MIN(memory->used_bytes, memory->max_bytes);
+
+	if (!memory->used_bytes || bytes <= left / LEFT_DIVISOR)
+		return true;
+	memory->counters.refused++;
+	return false;
+}
+
 uint64_t http_memory_used(const http_memory_t *memory)
 {
 	return memory->used_bytes;
--- a/src/net/http_message.c
+++ b/src/net/http_message.c
@@ -536,8 +536,12 @@
 	return message->body;
 }
 
+size_t http_message_head_memory(const http_message_t *message)
+{
+	return message->text->allocated_len + message->headers->len * sizeof(header_offsets_t);
+}
+
 size_t http_message_memory(const http_message_t *message)
 {
-	return message->text->allocated_len + message->body->allocated_len +
-	       message->headers->len * sizeof(header_offsets_t);
+	return http_message_head_memory(message) + message->body->allocated_len;
 }
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -75,6 +75,8 @@
 /** The number of header lines with this name. */
 size_t http_message_header_occurrences(const http_message_t *message, const char *name);
 const GString *http_message_body(const http_message_t *message);
+/** Bytes of memory that the message's head holds. */
+size_t http_message_head_memory(const http_message_t *message);
 /** Bytes of memory that the message holds. */
 size_t http_message_memory(const http_message_t *message);
 
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -23,6 +23,9 @@
 /* Time allowed from connecting to the first request: a round trip plus a busy caller's delay. */
 #define NEW_CONNECTION_GRACE_US 300000
 
+/* Memory of a request that is being answered, besides its head and its body. */
+#define EXCHANGE_BYTES 4096
+
 /* Share of the process's descriptors that connections take at most if they are to leave some. */
 #define DESCRIPTORS_SHARE 0.75
 
@@ -50,7 +53,8 @@
 	loop_t *loop;
 	listener_t *listener;
 	http_server_limits_t limits;
-	http_memory_t *memory; /* NULL: unfinished requests together are not limited */
+	http_memory_t *unfinished; /* memory of requests being received; NULL: not limited */
+	http_memory_t *open;	   /* memory of requests being answered; NULL: not limited */
 	GQueue connections;
 	uint32_t connections_peak;
 	uint32_t connections_max;
@@ -95,10 +99,21 @@
 	return g_str_equal(http_exchange_method(exchange), "HEAD");
 }
 
+static void drop_pipelined(connection_t *connection)
+{
+	if (connection->pipelined)
+		g_byte_array_unref(connection->pipelined);
+	connection->pipelined = NULL;
+}
+
+/* What was received and will not be answered is freed: many connections may linger. */
 static void linger(connection_t *connection)
 {
 	connection->lingering = true;
 	connection->state_since_us = loop_now_us();
+	drop_pipelined(connection);
+	http_message_reset(connection->message);
+	http_memory_release(&connection->share);
 	sock_shutdown(connection->sock);
 }
 
@@ -222,13 +237,6 @@
 
 /* ---- memory of unfinished requests ---- */
 
-static void drop_pipelined(connection_t *connection)
-{
-	if (connection->pipelined)
-		g_byte_array_unref(connection->pipelined);
-	connection->pipelined = NULL;
-}
-
 /* The request that is being answered is still answered. */
 static void drop_further_requests(connection_t *connection)
 {
@@ -247,7 +255,6 @@
 		return;
 	}
 	reject(connection, 503, "the requests being received take too much memory");
-	http_message_reset(connection->message);
 }
 
 /* Counts what the connection holds of requests that are not being answered yet. */
@@ -258,19 +265,31 @@
 
 	if (!connection->exchange && http_message_started(connection->message))
 		bytes += http_message_memory(connection->message);
-	if (!bytes || connection->lingering)
+	if (!bytes)
 		http_memory_release(&connection->share);
-	else if (server->memory)
-		http_memory_hold(server->memory, &connection->share, bytes);
+	else if (server->unfinished)
+		http_memory_hold(server->unfinished, &connection->share, bytes);
 }
 
 /* ---- parsing of requests ---- */
 
+/* Memory of a request until it is answered. The head counts twice: what is sent on is a copy. */
+static uint64_t open_request_bytes(const http_message_t *message)
+{
+	return EXCHANGE_BYTES + http_message_memory(message) + http_message_head_memory(message);
+}
+
 static void begin_exchange(connection_t *connection)
 {
 	http_server_t *server = connection->server;
-	http_exchange_t *exchange = g_new0(http_exchange_t, 1);
+	uint64_t bytes = open_request_bytes(connection->message);
+	http_exchange_t *exchange;
 
+	if (server->open && !http_memory_admit(server->open, bytes)) {
+		reject(connection, 503, "the requests being answered take too much memory");
+		return;
+	}
+	exchange = g_new0(http_exchange_t, 1);
 	exchange->refs = 1;
 	exchange->server = server;
 	exchange->connection = connection;
@@ -280,6 +299,8 @@
 	http_memory_release(&connection->share);
 	connection->message = http_message_new(HTTP_MESSAGE_REQUEST, server->limits.message);
 	connection->exchange = exchange;
+	if (server->open)
+		http_memory_hold(server->open, &exchange->share, bytes);
 	server->open_exchanges++;
 	http_exchange_ref(exchange);
 	server->ops->request(server->ctx, exchange);
@@ -588,9 +609,10 @@
 	server->replaces_idle = replaces_idle;
 }
 
-void http_server_limit_memory(http_server_t *server, http_memory_t *memory)
+void http_server_limit_memory(http_server_t *server, http_memory_t *unfinished, http_memory_t *open)
 {
-	server->memory = memory;
+	server->unfinished = unfinished;
+	server->open = open;
 }
 
 void http_server_leave_descriptors(http_server_t *server)
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -56,12 +56,16 @@
  * closed for a new one.
  */
 void http_server_leave_descriptors(http_server_t *server);
-/** When a caller whose request was given up for want of memory may come back: the requests that
- * held the memory have been received or have timed out by then. */
+/** When a caller whose request was refused for want of memory may come back: the requests that
+ * held the memory are over or have timed out by then. */
 #define HTTP_SERVER_RETRY_AFTER_US 1000000
-/** Limit the memory of unfinished requests and of pipelined bytes; a request that is given up gets
- * 503 with Retry-After. */
-void http_server_limit_memory(http_server_t *server, http_memory_t *memory);
+/**
+ * Limit the memory of requests; a request that is refused or given up gets 503 with Retry-After.
+ * @param unfinished of requests that are being received, and of pipelined bytes
+ * @param open of requests that are being answered
+ */
+void http_server_limit_memory(http_server_t *server, http_memory_t *unfinished,
+			      http_memory_t *open);
 /** Number of connections that were closed for a limit. */
 uint64_t http_server_connections_refused(const http_server_t *server);
 /** The current and the peak number of open connections. */
--- a/src/queries/front_metrics.c
+++ b/src/queries/front_metrics.c
@@ -296,6 +296,10 @@
 	put_metric(out, "requests_bytes", NULL, NULL, http_memory_used(sources->requests));
 	put_metric(out, "requests_given_up_total", NULL, NULL,
 		   http_memory_counters(sources->requests)->given_up);
+	put_metric(out, "open_requests_bytes", NULL, NULL,
+		   http_memory_used(sources->open_requests));
+	put_metric(out, "open_requests_refused_total", NULL, NULL,
+		   http_memory_counters(sources->open_requests)->refused);
 	put_quotas(out, sources->quotas, sources->tenants);
 	forwarder_visit_latency(sources->forwarder, put_route_latency, out);
 	put_services(out, sources->registry);
--- a/src/queries/front_metrics.h
+++ b/src/queries/front_metrics.h
@@ -19,8 +19,9 @@
 	const forwarder_t *forwarder;
 	const registry_t *registry;
 	const link_counters_t *links;
-	const http_memory_t *replies;  /**< unfinished ones of searchers and store */
-	const http_memory_t *requests; /**< unfinished ones of callers */
+	const http_memory_t *replies;	    /**< unfinished ones of searchers and store */
+	const http_memory_t *requests;	    /**< unfinished ones of callers */
+	const http_memory_t *open_requests; /**< requests that are being answered */
 	const store_sync_task_t *store_sync;
 	const platform_counters_t *store;
 	const handovers_t *handovers;
--- a/src/settings.c
+++ b/src/settings.c
@@ -49,10 +49,11 @@
 } setting_t;
 
 #define MB (1u << 20)
-/* Shares of the memory. Buffers that grow are copied, and requests that have begun, with the parts
- * of their answers, need most of the rest. */
+/* Shares of the memory. Buffers that grow are copied, and the parts of answers need most of the
+ * rest. */
 #define REPLIES_MEMORY_DIVISOR 4
 #define REQUESTS_MEMORY_DIVISOR 8
+#define OPEN_REQUESTS_MEMORY_DIVISOR 4
 
 #define FRONT_GROUP "front"
 #define REGIONS_GROUP "regions"
@@ -611,6 +612,11 @@
 	return (uint64_t)settings->memory_mb * MB / REQUESTS_MEMORY_DIVISOR;
 }
 
+uint64_t settings_open_requests_bytes(const settings_t *settings)
+{
+	return (uint64_t)settings->memory_mb * MB / OPEN_REQUESTS_MEMORY_DIVISOR;
+}
+
 void settings_free(settings_t *settings)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(known); i++)
--- a/src/settings.h
+++ b/src/settings.h
@@ -71,6 +71,8 @@
 uint64_t settings_replies_bytes(const settings_t *settings);
 /** @return memory that unfinished requests of callers may hold together */
 uint64_t settings_requests_bytes(const settings_t *settings);
+/** @return memory that requests being answered may hold together */
+uint64_t settings_open_requests_bytes(const settings_t *settings);
 void settings_free(settings_t *settings);
 
 #endif
--- a/src/tasks/caller_task.c
+++ b/src/tasks/caller_task.c
@@ -301,7 +301,8 @@
 	if (task->server) {
 		http_server_leave_descriptors(task->server);
 		http_server_limit_memory(task->server,
-					 http_memory_new(settings_requests_bytes(settings)));
+					 http_memory_new(settings_requests_bytes(settings)),
+					 http_memory_new(settings_open_requests_bytes(settings)));
 		return task;
 	}
 	g_free(task->vm_name);
--- a/src/tasks/front_private.h
+++ b/src/tasks/front_private.h
@@ -30,8 +30,9 @@
 	store_sync_task_t *store_sync;
 	poison_task_t *poison;
 	platform_task_t *platform;
-	http_memory_t *replies;	 /* unfinished ones of searchers and the store */
-	http_memory_t *requests; /* unfinished ones of callers */
+	http_memory_t *replies;	      /* unfinished ones of searchers and the store */
+	http_memory_t *requests;      /* unfinished ones of callers */
+	http_memory_t *open_requests; /* those being answered, of callers and of other VMs */
 	loop_timer_t forwarder_timer;
 	loop_timer_t shares_timer;
 	sharing_t sharing;  /* this VM's shares, from the last known VMs and configuration */
--- a/src/tasks/front_task.c
+++ b/src/tasks/front_task.c
@@ -339,6 +339,7 @@
 		.links = link_task_counters(task->links),
 		.replies = task->replies,
 		.requests = task->requests,
+		.open_requests = task->open_requests,
 		.store_sync = task->store_sync,
 		.store = platform_task_counters(task->platform),
 		.handovers = gather_task_handovers(task->gathers),
@@ -368,7 +369,7 @@
 					&front_caller_ops, task);
 	if (task->callers) {
 		http_server_leave_descriptors(task->callers);
-		http_server_limit_memory(task->callers, task->requests);
+		http_server_limit_memory(task->callers, task->requests, task->open_requests);
 	}
 	task->hops =
 		hop_server_new(task->loop, gather->address, gather->port, &front_hop_ops, task);
@@ -437,6 +438,7 @@
 	task->platform = platform;
 	task->replies = replies;
 	task->requests = http_memory_new(settings_requests_bytes(settings));
+	task->open_requests = http_memory_new(settings_open_requests_bytes(settings));
 	task->retry_ratio = settings->retry_ratio;
 	task->retry_constant = settings->retry_constant;
 	task->vm_name = g_strdup(settings->vm_name);
--- a/standins/users_platform.c
+++ b/standins/users_platform.c
@@ -88,7 +88,9 @@
 	int second_store_port; /* of the second endpoint; 0: there is none */
 	int padding_routes;    /* extra routes in each later configuration */
 	int body_max_bytes;    /* of the requests that each later configuration allows */
-	int act_timeout_ms;    /* time-out of the route of actions */
+	int head_max_bytes;
+	int receive_ms;	    /* for a request to arrive */
+	int act_timeout_ms; /* time-out of the route of actions */
 	int store_port, control_port, first_searcher_port, shards, work_ms, advertise_offset,
 		restart_delay_ms;
 	int cold_per_s; /* rate limit of a cold searcher, requests a second; 0: no limit */
@@ -890,8 +892,9 @@
 	put(platform, "config", "main",
 	    json_pack("{s:i,s:o,s:o,s:o*,s:{s:i,s:i,s:i,s:i}}", "version", version, "routes",
 		      routes, "services", services, "tenants", tenants_json(platform), "limits",
-		      "max-header-bytes", 4096, "max-body-bytes", platform->body_max_bytes,
-		      "header-timeout-ms", 1000, "idle-timeout-ms", 5000));
+		      "max-header-bytes", platform->head_max_bytes, "max-body-bytes",
+		      platform->body_max_bytes, "header-timeout-ms", platform->receive_ms,
+		      "idle-timeout-ms", 5000));
 }
 
 /* ---- control ---- */
@@ -1071,6 +1074,9 @@
 	{"back-ms", 'b', "MS", 0, "from a searcher's end to its next start", 0},
 	{"cold-per-s", 'k', "COUNT", 0, "requests a second that a cold searcher bears", 0},
 	{"queue", 'q', "COUNT", 0, "requests that wait at a searcher; 0: slots are not limited", 0},
+	{"body-max", 'B', "BYTES", 0, "body that the configuration allows", 0},
+	{"head-max", 'H', "BYTES", 0, "head that the configuration allows", 0},
+	{"receive-ms", 'r', "MS", 0, "how long a request may take to arrive", 0},
 	{"log-runs", 'l', 0, 0, "print the sub-requests that run and are answered", 0},
 	{0},
 };
@@ -1088,7 +1094,10 @@
 			       ['b'] = &platform->restart_delay_ms,
 			       ['k'] = &platform->cold_per_s,
 			       ['d'] = &platform->second_store_port,
-			       ['q'] = &platform->queue};
+			       ['q'] = &platform->queue,
+			       ['B'] = &platform->body_max_bytes,
+			       ['H'] = &platform->head_max_bytes,
+			       ['r'] = &platform->receive_ms};
 
 	if (key == 'l') {
 		platform->log_runs = true;
@@ -1132,6 +1141,8 @@
 	users_platform_t platform = {.shards = 3,
 				     .work_ms = 5,
 				     .body_max_bytes = 8192,
+				     .head_max_bytes = 4096,
+				     .receive_ms = 1000,
 				     .act_timeout_ms = ROUTE_TIMEOUT_MS,
 				     .restart_delay_ms = 1000,
 				     .born_ms = (uint64_t)g_get_real_time() / 1000};
--- a/tests/http_memory_test.c
+++ b/tests/http_memory_test.c
@@ -83,12 +83,50 @@
 	http_memory_free(memory);
 }
 
+/* Large messages that are never given up leave no room for small ones. */
+static void test_small_is_admitted_beside_large(void **state)
+{
+	http_memory_t *memory = http_memory_new(MAX_BYTES);
+	http_memory_share_t kept = {0};
+
+	(void)state;
+	assert_true(http_memory_admit(memory, 2 * MAX_BYTES)); /* a single one of any size */
+	http_memory_hold(memory, &kept, MAX_BYTES / 2);
+	assert_false(http_memory_admit(memory, MAX_BYTES / 4));
+	assert_true(http_memory_admit(memory, MAX_BYTES / 40));
+	assert_int_equal(http_memory_counters(memory)->refused, 1);
+	http_memory_hold(memory, &kept, MAX_BYTES);
+	assert_false(http_memory_admit(memory, 1));
+	http_memory_release(&kept);
+	assert_true(http_memory_admit(memory, MAX_BYTES));
+	http_memory_free(memory);
+}
+
+/* A message that must not be given up is, because it holds the most. */
+static void test_kept_message_is_not_given_up(void **state)
+{
+	http_memory_t *memory = http_memory_new(MAX_BYTES);
+	http_memory_share_t kept = {0};
+	holder_t holder;
+
+	(void)state;
+	holder_init(&holder);
+	http_memory_hold(memory, &holder.share, 100);
+	http_memory_hold(memory, &kept, 2 * MAX_BYTES);
+	assert_true(holder.given_up);
+	assert_int_equal(http_memory_used(memory), 2 * MAX_BYTES);
+	http_memory_release(&kept);
+	http_memory_free(memory);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_largest_is_given_up),
 		cmocka_unit_test(test_own_message_is_given_up),
 		cmocka_unit_test(test_released_memory_is_free),
+		cmocka_unit_test(test_small_is_admitted_beside_large),
+		cmocka_unit_test(test_kept_message_is_not_given_up),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
