net: callers that send beyond a usual request are paced

Callers saw: beside 400 clients that send requests ahead without reading, or bodies in chunks of one byte, /ready took up to 2 s or gave no answer, and ordinary gathers came late or not at all, at paths without a route too. One such client kept a core at 54 to 99 %; a VM has an eighth to a quarter of one.

Cause: a read of 16 KB was processed whole, up to 64 KB a turn: hundreds of requests, each with its answer and log line, or thousands of chunks, for each of 400 connections in one iteration of the loop. Requests behind one that was being answered were buffered up to 1 MB a connection, and copied at each answer. Nothing bounded the processor time of it all.

Now each connection is charged for what it costs (reads, bytes, requests sent ahead). What a usual request needs is free; the rest comes from one budget of all callers, a quarter of the VM's processor (excess_percent). While that is used up, a connection waits its turn and is not read, so its peer has to wait, too. Requests behind one that is being answered are held up to one read only; a caller that sends more is no longer cut. The same for /ready, metrics and the product's own interface.

--- a/src/net/http_message.c
+++ b/src/net/http_message.c
@@ -480,6 +480,11 @@
 	return message->has_head;
 }
 
+bool http_message_in_plain_body(const http_message_t *message)
+{
+	return message->has_head && !message->is_chunked;
+}
+
 bool http_message_keeps_alive(const http_message_t *message)
 {
 	return message->state == HTTP_MESSAGE_COMPLETE && http_should_keep_alive(&message->parser);
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -62,6 +62,8 @@
 bool http_message_started(const http_message_t *message);
 /** Whether the head is complete. */
 bool http_message_has_head(const http_message_t *message);
+/** Whether the next bytes belong to a body that is not in chunks. */
+bool http_message_in_plain_body(const http_message_t *message);
 /** Whether the connection may carry another message after this one. */
 bool http_message_keeps_alive(const http_message_t *message);
 const char *http_message_method(const http_message_t *message);
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -16,9 +16,15 @@
 #define LINGER_TIMEOUT_US 1000000
 /* A caller that does not read its reply for this long is disconnected. */
 #define UNREAD_REPLY_TIMEOUT_US 30000000
-/* Limit on buffered bytes of pipelined requests while an earlier request is being answered; a
- * caller that sends more is disconnected. */
-#define PIPELINED_MAX_BYTES (1u << 20)
+/* What callers cost, in processor time. */
+#define READ_NS 5000
+#define BODY_BYTE_NS 1
+#define PARSED_BYTE_NS 8 /* of heads and chunks, which are scanned byte by byte */
+#define REQUEST_NS 30000
+#define FORWARDED_REQUEST_NS 150000
+/* Included in each request that was not sent ahead: a head of 8 KB and a body of 64 KB in one
+ * piece, or a small request in some 30 pieces. */
+#define REQUEST_ALLOWANCE_NS 150000
 
 /* Time allowed from connecting to the first request: a round trip plus a busy caller's delay. */
 #define NEW_CONNECTION_GRACE_US 300000
@@ -41,8 +47,11 @@
 	uint64_t receive_us;	 /* time allowed for the request being received */
 	bool lingering;
 	bool parsing;
-	bool more_to_parse;	   /* bytes follow the request that is being parsed */
-	bool dropped_further;	   /* requests behind the one being answered were dropped */
+	bool more_to_parse;   /* bytes follow the request that is being parsed */
+	bool dropped_further; /* requests behind the one being answered were dropped */
+	bool was_paced;
+	uint64_t allowance_ns; /* what the current request may still cost without being paced */
+	pacing_turn_t turn;
 	http_memory_share_t share; /* of the unfinished request and of pipelined bytes */
 	GList link;		   /* in the server's list */
 };
@@ -54,6 +63,7 @@
 	listener_t *listener;
 	http_server_limits_t limits;
 	http_memory_t *unfinished; /* memory of requests being received; NULL: not limited */
+	pacing_t *pacing;	   /* NULL: callers are not paced */
 	http_memory_t *open;	   /* memory of requests being answered; NULL: not limited */
 	GQueue connections;
 	uint32_t connections_peak;
@@ -114,23 +124,14 @@
 	drop_pipelined(connection);
 	http_message_reset(connection->message);
 	http_memory_release(&connection->share);
+	pacing_cancel(&connection->turn);
+	sock_pause(connection->sock, false);
 	sock_shutdown(connection->sock);
 }
 
 /* ---- replies ---- */
 
-static void parse(connection_t *connection, const char *data, size_t bytes);
-
-static void parse_pipelined(connection_t *connection)
-{
-	GByteArray *pipelined = connection->pipelined;
-
-	connection->pipelined = NULL;
-	if (!pipelined)
-		return;
-	parse(connection, (const char *)pipelined->data, pipelined->len);
-	g_byte_array_unref(pipelined);
-}
+static void parse_next(connection_t *connection);
 
 static void end_exchange(connection_t *connection)
 {
@@ -202,7 +203,7 @@
 		return;
 	end_exchange(connection);
 	if (!connection->parsing)
-		parse_pipelined(connection);
+		parse_next(connection);
 }
 
 /* ---- requests ---- */
@@ -271,6 +272,44 @@
 		http_memory_hold(server->unfinished, &connection->share, bytes);
 }
 
+/* ---- processor time of callers ---- */
+
+static void spend(connection_t *connection, uint64_t work_ns)
+{
+	uint64_t allowed_ns = MIN(work_ns, connection->allowance_ns);
+
+	connection->allowance_ns -= allowed_ns;
+	if (connection->server->pacing && work_ns > allowed_ns)
+		pacing_charge(connection->server->pacing, work_ns - allowed_ns);
+}
+
+static void spend_on_parsing(connection_t *connection, size_t bytes, bool in_plain_body)
+{
+	spend(connection, bytes * (in_plain_body ? BODY_BYTE_NS : PARSED_BYTE_NS));
+}
+
+/* A request that was sent ahead is charged as a whole, since its caller sends without waiting. */
+static void spend_on_request(connection_t *connection, bool sent_ahead)
+{
+	if (sent_ahead)
+		spend(connection, connection->exchange ? FORWARDED_REQUEST_NS : REQUEST_NS);
+}
+
+static bool must_wait(const connection_t *connection)
+{
+	pacing_t *pacing = connection->server->pacing;
+
+	return pacing && !connection->allowance_ns && !pacing_has_left(pacing);
+}
+
+static void wait_for_turn(connection_t *connection)
+{
+	if (!connection->was_paced)
+		g_info("event=caller-paced connection=%" G_GUINT64_FORMAT, connection->serial);
+	connection->was_paced = true;
+	pacing_wait(connection->server->pacing, &connection->turn);
+}
+
 /* ---- parsing of requests ---- */
 
 /* Memory of a request until it is answered. The head counts twice: what is sent on is a copy. */
@@ -348,43 +387,106 @@
 }
 
 /* The request keeps the limits that are in force now. */
-static void begin_message(connection_t *connection)
+static void begin_message(connection_t *connection, bool sent_ahead)
 {
 	const http_server_t *server = connection->server;
 
 	connection->state_since_us = loop_arrival_us(server->loop);
 	connection->receive_us = server->limits.receive_us;
+	connection->allowance_ns = sent_ahead ? 0 : REQUEST_ALLOWANCE_NS;
 	http_message_set_limits(connection->message, server->limits.message);
 }
 
-static void parse(connection_t *connection, const char *data, size_t bytes)
+/* Returns how many bytes were consumed: at most up to the end of a request. */
+static size_t parse_request(connection_t *connection, const char *data, size_t bytes,
+			    bool sent_ahead)
+{
+	bool in_plain_body;
+	size_t consumed;
+
+	if (!http_message_started(connection->message))
+		begin_message(connection, sent_ahead);
+	in_plain_body = http_message_in_plain_body(connection->message);
+	consumed = http_message_parse(connection->message, data, bytes);
+	spend_on_parsing(connection, consumed, in_plain_body);
+	connection->more_to_parse = bytes > consumed;
+	return consumed;
+}
+
+/* @param sent_ahead the bytes arrived before the answer to the request before them was sent */
+static void parse(connection_t *connection, const char *data, size_t bytes, bool sent_ahead)
 {
 	connection->parsing = true;
-	while (bytes && !connection->exchange && !connection->lingering) {
-		size_t consumed;
+	while (bytes && !connection->exchange && !connection->lingering &&
+	       !pacing_is_waiting(&connection->turn)) {
+		size_t consumed = parse_request(connection, data, bytes, sent_ahead);
+		bool complete = http_message_state(connection->message) == HTTP_MESSAGE_COMPLETE;
 
-		if (!http_message_started(connection->message))
-			begin_message(connection);
-		consumed = http_message_parse(connection->message, data, bytes);
 		data += consumed;
 		bytes -= consumed;
-		connection->more_to_parse = bytes > 0;
 		if (!handle_message_state(connection))
 			break;
+		if (complete) {
+			spend_on_request(connection, sent_ahead);
+			sent_ahead = true;
+		}
+		if (bytes && !connection->exchange && must_wait(connection))
+			wait_for_turn(connection);
 	}
 	connection->parsing = false;
 	connection->more_to_parse = false;
-	if (bytes && connection->exchange)
+	if (bytes && !connection->lingering)
 		buffer_pipelined(connection, data, bytes);
 	count_memory(connection);
 }
 
+/* Of requests that are sent ahead only the bytes of one read are held; the others stay with their
+ * caller. */
+static void set_reading(connection_t *connection)
+{
+	sock_pause(connection->sock, pacing_is_waiting(&connection->turn) || connection->pipelined);
+}
+
+static void parse_pipelined(connection_t *connection)
+{
+	GByteArray *pipelined = connection->pipelined;
+
+	connection->pipelined = NULL;
+	if (pipelined) {
+		parse(connection, (const char *)pipelined->data, pipelined->len, true);
+		g_byte_array_unref(pipelined);
+	}
+	set_reading(connection);
+}
+
+/* Called when a request was answered. */
+static void parse_next(connection_t *connection)
+{
+	if (pacing_is_waiting(&connection->turn))
+		return;
+	if (connection->pipelined && must_wait(connection))
+		wait_for_turn(connection);
+	else
+		parse_pipelined(connection);
+}
+
+static void go_on(void *ctx)
+{
+	connection_t *connection = ctx;
+
+	if (connection->exchange)
+		set_reading(connection);
+	else
+		parse_pipelined(connection);
+}
+
 /* ---- connections ---- */
 
 static void connection_free(connection_t *connection)
 {
 	g_queue_unlink(&connection->server->connections, &connection->link);
 	http_memory_release(&connection->share);
+	pacing_cancel(&connection->turn);
 	http_message_free(connection->message);
 	drop_pipelined(connection);
 	g_free(connection);
@@ -394,19 +496,18 @@
 {
 	connection_t *connection = ctx;
 
-	if (connection->lingering || connection->dropped_further)
-		return;
-	if (!connection->exchange) {
-		parse(connection, data, bytes);
-		return;
-	}
-	buffer_pipelined(connection, data, bytes);
-	if (connection->pipelined->len > PIPELINED_MAX_BYTES) {
-		g_info("event=caller-cut connection=%" G_GUINT64_FORMAT " reason=pipelined-bytes",
-		       connection->serial);
-		linger(connection);
+	spend(connection, READ_NS);
+	if (connection->lingering || connection->dropped_further) {
+		spend(connection, bytes * BODY_BYTE_NS);
+	} else if (connection->exchange) {
+		buffer_pipelined(connection, data, bytes);
+		count_memory(connection);
+	} else {
+		parse(connection, data, bytes, false);
 	}
-	count_memory(connection);
+	if (must_wait(connection))
+		wait_for_turn(connection);
+	set_reading(connection);
 }
 
 static void on_flushed(void *ctx)
@@ -416,7 +517,7 @@
 	if (!connection->exchange || !connection->exchange->replied)
 		return;
 	end_exchange(connection);
-	parse_pipelined(connection);
+	parse_next(connection);
 }
 
 static void on_ended(void *ctx, sock_close_reason_t reason)
@@ -449,7 +550,7 @@
 
 static bool is_idle(const connection_t *connection, uint64_t now_us)
 {
-	return !connection->exchange && !connection->lingering &&
+	return !connection->exchange && !connection->lingering && !connection->pipelined &&
 	       !http_message_started(connection->message) &&
 	       now_us >= connection->state_since_us + NEW_CONNECTION_GRACE_US;
 }
@@ -495,6 +596,7 @@
 	connection->state_since_us = loop_now_us();
 	connection->link.data = connection;
 	connection->share = (http_memory_share_t){.give_up = give_up_request, .ctx = connection};
+	connection->turn = (pacing_turn_t){.go_on = go_on, .ctx = connection};
 	g_queue_push_tail_link(&server->connections, &connection->link);
 	server->connections_peak = MAX(server->connections_peak, server->connections.length);
 	sock_set_ops(sock, &connection_ops, connection);
@@ -615,6 +717,11 @@
 	server->open = open;
 }
 
+void http_server_pace(http_server_t *server, pacing_t *pacing)
+{
+	server->pacing = pacing;
+}
+
 void http_server_leave_descriptors(http_server_t *server)
 {
 	double max = DESCRIPTORS_SHARE * sock_descriptors_max();
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -8,6 +8,7 @@
 #include "net/http_memory.h"
 #include "net/http_message.h"
 #include "net/loop.h"
+#include "net/pacing.h"
 
 typedef struct http_server_t http_server_t;
 typedef struct http_exchange_t http_exchange_t;
@@ -66,6 +67,9 @@
  */
 void http_server_limit_memory(http_server_t *server, http_memory_t *unfinished,
 			      http_memory_t *open);
+/** Limit the processor time for what callers send beyond a usual request: many bytes, small pieces
+ * and chunks, and requests that are sent ahead of the answers. */
+void http_server_pace(http_server_t *server, pacing_t *pacing);
 /** Number of connections that were closed for a limit. */
 uint64_t http_server_connections_refused(const http_server_t *server);
 /** The current and the peak number of open connections. */
--- a/src/net/loop.c
+++ b/src/net/loop.c
@@ -82,7 +82,8 @@
 
 static bool set_events(const fd_watch_t *watch, int operation)
 {
-	struct epoll_event event = {.events = EPOLLIN | (watch->wants_write ? EPOLLOUT : 0),
+	uint32_t reads = watch->reads_paused ? EPOLLRDHUP : EPOLLIN;
+	struct epoll_event event = {.events = reads | (watch->wants_write ? EPOLLOUT : 0),
 				    .data.ptr = (void *)watch};
 
 	return epoll_ctl(watch->loop->epoll_fd, operation, watch->fd, &event) == 0;
@@ -105,6 +106,14 @@
 	set_events(watch, EPOLL_CTL_MOD);
 }
 
+void loop_pause_reads(fd_watch_t *watch, bool paused)
+{
+	if (watch->reads_paused == paused)
+		return;
+	watch->reads_paused = paused;
+	set_events(watch, EPOLL_CTL_MOD);
+}
+
 /* Discards the watch's other events from the same epoll_wait(): they must not reach it any more. */
 void loop_unwatch(fd_watch_t *watch)
 {
@@ -131,7 +140,8 @@
 {
 	bool failed = events & (EPOLLERR | EPOLLHUP);
 	bool writable = watch->wants_write && (failed || (events & EPOLLOUT));
-	bool readable = (events & EPOLLIN) || (failed && !writable);
+	bool arrived = (events & EPOLLIN) && !watch->reads_paused;
+	bool readable = arrived || (events & EPOLLRDHUP) || (failed && !writable);
 	bool keep = true;
 
 	if (readable)
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -37,8 +37,9 @@
 
 /** A descriptor polled by the loop; embedded as the first member of its owner's structure. */
 typedef struct fd_watch_t {
-	loop_t *loop;	  /**< private to the loop */
-	bool wants_write; /**< private to the loop after loop_watch() */
+	loop_t *loop;	   /**< private to the loop */
+	bool wants_write;  /**< private to the loop after loop_watch() */
+	bool reads_paused; /**< private to the loop */
 	int fd;
 	/** Returns false to have the loop close the descriptor; FD_CLOSED then follows. */
 	bool (*event)(struct fd_watch_t *watch, fd_event_t event);
@@ -48,6 +49,9 @@
  * wants_write set, FD_WRITABLE is reported when the descriptor is writable. */
 bool loop_watch(loop_t *loop, fd_watch_t *watch);
 void loop_want_write(fd_watch_t *watch);
+/** While paused, FD_READABLE is reported only when the peer has closed its side or the connection
+ * has failed. */
+void loop_pause_reads(fd_watch_t *watch, bool paused);
 /** Close immediately; FD_CLOSED is reported before this returns. Not to be called from the watch's
  * own event callback. */
 void loop_unwatch(fd_watch_t *watch);
--- a/src/net/sock.c
+++ b/src/net/sock.c
@@ -85,6 +85,10 @@
 	size_t left = READ_TURN_BYTES;
 	ssize_t got;
 
+	if (sock->watch.reads_paused) {
+		report_close(sock, SOCK_CLOSED);
+		return -1;
+	}
 	do {
 		got = recv(sock->watch.fd, chunk, sizeof(chunk), 0);
 		if (got < 0 && (errno == EAGAIN || errno == EINTR))
@@ -96,7 +100,8 @@
 		if (sock->ops)
 			sock->ops->received(sock->ctx, chunk, (size_t)got);
 		left -= (size_t)got;
-	} while (!sock->closed && left && got == (ssize_t)sizeof(chunk));
+	} while (!sock->closed && !sock->watch.reads_paused && left &&
+		 got == (ssize_t)sizeof(chunk));
 	return sock->closed ? -1 : 0;
 }
 
@@ -313,6 +318,12 @@
 	return !sock->unsent;
 }
 
+void sock_pause(sock_t *sock, bool paused)
+{
+	if (!sock->closed)
+		loop_pause_reads(&sock->watch, paused);
+}
+
 void sock_shutdown(sock_t *sock)
 {
 	sock->shutting_down = true;
--- a/src/net/sock.h
+++ b/src/net/sock.h
@@ -41,6 +41,9 @@
 void sock_write(sock_t *sock, const void *data, size_t bytes);
 /** Whether the kernel accepted all written bytes. */
 bool sock_is_flushed(const sock_t *sock);
+/** While paused, nothing is read, and the peer can't send more than the kernel's buffers take. When
+ * it closes the connection meanwhile, what was not read is lost. */
+void sock_pause(sock_t *sock, bool paused);
 /** Shut down the sending direction once all bytes are written; bytes of the peer still arrive. */
 void sock_shutdown(sock_t *sock);
 /** Close immediately; no callback is called afterwards. */
--- a/src/queries/front_metrics.c
+++ b/src/queries/front_metrics.c
@@ -300,6 +300,8 @@
 		   http_memory_used(sources->open_requests));
 	put_metric(out, "open_requests_refused_total", NULL, NULL,
 		   http_memory_counters(sources->open_requests)->refused);
+	put_metric(out, "callers_paced_total", NULL, NULL, sources->pacing.waits);
+	put_metric(out, "callers_waiting", NULL, NULL, sources->pacing.waiting);
 	put_quotas(out, sources->quotas, sources->tenants);
 	forwarder_visit_latency(sources->forwarder, put_route_latency, out);
 	put_services(out, sources->registry);
--- a/src/queries/front_metrics.h
+++ b/src/queries/front_metrics.h
@@ -8,6 +8,7 @@
 #include "core/forward.h"
 #include "core/handover.h"
 #include "core/tenant_counters.h"
+#include "net/pacing.h"
 #include "tasks/link_task.h"
 #include "tasks/platform_task.h"
 #include "tasks/quota_task.h"
@@ -22,6 +23,7 @@
 	const http_memory_t *replies;	    /**< unfinished ones of searchers and store */
 	const http_memory_t *requests;	    /**< unfinished ones of callers */
 	const http_memory_t *open_requests; /**< requests that are being answered */
+	pacing_counters_t pacing;	    /**< of callers' connections */
 	const store_sync_task_t *store_sync;
 	const platform_counters_t *store;
 	const handovers_t *handovers;
--- a/src/settings.c
+++ b/src/settings.c
@@ -54,6 +54,8 @@
 #define REPLIES_MEMORY_DIVISOR 4
 #define REQUESTS_MEMORY_DIVISOR 8
 #define OPEN_REQUESTS_MEMORY_DIVISOR 4
+/* Assumed for a VM whose settings don't say it. */
+#define UNKNOWN_PROCESSOR_MILLI 250
 
 #define FRONT_GROUP "front"
 #define REGIONS_GROUP "regions"
@@ -91,6 +93,13 @@
 	 .min = 16,
 	 .max = 1000000,
 	 .rounding = ROUND_DOWN},
+	{.group = "vm",
+	 .key = "excess_percent",
+	 .type = SETTING_NUMBER,
+	 .offset = AT(excess_percent),
+	 .fallback = "25",
+	 .min = 1,
+	 .max = 100},
 	{.group = "listen",
 	 .use = USE_OWN,
 	 .key = "address",
@@ -617,6 +626,13 @@
 	return (uint64_t)settings->memory_mb * MB / OPEN_REQUESTS_MEMORY_DIVISOR;
 }
 
+uint32_t settings_excess_ppm(const settings_t *settings)
+{
+	uint32_t milli = settings_processor_milli(settings);
+
+	return (milli ? milli : UNKNOWN_PROCESSOR_MILLI) * settings->excess_percent * 10;
+}
+
 void settings_free(settings_t *settings)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(known); i++)
--- a/src/settings.h
+++ b/src/settings.h
@@ -18,10 +18,12 @@
 typedef struct settings_t {
 	char *vm_name;
 	char *data_centre;
-	uint32_t link_mbps; /**< speed of this VM's network link; 0: unknown */
-	uint32_t cores;	    /**< of this VM; 0: unknown */
-	double core_share;  /**< share of each core that this VM may use */
-	uint32_t memory_mb; /**< memory that this process may use */
+	uint32_t link_mbps;	 /**< speed of this VM's network link; 0: unknown */
+	uint32_t cores;		 /**< of this VM; 0: unknown */
+	double core_share;	 /**< share of each core that this VM may use */
+	uint32_t memory_mb;	 /**< memory that this process may use */
+	uint32_t excess_percent; /**< of the processor, for what callers send beyond usual requests
+				  */
 	char *listen_address;
 	uint32_t callers_port;
 	uint32_t admin_port;
@@ -73,6 +75,8 @@
 uint64_t settings_requests_bytes(const settings_t *settings);
 /** @return memory that requests being answered may hold together */
 uint64_t settings_open_requests_bytes(const settings_t *settings);
+/** @return part of one core, in millionths, for what callers send beyond usual requests */
+uint32_t settings_excess_ppm(const settings_t *settings);
 void settings_free(settings_t *settings);
 
 #endif
--- a/src/tasks/caller_task.c
+++ b/src/tasks/caller_task.c
@@ -300,6 +300,7 @@
 				&HTTP_SERVER_INTERNAL_LIMITS(BODY_LIMIT_BYTES), &server_ops, task);
 	if (task->server) {
 		http_server_leave_descriptors(task->server);
+		http_server_pace(task->server, pacing_new(loop, settings_excess_ppm(settings)));
 		http_server_limit_memory(task->server,
 					 http_memory_new(settings_requests_bytes(settings)),
 					 http_memory_new(settings_open_requests_bytes(settings)));
--- a/src/tasks/front_private.h
+++ b/src/tasks/front_private.h
@@ -32,6 +32,7 @@
 	platform_task_t *platform;
 	http_memory_t *replies;	      /* unfinished ones of searchers and the store */
 	http_memory_t *requests;      /* unfinished ones of callers */
+	pacing_t *pacing;	      /* of callers */
 	http_memory_t *open_requests; /* those being answered, of callers and of other VMs */
 	loop_timer_t forwarder_timer;
 	loop_timer_t shares_timer;
--- a/src/tasks/front_task.c
+++ b/src/tasks/front_task.c
@@ -340,6 +340,7 @@
 		.replies = task->replies,
 		.requests = task->requests,
 		.open_requests = task->open_requests,
+		.pacing = pacing_counters(task->pacing),
 		.store_sync = task->store_sync,
 		.store = platform_task_counters(task->platform),
 		.handovers = gather_task_handovers(task->gathers),
@@ -356,6 +357,17 @@
 
 /* ---- start and stop ---- */
 
+static bool listen_internal(front_task_t *task, const endpoint_setting_t *at,
+			    const http_server_ops_t *ops)
+{
+	http_server_t *server = http_server_new(task->loop, at->address, at->port,
+						&HTTP_SERVER_INTERNAL_LIMITS(0), ops, task);
+
+	if (server)
+		http_server_pace(server, task->pacing);
+	return server != NULL;
+}
+
 static bool listen_all(front_task_t *task, const settings_t *settings)
 {
 	static const http_server_ops_t ready_ops = {.request = on_ready_request};
@@ -370,14 +382,12 @@
 	if (task->callers) {
 		http_server_leave_descriptors(task->callers);
 		http_server_limit_memory(task->callers, task->requests, task->open_requests);
+		http_server_pace(task->callers, task->pacing);
 	}
 	task->hops =
 		hop_server_new(task->loop, gather->address, gather->port, &front_hop_ops, task);
-	return task->callers && task->hops &&
-	       http_server_new(task->loop, ready->address, ready->port,
-			       &HTTP_SERVER_INTERNAL_LIMITS(0), &ready_ops, task) &&
-	       http_server_new(task->loop, metrics->address, metrics->port,
-			       &HTTP_SERVER_INTERNAL_LIMITS(0), &metrics_ops, task);
+	return task->callers && task->hops && listen_internal(task, ready, &ready_ops) &&
+	       listen_internal(task, metrics, &metrics_ops);
 }
 
 static void start_registry(front_task_t *task, const settings_t *settings)
@@ -438,6 +448,7 @@
 	task->platform = platform;
 	task->replies = replies;
 	task->requests = http_memory_new(settings_requests_bytes(settings));
+	task->pacing = pacing_new(loop, settings_excess_ppm(settings));
 	task->open_requests = http_memory_new(settings_open_requests_bytes(settings));
 	task->retry_ratio = settings->retry_ratio;
 	task->retry_constant = settings->retry_constant;
