net/http_memory: the cost of giving a message up does not grow with their number

Callers saw: beside 3600 clients that stop in the middle of a head the VM spent four fifths of a core, mostly on looking through all unfinished requests for the largest, once for each that was given up. Shares are now kept by the order of magnitude of their bytes, and one of the largest order is given up: no other one is twice as large.

--- a/src/net/http_memory.c
+++ b/src/net/http_memory.c
@@ -8,10 +8,13 @@
  * admitted beside many large ones. */
 #define LEFT_DIVISOR 16
 
+/* Shares that may be given up, by the number of bits of their bytes. */
+#define SIZES 65
+
 struct http_memory_t {
 	uint64_t max_bytes;
 	uint64_t used_bytes;
-	GQueue shares; /* http_memory_share_t */
+	GQueue shares[SIZES]; /* http_memory_share_t */
 	http_memory_counters_t counters;
 };
 
@@ -20,7 +23,8 @@
 	http_memory_t *memory = g_new0(http_memory_t, 1);
 
 	memory->max_bytes = max_bytes;
-	g_queue_init(&memory->shares);
+	for (size_t i = 0; i < SIZES; i++)
+		g_queue_init(&memory->shares[i]);
 	return memory;
 }
 
@@ -29,6 +33,22 @@
 	g_free(memory);
 }
 
+static GQueue *queue_of(http_memory_t *memory, uint64_t bytes)
+{
+	return &memory->shares[bytes ? g_bit_storage(bytes) : 0];
+}
+
+static void enter(http_memory_t *memory, http_memory_share_t *share, uint64_t bytes)
+{
+	share->memory = memory;
+	share->bytes = bytes;
+	memory->used_bytes += bytes;
+	if (!share->give_up)
+		return;
+	share->link = (GList){.data = share};
+	g_queue_push_tail_link(queue_of(memory, bytes), &share->link);
+}
+
 void http_memory_release(http_memory_share_t *share)
 {
 	http_memory_t *memory = share->memory;
@@ -36,39 +56,31 @@
 	if (!memory)
 		return;
 	memory->used_bytes -= share->bytes;
-	g_queue_unlink(&memory->shares, &share->link);
+	if (share->give_up)
+		g_queue_unlink(queue_of(memory, share->bytes), &share->link);
 	share->memory = NULL;
 	share->bytes = 0;
 }
 
-static http_memory_share_t *largest_share(const http_memory_t *memory)
+/* One of the largest: none is twice as large. The cost does not grow with the number of shares. */
+static http_memory_share_t *large_share(const http_memory_t *memory)
 {
-	http_memory_share_t *largest = NULL;
-
-	for (const GList *item = memory->shares.head; item; item = item->next) {
-		http_memory_share_t *share = item->data;
-
-		if (share->give_up && (!largest || share->bytes > largest->bytes))
-			largest = share;
-	}
-	return largest;
+	for (size_t i = SIZES; i > 0; i--)
+		if (memory->shares[i - 1].head)
+			return memory->shares[i - 1].head->data;
+	return NULL;
 }
 
 void http_memory_hold(http_memory_t *memory, http_memory_share_t *share, uint64_t bytes)
 {
-	http_memory_share_t *largest;
+	http_memory_share_t *large;
 
-	if (!share->memory) {
-		share->memory = memory;
-		share->link = (GList){.data = share};
-		g_queue_push_tail_link(&memory->shares, &share->link);
-	}
-	memory->used_bytes += bytes - share->bytes;
-	share->bytes = bytes;
-	while (memory->used_bytes > memory->max_bytes && (largest = largest_share(memory))) {
+	http_memory_release(share);
+	enter(memory, share, bytes);
+	while (memory->used_bytes > memory->max_bytes && (large = large_share(memory))) {
 		memory->counters.given_up++;
-		http_memory_release(largest);
-		largest->give_up(largest->ctx);
+		http_memory_release(large);
+		large->give_up(large->ctx);
 	}
 }
 
--- a/src/net/http_memory.h
+++ b/src/net/http_memory.h
@@ -2,9 +2,9 @@
  * @file http_memory.h
  * Limits the memory that the messages of many connections hold together.
  *
- * Peers may send bytes without end. When the limit is exceeded, the message that holds the most is
- * given up, so that messages of a usual size stay. A message that can't be given up any more, such
- * as a request that is being answered, is admitted first.
+ * Peers may send bytes without end. When the limit is exceeded, one of the messages that hold the
+ * most is given up, so that messages of a usual size stay. A message that can't be given up any
+ * more, such as a request that is being answered, is admitted first.
  */
 #ifndef DS_HTTP_MEMORY_H
 #define DS_HTTP_MEMORY_H
--- a/src/net/http_message.c
+++ b/src/net/http_message.c
@@ -243,6 +243,16 @@
 	*buffer = g_string_sized_new(INITIAL_BUFFER_BYTES);
 }
 
+static void empty_headers(http_message_t *message)
+{
+	if (message->headers->len * sizeof(header_offsets_t) <= KEPT_BUFFER_BYTES) {
+		g_array_set_size(message->headers, 0);
+		return;
+	}
+	g_array_unref(message->headers);
+	message->headers = g_array_new(FALSE, FALSE, sizeof(header_offsets_t));
+}
+
 void http_message_reset(http_message_t *message)
 {
 	http_parser_init(&message->parser,
@@ -253,7 +263,7 @@
 	message->chunks = (chunk_scan_t){0};
 	message->is_chunked = false;
 	message->framing_bytes = 0;
-	g_array_set_size(message->headers, 0);
+	empty_headers(message);
 	message->in_value = false;
 	message->has_head = false;
 	message->no_body = false;
@@ -543,7 +553,8 @@
 
 size_t http_message_head_memory(const http_message_t *message)
 {
-	return message->text->allocated_len + message->headers->len * sizeof(header_offsets_t);
+	/* The capacity of an array is up to twice its length. */
+	return message->text->allocated_len + 2 * message->headers->len * sizeof(header_offsets_t);
 }
 
 size_t http_message_memory(const http_message_t *message)
