net/http_server: a connection that makes no progress makes room for a new one

Three quarters of the descriptors are the callers'; beyond that only an idle connection made room, found by looking through all of them.

Now the one that has been in its state the longest makes room: idle, sending its request, or not reading its answer, for 0.3 s or more; connections of callers that keep them between requests come last. One whose request is being answered is never closed. Connections are kept in this order, so few are looked at. The interfaces for probes have a limit, too: they had none, and callers there could take all descriptors.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -28,12 +28,17 @@
 
 /* Time allowed from connecting to the first request: a round trip plus a busy caller's delay. */
 #define NEW_CONNECTION_GRACE_US 300000
+/* Connections that are looked at, the longest in their state first, when one must make room. */
+#define ROOM_TRIES_MAX 256
 
 /* Memory of a request that is being answered, besides its head and its body. */
 #define EXCHANGE_BYTES 4096
 
 /* Share of the process's descriptors that connections take at most if they are to leave some. */
 #define DESCRIPTORS_SHARE 0.75
+/* The same of probes' connections, each for a request of a few hundred bytes. */
+#define PROBE_DESCRIPTORS_SHARE 0.125
+#define PROBE_GRACE_US 25000
 
 /* One accepted connection. */
 struct connection_t {
@@ -50,6 +55,7 @@
 	bool more_to_parse;   /* bytes follow the request that is being parsed */
 	bool dropped_further; /* requests behind the one being answered were dropped */
 	bool was_paced;
+	bool answered;	       /* at least one request */
 	uint64_t allowance_ns; /* what the current request may still cost without being paced */
 	pacing_turn_t turn;
 	http_memory_share_t share; /* of the unfinished request and of pipelined bytes */
@@ -65,10 +71,10 @@
 	http_memory_t *unfinished; /* memory of requests being received; NULL: not limited */
 	pacing_t *pacing;	   /* NULL: callers are not paced */
 	http_memory_t *open;	   /* memory of requests being answered; NULL: not limited */
-	GQueue connections;
+	GQueue connections;	   /* connection_t, the longest in its state first */
 	uint32_t connections_peak;
 	uint32_t connections_max;
-	bool replaces_idle;
+	uint64_t replace_after_us; /* see http_server_limit_connections() */
 	uint64_t connections_refused;
 	uint32_t open_exchanges;
 	uint64_t last_serial;
@@ -116,13 +122,24 @@
 	connection->pipelined = NULL;
 }
 
+static void begin_state(connection_t *connection, uint64_t now_us)
+{
+	GQueue *connections = &connection->server->connections;
+
+	connection->state_since_us = now_us;
+	g_queue_unlink(connections, &connection->link);
+	g_queue_push_tail_link(connections, &connection->link);
+}
+
 /* What was received and will not be answered is freed: many connections may linger. */
 static void linger(connection_t *connection)
 {
 	connection->lingering = true;
-	connection->state_since_us = loop_now_us();
+	begin_state(connection, loop_now_us());
 	drop_pipelined(connection);
-	http_message_reset(connection->message);
+	http_message_free(connection->message);
+	connection->message =
+		http_message_new(HTTP_MESSAGE_REQUEST, connection->server->limits.message);
 	http_memory_release(&connection->share);
 	pacing_cancel(&connection->turn);
 	sock_pause(connection->sock, false);
@@ -138,7 +155,7 @@
 	http_exchange_t *exchange = connection->exchange;
 
 	connection->exchange = NULL;
-	connection->state_since_us = loop_now_us();
+	begin_state(connection, loop_now_us());
 	exchange->connection = NULL;
 	exchange->server->open_exchanges--;
 	http_exchange_unref(exchange);
@@ -192,9 +209,10 @@
 	exchange->replied = true;
 	if (!connection)
 		return;
+	connection->answered = true;
 	close_after = closes_after(exchange);
 	write_reply(exchange, status, content_type, body, body_bytes, close_after);
-	connection->state_since_us = loop_now_us();
+	begin_state(connection, loop_now_us());
 	if (close_after)
 		linger(connection);
 	/* The exchange stays open until a slow caller has received the whole reply; otherwise a
@@ -391,7 +409,7 @@
 {
 	const http_server_t *server = connection->server;
 
-	connection->state_since_us = loop_arrival_us(server->loop);
+	begin_state(connection, loop_arrival_us(server->loop));
 	connection->receive_us = server->limits.receive_us;
 	connection->allowance_ns = sent_ahead ? 0 : REQUEST_ALLOWANCE_NS;
 	http_message_set_limits(connection->message, server->limits.message);
@@ -555,27 +573,50 @@
 	       now_us >= connection->state_since_us + NEW_CONNECTION_GRACE_US;
 }
 
+/* Whether closing the connection loses nothing that a searcher may be working on. */
+static bool is_replaceable(const connection_t *connection, uint64_t now_us)
+{
+	const http_exchange_t *exchange = connection->exchange;
+
+	return (!exchange || exchange->replied) &&
+	       now_us >= connection->state_since_us + connection->server->replace_after_us;
+}
+
+/* Prefers connections with an unfinished request or answer, and those on which no request has
+ * arrived, to those of callers that keep theirs between requests. */
+static connection_t *find_replaceable(const http_server_t *server)
+{
+	uint64_t now_us = loop_now_us();
+	GList *item = server->connections.head;
+	connection_t *kept = NULL;
+
+	for (uint32_t i = 0; item && i < ROOM_TRIES_MAX; i++, item = item->next) {
+		connection_t *connection = item->data;
+
+		if (!is_replaceable(connection, now_us))
+			continue;
+		if (!connection->answered || !is_idle(connection, now_us))
+			return connection;
+		kept = kept ? kept : connection;
+	}
+	return kept;
+}
+
 /* Returns whether one more connection may be accepted. */
 static bool make_room(http_server_t *server)
 {
-	uint64_t now_us = loop_now_us();
-	connection_t *longest_idle = NULL;
+	connection_t *replaced;
 
 	if (server->connections.length < server->connections_max)
 		return true;
 	server->connections_refused++;
-	if (!server->replaces_idle)
-		return false;
-	for (GList *item = server->connections.head; item; item = item->next) {
-		connection_t *connection = item->data;
-
-		if (is_idle(connection, now_us) &&
-		    (!longest_idle || connection->state_since_us < longest_idle->state_since_us))
-			longest_idle = connection;
-	}
-	if (!longest_idle)
+	replaced = server->replace_after_us ? find_replaceable(server) : NULL;
+	if (!replaced)
 		return false;
-	drop_connection(longest_idle);
+	if (!is_idle(replaced, loop_now_us()))
+		g_info("event=caller-cut connection=%" G_GUINT64_FORMAT " reason=room",
+		       replaced->serial);
+	drop_connection(replaced);
 	return true;
 }
 
@@ -705,10 +746,10 @@
 			linger(item->data);
 }
 
-void http_server_limit_connections(http_server_t *server, uint32_t max, bool replaces_idle)
+void http_server_limit_connections(http_server_t *server, uint32_t max, uint64_t replace_after_us)
 {
 	server->connections_max = max;
-	server->replaces_idle = replaces_idle;
+	server->replace_after_us = replace_after_us;
 }
 
 void http_server_limit_memory(http_server_t *server, http_memory_t *unfinished, http_memory_t *open)
@@ -726,7 +767,14 @@
 {
 	double max = DESCRIPTORS_SHARE * sock_descriptors_max();
 
-	http_server_limit_connections(server, (uint32_t)max, true);
+	http_server_limit_connections(server, (uint32_t)max, NEW_CONNECTION_GRACE_US);
+}
+
+void http_server_limit_probes(http_server_t *server)
+{
+	double max = PROBE_DESCRIPTORS_SHARE * sock_descriptors_max();
+
+	http_server_limit_connections(server, (uint32_t)max, PROBE_GRACE_US);
 }
 
 uint64_t http_server_connections_refused(const http_server_t *server)
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -48,15 +48,19 @@
 void http_server_set_limits(http_server_t *server, const http_server_limits_t *limits);
 /**
  * Accept at most @p max connections at a time; further ones are closed.
- * @param replaces_idle close the connection that has been idle the longest instead, if any is idle
+ * @param replace_after_us close instead the connection that has been in its state the longest, if
+ *        that is longer than this: one that is idle, sends a request, or doesn't read its answer;
+ * 0: none
  */
-void http_server_limit_connections(http_server_t *server, uint32_t max, bool replaces_idle);
+void http_server_limit_connections(http_server_t *server, uint32_t max, uint64_t replace_after_us);
 /**
  * Leave descriptors of this process for other uses: callers that open connections without end would
- * take all of them, and none could be served. The connection that has been idle the longest is
- * closed for a new one.
+ * take all of them, and none could be served. The connection that has been in its state the longest
+ * is closed for a new one, unless its request is being answered.
  */
 void http_server_leave_descriptors(http_server_t *server);
+/** The same for an interface that is only asked short questions, with a smaller share. */
+void http_server_limit_probes(http_server_t *server);
 /** When a caller whose request was refused for want of memory may come back: the requests that
  * held the memory are over or have timed out by then. */
 #define HTTP_SERVER_RETRY_AFTER_US 1000000
--- a/src/tasks/front_task.c
+++ b/src/tasks/front_task.c
@@ -363,9 +363,11 @@
 	http_server_t *server = http_server_new(task->loop, at->address, at->port,
 						&HTTP_SERVER_INTERNAL_LIMITS(0), ops, task);
 
-	if (server)
-		http_server_pace(server, task->pacing);
-	return server != NULL;
+	if (!server)
+		return false;
+	http_server_pace(server, task->pacing);
+	http_server_limit_probes(server);
+	return true;
 }
 
 static bool listen_all(front_task_t *task, const settings_t *settings)
--- a/standins/searcher.c
+++ b/standins/searcher.c
@@ -512,7 +512,7 @@
 		return 1;
 	}
 	if (searcher.connection_limit)
-		http_server_limit_connections(searcher.server, searcher.connection_limit, false);
+		http_server_limit_connections(searcher.server, searcher.connection_limit, 0);
 	loop_run(searcher.loop, on_signal, &searcher);
 	return 0;
 }
