tests/front_descriptors: descriptors run out at the connections of other VMs

They run out now at the port for other VMs, which has none, with the same checks; one more checks that metrics are served beside 150 connections for them.

--- a/tests/system/front_descriptors.sh
+++ b/tests/system/front_descriptors.sh
@@ -60,9 +60,15 @@
 close_connections
 wait_until served || fail "the VM does not serve after callers have closed their connections"
 
-# All descriptors are in use, by connections that are not callers'.
+# Connections for metrics and probes have a limit of their own.
 open_connections 150 $((FRONT_FROM + 2)) ''
 are_closed_at_once "for metrics"
+[ -n "$(metric caller_connections 0)" ] || fail "no metrics while there are too many connections for them"
+close_connections
+
+# All descriptors are in use, by connections that are not callers'.
+open_connections 150 $((FRONT_FROM + 4)) ''
+are_closed_at_once "of other VMs"
 close_connections
 wait_until served || fail "the VM does not serve after descriptors have become free"
 grep -q 'event=connections-refused reason=descriptors' "$RUN/front-0.log" || fail "the log does not say that descriptors were missing"
