net/http_server: a stopping VM closes all idle connections at once again

Since a connection moves to the end of the list when its state changes, the walk over idle connections ended after the first one that was closed; the rest followed one every 20 ms. Callers could send their next request to a VM that ends. Found by reading the diff again.

front_stop_idle: 150 idle connections, one request being answered, SIGTERM: 29 were still open after 1.5 s, now none, as on the code before the change of the list.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -746,10 +746,14 @@
 void http_server_close_idle(http_server_t *server)
 {
 	uint64_t now_us = loop_now_us();
+	GList *next;
 
-	for (GList *item = server->connections.head; item; item = item->next)
+	/* A connection that lingers moves to the end. */
+	for (GList *item = server->connections.head; item; item = next) {
+		next = item->next;
 		if (is_idle(item->data, now_us))
 			linger(item->data);
+	}
 }
 
 void http_server_limit_connections(http_server_t *server, uint32_t max, uint64_t replace_after_us)
