admin_task: clients of the operators' interface are paced, and their connections limited

At the product's own interface requests sent ahead to /readyz, at the port for operators, took all of a VM's processor: beside 400 such clients a search got no answer within 3 s (trial on the commit before).

--- a/src/tasks/admin_task.c
+++ b/src/tasks/admin_task.c
@@ -262,8 +262,12 @@
 	task->server = http_server_new(loop, source->settings->listen_address,
 				       (uint16_t)source->settings->admin_port,
 				       &HTTP_SERVER_INTERNAL_LIMITS(BODY_LIMIT_BYTES), &ops, task);
-	if (task->server)
+	if (task->server) {
+		http_server_pace(task->server,
+				 pacing_new(loop, settings_excess_ppm(source->settings)));
+		http_server_limit_probes(task->server);
 		return task;
+	}
 	g_free(task);
 	return NULL;
 }
