--- a/src/tasks/front_private.h
+++ b/src/tasks/front_private.h
@@ -33,7 +33,7 @@
 	http_memory_t *replies;	      /* unfinished ones of searchers and the store */
 	http_memory_t *requests;      /* unfinished ones of callers */
 	pacing_t *pacing;	      /* of callers */
-	http_memory_t *open_requests; /* those being answered, of callers and of other VMs */
+	http_memory_t *open_requests; /* those being answered */
 	loop_timer_t forwarder_timer;
 	loop_timer_t shares_timer;
 	sharing_t sharing;  /* this VM's shares, from the last known VMs and configuration */
