--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -9,7 +9,7 @@
 # shellcheck disable=SC2046
 clang -g -O1 -w -fsanitize=fuzzer,address,undefined -fno-sanitize-recover=undefined -Isrc -Iplatform -o "$WORK/fuzz" \
 	tests/fuzz.c src/core/*.c src/queries/search.c src/commands/action.c src/commands/propose.c platform/store.c platform/headers.c \
-	src/net/http_message.c src/net/http_exchange.c $(pkg-config --cflags --libs glib-2.0 jansson libxxhash msgpack) -lhttp_parser -lm
+	src/net/http_message.c src/net/http_exchange.c src/net/http_memory.c $(pkg-config --cflags --libs glib-2.0 jansson libxxhash msgpack) -lhttp_parser -lm
 failed=0
 for target in reply health search config frame page feed hop replies endless; do
 	mkdir -p "$WORK/$target"
