net/http_server: a connection that its request's callback closes is freed after parsing

The stand-in of the platform ended ("malloc(): invalid size") in front_store_rejects, 1 run of 1 in the system tests and 2 of 3 by hand: it closes connections instead of answering, from within the callback of the request, and the connection was used after that by the parser. The daemon never closes a connection there; review/ and the system tests play it only in the stand-in.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -56,6 +56,7 @@
 	bool more_to_parse;   /* bytes follow the request that is being parsed */
 	bool dropped_further; /* requests behind the one being answered were dropped */
 	bool was_paced;
+	bool aborted;	       /* while parsing; to be dropped after that */
 	bool answered;	       /* at least one request */
 	uint64_t allowance_ns; /* what the current request may still cost without being paced */
 	pacing_turn_t turn;
@@ -150,6 +151,7 @@
 /* ---- replies ---- */
 
 static void parse_next(connection_t *connection);
+static void drop_connection(connection_t *connection);
 
 static void end_exchange(connection_t *connection)
 {
@@ -441,7 +443,7 @@
 static void parse(connection_t *connection, const char *data, size_t bytes, bool sent_ahead)
 {
 	connection->parsing = true;
-	while (bytes && !connection->exchange && !connection->lingering &&
+	while (bytes && !connection->exchange && !connection->lingering && !connection->aborted &&
 	       !pacing_is_waiting(&connection->turn)) {
 		size_t consumed = parse_request(connection, data, bytes, sent_ahead);
 		bool complete = http_message_state(connection->message) == HTTP_MESSAGE_COMPLETE;
@@ -459,6 +461,8 @@
 	}
 	connection->parsing = false;
 	connection->more_to_parse = false;
+	if (connection->aborted)
+		return;
 	if (bytes && !connection->lingering)
 		buffer_pipelined(connection, data, bytes);
 	count_memory(connection);
@@ -480,7 +484,10 @@
 		parse(connection, (const char *)pipelined->data, pipelined->len, true);
 		g_byte_array_unref(pipelined);
 	}
-	set_reading(connection);
+	if (connection->aborted)
+		drop_connection(connection);
+	else
+		set_reading(connection);
 }
 
 /* Called when a request was answered. */
@@ -529,6 +536,10 @@
 	} else {
 		parse(connection, data, bytes, false);
 	}
+	if (connection->aborted) {
+		drop_connection(connection);
+		return;
+	}
 	if (must_wait(connection))
 		wait_for_turn(connection);
 	set_reading(connection);
@@ -651,8 +662,14 @@
 
 void http_exchange_abort(http_exchange_t *exchange)
 {
-	if (exchange->connection)
-		drop_connection(exchange->connection);
+	connection_t *connection = exchange->connection;
+
+	if (!connection)
+		return;
+	if (connection->parsing)
+		connection->aborted = true;
+	else
+		drop_connection(connection);
 }
 
 static void check_limits(connection_t *connection, uint64_t now_us)
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -107,7 +107,7 @@
 void http_exchange_set_data(http_exchange_t *exchange, void *data);
 void *http_exchange_data(const http_exchange_t *exchange);
 /** Close the connection instead of replying, as if it had failed; `disconnected` is called before
- * this returns. */
+ * this returns, or after the `request` callback that it is called from. */
 void http_exchange_abort(http_exchange_t *exchange);
 /** Add a header to the future reply. */
 void http_exchange_add_header(http_exchange_t *exchange, const char *name, const char *value);
